--- /dev/null
+++ b/src/coordination/ports/key-value-store.ts
@@ -0,0 +1,55 @@
+import type { Result } from '../../shared/result.js'
+
+/** One stored value with the revision of its last write. */
+export interface KeyValueEntry {
+  readonly key: string
+  /** JSON text, at most 1 MB. */
+  readonly value: string
+  readonly revision: number
+}
+
+export enum KeyValueErrorKind {
+  /** The expected revision did not match; nothing was written. */
+  Conflict = 'conflict',
+  /** The call was not carried out, and will not be carried out later. */
+  Unavailable = 'unavailable',
+  /** No reply arrived: a write may have taken effect, or may still take effect. */
+  Ambiguous = 'ambiguous'
+}
+
+export type KeyValueError =
+  | { readonly kind: KeyValueErrorKind.Conflict, readonly current: KeyValueEntry | undefined }
+  | { readonly kind: KeyValueErrorKind.Unavailable, readonly reason: string }
+  | { readonly kind: KeyValueErrorKind.Ambiguous, readonly reason: string }
+
+export interface CompareAndSwapRequest {
+  readonly key: string
+  /** Revision the key must have now; 0 means that the key must be absent. */
+  readonly expectedRevision: number
+  /** New JSON text; undefined deletes the key. */
+  readonly value: string | undefined
+  /** Removes the key when this lease lapses. */
+  readonly leaseId?: string
+}
+
+export interface WatchRequest {
+  readonly key: string
+  /** Returns as soon as the key has a revision above this one. */
+  readonly afterRevision: number
+  /** Returns undefined when nothing changed within this time. */
+  readonly timeoutMs: number
+}
+
+/** The platform's key-value service. Each call counts against its rate, a waiting watch as one. */
+export interface KeyValueStore {
+  get (key: string): Promise<Result<KeyValueEntry | undefined, KeyValueError>>
+  /** Lists the entries whose key starts with the prefix, ordered by key. */
+  list (prefix: string): Promise<Result<readonly KeyValueEntry[], KeyValueError>>
+  /** Returns the new revision. */
+  compareAndSwap (request: CompareAndSwapRequest): Promise<Result<number, KeyValueError>>
+  watch (request: WatchRequest): Promise<Result<KeyValueEntry | undefined, KeyValueError>>
+  /** Returns the id of a new lease. */
+  grantLease (durationMs: number): Promise<Result<string, KeyValueError>>
+  /** Extends a lease; false when it has lapsed. */
+  keepLeaseAlive (leaseId: string): Promise<Result<boolean, KeyValueError>>
+}
--- /dev/null
+++ b/src/coordination/ports/vm-list.ts
@@ -0,0 +1,35 @@
+import type { Result } from '../../shared/result.js'
+
+export enum VmLifecycle {
+  Live = 'live',
+  Leaving = 'leaving'
+}
+
+export enum VmRole {
+  ModelEngine = 'modelEngine',
+  PlainService = 'plainService'
+}
+
+/** A backend server VM as the platform lists it. The list lags behind the VMs. */
+export interface ListedVm {
+  readonly vmId: string
+  /** `host:port` of the backend server on the VM. */
+  readonly address: string
+  readonly availabilityZone: string
+  readonly fabricDomain: string
+  readonly acceleratorCount: number
+  readonly role: VmRole
+  /** Name of the plain service; undefined for model engines. */
+  readonly serviceName?: string
+  readonly lifecycle: VmLifecycle
+}
+
+export interface VmListError {
+  readonly kind: 'unavailable'
+  readonly reason: string
+}
+
+/** The platform's list of live and leaving VMs. */
+export interface VmList {
+  fetch (): Promise<Result<readonly ListedVm[], VmListError>>
+}
