--- /dev/null
+++ b/src/shared/channel.test.ts
@@ -0,0 +1,29 @@
+import { expect } from 'chai'
+
+import { createChannel } from './channel.js'
+import { drainMicrotasks } from './virtual-timer-service.js'
+
+describe('channel', () => {
+  describe('send', () => {
+    it('reaches an observer in order', async () => {
+      const channel = createChannel<number>()
+      const seen: number[] = []
+      void channel.messages.filter(value => value !== 2).observe(value => { seen.push(value) })
+      await drainMicrotasks()
+      channel.send(1)
+      channel.send(2)
+      channel.send(3)
+      await drainMicrotasks()
+      expect(seen).to.deep.equal([1, 3])
+    })
+
+    it('is dropped when nobody observes', async () => {
+      const channel = createChannel<number>()
+      channel.send(1)
+      const seen: number[] = []
+      void channel.messages.observe(value => { seen.push(value) })
+      await drainMicrotasks()
+      expect(seen).to.deep.equal([])
+    })
+  })
+})
