Route and admit requests on credits

Cause: the entry node needs a decision for each request: start now, wait a little, or refuse. Ruled out: a queue at the group's owner (one hop and one point of pause more per request). Change: a router with policies behind one interface (cost based, random, round robin, two choices), load reports corrected by the node's own starts and ends, and an admission with a short queue per partner and deployment: interactive before batch, fair between teams, no wait past the deadline, refusal at once with a spread retry time, a budget for second tries.

--- /dev/null
+++ b/src/coordination/admission/admission.test.ts
@@ -0,0 +1,164 @@
+import { expect } from 'chai'
+
+import { createRandomSource } from '../../shared/random-source.js'
+import { createVirtualTimerService, drainMicrotasks } from '../../shared/virtual-timer-service.js'
+import { RequestPriority } from '../../state/fleet-config.js'
+import type { RoutableGroup } from '../routing/routable-group.js'
+import { createRouter, defaultRouterSettings } from '../routing/router.js'
+import { RandomRouting } from '../routing/routing-policy.js'
+import { createAdmission } from './admission.js'
+import { defaultAdmissionSettings } from './admission-settings.js'
+import { AdmissionKind, RefusalReason, ServiceOutcome, type Admission, type AdmissionRequest, type Admitted } from './admission-types.js'
+
+const baseRequest: AdmissionRequest = {
+  partner: 'lotus',
+  team: 'small',
+  deployment: 'wording',
+  priority: RequestPriority.Interactive,
+  deadlineMs: 20_000
+}
+
+function createFixture (credits: number) {
+  const timers = createVirtualTimerService()
+  const random = createRandomSource(1)
+  const createGroup = (groupId: string): RoutableGroup => ({
+    groupId,
+    epoch: 1,
+    deployment: 'wording',
+    leaderAddress: '127.0.0.1:1',
+    availabilityZone: 'galle',
+    slotCount: 10,
+    evidenceAgeMs: 0,
+    observedAtMs: timers.nowMs(),
+    activeStreamCount: 0,
+    queuedStreamCount: 0,
+    tokenIntervalMs: 20,
+    creditsByPartner: new Map([['lotus', credits]]),
+    creditsLapseAtMs: timers.nowMs() + 5000
+  })
+  const groups = { ids: ['a'] }
+  const router = createRouter({
+    timers,
+    settings: defaultRouterSettings,
+    availabilityZone: 'galle',
+    policy: new RandomRouting(random),
+    getGroups: () => groups.ids.map(createGroup)
+  })
+  const settings = { ...defaultAdmissionSettings, initialServiceMs: 1000, maxWaitingCount: 4 }
+  const admission = createAdmission({ timers, random, settings, router, getTeamWeight: () => 1 })
+  const answers = new Map<string, Admission>()
+  async function request (name: string, overrides: Partial<AdmissionRequest> = {}): Promise<Admission | undefined> {
+    void admission.request({ ...baseRequest, ...overrides }).then(answer => answers.set(name, answer))
+    await drainMicrotasks()
+    return answers.get(name)
+  }
+  return { timers, admission, answers, request, groups }
+}
+
+function getReason (admission: Admission | undefined): RefusalReason | undefined {
+  return admission?.kind === AdmissionKind.Refused ? admission.reason : undefined
+}
+
+describe('admission', () => {
+  it('admits at once while there are credits, then lets a request wait for its turn', async () => {
+    const { request, answers } = createFixture(1)
+    const first = await request('first') as Admitted
+    expect(first.kind).to.equal(AdmissionKind.Admitted)
+    expect(await request('second')).to.equal(undefined)
+    first.release(ServiceOutcome.Succeeded)
+    first.release(ServiceOutcome.Succeeded)
+    await drainMicrotasks()
+    expect(answers.get('second')?.kind).to.equal(AdmissionKind.Admitted)
+    expect(await request('third')).to.equal(undefined)
+  })
+
+  it('refuses at once without a complete group', async () => {
+    const { request, groups } = createFixture(1)
+    groups.ids = []
+    expect(getReason(await request('first'))).to.equal(RefusalReason.NoGroup)
+  })
+
+  it('refuses at once what cannot meet its deadline by waiting', async () => {
+    const { request } = createFixture(1)
+    await request('first')
+    const refused = await request('second', { deadlineMs: 900 })
+    expect(getReason(refused)).to.equal(RefusalReason.DeadlineUnreachable)
+    expect(refused).to.have.property('retryAfterMs').above(0)
+  })
+
+  it('gives a waiting request up when its deadline can no longer be met', async () => {
+    const { request, timers, answers } = createFixture(1)
+    await request('first')
+    await request('second', { deadlineMs: 2200 })
+    await timers.advanceAsync(1199)
+    expect(answers.has('second')).to.equal(false)
+    await timers.advanceAsync(1)
+    expect(getReason(answers.get('second'))).to.equal(RefusalReason.DeadlineUnreachable)
+  })
+
+  it('forgets a waiting request whose caller went away', async () => {
+    const { request, admission, answers } = createFixture(1)
+    const controller = new AbortController()
+    await request('first')
+    await request('second', { signal: controller.signal })
+    controller.abort()
+    await drainMicrotasks()
+    expect(getReason(answers.get('second'))).to.equal(RefusalReason.Cancelled)
+    expect(admission.getWaitingCount('wording', 'lotus')).to.equal(0)
+  })
+
+  it('starts interactive work before batch work, and a small team before a large one', async () => {
+    const { request, answers } = createFixture(4)
+    const running = await Promise.all(['1', '2', '3', '4'].map(name => request(name, { team: 'large' }))) as Admitted[]
+    await request('batch', { priority: RequestPriority.Batch })
+    await request('large', { team: 'large' })
+    await request('small')
+    for (const name of ['small', 'large', 'batch']) {
+      running.pop()?.release(ServiceOutcome.Succeeded)
+      await drainMicrotasks()
+      expect(answers.get(name)?.kind).to.equal(AdmissionKind.Admitted)
+    }
+  })
+
+  it('displaces the longest team from a full queue', async () => {
+    const { request, answers } = createFixture(4)
+    await Promise.all(['1', '2', '3', '4'].map(name => request(name, { team: 'large' })))
+    for (const name of ['5', '6', '7', '8']) expect(await request(name, { team: 'large' })).to.equal(undefined)
+    expect(await request('small')).to.equal(undefined)
+    expect(getReason(answers.get('8'))).to.equal(RefusalReason.Overloaded)
+  })
+
+  it('limits second tries and never sends them to the group that failed', async () => {
+    const { request, groups } = createFixture(100)
+    expect(getReason(await request('only', { retry: { excludedGroupIds: ['a'] } }))).to.equal(RefusalReason.NoGroup)
+    groups.ids = ['a', 'b']
+    const { maxRetryCount } = defaultAdmissionSettings.retryBudget
+    for (let count = 0; count < maxRetryCount; count += 1) {
+      const admitted = await request(`${count}`, { retry: { excludedGroupIds: ['a'] } }) as Admitted
+      expect(admitted.group.groupId).to.equal('b')
+    }
+    const last = await request('last', { retry: { excludedGroupIds: ['a'] } })
+    expect(getReason(last)).to.equal(RefusalReason.RetryBudgetExhausted)
+  })
+
+  it('spreads the times to come back', async () => {
+    const { request } = createFixture(1)
+    await request('first')
+    const times = new Set<unknown>()
+    for (let count = 0; count < 20; count += 1) {
+      const refused = await request(`${count}`, { deadlineMs: 500 })
+      if (refused?.kind === AdmissionKind.Refused) times.add(refused.retryAfterMs)
+    }
+    expect(times.size).to.be.above(15)
+  })
+
+  it('refuses waiting and new requests once closed', async () => {
+    const { request, admission, answers } = createFixture(1)
+    await request('first')
+    await request('second')
+    admission.close()
+    await drainMicrotasks()
+    expect(getReason(answers.get('second'))).to.equal(RefusalReason.Closed)
+    expect(getReason(await request('third'))).to.equal(RefusalReason.Closed)
+  })
+})
--- /dev/null
+++ b/src/coordination/admission/team-queue.ts
@@ -0,0 +1,124 @@
+import { RequestPriority } from '../../state/fleet-config.js'
+
+/** What the queue needs to know about a waiting request. */
+export interface QueuedRequest {
+  readonly team: string
+  readonly priority: RequestPriority
+}
+
+/** Weight and present use of one team, for fair turns. */
+export interface TeamUse {
+  readonly weight: number
+  readonly inFlightCount: number
+}
+
+/** Waiting requests of one partner for one deployment. Interactive before batch, fair between teams. */
+export interface TeamQueue<T extends QueuedRequest> {
+  readonly size: number
+  push (request: T): void
+  remove (request: T): void
+  /** The request whose turn is next; stays in the queue. */
+  peek (): T | undefined
+  /** Requests that would have their turn before a new one of the team and priority. */
+  countAhead (team: string, priority: RequestPriority): number
+  /** The request to give up in favour of a new one of the team and priority; undefined when the new one has the weakest claim. */
+  findDisplaceable (team: string, priority: RequestPriority): T | undefined
+  getAll (): readonly T[]
+}
+
+const priorities = [RequestPriority.Interactive, RequestPriority.Batch] as const
+
+/** Creates an empty queue. */
+export function createTeamQueue<T extends QueuedRequest> (getTeamUse: (team: string) => TeamUse): TeamQueue<T> {
+  const waiting: Record<RequestPriority, Map<string, T[]>> = {
+    [RequestPriority.Interactive]: new Map(),
+    [RequestPriority.Batch]: new Map()
+  }
+  let size = 0
+
+  function getWeight (team: string): number {
+    return Math.max(getTeamUse(team).weight, Number.EPSILON)
+  }
+
+  /** Slots per weight that the team would use with one more request. */
+  function getNextUse (team: string): number {
+    return (getTeamUse(team).inFlightCount + 1) / getWeight(team)
+  }
+
+  function countTeam (team: string): number {
+    return priorities.reduce((sum, priority) => sum + (waiting[priority].get(team)?.length ?? 0), 0)
+  }
+
+  function countPriorityAhead (team: string, priority: RequestPriority): number {
+    const ownCount = (waiting[priority].get(team)?.length ?? 0) + 1
+    const turnsPerWeight = ownCount / getWeight(team)
+    let count = ownCount - 1
+    for (const [otherTeam, requests] of waiting[priority]) {
+      if (otherTeam === team) continue
+      count += Math.min(requests.length, Math.floor(turnsPerWeight * getWeight(otherTeam)))
+    }
+    return count
+  }
+
+  function countPriority (priority: RequestPriority): number {
+    return [...waiting[priority].values()].reduce((sum, requests) => sum + requests.length, 0)
+  }
+
+  function findLongestTeam (priority: RequestPriority): string | undefined {
+    let longest: string | undefined
+    let longestShare = 0
+    for (const [team, requests] of waiting[priority]) {
+      const share = requests.length === 0 ? 0 : countTeam(team) / getWeight(team)
+      if (share <= longestShare) continue
+      longest = team
+      longestShare = share
+    }
+    return longest
+  }
+
+  return {
+    get size () {
+      return size
+    },
+    push (request) {
+      const requests = waiting[request.priority].get(request.team) ?? []
+      requests.push(request)
+      waiting[request.priority].set(request.team, requests)
+      size += 1
+    },
+    remove (request) {
+      const requests = waiting[request.priority].get(request.team) ?? []
+      const index = requests.indexOf(request)
+      if (index === -1) return
+      requests.splice(index, 1)
+      if (requests.length === 0) waiting[request.priority].delete(request.team)
+      size -= 1
+    },
+    peek () {
+      const byTeam = priorities.map(priority => waiting[priority]).find(teams => teams.size > 0)
+      if (byTeam === undefined) return undefined
+      const teams = [...byTeam.keys()]
+      const next = teams.reduce((best, team) => getNextUse(team) < getNextUse(best) ? team : best)
+      return byTeam.get(next)?.[0]
+    },
+    countAhead (team, priority) {
+      const countAtPriority = countPriorityAhead(team, priority)
+      if (priority === RequestPriority.Interactive) return countAtPriority
+      return countAtPriority + countPriority(RequestPriority.Interactive)
+    },
+    findDisplaceable (team, priority) {
+      const longestBatchTeam = findLongestTeam(RequestPriority.Batch)
+      if (priority === RequestPriority.Interactive && longestBatchTeam !== undefined) {
+        return waiting[RequestPriority.Batch].get(longestBatchTeam)?.at(-1)
+      }
+      const longestTeam = findLongestTeam(priority)
+      if (longestTeam === undefined || longestTeam === team) return undefined
+      const ownShare = (countTeam(team) + 1) / getWeight(team)
+      if (countTeam(longestTeam) / getWeight(longestTeam) <= ownShare) return undefined
+      return waiting[priority].get(longestTeam)?.at(-1)
+    },
+    getAll () {
+      return priorities.flatMap(priority => [...waiting[priority].values()].flat())
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/routing/router.ts
@@ -0,0 +1,159 @@
+import type { TimerService } from '../../shared/timer-service.js'
+import type { RoutableGroup, RoutingCandidate } from './routable-group.js'
+import type { RoutingPolicy, RoutingRequest } from './routing-policy.js'
+import { createStreamLedger } from './stream-ledger.js'
+
+export interface RouterSettings {
+  /** Oldest evidence of completeness on which a request may be handed over. */
+  readonly evidenceMaxAgeMs: number
+  /** Typical delay between a change of an engine's load and the report that shows it. */
+  readonly reportLagMs: number
+  /** Time without new requests for a group that refused one as full. */
+  readonly backoffMs: number
+}
+
+export const defaultRouterSettings: RouterSettings = {
+  evidenceMaxAgeMs: 2000,
+  reportLagMs: 500,
+  backoffMs: 500
+}
+
+export interface RouterDependencies {
+  readonly timers: TimerService
+  readonly settings: RouterSettings
+  readonly availabilityZone: string
+  readonly policy: RoutingPolicy
+  /** The groups of a deployment that were complete at the last answer of their owner. */
+  getGroups (deployment: string): readonly RoutableGroup[]
+}
+
+export enum RouteChoiceKind {
+  Chosen = 'chosen',
+  /** No group of the deployment has fresh evidence that it is complete. */
+  NoGroup = 'noGroup',
+  /** There are complete groups, but none on which the partner may start another stream now. */
+  NoCredit = 'noCredit'
+}
+
+export type RouteChoice =
+  | { readonly kind: RouteChoiceKind.Chosen, readonly group: RoutableGroup }
+  | { readonly kind: RouteChoiceKind.NoGroup }
+  | { readonly kind: RouteChoiceKind.NoCredit }
+
+export interface RouteRequest extends RoutingRequest {
+  readonly excludedGroupIds?: readonly string[]
+}
+
+/** A stream counted against a group until it ends. */
+export interface StreamTicket {
+  /** Ends the count; has no effect the second time. */
+  end (): void
+}
+
+/** Chooses groups for the requests of this node and counts its streams. */
+export interface Router {
+  choose (request: RouteRequest): RouteChoice
+  begin (groupId: string, partner: string): StreamTicket
+  /** Keeps new requests away from a group for a short time, after it refused one as full. */
+  backOff (groupId: string): void
+  /** Streams that the partner may have in flight from this node over all groups of the deployment. */
+  countCredits (deployment: string, partner: string): number
+  getInFlightCount (groupId: string, partner: string): number
+  /** Partners with streams of this node on the group. */
+  getPartnersInFlight (groupId: string): readonly string[]
+  /** Credits that the node holds now for the partner on the group. */
+  getHeldCredit (deployment: string, groupId: string, partner: string): number
+  /** Partners for which the node holds credits on the group. */
+  getPartnersWithCredit (deployment: string, groupId: string): readonly string[]
+}
+
+/** Creates a router that has no streams in flight. */
+export function createRouter (dependencies: RouterDependencies): Router {
+  const { timers, settings, policy } = dependencies
+  const ledger = createStreamLedger(timers, settings.evidenceMaxAgeMs + settings.reportLagMs)
+  const backOffUntilMs = new Map<string, number>()
+
+  function isFresh (group: RoutableGroup): boolean {
+    return group.evidenceAgeMs + timers.nowMs() - group.observedAtMs <= settings.evidenceMaxAgeMs
+  }
+
+  function isBackingOff (groupId: string): boolean {
+    const untilMs = backOffUntilMs.get(groupId)
+    if (untilMs === undefined) return false
+    if (untilMs > timers.nowMs()) return true
+    backOffUntilMs.delete(groupId)
+    return false
+  }
+
+  function getFreshGroups (deployment: string): RoutableGroup[] {
+    return dependencies.getGroups(deployment).filter(isFresh)
+  }
+
+  function getCredit (group: RoutableGroup, partner: string): number {
+    if (group.creditsLapseAtMs <= timers.nowMs()) return 0
+    return group.creditsByPartner.get(partner) ?? 0
+  }
+
+  function findGroup (deployment: string, groupId: string): RoutableGroup | undefined {
+    return dependencies.getGroups(deployment).find(group => group.groupId === groupId)
+  }
+
+  function toCandidate (group: RoutableGroup, partner: string): RoutingCandidate {
+    const ownCount = ledger.getTotal(group.groupId)
+    const reportedAtMs = group.observedAtMs - settings.reportLagMs
+    const reportedCount = group.activeStreamCount + group.queuedStreamCount
+    const othersCount = Math.max(0, reportedCount - ledger.getTotalAt(group.groupId, reportedAtMs))
+    const credit = getCredit(group, partner)
+    const inFlightCount = ledger.getCount(group.groupId, partner)
+    return {
+      group,
+      isLocal: group.availabilityZone === dependencies.availabilityZone,
+      estimatedStreamCount: othersCount + ownCount,
+      freeCreditCount: credit - inFlightCount,
+      creditUse: Math.min(1, inFlightCount / Math.max(1, credit))
+    }
+  }
+
+  return {
+    choose (request) {
+      const groups = getFreshGroups(request.deployment)
+        .filter(group => request.excludedGroupIds?.includes(group.groupId) !== true)
+      if (groups.length === 0) return { kind: RouteChoiceKind.NoGroup }
+      const candidates = groups
+        .filter(group => !isBackingOff(group.groupId))
+        .map(group => toCandidate(group, request.partner))
+        .filter(candidate => candidate.freeCreditCount > 0)
+      const chosen = policy.choose(candidates, request)
+      if (chosen === undefined) return { kind: RouteChoiceKind.NoCredit }
+      return { kind: RouteChoiceKind.Chosen, group: chosen.group }
+    },
+    begin (groupId, partner) {
+      let isEnded = false
+      ledger.add(groupId, partner, 1)
+      return {
+        end () {
+          if (isEnded) return
+          isEnded = true
+          ledger.add(groupId, partner, -1)
+        }
+      }
+    },
+    backOff (groupId) {
+      backOffUntilMs.set(groupId, timers.nowMs() + settings.backoffMs)
+    },
+    countCredits (deployment, partner) {
+      return getFreshGroups(deployment).reduce((sum, group) => sum + getCredit(group, partner), 0)
+    },
+    getInFlightCount: (groupId, partner) => ledger.getCount(groupId, partner),
+    getPartnersInFlight: groupId => ledger.getPartners(groupId),
+    getHeldCredit (deployment, groupId, partner) {
+      const group = findGroup(deployment, groupId)
+      return group === undefined ? 0 : getCredit(group, partner)
+    },
+    getPartnersWithCredit (deployment, groupId) {
+      const group = findGroup(deployment, groupId)
+      if (group === undefined) return []
+      return [...group.creditsByPartner.keys()].filter(partner => getCredit(group, partner) > 0)
+    }
+  }
+}
