Add the order ledger: at most one run a key

Cause: calls that must not repeat need one record each that every entry node honours, also after lost replies, crashes and retries elsewhere.

Ruled out: taking over a claim when its time is over (the holder may be paused and still send; two runs); trusting wall clocks of other nodes to judge a claim overdue (a node counts on its own monotonic clock from its first sight of the claim instead); a lease a record (a third write an order; one grant an hour a node serves all).

Change: claim by create with a token of its own, then send, then store the outcome. A claim whose reply is lost is read back; if that does not decide it, the caller is told `notRun`, the token is never used and a released record fences the late write in the background. `notRun` says whether earlier attempts under the key were looked up. Only a proof that nothing was sent releases a key. `unknown` is final but for an answer.

--- /dev/null
+++ b/src/coordination/orders/order-digest.ts
@@ -0,0 +1,12 @@
+import { createHash } from 'node:crypto'
+
+import type { OrderRequest } from './order-outcome.js'
+
+/** Returns the SHA-256 of everything that makes two requests under one key the same order. */
+export function getRequestDigest (request: OrderRequest): string {
+  const hash = createHash('sha256')
+  const head = [request.partner, request.service, request.method, request.path, request.contentType]
+  hash.update(JSON.stringify(head))
+  hash.update(request.body)
+  return hash.digest('hex')
+}
--- /dev/null
+++ b/src/coordination/orders/order-ledger.ts
@@ -0,0 +1,199 @@
+import { createChannel, type Channel } from '../../shared/channel.js'
+import type { RandomSource } from '../../shared/random-source.js'
+import type { TimerService } from '../../shared/timer-service.js'
+import { getOrderKey, parseOrderRecord, type OrderId } from '../../state/order-record.js'
+import type { KeyValueEntry, KeyValueStore } from '../ports/key-value-store.js'
+import type { ServiceCaller } from '../ports/service-caller.js'
+import { ClaimResultKind, createOrderClaims, type HeldClaim } from './order-claims.js'
+import { getRequestDigest } from './order-digest.js'
+import { OrderEventKind, type OrderEvent } from './order-event.js'
+import { createOrderJudge } from './order-judge.js'
+import { createOrderLeases } from './order-lease.js'
+import { EarlierAttempts, OrderOutcomeKind, type OrderOutcome, type OrderRequest, type OrderStatus, type OrderStatusRequest } from './order-outcome.js'
+import { createOrderReplies } from './order-replies.js'
+import { createOrderSender } from './order-sender.js'
+import type { OrderSettings } from './order-settings.js'
+import { createOrderStatusCheck } from './order-status.js'
+import { createOrderWriter } from './order-writer.js'
+import { createOverdueClaims } from './overdue-claims.js'
+
+/** Runs calls that must not repeat at most once, over all entry nodes and retries. */
+export interface OrderLedger {
+  /** Has an order run, or says why not. Resolves no later than the caller's deadline. */
+  submit (request: OrderRequest): Promise<OrderOutcome>
+  /** Says what is known of an order; asks the service's own status check when the outcome is unknown. */
+  getStatus (request: OrderStatusRequest): Promise<OrderStatus>
+  readonly events: Channel<OrderEvent>
+  /** Refuses new orders and resolves when none is in flight and every write is settled. */
+  drain (): Promise<void>
+}
+
+export interface OrderLedgerOptions {
+  readonly store: KeyValueStore
+  readonly serviceCaller: ServiceCaller
+  readonly timers: TimerService
+  readonly random: RandomSource
+  /** Node id and incarnation of this process, `nodeId:incarnation`. */
+  readonly claimant: string
+  readonly settings: OrderSettings
+}
+
+/** One attempt of a caller while it is under way. */
+interface Attempt {
+  readonly request: OrderRequest
+  readonly digest: string
+  readonly deadlineMs: number
+  /** Set as soon as the outcome is certain, before it is stored. */
+  knownOutcome?: OrderOutcome
+}
+
+const maxClaimRounds = 3
+
+/** Creates the order ledger of one node. */
+export function createOrderLedger ({ store, serviceCaller, timers, random, claimant, settings }: OrderLedgerOptions): OrderLedger {
+  const events = createChannel<OrderEvent>()
+  const replies = createOrderReplies(random, settings)
+  const leases = createOrderLeases(store, timers, random, settings)
+  const writer = createOrderWriter({ store, timers, random, events, settings, onSettled: notifyDrained })
+  const claims = createOrderClaims({ store, timers, random, leases, writer, claimant, settings })
+  const sender = createOrderSender(serviceCaller, timers, settings)
+  const overdueClaims = createOverdueClaims({ store, timers, leases, events, settings })
+  const statusCheck = createOrderStatusCheck({ serviceCaller, leases, writer, settings })
+  const heldTokens = new Set<string>()
+  const judge = createOrderJudge({ replies, overdueClaims, isHeld: token => heldTokens.has(token) })
+  const drainWaiters: Array<() => void> = []
+  let inFlightCount = 0
+  let isDraining = false
+
+  /** Sends the order and stores what came of it. */
+  async function run (attempt: Attempt, claim: HeldClaim): Promise<OrderOutcome> {
+    heldTokens.add(claim.record.claimToken)
+    const sent = await sender.send(claim, attempt.request, attempt.deadlineMs)
+    const outcome = getSentOutcome(sent)
+    attempt.knownOutcome = outcome
+    const retryForMs = sent.kind === OrderOutcomeKind.NotRun ? {} : { retryForMs: settings.outcomeRetryForMs }
+    await writer.write({ key: claim.key, record: sent.record, leaseId: claim.leaseId, expectedRevision: claim.revision, ...retryForMs })
+    heldTokens.delete(claim.record.claimToken)
+    return outcome
+  }
+
+  function getSentOutcome (sent: Awaited<ReturnType<typeof sender.send>>): OrderOutcome {
+    switch (sent.kind) {
+      case OrderOutcomeKind.Done:
+        return { kind: sent.kind, answer: sent.answer, isReplayed: false }
+      case OrderOutcomeKind.NotRun:
+        return replies.notRun(sent.reason, EarlierAttempts.NoneRan)
+      case OrderOutcomeKind.Unknown:
+        return { kind: sent.kind, reason: sent.reason }
+    }
+  }
+
+  async function claimAndRun (attempt: Attempt): Promise<OrderOutcome> {
+    let expectedRevision = 0
+    for (let round = 0; round < maxClaimRounds; round += 1) {
+      const claimed = await claims.claim(attempt.request, attempt.digest, expectedRevision)
+      switch (claimed.kind) {
+        case ClaimResultKind.Held:
+          return run(attempt, claimed.claim)
+        case ClaimResultKind.StoreOut:
+          return replies.notRun(claimed.reason, EarlierAttempts.NotChecked)
+        case ClaimResultKind.Undecided:
+          events.send({ kind: OrderEventKind.ClaimUndecided, key: getOrderKey(attempt.request) })
+          return replies.notRun(claimed.reason, EarlierAttempts.NotChecked)
+        case ClaimResultKind.Taken: {
+          const known = await judge.judge(claimed.entry, attempt.digest)
+          if (known.kind !== OrderOutcomeKind.NotRun) return known
+          expectedRevision = claimed.entry.revision
+        }
+      }
+    }
+    return replies.notRun('other attempts under the key came first', EarlierAttempts.NotChecked)
+  }
+
+  /** Looks an order up that cannot be sent now, so that a stored answer is still replayed. */
+  async function lookUp (attempt: Attempt, reason: string): Promise<OrderOutcome> {
+    const found = await store.get(getOrderKey(attempt.request))
+    if (!found.isOk) return replies.notRun(reason, EarlierAttempts.NotChecked)
+    if (found.value === undefined) return replies.notRun(reason, EarlierAttempts.NoneRan)
+    return judge.judge(found.value, attempt.digest)
+  }
+
+  async function decide (attempt: Attempt): Promise<OrderOutcome> {
+    if (isDraining) return replies.notRun('the node is shutting down', EarlierAttempts.NotChecked)
+    if (attempt.request.pickBackend() === undefined) return lookUp(attempt, 'no backend server takes new work')
+    return claimAndRun(attempt)
+  }
+
+  /** Answers at the caller's deadline with what is known by then; the order itself goes on. */
+  function answerInTime (attempt: Attempt, decided: Promise<OrderOutcome>): Promise<OrderOutcome> {
+    return new Promise(resolve => {
+      const timer = timers.subscribeOnce(attempt.request.deadlineMs, () => {
+        resolve(attempt.knownOutcome ?? replies.running())
+      })
+      void decided.then(outcome => {
+        timer.cancel()
+        resolve(outcome)
+      })
+    })
+  }
+
+  function notifyDrained (): void {
+    if (inFlightCount > 0 || writer.getPendingCount() > 0) return
+    for (const resolve of drainWaiters.splice(0)) resolve()
+  }
+
+  async function submit (request: OrderRequest): Promise<OrderOutcome> {
+    const startedAtMs = timers.nowMs()
+    const attempt: Attempt = { request, digest: getRequestDigest(request), deadlineMs: startedAtMs + request.deadlineMs }
+    inFlightCount += 1
+    const decided = decide(attempt).finally(() => {
+      inFlightCount -= 1
+      notifyDrained()
+    })
+    const outcome = await answerInTime(attempt, decided)
+    events.send({
+      kind: OrderEventKind.Answered,
+      key: getOrderKey(request),
+      outcome: outcome.kind,
+      durationMs: timers.nowMs() - startedAtMs
+    })
+    return outcome
+  }
+
+  async function getStatus (request: OrderStatusRequest): Promise<OrderStatus> {
+    const found = await store.get(getOrderKey(request))
+    if (!found.isOk) {
+      return { kind: OrderOutcomeKind.Unavailable, reason: 'the key-value service does not answer', retryAfterMs: replies.spreadRetry() }
+    }
+    if (found.value === undefined) {
+      return { kind: OrderOutcomeKind.NotFound, reason: describeMissing(request) }
+    }
+    const status = await judge.judge(found.value)
+    if (status.kind !== OrderOutcomeKind.Unknown) return status
+    return await resolveUnknown(request, found.value) ?? status
+  }
+
+  async function resolveUnknown (request: OrderStatusRequest, entry: KeyValueEntry): Promise<OrderStatus | undefined> {
+    const record = parseOrderRecord(entry.value)
+    if (record === undefined) return undefined
+    const answer = await statusCheck.resolve(request, entry.key, entry.revision, record)
+    return answer === undefined ? undefined : { kind: OrderOutcomeKind.Done, answer, isReplayed: true }
+  }
+
+  return {
+    submit,
+    getStatus,
+    events,
+    drain () {
+      isDraining = true
+      return new Promise(resolve => {
+        drainWaiters.push(resolve)
+        notifyDrained()
+      })
+    }
+  }
+}
+
+function describeMissing (id: OrderId): string {
+  return `service "${id.service}" has no order under idempotency key "${id.idempotencyKey}"`
+}
--- /dev/null
+++ b/src/coordination/orders/order-writer.ts
@@ -0,0 +1,105 @@
+import type { Channel } from '../../shared/channel.js'
+import type { RandomSource } from '../../shared/random-source.js'
+import { delay, type TimerService } from '../../shared/timer-service.js'
+import { decideOverwrite, encodeOrderRecord, OverwriteDecision, parseOrderRecord, type OrderRecord } from '../../state/order-record.js'
+import { KeyValueErrorKind, type KeyValueEntry, type KeyValueStore } from '../ports/key-value-store.js'
+import { OrderEventKind, type OrderEvent } from './order-event.js'
+import type { OrderSettings } from './order-settings.js'
+
+/** A record that the holder of a claim token wants to see stored. */
+export interface PendingWrite {
+  readonly key: string
+  readonly record: OrderRecord
+  readonly leaseId: string
+  /** Revision that the key is expected to have; 0 when it is expected to be absent. */
+  readonly expectedRevision: number
+  /** Time for which the write is retried; undefined retries as long as the process lives. */
+  readonly retryForMs?: number
+}
+
+/** Writes the last state of claims, in the background where the store does not answer. */
+export interface OrderWriter {
+  /** Tries once, then goes on in the background. Resolves after the first try. */
+  write (write: PendingWrite): Promise<void>
+  /** Number of writes that are still to be settled. */
+  getPendingCount (): number
+}
+
+export interface OrderWriterOptions {
+  readonly store: KeyValueStore
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly events: Channel<OrderEvent>
+  readonly settings: OrderSettings
+  /** Called whenever a write has been settled or given up. */
+  onSettled (): void
+}
+
+const maxOverwriteCount = 4
+
+/** Creates the writer of one node. */
+export function createOrderWriter ({ store, timers, random, events, settings, onSettled }: OrderWriterOptions): OrderWriter {
+  let pendingCount = 0
+
+  /** Returns the write to retry, or undefined when it is settled. */
+  async function tryOnce (write: PendingWrite): Promise<PendingWrite | undefined> {
+    let next = write
+    for (let count = 0; count < maxOverwriteCount; count += 1) {
+      const stored = await store.compareAndSwap({
+        key: next.key,
+        expectedRevision: next.expectedRevision,
+        value: encodeOrderRecord(next.record),
+        leaseId: next.leaseId
+      })
+      if (stored.isOk) return undefined
+      if (stored.error.kind !== KeyValueErrorKind.Conflict) return next
+      const overwritten = getOverwrite(next, stored.error.current)
+      if (overwritten === undefined) return undefined
+      next = overwritten
+    }
+    return next
+  }
+
+  function finish (): void {
+    pendingCount -= 1
+    onSettled()
+  }
+
+  async function retry (write: PendingWrite): Promise<void> {
+    const startedAtMs = timers.nowMs()
+    let backoffMs = settings.minBackoffMs
+    let next: PendingWrite | undefined = write
+    events.send({ kind: OrderEventKind.WriteDelayed, key: write.key })
+    while (next !== undefined) {
+      await delay(timers, backoffMs * (0.5 + random.nextFloat()))
+      if (write.retryForMs !== undefined && timers.nowMs() - startedAtMs > write.retryForMs) {
+        events.send({ kind: OrderEventKind.WriteGivenUp, key: write.key })
+        return
+      }
+      backoffMs = Math.min(backoffMs * 2, settings.maxBackoffMs)
+      next = await tryOnce(next)
+    }
+    events.send({ kind: OrderEventKind.WriteSettled, key: write.key })
+  }
+
+  return {
+    async write (write) {
+      pendingCount += 1
+      const unsettled = await tryOnce(write)
+      if (unsettled === undefined) {
+        finish()
+      } else {
+        void retry(unsettled).finally(finish)
+      }
+    },
+    getPendingCount: () => pendingCount
+  }
+}
+
+function getOverwrite (write: PendingWrite, current: KeyValueEntry | undefined): PendingWrite | undefined {
+  if (current === undefined) return undefined
+  const found = parseOrderRecord(current.value)
+  if (found === undefined) return undefined
+  if (decideOverwrite(found, write.record) !== OverwriteDecision.Overwrite) return undefined
+  return { ...write, expectedRevision: current.revision }
+}
