Form complete groups from one record a fabric domain

Cause: a router may hand a request to a group only with positive, aged evidence that every member serves it, and a VM may be in one group only.

Ruled out: a key for each VM (two writers leave a VM in two groups between two writes); a group as complete while nobody reports it broken.

--- /dev/null
+++ b/src/coordination/groups/engine-probes.ts
@@ -0,0 +1,107 @@
+import type { TimerService } from '../../shared/timer-service.js'
+import { EngineControlErrorKind, type EngineControl, type EngineState } from '../ports/engine-control.js'
+import type { GroupSettings } from './group-settings.js'
+
+export interface ProbeTarget {
+  readonly vmId: string
+  readonly address: string
+}
+
+/** What the probes of one VM have shown. All times are monotonic. */
+export interface MemberObservation {
+  /** Last report; undefined before the first. */
+  readonly state?: EngineState
+  /** Time at which the probe that brought the last report was sent. */
+  readonly sentAtMs: number
+  /** Time at which a report first named the group and epoch that the last report names. */
+  readonly assignmentSeenAtMs: number
+  /** Time at which the first failed probe after the last report was sent. */
+  readonly failingSinceMs?: number
+  /** True when a probe after the last report proved that nothing listens at the address. */
+  readonly isUnreachable: boolean
+}
+
+/** Keeps the last reports of a set of engines. */
+export interface EngineProbes {
+  getObservation (vmId: string): MemberObservation | undefined
+  /** Probes each target once and forgets the VMs that are no targets. */
+  probe (targets: readonly ProbeTarget[]): void
+  /** Sends one more probe, ahead of the next round. */
+  probeNow (target: ProbeTarget): Promise<void>
+  /** Number of probes sent so far. */
+  getProbeCount (): number
+}
+
+const unknownObservation: MemberObservation = {
+  sentAtMs: -Infinity,
+  assignmentSeenAtMs: -Infinity,
+  isUnreachable: false
+}
+
+/** Creates probes whose reports count from the moment at which the question was sent. */
+export function createEngineProbes (
+  engineControl: EngineControl,
+  timers: TimerService,
+  settings: GroupSettings
+): EngineProbes {
+  const observations = new Map<string, MemberObservation>()
+  const pendingSinceMs = new Map<string, number>()
+  let probeCount = 0
+
+  function isPending (vmId: string): boolean {
+    const sinceMs = pendingSinceMs.get(vmId)
+    return sinceMs !== undefined && timers.nowMs() - sinceMs < 2 * settings.probeTimeoutMs
+  }
+
+  async function probeNow (target: ProbeTarget): Promise<void> {
+    const sentAtMs = timers.nowMs()
+    pendingSinceMs.set(target.vmId, sentAtMs)
+    probeCount += 1
+    const result = await engineControl.fetchState(target.address, settings.probeTimeoutMs)
+    if (pendingSinceMs.get(target.vmId) === sentAtMs) pendingSinceMs.delete(target.vmId)
+    if (result.isOk && result.value.vmId === target.vmId) {
+      recordReport(result.value, sentAtMs)
+    } else {
+      recordFailure(target.vmId, sentAtMs, result.isOk || result.error.kind === EngineControlErrorKind.Unreachable)
+    }
+  }
+
+  function recordReport (state: EngineState, sentAtMs: number): void {
+    const previous = observations.get(state.vmId) ?? unknownObservation
+    if (sentAtMs < previous.sentAtMs) return
+    const isSameAssignment = previous.state?.groupId === state.groupId && previous.state?.epoch === state.epoch
+    observations.set(state.vmId, {
+      state,
+      sentAtMs,
+      assignmentSeenAtMs: isSameAssignment ? previous.assignmentSeenAtMs : timers.nowMs(),
+      isUnreachable: false
+    })
+  }
+
+  function recordFailure (vmId: string, sentAtMs: number, isUnreachable: boolean): void {
+    const previous = observations.get(vmId) ?? unknownObservation
+    if (sentAtMs < previous.sentAtMs) return
+    observations.set(vmId, {
+      ...previous,
+      failingSinceMs: previous.failingSinceMs ?? sentAtMs,
+      isUnreachable: previous.isUnreachable || isUnreachable
+    })
+  }
+
+  function probe (targets: readonly ProbeTarget[]): void {
+    const targetIds = new Set(targets.map(target => target.vmId))
+    for (const vmId of observations.keys()) {
+      if (!targetIds.has(vmId)) observations.delete(vmId)
+    }
+    for (const target of targets) {
+      if (!isPending(target.vmId)) void probeNow(target)
+    }
+  }
+
+  return {
+    getObservation: vmId => observations.get(vmId),
+    probe,
+    probeNow,
+    getProbeCount: () => probeCount
+  }
+}
--- /dev/null
+++ b/src/coordination/groups/group-coordinator.ts
@@ -0,0 +1,165 @@
+import { createChannel, type Channel } from '../../shared/channel.js'
+import type { RandomSource } from '../../shared/random-source.js'
+import type { TimerService, TimerSubscription } from '../../shared/timer-service.js'
+import type { FleetConfig } from '../../state/fleet-config.js'
+import type { EngineControl } from '../ports/engine-control.js'
+import type { KeyValueStore } from '../ports/key-value-store.js'
+import type { EntryNode, MembershipView } from '../ports/membership-view.js'
+import { createDomainOwner } from './domain-owner.js'
+import { createDomainLookup, rankDomainOwners, type ListedDomain, type VmListView } from './domain-ownership.js'
+import { computeQuotas, holdSparesByWeight, type DomainQuota, type SpareRule } from './domain-quota.js'
+import { createDomainRecords } from './domain-records.js'
+import { createEngineProbes, type ProbeTarget } from './engine-probes.js'
+import { createEvidenceBook, type EvidenceBook } from './evidence-book.js'
+import type { GroupEvent } from './group-event.js'
+import { getFabricDomain } from './group-id.js'
+import type { GroupSettings } from './group-settings.js'
+import { WeightedReforming, type ReformingPolicy } from './reforming-policy.js'
+
+export interface GroupCoordinatorOptions {
+  readonly store: KeyValueStore
+  readonly vmList: VmListView
+  readonly engineControl: EngineControl
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly membership: MembershipView
+  readonly settings: GroupSettings
+  readonly policy?: ReformingPolicy
+  readonly spareRule?: SpareRule
+  readonly events?: Channel<GroupEvent>
+  getConfig (): FleetConfig | undefined
+}
+
+/** The part of an entry node that owns domains: it plans them, probes their engines and states which groups are complete. */
+export interface GroupCoordinator {
+  readonly evidence: EvidenceBook
+  readonly events: Channel<GroupEvent>
+  /** Nodes to poll about a group, the planning one first. */
+  ownersOf (groupId: string): EntryNode[]
+  /** Nodes to poll about all groups of a deployment in its availability zones, each once. */
+  ownersOfDeployment (deployment: string): EntryNode[]
+  /** Domains that this node owns, as first or second. */
+  getOwnedDomains (): readonly ListedDomain[]
+  getProbeCount (): number
+  start (): void
+  stop (): void
+}
+
+const noQuota: DomainQuota = new Map()
+
+/** Creates the owner part of a node; `start` begins to probe and plan. */
+export function createGroupCoordinator (options: GroupCoordinatorOptions): GroupCoordinator {
+  const { timers, membership, settings, random } = options
+  const events = options.events ?? createChannel<GroupEvent>()
+  const records = createDomainRecords(options.store, timers, events)
+  const probes = createEngineProbes(options.engineControl, timers, settings)
+  const getDomains = createDomainLookup(options.vmList)
+  const getQuota = createQuotaLookup(getDomains, options.getConfig, options.spareRule ?? holdSparesByWeight)
+  const evidence = createEvidenceBook({ timers, records, probes, settings, getOwnedDomains, getConfig: options.getConfig })
+  const nextReadAtMs = new Map<string, number>()
+  const subscriptions: TimerSubscription[] = []
+  const owner = createDomainOwner({
+    ...options,
+    records,
+    probes,
+    events,
+    getQuota,
+    policy: options.policy ?? new WeightedReforming(),
+    tokenPrefix: `${membership.self.nodeId}/${membership.self.incarnation}`
+  })
+
+  function rankOwners (domain: ListedDomain): EntryNode[] {
+    return rankDomainOwners(domain.fabricDomain, domain.availabilityZone, membership.getLiveNodes())
+  }
+
+  function isSelf (node: EntryNode | undefined): boolean {
+    return node?.nodeId === membership.self.nodeId
+  }
+
+  function getOwnedDomains (): readonly ListedDomain[] {
+    return getDomains().filter(domain => rankOwners(domain).some(isSelf))
+  }
+
+  function findTargets (): ProbeTarget[] {
+    return getOwnedDomains().flatMap(domain => {
+      const listedIds = new Set(domain.vms.map(vm => vm.vmId))
+      const groups = records.getKnown(domain.fabricDomain)?.record.groups ?? []
+      const unlisted = groups.flatMap(group => group.members).filter(member => !listedIds.has(member.vmId))
+      return [...domain.vms, ...unlisted]
+    })
+  }
+
+  function refreshRecords (): void {
+    const nowMs = timers.nowMs()
+    for (const domain of getOwnedDomains()) {
+      if (nowMs < (nextReadAtMs.get(domain.fabricDomain) ?? 0)) continue
+      const jitter = 0.75 + random.nextFloat() / 2
+      nextReadAtMs.set(domain.fabricDomain, nowMs + settings.recordRefreshMs * jitter)
+      void records.refresh(domain)
+    }
+  }
+
+  function planOwned (): void {
+    const config = options.getConfig()
+    if (config === undefined) return
+    for (const domain of getDomains()) {
+      if (isSelf(rankOwners(domain)[0])) void owner.plan(domain, config)
+    }
+  }
+
+  function ownersOf (groupId: string): EntryNode[] {
+    const fabricDomain = getFabricDomain(groupId)
+    const domain = getDomains().find(candidate => candidate.fabricDomain === fabricDomain)
+    return domain === undefined ? [] : rankOwners(domain)
+  }
+
+  function ownersOfDeployment (name: string): EntryNode[] {
+    const deployment = options.getConfig()?.deployments.find(candidate => candidate.name === name)
+    const zones = new Set(deployment?.availabilityZones)
+    const owners = getDomains().filter(domain => zones.has(domain.availabilityZone)).flatMap(rankOwners)
+    return [...new Map(owners.map(node => [node.nodeId, node])).values()]
+  }
+
+  /** Begins at a random moment, so that nodes which start together do not probe together. */
+  function start (): void {
+    const startDelayMs = random.nextFloat() * settings.probeIntervalMs
+    subscriptions.push(timers.subscribeOnce(startDelayMs, startRounds))
+  }
+
+  function startRounds (): void {
+    subscriptions.push(
+      timers.subscribeEvery(settings.probeIntervalMs, () => probes.probe(findTargets())),
+      timers.subscribeEvery(settings.planIntervalMs, refreshRecords),
+      timers.subscribeEvery(settings.planIntervalMs, planOwned)
+    )
+  }
+
+  return {
+    evidence,
+    events,
+    ownersOf,
+    ownersOfDeployment,
+    getOwnedDomains,
+    getProbeCount: probes.getProbeCount,
+    start,
+    stop: () => subscriptions.splice(0).forEach(subscription => subscription.cancel())
+  }
+}
+
+/** Creates a lookup that computes the quotas once for each list of VMs and configuration. */
+function createQuotaLookup (getDomains: () => readonly ListedDomain[], getConfig: () => FleetConfig | undefined, spareRule: SpareRule): (fabricDomain: string) => DomainQuota {
+  let lastDomains: readonly ListedDomain[] | undefined
+  let lastConfig: FleetConfig | undefined
+  let quotas = new Map<string, DomainQuota>()
+  return fabricDomain => {
+    const domains = getDomains()
+    const config = getConfig()
+    if (config === undefined) return noQuota
+    if (domains !== lastDomains || config !== lastConfig) {
+      quotas = computeQuotas(domains, config, spareRule)
+      lastDomains = domains
+      lastConfig = config
+    }
+    return quotas.get(fabricDomain) ?? noQuota
+  }
+}
--- /dev/null
+++ b/src/coordination/groups/group-situation.ts
@@ -0,0 +1,69 @@
+import type { GroupAssignment } from '../../state/domain-record.js'
+import { assessMembers, MemberStatus, type MemberCondition, type MemberContext } from './member-condition.js'
+
+/** Measures how long conditions have held without a break. */
+export interface HoldTimes {
+  /** Notes whether a condition holds now; returns how long it has held, or 0. */
+  track (key: string, isHolding: boolean, nowMs: number): number
+  /** Forgets the conditions that were not tracked at the given time. */
+  prune (nowMs: number): void
+}
+
+/** Creates measures without any condition. */
+export function createHoldTimes (): HoldTimes {
+  const spans = new Map<string, { sinceMs: number, trackedAtMs: number }>()
+  return {
+    track (key, isHolding, nowMs) {
+      if (!isHolding) {
+        spans.delete(key)
+        return 0
+      }
+      const sinceMs = spans.get(key)?.sinceMs ?? nowMs
+      spans.set(key, { sinceMs, trackedAtMs: nowMs })
+      return nowMs - sinceMs
+    },
+    prune (nowMs) {
+      for (const [key, span] of spans) {
+        if (span.trackedAtMs !== nowMs) spans.delete(key)
+      }
+    }
+  }
+}
+
+/** A group of a record with the condition of its members and how long it has held. */
+export interface GroupSituation {
+  readonly group: GroupAssignment
+  readonly conditions: readonly MemberCondition[]
+  readonly missingForMs: number
+  readonly leavingForMs: number
+  readonly retiringForMs: number
+  /** True when every member that reports has no stream left. */
+  readonly isIdle: boolean
+}
+
+/** Judges a group and tracks how long it has lacked members, held leaving ones, or been retiring. */
+export function assessGroup (group: GroupAssignment, context: MemberContext, holdTimes: HoldTimes): GroupSituation {
+  const conditions = assessMembers(group, context)
+  const key = `${group.groupId}@${group.epoch}`
+  const hasMissing = conditions.some(isLost)
+  const hasLeaving = conditions.some(condition => condition.isLeaving)
+  return {
+    group,
+    conditions,
+    missingForMs: holdTimes.track(`${key}/missing`, hasMissing, context.nowMs),
+    leavingForMs: holdTimes.track(`${key}/leaving`, hasLeaving, context.nowMs),
+    retiringForMs: holdTimes.track(`${key}/retiring`, group.isRetiring === true, context.nowMs),
+    isIdle: conditions.every(isMemberIdle)
+  }
+}
+
+/** True when the member gives no report and its probes fail. */
+export function isLost (condition: MemberCondition): boolean {
+  return condition.status === MemberStatus.Missing && condition.isFailing
+}
+
+function isMemberIdle (condition: MemberCondition): boolean {
+  const state = condition.observation?.state
+  if (state === undefined || condition.status !== MemberStatus.Ready) return true
+  return state.activeStreamCount === 0 && state.queuedStreamCount === 0
+}
--- /dev/null
+++ b/src/coordination/groups/member-condition.ts
@@ -0,0 +1,81 @@
+import type { AssignedMember, GroupAssignment } from '../../state/domain-record.js'
+import type { EngineState } from '../ports/engine-control.js'
+import { VmLifecycle, type ListedVm } from '../ports/vm-list.js'
+import type { MemberObservation } from './engine-probes.js'
+
+export enum MemberStatus {
+  /** Reported lately that it serves the group under the assigned epoch. */
+  Ready = 'ready',
+  /** Carries the assignment out and loads weights. */
+  Loading = 'loading',
+  /** Reported lately that it has another assignment, or none. */
+  Misassigned = 'misassigned',
+  /** No report that is young enough. */
+  Missing = 'missing'
+}
+
+export interface MemberCondition {
+  readonly member: AssignedMember
+  readonly status: MemberStatus
+  /** True when the VM is to get no new work: it shuts down, is no longer listed, or is drained. */
+  readonly isLeaving: boolean
+  /** True when the platform lists the VM as live. */
+  readonly isListedLive: boolean
+  /** True when probes fail, so that a missing report is not the prober's own delay. */
+  readonly isFailing: boolean
+  readonly observation?: MemberObservation
+}
+
+/** What a member is judged by. */
+export interface MemberContext {
+  readonly nowMs: number
+  readonly maxAgeMs: number
+  readonly drainingVmIds: ReadonlySet<string>
+  getListedVm (vmId: string): ListedVm | undefined
+  getObservation (vmId: string): MemberObservation | undefined
+}
+
+/** Judges one member of a group by its last report, the platform's list and the drained VMs. */
+export function assessMember (group: GroupAssignment, member: AssignedMember, context: MemberContext): MemberCondition {
+  const listed = context.getListedVm(member.vmId)
+  const observation = context.getObservation(member.vmId)
+  const isListedLive = listed?.lifecycle === VmLifecycle.Live
+  const isLeaving = !isListedLive ||
+    context.drainingVmIds.has(member.vmId) ||
+    observation?.state?.isLeaving === true
+  return {
+    member,
+    status: findStatus(group, observation, context),
+    isLeaving,
+    isListedLive,
+    isFailing: observation?.failingSinceMs !== undefined,
+    ...(observation === undefined ? {} : { observation })
+  }
+}
+
+/** Judges all members of a group, in rank order. */
+export function assessMembers (group: GroupAssignment, context: MemberContext): MemberCondition[] {
+  return group.members.map(member => assessMember(group, member, context))
+}
+
+/** True when the report names the group, its epoch, its members in rank order and its model. */
+export function isAssignedTo (state: EngineState, group: GroupAssignment): boolean {
+  return state.groupId === group.groupId &&
+    state.epoch === group.epoch &&
+    state.deployment === group.deployment &&
+    state.modelVersion === group.modelVersion &&
+    state.memberVmIds.length === group.members.length &&
+    group.members.every((member, rank) => state.memberVmIds[rank] === member.vmId)
+}
+
+/** True when the observation holds a report that is young enough to rely on. */
+export function isFresh (observation: MemberObservation | undefined, context: Pick<MemberContext, 'nowMs' | 'maxAgeMs'>): boolean {
+  if (observation?.state === undefined || observation.isUnreachable) return false
+  return context.nowMs - observation.sentAtMs <= context.maxAgeMs
+}
+
+function findStatus (group: GroupAssignment, observation: MemberObservation | undefined, context: MemberContext): MemberStatus {
+  if (observation?.state === undefined || !isFresh(observation, context)) return MemberStatus.Missing
+  if (!isAssignedTo(observation.state, group)) return MemberStatus.Misassigned
+  return observation.state.isLoaded ? MemberStatus.Ready : MemberStatus.Loading
+}
--- /dev/null
+++ b/src/coordination/groups/member-context.ts
@@ -0,0 +1,24 @@
+import type { FleetConfig } from '../../state/fleet-config.js'
+import type { ListedDomain } from './domain-ownership.js'
+import type { EngineProbes } from './engine-probes.js'
+import type { MemberContext } from './member-condition.js'
+
+export interface MemberContextOptions {
+  readonly domain: ListedDomain
+  readonly config: FleetConfig | undefined
+  readonly probes: Pick<EngineProbes, 'getObservation'>
+  readonly nowMs: number
+  readonly maxAgeMs: number
+}
+
+/** Creates the context in which the members of one domain's groups are judged at one moment. */
+export function createMemberContext (options: MemberContextOptions): MemberContext {
+  const vmById = new Map(options.domain.vms.map(vm => [vm.vmId, vm]))
+  return {
+    nowMs: options.nowMs,
+    maxAgeMs: options.maxAgeMs,
+    drainingVmIds: new Set(options.config?.drainingVmIds),
+    getListedVm: vmId => vmById.get(vmId),
+    getObservation: vmId => options.probes.getObservation(vmId)
+  }
+}
--- /dev/null
+++ b/src/coordination/groups/spare-count.ts
@@ -0,0 +1,67 @@
+import type { Deployment, Partner } from '../../state/fleet-config.js'
+
+const dayMs = 86_400_000
+
+/** How often VMs of a fleet go missing, and for how long. */
+export interface OutageModel {
+  /** Failures and restarts of one VM in a day. */
+  readonly outagesPerVmDay: number
+  /** Mean time until a missing VM is back. */
+  readonly meanOutageMs: number
+}
+
+/** 160 failures of 30 minutes and 2,000 restarts of 90 seconds a day among 6,200 VMs. */
+export const defaultOutageModel: OutageModel = {
+  outagesPerVmDay: 2160 / 6200,
+  meanOutageMs: (160 * 1_800_000 + 2000 * 90_000) / 2160
+}
+
+export interface SpareInput {
+  readonly vmCount: number
+  readonly acceleratorsPerVm: number
+  readonly deployment: Deployment
+  readonly partner: Pick<Partner, 'groupDowntimeWeight' | 'strandedAcceleratorWeight'>
+}
+
+/**
+ * Returns how many VMs a domain holds back for a deployment so that the expected weighted cost of
+ * group downtime and stranded accelerators is least. Missing VMs are Poisson distributed.
+ */
+export function computeSpareCount (input: SpareInput, model: OutageModel = defaultOutageModel): number {
+  const { vmCount, deployment } = input
+  const maxSpareCount = Math.min(vmCount, deployment.membersPerGroup)
+  let best = 0
+  let bestCost = Infinity
+  for (let spareCount = 0; spareCount <= maxSpareCount; spareCount += 1) {
+    const cost = estimateCost(input, model, spareCount)
+    if (cost < bestCost) {
+      best = spareCount
+      bestCost = cost
+    }
+  }
+  return best
+}
+
+/** Expected cost per second of holding back VMs. */
+function estimateCost (input: SpareInput, model: OutageModel, spareCount: number): number {
+  const { vmCount, acceleratorsPerVm, partner } = input
+  const { membersPerGroup } = input.deployment
+  const groupCount = Math.floor((vmCount - spareCount) / membersPerGroup)
+  const idleCount = vmCount - groupCount * membersPerGroup
+  const meanMissingCount = vmCount * model.outagesPerVmDay * model.meanOutageMs / dayMs
+  const brokenCount = Math.min(groupCount, expectAbove(meanMissingCount, idleCount))
+  const costOfBrokenGroup = partner.groupDowntimeWeight +
+    partner.strandedAcceleratorWeight * (membersPerGroup - 1) * acceleratorsPerVm
+  return idleCount * acceleratorsPerVm * partner.strandedAcceleratorWeight + brokenCount * costOfBrokenGroup
+}
+
+/** Mean of max(0, X - threshold) for a Poisson distributed X. */
+function expectAbove (mean: number, threshold: number): number {
+  let probability = Math.exp(-mean)
+  let belowSum = 0
+  for (let count = 0; count < threshold; count += 1) {
+    belowSum += (threshold - count) * probability
+    probability *= mean / (count + 1)
+  }
+  return Math.max(0, mean - threshold + belowSum)
+}
--- a/src/state/domain-record.ts
+++ b/src/state/domain-record.ts
@@ -1,3 +1,5 @@
+import { failure, success, type Result } from '../shared/result.js'
+
 /** Prefix of the keys that hold one record for each fabric domain. */
 export const domainKeyPrefix = 'egretpaddle/domain/'
 
@@ -22,6 +24,8 @@
   readonly members: readonly AssignedMember[]
   /** Wall clock of the change, for people. */
   readonly formedAtMs: number
+  /** True when the group takes no new work and is removed once its streams have ended. */
+  readonly isRetiring?: boolean
 }
 
 /**
@@ -37,3 +41,80 @@
   readonly changeToken: string
   readonly groups: readonly GroupAssignment[]
 }
+
+export enum DomainRecordErrorKind {
+  Malformed = 'malformed',
+  DuplicateVm = 'duplicateVm',
+  /** An epoch is above the record's highest, or two groups share one. */
+  BadEpoch = 'badEpoch'
+}
+
+export interface DomainRecordError {
+  readonly kind: DomainRecordErrorKind
+  readonly reason: string
+}
+
+/** Creates the record of a domain without groups. */
+export function createDomainRecord (fabricDomain: string, availabilityZone: string): DomainRecord {
+  return { fabricDomain, availabilityZone, lastEpoch: 0, changeToken: '', groups: [] }
+}
+
+/** Finds the first rule of a domain record that the given one breaks; undefined for a sound record. */
+export function findDomainRecordError (record: DomainRecord): DomainRecordError | undefined {
+  const groupByVmId = new Map<string, string>()
+  const epochs = new Set<number>()
+  for (const group of record.groups) {
+    if (group.epoch > record.lastEpoch || epochs.has(group.epoch)) {
+      return { kind: DomainRecordErrorKind.BadEpoch, reason: `group "${group.groupId}" has epoch ${group.epoch}, last epoch is ${record.lastEpoch}` }
+    }
+    epochs.add(group.epoch)
+    for (const { vmId } of group.members) {
+      const other = groupByVmId.get(vmId)
+      if (other !== undefined) {
+        return { kind: DomainRecordErrorKind.DuplicateVm, reason: `VM "${vmId}" is in group "${other}" and in group "${group.groupId}"` }
+      }
+      groupByVmId.set(vmId, group.groupId)
+    }
+  }
+  return undefined
+}
+
+/** Reads a stored record. */
+export function parseDomainRecord (text: string): Result<DomainRecord, DomainRecordError> {
+  const record = parseJson(text)
+  if (!isDomainRecord(record)) {
+    return failure({ kind: DomainRecordErrorKind.Malformed, reason: 'stored value is not a domain record' })
+  }
+  const error = findDomainRecordError(record)
+  return error === undefined ? success(record) : failure(error)
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function isDomainRecord (value: unknown): value is DomainRecord {
+  if (typeof value !== 'object' || value === null) return false
+  const record = value as Partial<DomainRecord>
+  return typeof record.fabricDomain === 'string' &&
+    typeof record.availabilityZone === 'string' &&
+    typeof record.changeToken === 'string' &&
+    Number.isSafeInteger(record.lastEpoch) &&
+    Array.isArray(record.groups) &&
+    record.groups.every(isGroupAssignment)
+}
+
+function isGroupAssignment (value: unknown): value is GroupAssignment {
+  if (typeof value !== 'object' || value === null) return false
+  const group = value as Partial<GroupAssignment>
+  return typeof group.groupId === 'string' &&
+    typeof group.deployment === 'string' &&
+    typeof group.modelVersion === 'string' &&
+    Number.isSafeInteger(group.epoch) &&
+    Array.isArray(group.members) &&
+    group.members.every(member => typeof member?.vmId === 'string' && typeof member.address === 'string')
+}
--- /dev/null
+++ b/src/testing/group-samples.ts
@@ -0,0 +1,62 @@
+import { VmLifecycle, VmRole, type ListedVm } from '../coordination/ports/vm-list.js'
+import type { EntryNode, MembershipView } from '../coordination/ports/membership-view.js'
+import { createChannel } from '../shared/channel.js'
+import type { Deployment, FleetConfig, Partner } from '../state/fleet-config.js'
+
+/** Creates a live model engine VM in a domain. */
+export function createListedVm (vmId: string, fabricDomain: string, availabilityZone: string, acceleratorCount: number = 8): ListedVm {
+  return {
+    vmId,
+    address: `${vmId}:9000`,
+    availabilityZone,
+    fabricDomain,
+    acceleratorCount,
+    role: VmRole.ModelEngine,
+    lifecycle: VmLifecycle.Live
+  }
+}
+
+/** Creates a deployment of the partner "vrany"; the given fields replace the defaults. */
+export function createDeployment (fields: Partial<Deployment>): Deployment {
+  return {
+    name: 'drafts',
+    partner: 'vrany',
+    model: 'draft-model',
+    modelVersion: '1',
+    membersPerGroup: 2,
+    groupCount: 2,
+    slotsPerGroup: 8,
+    availabilityZones: ['zone-a'],
+    doesEngineCheckEpoch: true,
+    defaultDeadlineMs: 10_000,
+    ...fields
+  }
+}
+
+/** Creates a partner without teams or credentials. */
+export function createPartner (name: string, groupDowntimeWeight: number, strandedAcceleratorWeight: number): Partner {
+  return { name, teams: [], credentials: [], operators: [], groupDowntimeWeight, strandedAcceleratorWeight }
+}
+
+/** Creates a configuration with the given deployments. */
+export function createFleetConfig (deployments: readonly Deployment[], partners: readonly Partner[] = [createPartner('vrany', 1, 1)]): FleetConfig {
+  return {
+    version: 1,
+    changeToken: 'sample',
+    partners,
+    deployments,
+    services: [],
+    drainingVmIds: [],
+    split: { shares: [] },
+    splitHistory: []
+  }
+}
+
+export function createEntryNode (nodeId: string, availabilityZone: string): EntryNode {
+  return { nodeId, incarnation: 1, peerAddress: nodeId, gossipAddress: nodeId, availabilityZone, partner: 'vrany' }
+}
+
+/** Creates a view whose live nodes are read anew at each call. */
+export function createFakeMembership (self: EntryNode, getLiveNodes: () => readonly EntryNode[]): MembershipView {
+  return { self, getLiveNodes, getKnownNodes: getLiveNodes, changes: createChannel<readonly EntryNode[]>().messages }
+}
