Divide a group's slots into credits for routers and partners

Cause: a split must hold over all entry nodes together, also with uneven callers, and a change of grants must never let two routers use one slot. Ruled out: waiting out a grant's lifetime before lending its slots again (lifetime and return time would be one number); a second owner that starts from nothing (no credits for a whole lifetime). Change: a pure divider (weighted max-min between partners with a small unlent reserve, max-min by demand inside a partner, headroom spread), an owner's book that counts the larger of what a router reported to hold and what it was granted since, and a holder on the router's side that applies only the answer to its latest poll. Routers poll a bounded, deterministic subset of the groups. Conclusion: with a live owner the sum in use stays within the slots by construction; fuzzing follows.

--- /dev/null
+++ b/src/coordination/routing/credit-book.test.ts
@@ -0,0 +1,98 @@
+import { expect } from 'chai'
+
+import { createVirtualTimerService } from '../../shared/virtual-timer-service.js'
+import { createCreditBook } from './credit-book.js'
+import { createCreditHolder } from './credit-holder.js'
+import { defaultCreditSettings } from './credit-settings.js'
+
+const { creditLifetimeMs, forgetRouterAfterMs } = defaultCreditSettings
+
+function createFixture () {
+  const timers = createVirtualTimerService()
+  const state = { live: ['a', 'b'], isFirst: true }
+  const book = createCreditBook({
+    timers,
+    settings: defaultCreditSettings,
+    getSlotCount: () => 20,
+    getShares: () => [{ partner: 'vrany', capacityPercent: 100, priority: 1 }],
+    getLiveNodeIds: () => state.live,
+    isFirstOwner: () => state.isFirst
+  })
+  let sequence = 0
+  function poll (nodeId: string, inFlightCount: number, waitingCount: number, heldCreditCount: number): number {
+    const partners = [{ partner: 'vrany', inFlightCount, waitingCount, heldCreditCount }]
+    sequence += 1
+    book.observePoll(nodeId, 1, [{ groupId: 'g', partners }], sequence)
+    return book.grant('g', nodeId)[0]?.slotCount ?? -1
+  }
+  return { timers, state, book, poll }
+}
+
+describe('credit book', () => {
+  it('grants nothing new until every live router has said what it holds', () => {
+    const { poll } = createFixture()
+    expect(poll('a', 3, 50, 4)).to.equal(4)
+    expect(poll('b', 0, 0, 0)).to.equal(1)
+    expect(poll('a', 4, 50, 4)).to.equal(19)
+  })
+
+  it('takes a slot back before it grants it to another router', () => {
+    const { poll } = createFixture()
+    poll('a', 0, 0, 0)
+    poll('b', 0, 0, 0)
+    expect(poll('a', 0, 50, 0)).to.equal(19 - 9)
+    expect(poll('b', 0, 50, 10)).to.equal(10)
+    expect(poll('a', 10, 50, 10)).to.equal(10)
+  })
+
+  it('counts what a silent router may hold until it is forgotten', () => {
+    const { poll, state, timers } = createFixture()
+    poll('a', 0, 0, 0)
+    expect(poll('b', 0, 50, 0)).to.equal(19)
+    state.live = ['a']
+    timers.advance(creditLifetimeMs)
+    expect(poll('a', 0, 50, 0)).to.equal(1)
+    timers.advance(1)
+    expect(poll('a', 0, 50, 1)).to.equal(20)
+  })
+
+  it('keeps a silent but live router for longer', () => {
+    const { poll, timers } = createFixture()
+    poll('a', 0, 0, 0)
+    poll('b', 0, 50, 0)
+    timers.advance(forgetRouterAfterMs)
+    expect(poll('a', 0, 50, 0)).to.equal(1)
+    timers.advance(1)
+    expect(poll('a', 0, 50, 1)).to.equal(20)
+  })
+
+  it('ignores a poll that arrives after a later one', () => {
+    const { book } = createFixture()
+    const report = (inFlightCount: number) => [{ groupId: 'g', partners: [{ partner: 'vrany', inFlightCount, waitingCount: 0, heldCreditCount: 0 }] }]
+    book.observePoll('a', 1, report(7), 2)
+    book.observePoll('a', 1, report(0), 1)
+    expect(book.grant('g', 'a')[0]?.slotCount).to.equal(7)
+  })
+
+  it('grants nothing while another node is first owner', () => {
+    const { book, poll, state } = createFixture()
+    state.isFirst = false
+    expect(poll('a', 0, 5, 0)).to.equal(-1)
+    expect(book.grant('g', 'a')).to.deep.equal([])
+  })
+})
+
+describe('credit holder', () => {
+  it('applies only the answer to the latest poll, until it lapses', () => {
+    const timers = createVirtualTimerService()
+    const holder = createCreditHolder(timers, creditLifetimeMs)
+    const first = holder.startPoll('owner')
+    const second = holder.startPoll('owner')
+    holder.applyAnswer(first, 'g', [{ partner: 'vrany', slotCount: 9 }])
+    expect(holder.get('g').creditsByPartner.size).to.equal(0)
+    holder.applyAnswer(second, 'g', [{ partner: 'vrany', slotCount: 5 }])
+    holder.applyAnswer(second, 'g', [])
+    expect(holder.get('g').creditsByPartner.get('vrany')).to.equal(5)
+    expect(holder.get('g').creditsLapseAtMs).to.equal(creditLifetimeMs)
+  })
+})
--- /dev/null
+++ b/src/coordination/routing/credit-divider.ts
@@ -0,0 +1,99 @@
+import { hashText } from '../../shared/rendezvous.js'
+import type { PartnerShare } from '../../state/fleet-config.js'
+import type { PartnerDemand } from './demand-report.js'
+import { fillFairly } from './fair-fill.js'
+
+export interface CreditDividerSettings {
+  /** Part of a partner's own slots that is not lent while the partner does not use them. */
+  readonly unlentPercent: number
+  /** A router without demand keeps one slot when its partner has at least this many slots a router. */
+  readonly slotsPerIdleRouter: number
+}
+
+export const defaultCreditDividerSettings: CreditDividerSettings = {
+  unlentPercent: 10,
+  slotsPerIdleRouter: 3
+}
+
+/** Demand of one router on a group. */
+export interface RouterDemand {
+  readonly nodeId: string
+  readonly partners: readonly PartnerDemand[]
+}
+
+export interface CreditDivision {
+  readonly groupId: string
+  readonly slotCount: number
+  readonly shares: readonly PartnerShare[]
+  readonly routers: readonly RouterDemand[]
+  readonly settings: CreditDividerSettings
+}
+
+/** Slots by router and, below that, by partner. */
+export type DividedCredits = Map<string, Map<string, number>>
+
+/**
+ * Divides a group's slots among partners and their routers. Partners get weighted max-min by
+ * capacity share, less a small reserve that stays with a partner that is idle now. Inside a
+ * partner, routers get max-min by demand. Slots that nobody asks for are spread as headroom, so
+ * that a first request needs no answer of the owner. The sum never exceeds the slots.
+ */
+export function divideCredits (division: CreditDivision): DividedCredits {
+  const divided: DividedCredits = new Map(division.routers.map(router => [router.nodeId, new Map()]))
+  const slotsByPartner = divideAmongPartners(division)
+  for (const [partner, slotCount] of slotsByPartner) {
+    for (const [nodeId, count] of divideAmongRouters(division, partner, slotCount)) {
+      divided.get(nodeId)?.set(partner, count)
+    }
+  }
+  return divided
+}
+
+function divideAmongPartners ({ slotCount, shares, routers, settings }: CreditDivision): Map<string, number> {
+  const claims = shares.map(share => {
+    const demandCount = routers.reduce((sum, router) => sum + getDemandCount(router, share.partner), 0)
+    const ownCount = slotCount * share.capacityPercent / 100
+    const reserveCount = Math.ceil(ownCount * settings.unlentPercent / 100)
+    const reservedCount = Math.min(demandCount + reserveCount, Math.floor(ownCount))
+    return { id: share.partner, weight: share.capacityPercent, demandCount: Math.max(demandCount, reservedCount) }
+  })
+  const filled = fillFairly(slotCount, claims)
+  const headroomCount = slotCount - sumValues(filled)
+  const headroom = fillFairly(headroomCount, claims.map(claim => ({ ...claim, demandCount: headroomCount })))
+  return addMaps(filled, headroom)
+}
+
+function divideAmongRouters (division: CreditDivision, partner: string, slotCount: number): Map<string, number> {
+  const { routers, settings } = division
+  const isRoomForIdle = slotCount >= settings.slotsPerIdleRouter * routers.length
+  const idleCount = isRoomForIdle ? 1 : 0
+  const ordered = orderByHash(routers, `${division.groupId}/${partner}`)
+  const claims = ordered.map(router => ({
+    id: router.nodeId,
+    weight: 1,
+    demandCount: Math.max(idleCount, getDemandCount(router, partner))
+  }))
+  const filled = fillFairly(slotCount, claims)
+  const headroomCount = slotCount - sumValues(filled)
+  const headroom = fillFairly(headroomCount, claims.map(claim => ({ ...claim, demandCount: headroomCount })))
+  return addMaps(filled, headroom)
+}
+
+function getDemandCount (router: RouterDemand, partner: string): number {
+  const demand = router.partners.find(candidate => candidate.partner === partner)
+  return demand === undefined ? 0 : demand.inFlightCount + demand.waitingCount
+}
+
+/** Orders routers differently for each key, so that no router gets the odd slot of every group. */
+function orderByHash (routers: readonly RouterDemand[], key: string): RouterDemand[] {
+  const weighted = routers.map(router => ({ router, weight: hashText(`${key}/${router.nodeId}`) }))
+  return weighted.sort((left, right) => left.weight - right.weight).map(entry => entry.router)
+}
+
+function sumValues (counts: ReadonlyMap<string, number>): number {
+  return [...counts.values()].reduce((sum, count) => sum + count, 0)
+}
+
+function addMaps (left: ReadonlyMap<string, number>, right: ReadonlyMap<string, number>): Map<string, number> {
+  return new Map([...left].map(([key, count]) => [key, count + (right.get(key) ?? 0)]))
+}
--- /dev/null
+++ b/src/coordination/routing/group-subset.ts
@@ -0,0 +1,43 @@
+import { rankByRendezvous } from '../../shared/rendezvous.js'
+
+export interface GroupSubsetSettings {
+  /** Groups of one deployment in the node's own zone that it routes to. */
+  readonly maxLocalGroupCount: number
+  /** Groups of one deployment in other zones that it routes to. */
+  readonly maxRemoteGroupCount: number
+}
+
+export const defaultGroupSubsetSettings: GroupSubsetSettings = {
+  maxLocalGroupCount: 12,
+  maxRemoteGroupCount: 4
+}
+
+/** What the choice needs to know about a group. */
+export interface SubsetGroup {
+  readonly groupId: string
+  readonly deployment: string
+  readonly availabilityZone: string
+}
+
+/**
+ * Names the groups that a node routes to and whose owners it polls: a bounded number for each
+ * deployment, the same after every restart, and spread over the nodes by rendezvous hashing.
+ * Unused places of the own zone go to groups of other zones.
+ */
+export function selectGroups<T extends SubsetGroup> (
+  nodeId: string,
+  availabilityZone: string,
+  groups: readonly T[],
+  settings: GroupSubsetSettings
+): T[] {
+  const deployments = new Set(groups.map(group => group.deployment))
+  return [...deployments].flatMap(deployment => {
+    const ofDeployment = groups.filter(group => group.deployment === deployment)
+    const ranked = rankByRendezvous(nodeId, ofDeployment, group => group.groupId)
+    const local = ranked.filter(group => group.availabilityZone === availabilityZone)
+    const remote = ranked.filter(group => group.availabilityZone !== availabilityZone)
+    const chosenLocal = local.slice(0, settings.maxLocalGroupCount)
+    const remoteCount = settings.maxRemoteGroupCount + settings.maxLocalGroupCount - chosenLocal.length
+    return [...chosenLocal, ...remote.slice(0, remoteCount)]
+  })
+}
