--- /dev/null
+++ b/src/coordination/config/spread-tree.ts
@@ -0,0 +1,29 @@
+import { rankByRendezvous } from '../../shared/rendezvous.js'
+import type { EntryNode, MembershipView } from '../ports/membership-view.js'
+
+/** Place of a node in the spread tree of its availability zone. */
+export interface SpreadPlace {
+  /** True when the node watches the store itself. */
+  readonly isWatcher: boolean
+  /** Node to ask; undefined for watchers. */
+  readonly parent: EntryNode | undefined
+  readonly children: readonly EntryNode[]
+}
+
+/**
+ * Ranks the live nodes of the zone by rendezvous hash. The first `watcherCount` are the roots; the
+ * others hang below them with at most `fanout` children each.
+ * Nodes with different views build different trees; a missing link only delays the spread.
+ */
+export function findSpreadPlace (membership: MembershipView, watcherCount: number, fanout: number): SpreadPlace {
+  const self = membership.self
+  const zoneNodes = membership.getLiveNodes().filter(node => node.availabilityZone === self.availabilityZone)
+  const ranked = rankByRendezvous(`config/${self.availabilityZone}`, zoneNodes, node => node.nodeId)
+  const rank = ranked.findIndex(node => node.nodeId === self.nodeId)
+  const firstChild = watcherCount + rank * fanout
+  return {
+    isWatcher: rank < watcherCount,
+    parent: rank < watcherCount ? undefined : ranked[Math.floor((rank - watcherCount) / fanout)],
+    children: rank < 0 ? [] : ranked.slice(firstChild, firstChild + fanout)
+  }
+}
--- a/src/state/fleet-config.ts
+++ b/src/state/fleet-config.ts
@@ -98,6 +98,20 @@
   readonly acceptedAtMs: number
 }
 
+/** One accepted change. Lets a writer that lost the reply find its own write under later ones. */
+export interface ChangeLogEntry {
+  readonly version: number
+  readonly changeToken: string
+  /** Operator as `partner/name`, or the entry node that made the change. */
+  readonly changedBy: string
+}
+
+/** A partner's mark on a VM that is to get no new work. */
+export interface DrainMark {
+  readonly vmId: string
+  readonly partner: string
+}
+
 /** The whole configuration that the operators declare. One stored value, changed only by compare-and-swap. */
 export interface FleetConfig {
   /** Grows by one with each accepted change. */
@@ -107,10 +121,19 @@
   readonly partners: readonly Partner[]
   readonly deployments: readonly Deployment[]
   readonly services: readonly PlainService[]
-  /** VMs that operators took out of use; they get no new work. */
+  /** VMs that operators took out of use; they get no new work. Each has at least one mark in `drainMarks`. */
   readonly drainingVmIds: readonly string[]
+  readonly drainMarks?: readonly DrainMark[]
   readonly split: CostSplit
   readonly proposal?: SplitProposal
   /** Accepted splits, newest last; at most 50. */
   readonly splitHistory: readonly SplitHistoryEntry[]
+  /** Entry nodes of which a majority must hold a version before any node acts on it. */
+  readonly witnesses?: readonly string[]
+  /** Witnesses of earlier versions, of which a majority is needed as well until the handover is settled. */
+  readonly formerWitnesses?: readonly string[]
+  /** Highest version known to be settled when this was stored; written once more after a change for nodes that start later. */
+  readonly settledVersion?: number
+  /** The latest accepted changes, newest last; at most 64. */
+  readonly changeLog?: readonly ChangeLogEntry[]
 }
