Add the platform's stand-ins and the HTTP adapters to them

Cause: the entry program needs a key-value service, a VM list, engines and plain services to act against, and adapters that turn what happens on a socket into the errors of the ports.

Ruled out: the request API of undici, which does not tell whether a failed call was ever written. The exchange uses dispatch instead: undici calls onRequestStart right before the first byte, so a failure before it proves "not sent" and any failure after it proves nothing. Calls with an idempotency key open a connection each, since a kept one that the service has just closed would leave the outcome unknown.

Completions of the engine have no test of their own yet; they come next.

--- /dev/null
+++ b/src/transport/http-exchange.test.ts
@@ -0,0 +1,164 @@
+import { createServer as createTcpServer, type AddressInfo, type Server, type Socket } from 'node:net'
+
+import { expect } from 'chai'
+import { buildConnector } from 'undici'
+
+import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
+import { createHttpExchange, type HttpExchange } from './http-exchange.js'
+import { TransportErrorKind } from './transport-error.js'
+
+const reply = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+interface RawServer {
+  readonly origin: string
+  readonly connectionCount: () => number
+  readonly requestCount: () => number
+  close (): void
+}
+
+/** Starts a TCP server that hands each request's bytes to the listener. */
+async function startRawServer (onRequest: (socket: Socket) => void): Promise<RawServer> {
+  let connectionCount = 0
+  let requestCount = 0
+  const sockets = new Set<Socket>()
+  const server: Server = createTcpServer(socket => {
+    connectionCount += 1
+    sockets.add(socket)
+    socket.on('error', () => socket.destroy())
+    socket.on('data', () => {
+      requestCount += 1
+      onRequest(socket)
+    })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  return {
+    origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    connectionCount: () => connectionCount,
+    requestCount: () => requestCount,
+    close () {
+      for (const socket of sockets) socket.destroy()
+      server.close()
+    }
+  }
+}
+
+/** undici takes a connection back some turns of the event loop after the reply's end. */
+async function letConnectionBecomeIdle (): Promise<void> {
+  for (let turn = 0; turn < 10; turn += 1) {
+    await new Promise(resolve => { setImmediate(resolve) })
+  }
+}
+
+describe('HTTP exchange', () => {
+  let server: RawServer | undefined
+  let exchange: HttpExchange | undefined
+
+  afterEach(async () => {
+    await exchange?.close()
+    server?.close()
+  })
+
+  function send (origin: string, timeoutMs = 5000) {
+    return exchange!.send({ origin, method: 'POST', path: '/', body: 'work', timeoutMs })
+  }
+
+  describe('proof that nothing was sent', () => {
+    it('holds for a refused connection', async () => {
+      server = await startRawServer(() => {})
+      const { origin } = server
+      server.close()
+      exchange = createHttpExchange()
+      const result = await send(origin)
+      expect(result.isOk ? undefined : result.error.kind).to.equal(TransportErrorKind.NotSent)
+    })
+
+    it('holds for a timeout while connecting, and the request is not written when the connection opens later', async () => {
+      server = await startRawServer(socket => socket.write(reply))
+      const timers = createVirtualTimerService()
+      const open = buildConnector({})
+      let openHeld: (() => void) | undefined
+      const isWaiting = new Promise<void>(resolve => {
+        exchange = createHttpExchange({
+          timers,
+          connect (options, callback) {
+            if (openHeld !== undefined) return open(options, callback)
+            openHeld = () => open(options, callback)
+            resolve()
+          }
+        })
+      })
+      const pending = send(server.origin, 1000)
+      await isWaiting
+      timers.advance(1000)
+      const result = await pending
+      expect(result.isOk ? undefined : result.error.kind).to.equal(TransportErrorKind.NotSent)
+
+      openHeld?.()
+      const second = await send(server.origin)
+      expect(second.isOk).to.equal(true)
+      expect(server.requestCount()).to.equal(1)
+    })
+
+    it('holds for a request that is malformed', async () => {
+      exchange = createHttpExchange()
+      const result = await exchange.send({ origin: 'http://127.0.0.1:1', method: 'POST', path: 'no slash', timeoutMs: 1000 })
+      expect(result.isOk ? undefined : result.error.kind).to.equal(TransportErrorKind.NotSent)
+    })
+  })
+
+  describe('no proof', () => {
+    it('remains after a reset once bytes were written', async () => {
+      server = await startRawServer(socket => socket.resetAndDestroy())
+      exchange = createHttpExchange()
+      const result = await send(server.origin)
+      expect(result.isOk ? undefined : result.error.kind).to.equal(TransportErrorKind.ConnectionLost)
+      expect(server.requestCount()).to.equal(1)
+    })
+
+    it('remains after a reply that was cut off', async () => {
+      server = await startRawServer(socket => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok'))
+      exchange = createHttpExchange()
+      const result = await send(server.origin)
+      expect(result.isOk ? undefined : result.error.kind).to.equal(TransportErrorKind.ConnectionLost)
+    })
+
+    it('remains after a timeout that waits for the reply', async () => {
+      const timers = createVirtualTimerService()
+      exchange = createHttpExchange({ timers })
+      let arrive = () => {}
+      const hasArrived = new Promise<void>(resolve => { arrive = resolve })
+      server = await startRawServer(() => arrive())
+      const pending = send(server.origin, 1000)
+      await hasArrived
+      timers.advance(1000)
+      const result = await pending
+      expect(result.isOk ? undefined : result.error.kind).to.equal(TransportErrorKind.TimedOut)
+    })
+
+    it('remains when the server resets a connection that was kept open', async () => {
+      let requestCount = 0
+      server = await startRawServer(socket => {
+        requestCount += 1
+        if (requestCount === 1) socket.write(reply)
+        else socket.resetAndDestroy()
+      })
+      exchange = createHttpExchange()
+      expect((await send(server.origin)).isOk).to.equal(true)
+      await letConnectionBecomeIdle()
+      const second = await send(server.origin)
+      expect(second.isOk ? undefined : second.error.kind).to.equal(TransportErrorKind.ConnectionLost)
+      expect(server.connectionCount()).to.equal(1)
+      expect(server.requestCount()).to.equal(2)
+    })
+  })
+
+  describe('connections', () => {
+    it('are new for each call when they are not kept', async () => {
+      server = await startRawServer(socket => socket.write(reply))
+      exchange = createHttpExchange({ keepsConnections: false })
+      expect((await send(server.origin)).isOk).to.equal(true)
+      expect((await send(server.origin)).isOk).to.equal(true)
+      expect(server.connectionCount()).to.equal(2)
+    })
+  })
+})
--- /dev/null
+++ b/src/transport/http-exchange.ts
@@ -0,0 +1,132 @@
+import type { IncomingHttpHeaders } from 'node:http'
+
+import { Agent, type Dispatcher } from 'undici'
+
+import { failure, success, type Result } from '../shared/result.js'
+import { createSystemTimerService, type TimerService } from '../shared/timer-service.js'
+import { TransportErrorKind, type TransportError } from './transport-error.js'
+
+const maxReplyBytes = 64 * 1024 * 1024
+
+export interface HttpExchangeRequest {
+  /** Scheme, host and port, such as `http://10.0.0.1:8080`. */
+  readonly origin: string
+  readonly method: string
+  readonly path: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: Buffer | string
+  /** Bound on the whole call, with connecting and the reply's body. */
+  readonly timeoutMs: number
+}
+
+export interface HttpExchangeReply {
+  readonly statusCode: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: Buffer
+}
+
+export interface HttpExchangeOptions {
+  readonly timers?: TimerService
+  /** False opens a new connection for each call, so that no call meets one that the server has just closed. */
+  readonly keepsConnections?: boolean
+  /** Opens the connections; for tests. */
+  readonly connect?: Agent.Options['connect']
+}
+
+/** HTTP calls with whole replies. A call is sent at most once. */
+export interface HttpExchange {
+  send (request: HttpExchangeRequest): Promise<Result<HttpExchangeReply, TransportError>>
+  /** Closes all connections. */
+  close (): Promise<void>
+}
+
+/** Creates an exchange that tells calls that were never sent from those that may have arrived. */
+export function createHttpExchange (options: HttpExchangeOptions = {}): HttpExchange {
+  const timers = options.timers ?? createSystemTimerService()
+  const agent = new Agent({
+    ...(options.connect === undefined ? {} : { connect: options.connect }),
+    // The bound on the whole call replaces the timeouts of its parts.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    pipelining: options.keepsConnections === false ? 0 : 1,
+    maxResponseSize: maxReplyBytes
+  })
+  return {
+    send: request => sendOnce(agent, timers, request),
+    close: () => agent.destroy()
+  }
+}
+
+function sendOnce (agent: Agent, timers: TimerService, request: HttpExchangeRequest): Promise<Result<HttpExchangeReply, TransportError>> {
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let statusCode = 0
+    let headers: IncomingHttpHeaders = {}
+    let controller: Dispatcher.DispatchController | undefined
+    let isFinished = false
+
+    function finish (result: Result<HttpExchangeReply, TransportError>): void {
+      if (isFinished) return
+      isFinished = true
+      timeout.cancel()
+      resolve(result)
+    }
+
+    function fail (kind: TransportErrorKind.TimedOut | TransportErrorKind.ConnectionLost, reason: string): void {
+      const hasStarted = controller !== undefined
+      finish(failure({ kind: hasStarted ? kind : TransportErrorKind.NotSent, reason }))
+    }
+
+    const timeout = timers.subscribeOnce(request.timeoutMs, () => {
+      fail(TransportErrorKind.TimedOut, `no reply from ${request.origin} within ${request.timeoutMs} ms`)
+      controller?.abort(new Error('timed out'))
+    })
+
+    // undici calls `onRequestStart` right before it writes the first byte.
+    const handler: Dispatcher.DispatchHandler = {
+      onRequestStart (started) {
+        if (isFinished || controller !== undefined) {
+          started.abort(new Error('not sent again or after its timeout'))
+          return
+        }
+        controller = started
+      },
+      onResponseStart (_controller, responseStatusCode, responseHeaders) {
+        statusCode = responseStatusCode
+        headers = responseHeaders
+      },
+      onResponseData (_controller, chunk) {
+        chunks.push(chunk)
+      },
+      onResponseEnd () {
+        finish(success({ statusCode, headers, body: Buffer.concat(chunks) }))
+      },
+      onResponseError (_controller, error) {
+        fail(TransportErrorKind.ConnectionLost, `call to ${request.origin} failed: ${describeError(error)}`)
+      }
+    }
+    dispatch(agent, request, handler, error => {
+      fail(TransportErrorKind.ConnectionLost, `call to ${request.origin} failed: ${describeError(error)}`)
+    })
+  })
+}
+
+function dispatch (agent: Agent, request: HttpExchangeRequest, handler: Dispatcher.DispatchHandler, onThrow: (error: unknown) => void): void {
+  try {
+    agent.dispatch({
+      origin: request.origin,
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: request.headers,
+      body: request.body
+    }, handler)
+  } catch (error) {
+    onThrow(error)
+  }
+}
+
+/** Describes an error of Node or undici in one line. */
+export function describeError (error: unknown): string {
+  if (error instanceof AggregateError) return error.errors.map(describeError).join('; ')
+  return error instanceof Error ? error.message : String(error)
+}
--- /dev/null
+++ b/src/transport/key-value-http-client.ts
@@ -0,0 +1,119 @@
+import { z } from 'zod'
+
+import {
+  KeyValueErrorKind,
+  type KeyValueEntry,
+  type KeyValueError,
+  type KeyValueStore
+} from '../coordination/ports/key-value-store.js'
+import { failure, success, type Result } from '../shared/result.js'
+import type { TimerService } from '../shared/timer-service.js'
+import { createHttpExchange, type HttpExchangeReply } from './http-exchange.js'
+import { readJsonReply, toUnexpectedStatus } from './json-reply.js'
+import { TransportErrorKind, type TransportError } from './transport-error.js'
+
+export interface KeyValueHttpClientOptions {
+  /** Scheme, host and port of the key-value service. */
+  readonly baseUrl: string
+  /** Bound on each call; a watch waits this much longer than it asks for. */
+  readonly timeoutMs: number
+  readonly timers?: TimerService
+}
+
+/** The key-value service over HTTP. */
+export interface KeyValueHttpClient extends KeyValueStore {
+  close (): Promise<void>
+}
+
+const entrySchema: z.ZodType<KeyValueEntry> = z.object({ key: z.string(), value: z.string(), revision: z.number() })
+const optionalEntrySchema = z.object({ entry: entrySchema.nullable() })
+const entriesSchema = z.object({ entries: z.array(entrySchema) })
+const revisionSchema = z.object({ revision: z.number() })
+const conflictSchema = z.object({ current: entrySchema.nullable() })
+const leaseSchema = z.object({ leaseId: z.string() })
+const aliveSchema = z.object({ isAlive: z.boolean() })
+
+/** Creates a client of the key-value service. It never repeats a call by itself. */
+export function createKeyValueHttpClient (options: KeyValueHttpClientOptions): KeyValueHttpClient {
+  const { baseUrl, timeoutMs } = options
+  const exchange = createHttpExchange({ timers: options.timers })
+
+  function post (path: string, body: object, callTimeoutMs: number): Promise<Result<HttpExchangeReply, TransportError>> {
+    return exchange.send({
+      origin: baseUrl,
+      method: 'POST',
+      path,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(body),
+      timeoutMs: callTimeoutMs
+    })
+  }
+
+  async function call<T> (path: string, body: object, schema: z.ZodType<T>, callTimeoutMs = timeoutMs): Promise<Result<T, TransportError>> {
+    const reply = await post(path, body, callTimeoutMs)
+    return reply.isOk ? readReply(reply.value, schema) : reply
+  }
+
+  async function read<T> (path: string, body: object, schema: z.ZodType<T>, callTimeoutMs?: number): Promise<Result<T, KeyValueError>> {
+    const result = await call(path, body, schema, callTimeoutMs)
+    return result.isOk ? result : failure({ kind: KeyValueErrorKind.Unavailable, reason: result.error.reason })
+  }
+
+  async function write<T> (path: string, body: object, schema: z.ZodType<T>): Promise<Result<T, KeyValueError>> {
+    const result = await call(path, body, schema)
+    return result.isOk ? result : failure(toWriteError(result.error))
+  }
+
+  return {
+    async get (key) {
+      const result = await read('/kv/get', { key }, optionalEntrySchema)
+      return result.isOk ? success(result.value.entry ?? undefined) : result
+    },
+    async list (prefix) {
+      const result = await read('/kv/list', { prefix }, entriesSchema)
+      return result.isOk ? success(result.value.entries) : result
+    },
+    async compareAndSwap ({ value, ...rest }) {
+      const reply = await post('/kv/cas', { ...rest, value: value ?? null }, timeoutMs)
+      if (!reply.isOk) return failure(toWriteError(reply.error))
+      if (reply.value.statusCode === 409) return readConflict(reply.value)
+      const result = readReply(reply.value, revisionSchema)
+      return result.isOk ? success(result.value.revision) : failure(toWriteError(result.error))
+    },
+    async watch (request) {
+      const result = await read('/kv/watch', request, optionalEntrySchema, request.timeoutMs + timeoutMs)
+      return result.isOk ? success(result.value.entry ?? undefined) : result
+    },
+    async grantLease (durationMs) {
+      const result = await write('/kv/lease/grant', { durationMs }, leaseSchema)
+      return result.isOk ? success(result.value.leaseId) : result
+    },
+    async keepLeaseAlive (leaseId) {
+      const result = await write('/kv/lease/keep-alive', { leaseId }, aliveSchema)
+      return result.isOk ? success(result.value.isAlive) : result
+    },
+    close: exchange.close
+  }
+}
+
+function readReply<T> (reply: HttpExchangeReply, schema: z.ZodType<T>): Result<T, TransportError> {
+  return reply.statusCode === 200 ? readJsonReply(reply, schema) : failure(toUnexpectedStatus(reply))
+}
+
+function readConflict (reply: HttpExchangeReply): Result<never, KeyValueError> {
+  const conflict = readJsonReply(reply, conflictSchema)
+  if (!conflict.isOk) return failure(toWriteError(conflict.error))
+  return failure({ kind: KeyValueErrorKind.Conflict, current: conflict.value.current ?? undefined })
+}
+
+function toWriteError (error: TransportError): KeyValueError {
+  const kind = isCarriedOutNever(error) ? KeyValueErrorKind.Unavailable : KeyValueErrorKind.Ambiguous
+  return { kind, reason: error.reason }
+}
+
+/** Only a call that was not sent, or that the service refused, is known not to take effect. */
+function isCarriedOutNever (error: TransportError): boolean {
+  if (error.kind === TransportErrorKind.NotSent) return true
+  if (error.kind !== TransportErrorKind.UnexpectedStatus) return false
+  return error.statusCode === 503 || (error.statusCode >= 400 && error.statusCode < 500)
+}
--- /dev/null
+++ b/src/transport/service-http-caller.test.ts
@@ -0,0 +1,78 @@
+import { expect } from 'chai'
+
+import { ServiceErrorKind, type ServiceRequest } from '../coordination/ports/service-caller.js'
+import { createServiceStandin, type ServiceStandin } from '../standin/service-standin.js'
+import { createServiceHttpCaller, type ServiceHttpCaller } from './service-http-caller.js'
+
+describe('service HTTP caller', () => {
+  let standin: ServiceStandin
+  let caller: ServiceHttpCaller
+  let address = ''
+
+  beforeEach(async () => {
+    standin = createServiceStandin()
+    const { port } = await standin.listen()
+    address = `127.0.0.1:${port}`
+    caller = createServiceHttpCaller()
+  })
+
+  afterEach(async () => {
+    await caller.close()
+    standin.abort()
+  })
+
+  function createOrder (idempotencyKey?: string, timeoutMs = 5000): ServiceRequest {
+    return { method: 'POST', path: '/quarry-orders', contentType: 'application/json', body: Buffer.from('{}'), idempotencyKey, timeoutMs }
+  }
+
+  it('hands a call over and returns the answer', async () => {
+    const result = await caller.call(address, createOrder('k1'))
+    if (!result.isOk) throw new Error(result.error.reason)
+    expect(result.value.statusCode).to.equal(200)
+    expect(result.value.contentType).to.equal('application/json')
+    expect(JSON.parse(result.value.body.toString())).to.include({ state: 'done', key: 'k1', runCount: 1, bodyBytes: 2 })
+    expect(standin.getCounts()).to.deep.equal({ runs: { k1: 1 }, total: 1 })
+  })
+
+  it('shows an order at the service', async () => {
+    await caller.call(address, createOrder('k1'))
+    const known = await fetch(`http://${address}/orders/k1`)
+    const absent = await fetch(`http://${address}/orders/k2`)
+    expect([known.status, absent.status]).to.deep.equal([200, 404])
+  })
+
+  describe('faults', () => {
+    it('a service that is gone proves that nothing was sent', async () => {
+      standin.abort()
+      const result = await caller.call(address, createOrder('k1'))
+      expect(result.isOk ? undefined : result.error.kind).to.equal(ServiceErrorKind.NotSent)
+    })
+
+    it('a dropped reply is ambiguous, and the call ran once', async () => {
+      standin.faults.dropsReplyCount = 1
+      const result = await caller.call(address, createOrder('k1'))
+      expect(result.isOk ? undefined : result.error.kind).to.equal(ServiceErrorKind.Ambiguous)
+      expect(standin.getCounts().runs).to.deep.equal({ k1: 1 })
+    })
+
+    it('a dropped reply of a call without a key is not repeated either', async () => {
+      standin.faults.dropsReplyCount = 1
+      const result = await caller.call(address, createOrder())
+      expect(result.isOk ? undefined : result.error.kind).to.equal(ServiceErrorKind.Ambiguous)
+      expect(standin.getCounts().total).to.equal(1)
+    })
+
+    it('a slow service is ambiguous', async () => {
+      standin.faults.delayMs = 60_000
+      const result = await caller.call(address, createOrder('k1', 50))
+      expect(result.isOk ? undefined : result.error.kind).to.equal(ServiceErrorKind.Ambiguous)
+    })
+
+    it('a refusal is an answer, and nothing ran', async () => {
+      standin.faults.isRefusing = true
+      const result = await caller.call(address, createOrder('k1'))
+      expect(result.isOk && result.value.statusCode).to.equal(503)
+      expect(standin.getCounts().total).to.equal(0)
+    })
+  })
+})
--- /dev/null
+++ b/src/transport/vm-list-http-client.test.ts
@@ -0,0 +1,71 @@
+import { expect } from 'chai'
+
+import { VmLifecycle, VmRole, type ListedVm } from '../coordination/ports/vm-list.js'
+import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
+import { createVmListStandin, type VmListStandin } from '../standin/vm-list-standin.js'
+import { createVmListHttpClient, type VmListHttpClient } from './vm-list-http-client.js'
+
+const vm: ListedVm = {
+  vmId: 'vm-1',
+  address: '127.0.0.1:1',
+  availabilityZone: 'praha-dilna',
+  fabricDomain: 'fabric-1',
+  acceleratorCount: 8,
+  role: VmRole.ModelEngine,
+  lifecycle: VmLifecycle.Live
+}
+
+describe('VM list HTTP client', () => {
+  const timers = createVirtualTimerService()
+  let standin: VmListStandin
+  let client: VmListHttpClient
+  let baseUrl = ''
+
+  beforeEach(async () => {
+    standin = createVmListStandin({ vms: [vm], timers })
+    const { port } = await standin.listen()
+    baseUrl = `http://127.0.0.1:${port}`
+    client = createVmListHttpClient({ baseUrl, timeoutMs: 5000 })
+  })
+
+  afterEach(async () => {
+    await client.close()
+    standin.abort()
+  })
+
+  function send (method: string, path: string, body?: object): Promise<Response> {
+    return fetch(`${baseUrl}${path}`, { method, body: JSON.stringify(body) })
+  }
+
+  it('fetches the listed VMs', async () => {
+    expect(await client.fetch()).to.deep.equal({ isOk: true, value: [vm] })
+  })
+
+  it('sees VMs that were set, changed and removed', async () => {
+    const other = { ...vm, vmId: 'vm-2' }
+    await send('POST', '/vms', { vms: [vm, other] })
+    await send('PATCH', '/vms/vm-1', { lifecycle: VmLifecycle.Leaving })
+    await send('DELETE', '/vms/vm-2')
+    expect(await client.fetch()).to.deep.equal({ isOk: true, value: [{ ...vm, lifecycle: VmLifecycle.Leaving }] })
+  })
+
+  it('sees a change only after the lag', async () => {
+    standin.faults.lagMs = 3000
+    await send('PATCH', '/vms/vm-1', { lifecycle: VmLifecycle.Leaving })
+    timers.advance(2999)
+    expect(await client.fetch()).to.deep.equal({ isOk: true, value: [vm] })
+    timers.advance(1)
+    expect(await client.fetch()).to.deep.equal({ isOk: true, value: [{ ...vm, lifecycle: VmLifecycle.Leaving }] })
+  })
+
+  it('fails while the list is out', async () => {
+    standin.faults.isOut = true
+    const result = await client.fetch()
+    expect(result.isOk ? undefined : result.error.kind).to.equal('unavailable')
+  })
+
+  it('refuses a change of an unknown VM and an unknown fault', async () => {
+    expect((await send('DELETE', '/vms/vm-9')).status).to.equal(404)
+    expect((await send('POST', '/faults', { lag: 1 })).status).to.equal(400)
+  })
+})
--- /dev/null
+++ b/src/transport/vm-list-http-client.ts
@@ -0,0 +1,54 @@
+import { z } from 'zod'
+
+import { VmLifecycle, VmRole, type ListedVm, type VmList, type VmListError } from '../coordination/ports/vm-list.js'
+import { failure, success, type Result } from '../shared/result.js'
+import type { TimerService } from '../shared/timer-service.js'
+import { createHttpExchange } from './http-exchange.js'
+import { readJsonReply, toUnexpectedStatus } from './json-reply.js'
+import type { TransportError } from './transport-error.js'
+
+export interface VmListHttpClientOptions {
+  /** Scheme, host and port of the VM list. */
+  readonly baseUrl: string
+  readonly timeoutMs: number
+  readonly timers?: TimerService
+}
+
+/** The platform's list of VMs over HTTP. */
+export interface VmListHttpClient extends VmList {
+  close (): Promise<void>
+}
+
+const listedVmSchema: z.ZodType<ListedVm> = z.object({
+  vmId: z.string(),
+  address: z.string(),
+  availabilityZone: z.string(),
+  fabricDomain: z.string(),
+  acceleratorCount: z.number(),
+  role: z.enum(VmRole),
+  serviceName: z.string().optional(),
+  lifecycle: z.enum(VmLifecycle)
+})
+const listSchema = z.object({ vms: z.array(listedVmSchema) })
+
+/** Creates a client of the platform's list of VMs. */
+export function createVmListHttpClient (options: VmListHttpClientOptions): VmListHttpClient {
+  const { baseUrl, timeoutMs } = options
+  const exchange = createHttpExchange({ timers: options.timers })
+
+  async function fetchVms (): Promise<Result<readonly ListedVm[], TransportError>> {
+    const reply = await exchange.send({ origin: baseUrl, method: 'GET', path: '/vms', timeoutMs })
+    if (!reply.isOk) return reply
+    if (reply.value.statusCode !== 200) return failure(toUnexpectedStatus(reply.value))
+    const list = readJsonReply(reply.value, listSchema)
+    return list.isOk ? success(list.value.vms) : list
+  }
+
+  return {
+    async fetch () {
+      const result = await fetchVms()
+      return result.isOk ? result : failure<VmListError>({ kind: 'unavailable', reason: result.error.reason })
+    },
+    close: exchange.close
+  }
+}
