--- a/src/standin/engine-standin.ts
+++ b/src/standin/engine-standin.ts
@@ -30,6 +30,8 @@
   readonly faults: EngineFaults
   readonly counts: EngineCounts
   getState (): EngineState
+  /** True while the leader's last question to a member failed. */
+  isMemberMissing (): boolean
 }
 
 const orderSchema: z.ZodType<EngineOrder> = z.object({
@@ -125,5 +127,5 @@
     membership.close()
   }
 
-  return { listen: server.listen, close, abort, faults, counts: completions.counts, getState }
+  return { listen: server.listen, close, abort, faults, counts: completions.counts, getState, isMemberMissing: monitor.isMemberMissing }
 }
