--- /dev/null
+++ b/src/observability/log.ts
@@ -0,0 +1,57 @@
+import { createConsola, LogLevels, type ConsolaInstance, type ConsolaReporter } from 'consola'
+
+import type { LogSettings } from '../settings/entry-settings.js'
+
+/** Writes short sentences for one part of a program. */
+export interface Logger {
+  debug (sentence: string, fields?: LogFields): void
+  info (sentence: string, fields?: LogFields): void
+  warn (sentence: string, fields?: LogFields): void
+  error (sentence: string, fields?: LogFields): void
+}
+
+/** Values that go with a sentence. Never holds credentials. */
+export type LogFields = Readonly<Record<string, string | number | boolean>>
+
+/** Creates the logger of a part; the prefix stands before each sentence. */
+export type LoggerFactory = (prefix: string) => Logger
+
+const levelNumbers = {
+  error: LogLevels.error,
+  warn: LogLevels.warn,
+  info: LogLevels.info,
+  debug: LogLevels.debug
+}
+
+const jsonReporter: ConsolaReporter = {
+  log (entry) {
+    const [sentence, fields] = entry.args as [string, LogFields | undefined]
+    const line = { timestamp: entry.date.toISOString(), level: entry.type, part: entry.tag, message: sentence, ...fields }
+    process.stderr.write(`${JSON.stringify(line)}\n`)
+  }
+}
+
+const textReporter: ConsolaReporter = {
+  log (entry) {
+    const [sentence, fields] = entry.args as [string, LogFields | undefined]
+    const details = Object.entries(fields ?? {}).map(([name, value]) => ` ${name}=${value}`).join('')
+    process.stderr.write(`${entry.date.toISOString()} ${entry.type} [${entry.tag}] ${sentence}${details}\n`)
+  }
+}
+
+/** Creates the loggers of one program. Lines go to standard error. */
+export function createLoggerFactory (settings: LogSettings): LoggerFactory {
+  const root: ConsolaInstance = createConsola({
+    level: levelNumbers[settings.level],
+    reporters: [settings.format === 'json' ? jsonReporter : textReporter]
+  })
+  return prefix => {
+    const tagged = root.withTag(prefix)
+    return {
+      debug: (sentence, fields) => tagged.debug(sentence, fields),
+      info: (sentence, fields) => tagged.info(sentence, fields),
+      warn: (sentence, fields) => tagged.warn(sentence, fields),
+      error: (sentence, fields) => tagged.error(sentence, fields)
+    }
+  }
+}
--- /dev/null
+++ b/src/observability/metrics.ts
@@ -0,0 +1,85 @@
+import * as hdr from 'hdr-histogram-js'
+import { Counter, Gauge, Registry } from 'prom-client'
+
+/** Durations that the program keeps histograms of. */
+export enum DurationMetric {
+  FirstToken = 'first_token',
+  BetweenTokens = 'between_tokens',
+  WholeCall = 'whole_call',
+  Hop = 'hop',
+  Order = 'order'
+}
+
+/** Counters and histograms of one program. */
+export interface Metrics {
+  recordDuration (metric: DurationMetric, durationMs: number): void
+  countRequest (kind: string, outcome: string): void
+  setGauge (name: MetricGauge, value: number): void
+  /** Renders everything in the Prometheus text format. */
+  render (): Promise<string>
+}
+
+export enum MetricGauge {
+  IsReady = 'is_ready',
+  ConfigVersion = 'config_version',
+  LiveNodeCount = 'live_node_count',
+  CompleteGroupCount = 'complete_group_count',
+  InFlightCount = 'in_flight_count'
+}
+
+const microsecondsPerMillisecond = 1000
+const highestTrackableMicroseconds = 3_600_000_000
+const quantiles = [0.5, 0.95, 0.99, 1]
+
+/** Creates the metrics of a program; names start with `egretpaddle_`. */
+export function createMetrics (): Metrics {
+  const registry = new Registry()
+  const histograms = new Map<DurationMetric, hdr.Histogram>()
+  const requestCounter = new Counter({
+    name: 'egretpaddle_requests_total',
+    help: 'Requests by kind and outcome.',
+    labelNames: ['kind', 'outcome'],
+    registers: [registry]
+  })
+  const gauges = new Map<MetricGauge, Gauge>()
+  for (const name of Object.values(MetricGauge)) {
+    gauges.set(name, new Gauge({ name: `egretpaddle_${name}`, help: `Current value of ${name}.`, registers: [registry] }))
+  }
+  for (const metric of Object.values(DurationMetric)) {
+    const histogram = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: highestTrackableMicroseconds, numberOfSignificantValueDigits: 2 })
+    histograms.set(metric, histogram)
+    registerQuantiles(registry, metric, histogram)
+  }
+
+  return {
+    recordDuration (metric, durationMs) {
+      const microseconds = Math.round(durationMs * microsecondsPerMillisecond)
+      histograms.get(metric)?.recordValue(Math.min(Math.max(microseconds, 0), highestTrackableMicroseconds))
+    },
+    countRequest: (kind, outcome) => requestCounter.inc({ kind, outcome }),
+    setGauge: (name, value) => gauges.get(name)?.set(value),
+    render: () => registry.metrics()
+  }
+}
+
+function registerQuantiles (registry: Registry, metric: DurationMetric, histogram: hdr.Histogram): void {
+  registry.registerMetric(new Gauge({
+    name: `egretpaddle_${metric}_milliseconds`,
+    help: `Duration of ${metric} by quantile since the start of the process.`,
+    labelNames: ['quantile'],
+    registers: [],
+    collect () {
+      for (const quantile of quantiles) {
+        this.set({ quantile: String(quantile) }, histogram.getValueAtPercentile(quantile * 100) / microsecondsPerMillisecond)
+      }
+    }
+  }))
+  registry.registerMetric(new Gauge({
+    name: `egretpaddle_${metric}_count`,
+    help: `Number of recorded durations of ${metric}.`,
+    registers: [],
+    collect () {
+      this.set(histogram.totalCount)
+    }
+  }))
+}
--- /dev/null
+++ b/src/settings/entry-settings.ts
@@ -0,0 +1,115 @@
+import { z } from 'zod'
+
+const loopbackHosts = ['127.0.0.1', '::1', 'localhost']
+
+const port = z.number().int().min(0).max(65535)
+const durationMs = z.number().int().min(1).max(86_400_000)
+const count = z.number().int().min(1).max(1_000_000)
+const byteCount = z.number().int().min(1).max(1_073_741_824)
+
+const callers = z.strictObject({
+  host: z.string().default('127.0.0.1'),
+  port: port.default(8080),
+  maxBodyBytes: byteCount.default(1_048_576),
+  maxHeaderBytes: byteCount.default(16_384),
+  maxConnectionCount: count.default(4096),
+  headersTimeoutMs: durationMs.default(10_000),
+  /** A caller that takes no bytes for this long while an answer waits is cut off. */
+  slowReaderTimeoutMs: durationMs.default(30_000)
+})
+
+const peers = z.strictObject({
+  host: z.string().default('127.0.0.1'),
+  port: port.default(8081),
+  gossipPort: port.default(8082),
+  /** Gossip addresses `host:port` of some other entry nodes. */
+  seeds: z.array(z.string()).default([]),
+  /** File with the secret shared by all entry nodes; none means that messages are not authenticated. */
+  sharedSecretFile: z.string().optional()
+})
+
+const operators = z.strictObject({
+  host: z.string().default('127.0.0.1'),
+  port: port.default(8083),
+  tls: z.strictObject({ certificateFile: z.string(), keyFile: z.string() }).optional(),
+  allowsPlainText: z.boolean().optional()
+}).superRefine((value, context) => {
+  const isLoopback = loopbackHosts.includes(value.host)
+  if (value.tls !== undefined || isLoopback || value.allowsPlainText === true) return
+  context.addIssue({ code: 'custom', path: ['allowsPlainText'], message: 'TLS files, a loopback host, or allowsPlainText true' })
+})
+
+const platform = z.strictObject({
+  keyValueUrl: z.url(),
+  vmListUrl: z.url(),
+  callTimeoutMs: durationMs.default(2000),
+  vmListRefreshMs: durationMs.default(1000)
+})
+
+const groups = z.strictObject({
+  probeIntervalMs: durationMs.default(500),
+  pollIntervalMs: durationMs.default(500),
+  /** Older evidence lets no request through. */
+  evidenceMaxAgeMs: durationMs.default(2000),
+  engineOrderLifeMs: durationMs.default(3000)
+})
+
+const configuration = z.strictObject({
+  /** A node whose configuration was last confirmed longer ago refuses new work. */
+  leaseMs: durationMs.default(4000),
+  refreshMs: durationMs.default(1000)
+})
+
+const requests = z.strictObject({
+  /** Second tries on another group for each hundred requests. */
+  retryPercent: z.number().min(0).max(100).default(10),
+  maxWaitingCount: count.default(256)
+})
+
+const orders = z.strictObject({
+  retentionHours: z.number().int().min(1).max(8760).default(168),
+  maxStoredAnswerBytes: byteCount.default(65_536)
+})
+
+const shutdown = z.strictObject({
+  /** Time between turning unready and closing the listening socket, for the balancer to notice. */
+  balancerNoticeMs: z.number().int().min(0).max(600_000).default(5000),
+  /** Work still in flight after this long is cut off; 0 waits without end. */
+  maxDrainMs: z.number().int().min(0).max(86_400_000).default(0)
+})
+
+const log = z.strictObject({
+  level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
+  format: z.enum(['text', 'json']).default('text')
+})
+
+const traces = z.strictObject({
+  /** OTLP endpoint such as `http://127.0.0.1:4318/v1/traces`. */
+  otlpUrl: z.url().optional(),
+  /** File that gets one JSON line for each span. */
+  file: z.string().optional()
+})
+
+/** Settings of the program `egretpaddle-entry`. */
+export const entrySettingsSchema = z.strictObject({
+  nodeId: z.string().min(1),
+  /** Partner that runs the VM. */
+  partner: z.string().min(1),
+  availabilityZone: z.string().min(1),
+  platform,
+  callers: callers.prefault({}),
+  peers: peers.prefault({}),
+  operators: operators.prefault({}),
+  groups: groups.prefault({}),
+  configuration: configuration.prefault({}),
+  requests: requests.prefault({}),
+  orders: orders.prefault({}),
+  shutdown: shutdown.prefault({}),
+  log: log.prefault({}),
+  traces: traces.prefault({})
+})
+
+export type EntrySettings = z.infer<typeof entrySettingsSchema>
+export type CallerSettings = EntrySettings['callers']
+export type LogSettings = EntrySettings['log']
+export type TraceSettings = EntrySettings['traces']
--- /dev/null
+++ b/src/settings/parse-settings.test.ts
@@ -0,0 +1,76 @@
+import { readdirSync } from 'node:fs'
+import { join } from 'node:path'
+
+import { expect } from 'chai'
+
+import { entrySettingsSchema } from './entry-settings.js'
+import { loadSettings, parseSettings } from './parse-settings.js'
+import { describeSettingsError } from './settings-error.js'
+
+const exampleFolder = 'examples/settings'
+
+const smallest = {
+  nodeId: 'entry-1',
+  partner: 'vrany',
+  availabilityZone: 'praha-dilna',
+  platform: { keyValueUrl: 'http://127.0.0.1:1', vmListUrl: 'http://127.0.0.1:2' }
+}
+
+function describeProblems (settings: unknown): string[] {
+  const parsed = parseSettings(JSON.stringify(settings), entrySettingsSchema)
+  return parsed.isOk ? [] : describeSettingsError(parsed.error)
+}
+
+describe('settings', () => {
+  describe('a valid file', () => {
+    it('may hold comments and trailing commas', () => {
+      const text = `// comment\n${JSON.stringify(smallest).replace(/}$/, ',}')}`
+      expect(parseSettings(text, entrySettingsSchema).isOk).to.equal(true)
+    })
+
+    for (const name of readdirSync(exampleFolder)) {
+      it(`stands in the examples as ${name}`, () => {
+        const parsed = loadSettings(join(exampleFolder, name), entrySettingsSchema)
+        expect(parsed.isOk ? [] : describeSettingsError(parsed.error)).to.deep.equal([])
+      })
+    }
+  })
+
+  describe('an invalid file', () => {
+    it('names an unknown field with its path', () => {
+      expect(describeProblems({ ...smallest, callers: { portt: 1 } })).to.deep.equal([
+        'field "callers.portt": found a field that does not exist here; allowed: only the fields of the schema'
+      ])
+    })
+
+    it('names every wrong field, what was found and what is allowed', () => {
+      expect(describeProblems({ ...smallest, callers: { port: 70000, maxBodyBytes: '1MB' }, log: { format: 'xml' } })).to.deep.equal([
+        'field "callers.port": found 70000; allowed: at most 65535',
+        'field "callers.maxBodyBytes": found "1MB"; allowed: a value of type number',
+        'field "log.format": found "xml"; allowed: one of "text", "json"'
+      ])
+    })
+
+    it('names a field that is missing', () => {
+      const { nodeId, ...rest } = smallest
+      expect(nodeId).to.equal('entry-1')
+      expect(describeProblems(rest)).to.deep.equal(['field "nodeId": found nothing; allowed: a value of type string'])
+    })
+
+    it('names line and column of a syntax error', () => {
+      const parsed = parseSettings('{\n  "nodeId" "a"\n}', entrySettingsSchema)
+      expect(parsed.isOk ? [] : describeSettingsError(parsed.error)).to.deep.equal(['line 2, column 12: ColonExpected'])
+    })
+
+    it('names a file that is not there', () => {
+      const loaded = loadSettings('no-such-file.jsonc', entrySettingsSchema)
+      expect(loaded.isOk ? '' : describeSettingsError(loaded.error)[0]).to.contain('file "no-such-file.jsonc" is not readable')
+    })
+
+    it('refuses plain text for operators off loopback unless it is allowed', () => {
+      expect(describeProblems({ ...smallest, operators: { host: '10.0.0.1' } })).to.deep.equal([
+        'field "operators.allowsPlainText": found nothing; allowed: TLS files, a loopback host, or allowsPlainText true'
+      ])
+    })
+  })
+})
--- /dev/null
+++ b/src/settings/settings-error.ts
@@ -0,0 +1,32 @@
+/** One wrong field of a settings file or declaration. */
+export interface FieldProblem {
+  /** Dotted path of the field, such as `callers.port`. */
+  readonly path: string
+  /** What was found there, shortened. */
+  readonly found: string
+  /** What is allowed there. */
+  readonly allowed: string
+}
+
+export enum SettingsErrorKind {
+  FileUnreadable = 'fileUnreadable',
+  SyntaxError = 'syntaxError',
+  InvalidFields = 'invalidFields'
+}
+
+export type SettingsError =
+  | { readonly kind: SettingsErrorKind.FileUnreadable, readonly path: string, readonly reason: string }
+  | { readonly kind: SettingsErrorKind.SyntaxError, readonly line: number, readonly column: number, readonly reason: string }
+  | { readonly kind: SettingsErrorKind.InvalidFields, readonly problems: readonly FieldProblem[] }
+
+/** Returns one line for each thing that is wrong. */
+export function describeSettingsError (error: SettingsError): string[] {
+  switch (error.kind) {
+    case SettingsErrorKind.FileUnreadable:
+      return [`file "${error.path}" is not readable: ${error.reason}`]
+    case SettingsErrorKind.SyntaxError:
+      return [`line ${error.line}, column ${error.column}: ${error.reason}`]
+    case SettingsErrorKind.InvalidFields:
+      return error.problems.map(problem => `field "${problem.path}": found ${problem.found}; allowed: ${problem.allowed}`)
+  }
+}
