--- /dev/null
+++ b/src/callers/caller-server.ts
@@ -0,0 +1,201 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+
+import { ModelRequestShape } from '../coordination/ports/engine-streams.js'
+import type { Logger } from '../observability/log.js'
+import type { Metrics } from '../observability/metrics.js'
+import type { Traces, TraceSpan } from '../observability/traces.js'
+import type { CallerSettings } from '../settings/entry-settings.js'
+import { failure, success, type Result } from '../shared/result.js'
+import type { FleetConfig } from '../state/fleet-config.js'
+import { createAuthenticator, type CallerIdentity } from './authentication.js'
+import { CallerErrorKind, notRun, WorkState, type CallerError } from './caller-error.js'
+import type { CallerExchange, ModelHandler } from './model-handler.js'
+import { readBody } from './request-body.js'
+import { sendError, sendJson } from './response-writer.js'
+import type { ServiceHandler } from './service-handler.js'
+
+const keepAliveTimeoutMs = 60_000
+const notReadyRetryMs = 2000
+const servicePathPattern = /^\/services\/([^/]+)(\/.*)$/
+const orderStatusPathPattern = /^\/v1\/orders\/([^/]+)\/([^/]+)$/
+
+/** Whether the node may take new work; the reason is for people. */
+export type Readiness = { readonly isReady: true, readonly config: FleetConfig } | { readonly isReady: false, readonly reason: string }
+
+export interface CallerServerDependencies {
+  readonly settings: CallerSettings
+  readonly modelHandler: ModelHandler
+  readonly serviceHandler: ServiceHandler
+  readonly metrics: Metrics
+  readonly traces: Traces
+  readonly log: Logger
+  /** Checked for each request. */
+  getReadiness (): Readiness
+  /** Told to the balancer; unready already while a shutdown still serves what arrives. */
+  getBalancerReadiness (): Readiness
+}
+
+/** The HTTP server for callers and for the platform's balancer. */
+export interface CallerServer {
+  /** Resolves with the port once the server listens. */
+  listen (): Promise<number>
+  /** Takes no further connections and resolves when the last request in flight has ended. */
+  drain (): Promise<void>
+  /** Cuts off everything in flight. */
+  destroy (): void
+  getInFlightCount (): number
+}
+
+/** Creates the server; it does not listen yet. */
+export function createCallerServer (dependencies: CallerServerDependencies): CallerServer {
+  const { settings, modelHandler, serviceHandler, metrics, traces, log } = dependencies
+  const authenticator = createAuthenticator()
+  let inFlightCount = 0
+  let isDraining = false
+
+  const server = createServer({
+    maxHeaderSize: settings.maxHeaderBytes,
+    headersTimeout: settings.headersTimeoutMs,
+    requestTimeout: settings.slowReaderTimeoutMs,
+    keepAliveTimeout: keepAliveTimeoutMs,
+    connectionsCheckingInterval: 1000
+  }, (request, response) => { void handle(request, response) })
+  server.maxConnections = settings.maxConnectionCount
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    if (socket.writable) socket.end(toRawRefusal(error))
+    else socket.destroy()
+  })
+
+  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    response.on('error', () => response.destroy())
+    if (isDraining) response.setHeader('connection', 'close')
+    const url = request.url ?? '/'
+    if (await handleProbe(url, response)) return
+    const span = traces.startRequest(`${request.method} ${url.split('?')[0]}`, request.headers.traceparent as string | undefined)
+    inFlightCount += 1
+    try {
+      await handleCall(request, response, url, span)
+      span.end()
+    } catch (error) {
+      log.error('A request failed unexpectedly.', { reason: (error as Error).message })
+      span.end((error as Error).message)
+      if (response.headersSent) response.destroy()
+      else sendError(response, { kind: CallerErrorKind.Internal, message: 'internal error', workState: WorkState.Unknown })
+    } finally {
+      inFlightCount -= 1
+    }
+  }
+
+  async function handleProbe (url: string, response: ServerResponse): Promise<boolean> {
+    if (url === '/healthz') {
+      sendJson(response, 200, { status: 'alive' })
+      return true
+    }
+    if (url === '/readyz') {
+      const readiness = dependencies.getBalancerReadiness()
+      sendJson(response, readiness.isReady ? 200 : 503, readiness.isReady ? { status: 'ready' } : { status: 'unready', reason: readiness.reason })
+      return true
+    }
+    if (url === '/metrics') {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+      response.end(await metrics.render())
+      return true
+    }
+    return false
+  }
+
+  async function handleCall (request: IncomingMessage, response: ServerResponse, url: string, span: TraceSpan): Promise<void> {
+    const admitted = admitCaller(request)
+    if (!admitted.isOk) {
+      metrics.countRequest('call', admitted.error.kind)
+      sendError(response, admitted.error)
+      return
+    }
+    const body = await readBody(request, settings.maxBodyBytes)
+    if (!body.isOk) {
+      metrics.countRequest('call', body.error.kind)
+      sendError(response, body.error)
+      return
+    }
+    span.addAttributes({ 'egretpaddle.partner': admitted.value.identity.partner, 'egretpaddle.team': admitted.value.identity.team })
+    await dispatch({ request, response, body: body.value, span, ...admitted.value }, url)
+  }
+
+  function admitCaller (request: IncomingMessage): Result<{ identity: CallerIdentity, config: FleetConfig }, CallerError> {
+    const readiness = dependencies.getReadiness()
+    if (!readiness.isReady) return failure(notRun(CallerErrorKind.Unavailable, `node takes no work: ${readiness.reason}`, notReadyRetryMs))
+    const identity = authenticator.identify(readiness.config, request.headers.authorization)
+    if (!identity.isOk) return identity
+    return success({ identity: identity.value, config: readiness.config })
+  }
+
+  async function dispatch (exchange: CallerExchange, url: string): Promise<void> {
+    const { method } = exchange.request
+    if (url === '/v1/chat/completions' && method === 'POST') {
+      await modelHandler.handle(exchange, ModelRequestShape.Chat)
+      return
+    }
+    if (url === '/v1/completions' && method === 'POST') {
+      await modelHandler.handle(exchange, ModelRequestShape.Completion)
+      return
+    }
+    if (url === '/v1/models' && method === 'GET') {
+      sendJson(exchange.response, 200, listModels(exchange.config))
+      return
+    }
+    const statusPath = orderStatusPathPattern.exec(url)
+    if (statusPath !== null && method === 'GET') {
+      const [, service = '', key = ''] = statusPath
+      await serviceHandler.handleStatus(exchange, service, decodePathPart(key))
+      return
+    }
+    const servicePath = servicePathPattern.exec(url)
+    if (servicePath !== null) {
+      const [, service = '', path = '/'] = servicePath
+      await serviceHandler.handleCall(exchange, service, path)
+      return
+    }
+    sendError(exchange.response, notRun(CallerErrorKind.NotFound, `${method} ${url} does not exist`))
+  }
+
+  return {
+    listen: () => listen(server, settings),
+    drain () {
+      isDraining = true
+      return new Promise(resolve => {
+        server.close(() => resolve())
+        server.closeIdleConnections()
+      })
+    },
+    destroy: () => server.closeAllConnections(),
+    getInFlightCount: () => inFlightCount
+  }
+}
+
+function listen (server: Server, settings: CallerSettings): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(settings.port, settings.host, () => {
+      const address = server.address()
+      resolve(typeof address === 'object' && address !== null ? address.port : settings.port)
+    })
+  })
+}
+
+function listModels (config: FleetConfig): object {
+  const data = config.deployments.map(deployment => ({ id: deployment.name, object: 'model', created: 0, owned_by: deployment.partner }))
+  return { object: 'list', data }
+}
+
+function decodePathPart (part: string): string {
+  try {
+    return decodeURIComponent(part)
+  } catch {
+    return part
+  }
+}
+
+function toRawRefusal (error: NodeJS.ErrnoException): string {
+  const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : '400 Bad Request'
+  return `HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`
+}
--- /dev/null
+++ b/src/callers/model-handler.ts
@@ -0,0 +1,191 @@
+import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+
+import { ModelRequestShape, type EngineChunk } from '../coordination/ports/engine-streams.js'
+import type { ModelStreams } from '../coordination/streams/model-streams.js'
+import { StreamOutcomeKind, type ChunkSink, type ModelRequest, type StreamOutcome } from '../coordination/streams/stream-outcome.js'
+import { DurationMetric, type Metrics } from '../observability/metrics.js'
+import type { TraceSpan } from '../observability/traces.js'
+import type { TimerService } from '../shared/timer-service.js'
+import { failure, success, type Result } from '../shared/result.js'
+import type { Deployment, FleetConfig } from '../state/fleet-config.js'
+import { createAnswerAssembly } from './answer-assembly.js'
+import type { CallerIdentity } from './authentication.js'
+import { CallerErrorKind, notRun, toErrorBody, WorkState, type CallerError } from './caller-error.js'
+import { parseModelRequest, type ParsedModelRequest } from './model-request.js'
+import { parseJsonObject } from './request-body.js'
+import { createPacedWriter, sendError, sendJson } from './response-writer.js'
+
+const maxDeadlineMs = 3_600_000
+const eventStreamHeaders = { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' }
+
+export interface ModelHandlerDependencies {
+  readonly streams: ModelStreams
+  readonly timers: TimerService
+  readonly metrics: Metrics
+  readonly slowReaderTimeoutMs: number
+}
+
+/** One authenticated request with its body read. */
+export interface CallerExchange {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly body: Buffer
+  readonly identity: CallerIdentity
+  readonly config: FleetConfig
+  readonly span: TraceSpan
+}
+
+/** Answers requests for a model's answer, as a stream or whole. */
+export interface ModelHandler {
+  handle (exchange: CallerExchange, shape: ModelRequestShape): Promise<void>
+}
+
+/** Creates the handler of chat and completion requests. */
+export function createModelHandler ({ streams, timers, metrics, slowReaderTimeoutMs }: ModelHandlerDependencies): ModelHandler {
+  async function handle (exchange: CallerExchange, shape: ModelRequestShape): Promise<void> {
+    const prepared = prepare(exchange, shape)
+    if (!prepared.isOk) {
+      metrics.countRequest(shape, prepared.error.kind)
+      sendError(exchange.response, prepared.error)
+      return
+    }
+    const { modelRequest, parsed } = prepared.value
+    const abort = new AbortController()
+    exchange.response.on('close', () => abort.abort())
+    const answer = parsed.isStream ? streamAnswer : sendWholeAnswer
+    const startedMs = timers.nowMs()
+    const outcome = await answer(exchange, modelRequest, abort.signal)
+    metrics.countRequest(shape, outcome.kind)
+    metrics.recordDuration(DurationMetric.WholeCall, timers.nowMs() - startedMs)
+    exchange.span.addAttributes({ 'egretpaddle.outcome': outcome.kind })
+  }
+
+  async function streamAnswer (exchange: CallerExchange, modelRequest: ModelRequest, signal: AbortSignal): Promise<StreamOutcome> {
+    const { response } = exchange
+    const writer = createPacedWriter(response, timers, slowReaderTimeoutMs)
+    const sink = measureTokens({
+      async write (chunk) {
+        if (!response.headersSent) response.writeHead(200, eventStreamHeaders)
+        await writer.write(`data: ${chunk.data}\n\n`)
+      }
+    })
+    const outcome = await streams.run(modelRequest, sink, signal)
+    if (outcome.kind === StreamOutcomeKind.Completed) {
+      response.end('data: [DONE]\n\n')
+      return outcome
+    }
+    const error = toCallerError(outcome)
+    if (!response.headersSent) sendError(response, error)
+    else response.end(`data: ${JSON.stringify(toErrorBody(error))}\n\n`)
+    return outcome
+  }
+
+  async function sendWholeAnswer (exchange: CallerExchange, modelRequest: ModelRequest, signal: AbortSignal): Promise<StreamOutcome> {
+    const assembly = createAnswerAssembly(modelRequest.shape)
+    const sink = measureTokens({
+      write (chunk) {
+        assembly.add(chunk)
+        return Promise.resolve()
+      }
+    })
+    const outcome = await streams.run(modelRequest, sink, signal)
+    const answer = assembly.getAnswer()
+    if (outcome.kind === StreamOutcomeKind.Completed && answer !== undefined) sendJson(exchange.response, 200, answer)
+    else sendError(exchange.response, toCallerError(outcome))
+    return outcome
+  }
+
+  function measureTokens (sink: ChunkSink): ChunkSink {
+    let previousMs = timers.nowMs()
+    let isFirst = true
+    return {
+      write (chunk: EngineChunk) {
+        if (chunk.tokenIndex !== undefined) {
+          const nowMs = timers.nowMs()
+          metrics.recordDuration(isFirst ? DurationMetric.FirstToken : DurationMetric.BetweenTokens, nowMs - previousMs)
+          previousMs = nowMs
+          isFirst = false
+        }
+        return sink.write(chunk)
+      }
+    }
+  }
+
+  return { handle }
+}
+
+interface PreparedRequest {
+  readonly modelRequest: ModelRequest
+  readonly parsed: ParsedModelRequest
+}
+
+function prepare (exchange: CallerExchange, shape: ModelRequestShape): Result<PreparedRequest, CallerError> {
+  const body = parseJsonObject(exchange.body)
+  if (!body.isOk) return body
+  const parsed = parseModelRequest(shape, body.value)
+  if (!parsed.isOk) return parsed
+  const deployment = findDeployment(exchange.config, parsed.value.model)
+  if (deployment === undefined) return failure(notRun(CallerErrorKind.NotFound, `model "${parsed.value.model}" does not exist`))
+  const deadlineMs = readDeadlineMs(exchange.request, deployment.defaultDeadlineMs)
+  if (!deadlineMs.isOk) return deadlineMs
+  return success({
+    parsed: parsed.value,
+    modelRequest: {
+      requestId: randomUUID(),
+      ...exchange.identity,
+      deployment: deployment.name,
+      shape,
+      body: { ...parsed.value.engineBody, model: deployment.model },
+      prefixHash: parsed.value.prefixHash,
+      isInteractive: exchange.request.headers['x-request-priority'] !== 'batch',
+      deadlineMs: deadlineMs.value,
+      traceParent: exchange.span.traceParent
+    }
+  })
+}
+
+/** A deployment is asked for by its own name or by that of its model. */
+function findDeployment (config: FleetConfig, model: string): Deployment | undefined {
+  return config.deployments.find(deployment => deployment.name === model) ??
+    config.deployments.find(deployment => deployment.model === model)
+}
+
+/** Reads the time that the caller allows, from the header `x-request-timeout-ms`. */
+export function readDeadlineMs (request: IncomingMessage, defaultMs: number): Result<number, CallerError> {
+  const header = request.headers['x-request-timeout-ms']
+  if (header === undefined) return success(defaultMs)
+  const deadlineMs = Number(header)
+  if (Number.isInteger(deadlineMs) && deadlineMs > 0 && deadlineMs <= maxDeadlineMs) return success(deadlineMs)
+  return failure(notRun(CallerErrorKind.MalformedRequest, `header "x-request-timeout-ms" is not a whole number from 1 to ${maxDeadlineMs}`))
+}
+
+function toCallerError (outcome: StreamOutcome): CallerError {
+  switch (outcome.kind) {
+    case StreamOutcomeKind.NotServed:
+      return {
+        kind: outcome.isOverload ? CallerErrorKind.Overloaded : CallerErrorKind.Unavailable,
+        message: outcome.reason,
+        workState: outcome.wasRun ? WorkState.PartlyRun : WorkState.NotRun,
+        retryAfterMs: outcome.retryAfterMs
+      }
+    case StreamOutcomeKind.BadRequest:
+      return notRun(CallerErrorKind.MalformedRequest, outcome.reason)
+    case StreamOutcomeKind.Interrupted:
+      return {
+        kind: CallerErrorKind.Interrupted,
+        message: `${outcome.reason}; ${outcome.tokenCount} tokens were produced`,
+        workState: WorkState.PartlyRun,
+        retryAfterMs: outcome.retryAfterMs
+      }
+    case StreamOutcomeKind.DeadlineExceeded:
+      return {
+        kind: CallerErrorKind.DeadlineExceeded,
+        message: `deadline passed after ${outcome.tokenCount} tokens`,
+        workState: outcome.tokenCount === 0 ? WorkState.Unknown : WorkState.PartlyRun
+      }
+    case StreamOutcomeKind.Completed:
+    case StreamOutcomeKind.Cancelled:
+      return { kind: CallerErrorKind.Interrupted, message: 'request was cancelled', workState: WorkState.PartlyRun }
+  }
+}
--- /dev/null
+++ b/src/callers/service-handler.ts
@@ -0,0 +1,225 @@
+import { OrderOutcomeKind, type OrderAnswer, type OrderOutcome, type OrderStatus } from '../coordination/orders/order-outcome.js'
+import type { OrderLedger } from '../coordination/orders/order-ledger.js'
+import { ServiceErrorKind, type ServiceCaller, type ServiceResponse } from '../coordination/ports/service-caller.js'
+import { DurationMetric, type Metrics } from '../observability/metrics.js'
+import { failure, success, type Result } from '../shared/result.js'
+import type { TimerService } from '../shared/timer-service.js'
+import type { PlainService, ServiceRoute } from '../state/fleet-config.js'
+import { CallerErrorKind, notRun, WorkState, type CallerError } from './caller-error.js'
+import { readDeadlineMs, type CallerExchange } from './model-handler.js'
+import { sendError, sendJson } from './response-writer.js'
+
+const maxIdempotencyKeyCharacters = 255
+const noBackendRetryMs = 1000
+const maxRepeatableAttemptCount = 2
+const idempotencyKeyPattern = /^[\x21-\x7e]+$/
+
+export interface ServiceHandlerDependencies {
+  readonly orders: OrderLedger
+  readonly serviceCaller: ServiceCaller
+  readonly timers: TimerService
+  readonly metrics: Metrics
+  /** Chooses a backend server of the service that takes new work. */
+  pickBackend (serviceName: string): string | undefined
+}
+
+/** Answers calls of plain services and questions about the state of orders. */
+export interface ServiceHandler {
+  handleCall (exchange: CallerExchange, serviceName: string, path: string): Promise<void>
+  handleStatus (exchange: CallerExchange, serviceName: string, idempotencyKey: string): Promise<void>
+}
+
+/** Creates the handler of plain services. */
+export function createServiceHandler ({ orders, serviceCaller, timers, metrics, pickBackend }: ServiceHandlerDependencies): ServiceHandler {
+  async function handleCall (exchange: CallerExchange, serviceName: string, path: string): Promise<void> {
+    const found = findRoute(exchange, serviceName, path)
+    if (!found.isOk) {
+      refuse(exchange, found.error)
+      return
+    }
+    const { service, route } = found.value
+    const deadlineMs = readDeadlineMs(exchange.request, service.timeoutMs)
+    if (!deadlineMs.isOk) refuse(exchange, deadlineMs.error)
+    else if (route.isRepeatable) await forward(exchange, service, path, deadlineMs.value)
+    else await submitOrder(exchange, service, path, deadlineMs.value)
+  }
+
+  async function submitOrder (exchange: CallerExchange, service: PlainService, path: string, deadlineMs: number): Promise<void> {
+    const key = readIdempotencyKey(exchange)
+    if (!key.isOk) {
+      refuse(exchange, key.error)
+      return
+    }
+    const startedMs = timers.nowMs()
+    const outcome = await orders.submit({
+      partner: exchange.identity.partner,
+      service: service.name,
+      idempotencyKey: key.value,
+      method: exchange.request.method ?? 'POST',
+      path,
+      contentType: exchange.request.headers['content-type'] ?? 'application/octet-stream',
+      body: exchange.body,
+      deadlineMs,
+      pickBackend: () => pickBackend(service.name),
+      traceParent: exchange.span.traceParent
+    })
+    metrics.recordDuration(DurationMetric.Order, timers.nowMs() - startedMs)
+    metrics.countRequest('order', outcome.kind)
+    exchange.span.addAttributes({ 'egretpaddle.outcome': outcome.kind })
+    if (outcome.kind === OrderOutcomeKind.Done) sendAnswer(exchange, outcome.answer, outcome.isReplayed)
+    else sendError(exchange.response, toOrderError(outcome))
+  }
+
+  async function forward (exchange: CallerExchange, service: PlainService, path: string, deadlineMs: number): Promise<void> {
+    const deadlineAtMs = timers.nowMs() + deadlineMs
+    let reason = `service "${service.name}" has no backend server that takes work`
+    for (let attempt = 0; attempt < maxRepeatableAttemptCount; attempt += 1) {
+      const address = pickBackend(service.name)
+      const timeoutMs = deadlineAtMs - timers.nowMs()
+      if (address === undefined || timeoutMs <= 0) break
+      const answer = await serviceCaller.call(address, {
+        method: exchange.request.method ?? 'GET',
+        path,
+        contentType: exchange.request.headers['content-type'] ?? 'application/octet-stream',
+        body: exchange.body,
+        timeoutMs,
+        traceParent: exchange.span.traceParent
+      })
+      if (answer.isOk) {
+        metrics.countRequest('call', 'done')
+        sendServiceResponse(exchange, answer.value)
+        return
+      }
+      reason = answer.error.reason
+      if (answer.error.kind === ServiceErrorKind.Ambiguous && timers.nowMs() >= deadlineAtMs) break
+    }
+    refuse(exchange, { kind: CallerErrorKind.Unavailable, message: reason, workState: WorkState.Unknown, retryAfterMs: noBackendRetryMs })
+  }
+
+  async function handleStatus (exchange: CallerExchange, serviceName: string, idempotencyKey: string): Promise<void> {
+    const service = findService(exchange, serviceName)
+    if (!service.isOk) {
+      refuse(exchange, service.error)
+      return
+    }
+    const status = await orders.getStatus({
+      partner: exchange.identity.partner,
+      service: serviceName,
+      idempotencyKey,
+      pickBackend: () => pickBackend(serviceName),
+      traceParent: exchange.span.traceParent,
+      ...(service.value.statusPath === undefined ? {} : { statusPath: service.value.statusPath })
+    })
+    metrics.countRequest('order_status', status.kind)
+    sendStatus(exchange, idempotencyKey, status)
+  }
+
+  function refuse (exchange: CallerExchange, error: CallerError): void {
+    metrics.countRequest('service', error.kind)
+    sendError(exchange.response, error)
+  }
+
+  return { handleCall, handleStatus }
+}
+
+interface FoundRoute {
+  readonly service: PlainService
+  readonly route: ServiceRoute
+}
+
+function findService (exchange: CallerExchange, serviceName: string): Result<PlainService, CallerError> {
+  const service = exchange.config.services.find(candidate => candidate.name === serviceName)
+  if (service === undefined) return failure(notRun(CallerErrorKind.NotFound, `service "${serviceName}" does not exist`))
+  if (service.partner !== exchange.identity.partner) {
+    return failure(notRun(CallerErrorKind.Forbidden, `service "${serviceName}" belongs to another partner`))
+  }
+  return success(service)
+}
+
+function findRoute (exchange: CallerExchange, serviceName: string, path: string): Result<FoundRoute, CallerError> {
+  const service = findService(exchange, serviceName)
+  if (!service.isOk) return service
+  const routes = service.value.routes.filter(route => route.path === path.split('?')[0])
+  if (routes.length === 0) return failure(notRun(CallerErrorKind.NotFound, `service "${serviceName}" has no route "${path}"`))
+  const route = routes.find(candidate => candidate.method === exchange.request.method)
+  if (route === undefined) {
+    return failure(notRun(CallerErrorKind.MethodNotAllowed, `route "${path}" does not take method ${exchange.request.method}`))
+  }
+  return success({ service: service.value, route })
+}
+
+function readIdempotencyKey (exchange: CallerExchange): Result<string, CallerError> {
+  const key = exchange.request.headers['idempotency-key']
+  if (typeof key !== 'string' || key.length === 0) {
+    return failure(notRun(CallerErrorKind.IdempotencyKeyMissing, 'work that must not repeat needs a header "idempotency-key"'))
+  }
+  if (key.length > maxIdempotencyKeyCharacters || !idempotencyKeyPattern.test(key)) {
+    const message = `header "idempotency-key" is not 1 to ${maxIdempotencyKeyCharacters} printable ASCII characters`
+    return failure(notRun(CallerErrorKind.MalformedRequest, message))
+  }
+  return success(key)
+}
+
+function sendAnswer (exchange: CallerExchange, answer: OrderAnswer, isReplayed: boolean): void {
+  exchange.response.writeHead(answer.statusCode, {
+    'content-type': answer.contentType,
+    'content-length': answer.body.length,
+    'idempotency-replayed': String(isReplayed),
+    ...(answer.isBodyOmitted ? { 'x-answer-body-omitted': 'true' } : {})
+  })
+  exchange.response.end(answer.body)
+}
+
+function sendServiceResponse (exchange: CallerExchange, answer: ServiceResponse): void {
+  exchange.response.writeHead(answer.statusCode, { 'content-type': answer.contentType, 'content-length': answer.body.length })
+  exchange.response.end(answer.body)
+}
+
+function sendStatus (exchange: CallerExchange, idempotencyKey: string, status: OrderStatus): void {
+  switch (status.kind) {
+    case OrderOutcomeKind.Done:
+      sendJson(exchange.response, 200, {
+        idempotency_key: idempotencyKey,
+        state: 'done',
+        answer: { status_code: status.answer.statusCode, content_type: status.answer.contentType, body: status.answer.body.toString('utf8') }
+      })
+      return
+    case OrderOutcomeKind.Running:
+      sendJson(exchange.response, 200, { idempotency_key: idempotencyKey, state: 'running', retry_after_ms: status.retryAfterMs })
+      return
+    case OrderOutcomeKind.Unknown:
+      sendJson(exchange.response, 200, { idempotency_key: idempotencyKey, state: 'unknown', reason: status.reason })
+      return
+    case OrderOutcomeKind.NotRun:
+      sendJson(exchange.response, 200, { idempotency_key: idempotencyKey, state: 'not_run', retry_after_ms: status.retryAfterMs })
+      return
+    case OrderOutcomeKind.NotFound:
+      sendError(exchange.response, notRun(CallerErrorKind.NotFound, status.reason))
+      return
+    case OrderOutcomeKind.Unavailable:
+      sendError(exchange.response, {
+        kind: CallerErrorKind.Unavailable, message: status.reason, workState: WorkState.Unknown, retryAfterMs: status.retryAfterMs
+      })
+      return
+    case OrderOutcomeKind.KeyReused:
+      sendError(exchange.response, notRun(CallerErrorKind.IdempotencyKeyReused, status.reason))
+  }
+}
+
+function toOrderError (outcome: Exclude<OrderOutcome, { kind: OrderOutcomeKind.Done }>): CallerError {
+  switch (outcome.kind) {
+    case OrderOutcomeKind.NotRun:
+      return notRun(CallerErrorKind.Unavailable, `${outcome.reason}; earlier attempts: ${outcome.earlierAttempts}`, outcome.retryAfterMs)
+    case OrderOutcomeKind.Running:
+      return {
+        kind: CallerErrorKind.StillRunning,
+        message: 'an attempt with this idempotency key is under way',
+        workState: WorkState.Running,
+        retryAfterMs: outcome.retryAfterMs
+      }
+    case OrderOutcomeKind.Unknown:
+      return { kind: CallerErrorKind.OutcomeUnknown, message: outcome.reason, workState: WorkState.Unknown }
+    case OrderOutcomeKind.KeyReused:
+      return notRun(CallerErrorKind.IdempotencyKeyReused, outcome.reason)
+  }
+}
--- a/src/coordination/groups/evidence-cache.ts
+++ b/src/coordination/groups/evidence-cache.ts
@@ -41,6 +41,8 @@
   getFreshGroups (deployment: string, nowMs: number): FreshGroup[]
   /** To be asked right before a hand-over, with the time read at that moment. */
   canHandOver (groupId: string, epoch: number, nowMs: number): boolean
+  /** Whether streams in flight on the group may rely on it. */
+  isProven (groupId: string, epoch: number, nowMs: number): boolean
   /** Highest epoch seen for a group; undefined for an unknown one. */
   getEpoch (groupId: string): number | undefined
   readonly losses: Stream<EvidenceLoss>
@@ -120,6 +122,10 @@
       const group = groups.get(groupId)
       return group !== undefined && group.epoch === epoch && isOpen(group, nowMs)
     },
+    isProven (groupId, epoch, nowMs) {
+      const group = groups.get(groupId)
+      return group !== undefined && group.epoch === epoch && isProven(group, nowMs)
+    },
     getEpoch: groupId => groups.get(groupId)?.epoch,
     losses: losses.messages,
     stop: () => sweepSubscription.cancel()
--- /dev/null
+++ b/src/coordination/ports/peer-link.ts
@@ -0,0 +1,27 @@
+import type { ConfigSnapshot, ConfigStatus, PollGroupsRequest, PollGroupsResponse } from '../../protocol/generated/egretpaddle/peer/v1/peer.js'
+import type { Result } from '../../shared/result.js'
+
+export enum PeerErrorKind {
+  Unreachable = 'unreachable',
+  /** The peer answered that it cannot carry the call out. */
+  Refused = 'refused'
+}
+
+export interface PeerError {
+  readonly kind: PeerErrorKind
+  readonly reason: string
+}
+
+/** Calls to another entry node. Addresses are `host:port` of the peer's RPC server. */
+export interface PeerLink {
+  pollGroups (peerAddress: string, request: PollGroupsRequest): Promise<Result<PollGroupsResponse, PeerError>>
+  fetchConfig (peerAddress: string, knownVersion: number): Promise<Result<ConfigSnapshot, PeerError>>
+  pushConfig (peerAddress: string, snapshot: ConfigSnapshot): Promise<Result<ConfigStatus, PeerError>>
+}
+
+/** What a node answers to calls of its peers. */
+export interface PeerHandlers {
+  pollGroups (request: PollGroupsRequest): PollGroupsResponse
+  fetchConfig (knownVersion: number): ConfigSnapshot
+  pushConfig (snapshot: ConfigSnapshot): ConfigStatus
+}
--- /dev/null
+++ b/src/coordination/streams/model-streams.ts
@@ -0,0 +1,211 @@
+import { EngineStreamErrorKind, type EngineChunk, type EngineStreamError, type EngineStreams } from '../ports/engine-streams.js'
+import type { TimerService } from '../../shared/timer-service.js'
+import {
+  ReleaseReason,
+  StreamOutcomeKind,
+  type ChunkSink,
+  type ModelRequest,
+  type StreamGate,
+  type StreamGrant,
+  type StreamOutcome
+} from './stream-outcome.js'
+
+const maxAttemptCount = 4
+const retryAfterLossMs = 1000
+
+/** Runs requests on groups and moves them to another group when one is lost. */
+export interface ModelStreams {
+  run (request: ModelRequest, sink: ChunkSink, signal: AbortSignal): Promise<StreamOutcome>
+}
+
+export interface ModelStreamDependencies {
+  readonly gate: StreamGate
+  readonly engineStreams: EngineStreams
+  readonly timers: TimerService
+}
+
+/** What the tries of one request have in common. */
+interface StreamProgress {
+  readonly request: ModelRequest
+  readonly sink: ChunkSink
+  readonly deadlineAtMs: number
+  /** Groups that failed this request. */
+  readonly failedGroupIds: string[]
+  deliveredTokenCount: number
+  hasDeliveredChunk: boolean
+  wasSent: boolean
+}
+
+enum AttemptEnd {
+  Completed = 'completed',
+  Failed = 'failed',
+  BadRequest = 'badRequest',
+  Aborted = 'aborted'
+}
+
+interface AttemptResult {
+  readonly end: AttemptEnd
+  readonly reason: string
+  readonly isEngineFull?: boolean
+}
+
+/** Creates the runner of model requests. Each token reaches the sink once and in order. */
+export function createModelStreams ({ gate, engineStreams, timers }: ModelStreamDependencies): ModelStreams {
+  async function run (request: ModelRequest, sink: ChunkSink, callerSignal: AbortSignal): Promise<StreamOutcome> {
+    const progress: StreamProgress = {
+      request,
+      sink,
+      deadlineAtMs: timers.nowMs() + request.deadlineMs,
+      failedGroupIds: [],
+      deliveredTokenCount: 0,
+      hasDeliveredChunk: false,
+      wasSent: false
+    }
+    const abort = new AbortController()
+    const stopOnCaller = () => abort.abort()
+    callerSignal.addEventListener('abort', stopOnCaller, { once: true })
+    const deadline = timers.subscribeOnce(request.deadlineMs, () => abort.abort())
+    try {
+      return await runAttempts(progress, abort.signal, callerSignal)
+    } finally {
+      deadline.cancel()
+      callerSignal.removeEventListener('abort', stopOnCaller)
+    }
+  }
+
+  async function runAttempts (progress: StreamProgress, signal: AbortSignal, callerSignal: AbortSignal): Promise<StreamOutcome> {
+    let reason = ''
+    for (let attempt = 0; attempt < maxAttemptCount; attempt += 1) {
+      const acquired = await gate.acquire(progress.request, {
+        remainingMs: progress.deadlineAtMs - timers.nowMs(),
+        failedGroupIds: progress.failedGroupIds,
+        isResumption: progress.deliveredTokenCount > 0,
+        signal
+      })
+      if (signal.aborted) {
+        if (acquired.isGranted) acquired.grant.release(ReleaseReason.Cancelled)
+        return endAborted(progress, callerSignal)
+      }
+      if (!acquired.isGranted) return failWith(progress, attempt === 0 ? acquired.reason : `${reason}; ${acquired.reason}`, acquired)
+      const result = await runOnGroup(progress, acquired.grant, signal)
+      if (result.end === AttemptEnd.Completed) {
+        return { kind: StreamOutcomeKind.Completed, tokenCount: progress.deliveredTokenCount, resumeCount: attempt }
+      }
+      if (result.end === AttemptEnd.BadRequest) return { kind: StreamOutcomeKind.BadRequest, reason: result.reason }
+      if (signal.aborted) return endAborted(progress, callerSignal)
+      progress.failedGroupIds.push(acquired.grant.groupId)
+      reason = result.reason
+    }
+    return failWith(progress, reason, { retryAfterMs: retryAfterLossMs, isOverload: false })
+  }
+
+  async function runOnGroup (progress: StreamProgress, grant: StreamGrant, signal: AbortSignal): Promise<AttemptResult> {
+    const attemptAbort = new AbortController()
+    const stop = () => attemptAbort.abort()
+    signal.addEventListener('abort', stop, { once: true })
+    let lossReason: string | undefined
+    const stopWatching = gate.onGroupLost(grant.groupId, reason => {
+      lossReason = reason
+      attemptAbort.abort()
+    })
+    let result: AttemptResult = { end: AttemptEnd.Aborted, reason: 'aborted' }
+    try {
+      result = await pumpChunks(progress, grant, attemptAbort.signal)
+    } finally {
+      stopWatching()
+      signal.removeEventListener('abort', stop)
+      grant.release(toReleaseReason(result, signal))
+    }
+    if (lossReason !== undefined && result.end !== AttemptEnd.Completed) return { end: AttemptEnd.Failed, reason: lossReason }
+    return result
+  }
+
+  async function pumpChunks (progress: StreamProgress, grant: StreamGrant, signal: AbortSignal): Promise<AttemptResult> {
+    if (!gate.canHandOver(grant.groupId, grant.epoch)) {
+      return { end: AttemptEnd.Failed, reason: `evidence for group "${grant.groupId}" is too old` }
+    }
+    const { request } = progress
+    const chunks = engineStreams.open(grant.leaderAddress, {
+      shape: request.shape,
+      groupId: grant.groupId,
+      epoch: grant.epoch,
+      requestId: request.requestId,
+      body: request.body,
+      priority: grant.priority,
+      resumeFromToken: progress.deliveredTokenCount,
+      ...(request.traceParent === undefined ? {} : { traceParent: request.traceParent })
+    }, signal)
+    for (;;) {
+      const next = await chunks.next()
+      if (next.done === true) return toAttemptResult(progress, next.value)
+      const chunk = next.value
+      if (signal.aborted) {
+        await chunks.return(undefined)
+        return { end: AttemptEnd.Aborted, reason: 'aborted' }
+      }
+      progress.wasSent = true
+      const defect = findDefect(progress, chunk)
+      if (defect !== undefined) {
+        await chunks.return(undefined)
+        return { end: AttemptEnd.Failed, reason: `group "${grant.groupId}" ${defect}` }
+      }
+      if (!isDelivered(progress, chunk.tokenIndex, chunk.isLast)) {
+        progress.hasDeliveredChunk = true
+        if (chunk.tokenIndex !== undefined) progress.deliveredTokenCount = chunk.tokenIndex + chunk.tokenCount
+        await progress.sink.write(chunk)
+      }
+      if (chunk.isLast) {
+        await chunks.return(undefined)
+        return { end: AttemptEnd.Completed, reason: 'completed' }
+      }
+    }
+  }
+
+  function endAborted (progress: StreamProgress, callerSignal: AbortSignal): StreamOutcome {
+    const kind = callerSignal.aborted ? StreamOutcomeKind.Cancelled : StreamOutcomeKind.DeadlineExceeded
+    return { kind, tokenCount: progress.deliveredTokenCount }
+  }
+
+  return { run }
+}
+
+/** Returns what is wrong with a chunk of an answer; undefined when it continues or repeats what was delivered. */
+function findDefect (progress: StreamProgress, chunk: EngineChunk): string | undefined {
+  if (chunk.requestId !== progress.request.requestId) return `sent a chunk of request "${chunk.requestId}"`
+  if (chunk.tokenIndex === undefined) return undefined
+  if (chunk.tokenIndex > progress.deliveredTokenCount) return `left out tokens before index ${chunk.tokenIndex}`
+  const isOverlap = chunk.tokenIndex < progress.deliveredTokenCount &&
+    chunk.tokenIndex + chunk.tokenCount > progress.deliveredTokenCount
+  return isOverlap ? `repeated part of a chunk at index ${chunk.tokenIndex}` : undefined
+}
+
+/** Chunks without tokens, such as the one that names the role, go out only at the beginning. */
+function isDelivered (progress: StreamProgress, tokenIndex: number | undefined, isLast: boolean): boolean {
+  if (tokenIndex !== undefined) return tokenIndex < progress.deliveredTokenCount
+  return !isLast && progress.hasDeliveredChunk
+}
+
+function toReleaseReason (result: AttemptResult, signal: AbortSignal): ReleaseReason {
+  if (result.end === AttemptEnd.Completed) return ReleaseReason.Completed
+  if (result.isEngineFull === true) return ReleaseReason.EngineFull
+  return signal.aborted ? ReleaseReason.Cancelled : ReleaseReason.Failed
+}
+
+function toAttemptResult (progress: StreamProgress, error: EngineStreamError | undefined): AttemptResult {
+  if (error === undefined) return { end: AttemptEnd.Failed, reason: 'the answer ended without its last chunk' }
+  if (error.kind === EngineStreamErrorKind.Broken) progress.wasSent = true
+  const end = error.kind === EngineStreamErrorKind.BadRequest ? AttemptEnd.BadRequest : AttemptEnd.Failed
+  return { end, reason: error.reason, isEngineFull: error.kind === EngineStreamErrorKind.Busy }
+}
+
+interface ComeBack {
+  readonly retryAfterMs: number
+  readonly isOverload: boolean
+}
+
+function failWith (progress: StreamProgress, reason: string, { retryAfterMs, isOverload }: ComeBack): StreamOutcome {
+  if (progress.deliveredTokenCount > 0) {
+    return { kind: StreamOutcomeKind.Interrupted, reason, retryAfterMs, tokenCount: progress.deliveredTokenCount }
+  }
+  return { kind: StreamOutcomeKind.NotServed, reason, retryAfterMs, wasRun: progress.wasSent, isOverload }
+}
--- /dev/null
+++ b/src/entry/owner-part.ts
@@ -0,0 +1,61 @@
+import type { VmDirectory } from '../coordination/vms/vm-directory.js'
+import { createGroupCoordinator, type GroupCoordinator } from '../coordination/groups/group-coordinator.js'
+import type { GroupSettings } from '../coordination/groups/group-settings.js'
+import type { ConfigKeeper } from '../coordination/config/config-keeper.js'
+import { createPollAnswerer } from '../coordination/polling/poll-answerer.js'
+import type { MembershipView } from '../coordination/ports/membership-view.js'
+import { createCreditBook } from '../coordination/routing/credit-book.js'
+import { defaultCreditSettings } from '../coordination/routing/credit-settings.js'
+import type { PollGroupsRequest, PollGroupsResponse } from '../protocol/generated/egretpaddle/peer/v1/peer.js'
+import type { RandomSource } from '../shared/random-source.js'
+import type { TimerService } from '../shared/timer-service.js'
+import type { PlatformClients } from './platform-clients.js'
+
+export interface OwnerPartOptions {
+  readonly clients: PlatformClients
+  readonly vms: VmDirectory
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly membership: MembershipView
+  readonly keeper: ConfigKeeper
+  readonly groupSettings: GroupSettings
+}
+
+/** What a node does for the fabric domains that it owns. */
+export interface OwnerPart {
+  readonly coordinator: GroupCoordinator
+  answerPoll (request: PollGroupsRequest): PollGroupsResponse
+}
+
+/** Creates the owner part of an entry node. */
+export function createOwnerPart (options: OwnerPartOptions): OwnerPart {
+  const { clients, vms, timers, random, membership, keeper, groupSettings } = options
+  const coordinator = createGroupCoordinator({
+    store: clients.store,
+    engineControl: clients.engineControl,
+    vmList: vms,
+    timers,
+    random,
+    membership,
+    settings: groupSettings,
+    getConfig: keeper.getConfig
+  })
+
+  function getSlotCount (groupId: string): number {
+    const statement = coordinator.evidence.getEvidence(groupId)
+    if (statement?.isComplete !== true) return 0
+    const deployment = keeper.getConfig()?.deployments.find(candidate => candidate.name === statement.deployment)
+    return deployment?.slotsPerGroup ?? 0
+  }
+
+  const creditBook = createCreditBook({
+    timers,
+    settings: defaultCreditSettings,
+    getSlotCount,
+    getShares: () => keeper.getConfig()?.split.shares ?? [],
+    getLiveNodeIds: () => membership.getLiveNodes().map(node => node.nodeId),
+    isFirstOwner: groupId => coordinator.ownersOf(groupId)[0]?.nodeId === membership.self.nodeId
+  })
+  const answerPoll = createPollAnswerer({ evidence: coordinator.evidence, creditBook, getConfigStatus: keeper.getStatus })
+  return { coordinator, answerPoll }
+}
--- /dev/null
+++ b/src/entry/platform-clients.ts
@@ -0,0 +1,40 @@
+import type { EntrySettings } from '../settings/entry-settings.js'
+import type { TimerService } from '../shared/timer-service.js'
+import { createEngineHttpControl, type EngineHttpControl } from '../transport/engine-http-control.js'
+import { createEngineStreamClient, type EngineStreamClient } from '../transport/engine-stream-client.js'
+import { createKeyValueHttpClient, type KeyValueHttpClient } from '../transport/key-value-http-client.js'
+import { createServiceHttpCaller, type ServiceHttpCaller } from '../transport/service-http-caller.js'
+import { createVmListHttpClient, type VmListHttpClient } from '../transport/vm-list-http-client.js'
+
+const engineConnectTimeoutMs = 1000
+const engineIdleTimeoutMs = 60_000
+
+/** Connections of an entry node to the platform and to backend servers. */
+export interface PlatformClients {
+  readonly store: KeyValueHttpClient
+  readonly vmList: VmListHttpClient
+  readonly engineControl: EngineHttpControl
+  readonly engineStreams: EngineStreamClient
+  readonly serviceCaller: ServiceHttpCaller
+  close (): Promise<void>
+}
+
+/** Creates the clients; they connect with their first call. */
+export function createPlatformClients (settings: EntrySettings['platform'], timers: TimerService): PlatformClients {
+  const store = createKeyValueHttpClient({ baseUrl: settings.keyValueUrl, timeoutMs: settings.callTimeoutMs, timers })
+  const vmList = createVmListHttpClient({ baseUrl: settings.vmListUrl, timeoutMs: settings.callTimeoutMs, timers })
+  const engineControl = createEngineHttpControl({ timers })
+  const engineStreams = createEngineStreamClient({ connectTimeoutMs: engineConnectTimeoutMs, idleTimeoutMs: engineIdleTimeoutMs })
+  const serviceCaller = createServiceHttpCaller({ timers })
+  const clients = [store, vmList, engineControl, engineStreams, serviceCaller]
+  return {
+    store,
+    vmList,
+    engineControl,
+    engineStreams,
+    serviceCaller,
+    async close () {
+      await Promise.allSettled(clients.map(client => client.close()))
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/router-part.ts
@@ -0,0 +1,108 @@
+import { createAdmission, type AdmissionControl } from '../coordination/admission/admission.js'
+import { defaultAdmissionSettings } from '../coordination/admission/admission-settings.js'
+import type { ConfigKeeper } from '../coordination/config/config-keeper.js'
+import { createDomainLookup } from '../coordination/groups/domain-ownership.js'
+import { createEvidenceCache, type EvidenceCache, type FreshGroup } from '../coordination/groups/evidence-cache.js'
+import type { GroupSettings } from '../coordination/groups/group-settings.js'
+import { createGroupPoller, type GroupPoller } from '../coordination/polling/group-poller.js'
+import type { MembershipView } from '../coordination/ports/membership-view.js'
+import type { PeerLink } from '../coordination/ports/peer-link.js'
+import { CostRouting } from '../coordination/routing/cost-routing.js'
+import { createCreditHolder } from '../coordination/routing/credit-holder.js'
+import { defaultCreditSettings } from '../coordination/routing/credit-settings.js'
+import { createDemandReport } from '../coordination/routing/demand-report.js'
+import { defaultGroupSubsetSettings } from '../coordination/routing/group-subset.js'
+import type { RoutableGroup } from '../coordination/routing/routable-group.js'
+import { createRouter, defaultRouterSettings } from '../coordination/routing/router.js'
+import { createAdmissionGate } from '../coordination/streams/admission-gate.js'
+import { createModelStreams, type ModelStreams } from '../coordination/streams/model-streams.js'
+import type { VmDirectory } from '../coordination/vms/vm-directory.js'
+import type { PollGroupsRequest, PollGroupsResponse } from '../protocol/generated/egretpaddle/peer/v1/peer.js'
+import type { EntrySettings } from '../settings/entry-settings.js'
+import type { RandomSource } from '../shared/random-source.js'
+import type { TimerService } from '../shared/timer-service.js'
+import type { PlatformClients } from './platform-clients.js'
+
+export interface RouterPartOptions {
+  readonly clients: PlatformClients
+  readonly vms: VmDirectory
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly membership: MembershipView
+  readonly peerLink: PeerLink
+  readonly keeper: ConfigKeeper
+  readonly groupSettings: GroupSettings
+  readonly settings: EntrySettings
+  answerPoll (request: PollGroupsRequest): PollGroupsResponse
+}
+
+/** What a node does for the requests of its callers. */
+export interface RouterPart {
+  readonly admission: AdmissionControl
+  readonly evidenceCache: EvidenceCache
+  readonly poller: GroupPoller
+  readonly streams: ModelStreams
+}
+
+/** Creates the router part of an entry node. */
+export function createRouterPart (options: RouterPartOptions): RouterPart {
+  const { clients, vms, timers, random, membership, keeper, groupSettings, settings } = options
+  const evidenceCache = createEvidenceCache(timers, groupSettings)
+  const creditHolder = createCreditHolder(timers, defaultCreditSettings.creditLifetimeMs)
+
+  function toRoutable (group: FreshGroup, slotCount: number): RoutableGroup {
+    return { ...group, ...creditHolder.get(group.groupId), slotCount, evidenceAgeMs: 0, observedAtMs: timers.nowMs() - group.ageMs }
+  }
+
+  function getGroups (deployment: string): RoutableGroup[] {
+    const declared = keeper.getConfig()?.deployments.find(candidate => candidate.name === deployment)
+    if (declared === undefined) return []
+    return evidenceCache.getFreshGroups(deployment, timers.nowMs()).map(group => toRoutable(group, declared.slotsPerGroup))
+  }
+
+  const router = createRouter({
+    timers,
+    settings: { ...defaultRouterSettings, evidenceMaxAgeMs: groupSettings.evidenceMaxAgeMs },
+    availabilityZone: settings.availabilityZone,
+    policy: new CostRouting(random),
+    getGroups
+  })
+  const admission = createAdmission({
+    timers,
+    random,
+    router,
+    settings: { ...defaultAdmissionSettings, maxWaitingCount: settings.requests.maxWaitingCount },
+    getTeamWeight: (partner, team) => findTeamWeight(keeper, partner, team)
+  })
+  const gate = createAdmissionGate({
+    admission,
+    evidenceCache,
+    timers,
+    getShares: () => keeper.getConfig()?.split.shares ?? [],
+    isConfigConfirmed: () => keeper.getFreshness().canServe
+  })
+  const poller = createGroupPoller({
+    timers,
+    membership,
+    peerLink: options.peerLink,
+    evidenceCache,
+    creditHolder,
+    demandReport: createDemandReport(router, admission, deployment => getGroups(deployment).length),
+    pollIntervalMs: settings.groups.pollIntervalMs,
+    subsetSettings: defaultGroupSubsetSettings,
+    getDomains: createDomainLookup(vms),
+    getConfigStatus: keeper.getStatus,
+    answerLocally: options.answerPoll,
+    observePeerStatus: keeper.observePeerStatus,
+    onAnswer: admission.dispatch
+  })
+  const streams = createModelStreams({ gate, engineStreams: clients.engineStreams, timers })
+  return { admission, evidenceCache, poller, streams }
+}
+
+const defaultTeamWeight = 1
+
+function findTeamWeight (keeper: ConfigKeeper, partnerName: string, teamName: string): number {
+  const partner = keeper.getConfig()?.partners.find(candidate => candidate.name === partnerName)
+  return partner?.teams.find(team => team.name === teamName)?.weight ?? defaultTeamWeight
+}
--- a/src/standin/completion-server.ts
+++ b/src/standin/completion-server.ts
@@ -93,7 +93,8 @@
 
   function createEntry (call: JsonCall, request: CompletionRequest): BatchEntry {
     lastCompletion += 1
-    const writer = createCompletionWriter(request, call.response, `cmpl-${lastCompletion}`)
+    const requestId = call.request.headers['x-request-id'] ?? String(lastCompletion)
+    const writer = createCompletionWriter(request, call.response, `cmpl-${String(requestId)}`)
     let isCountedAsMissing = false
     return {
       priority: request.priority,
--- /dev/null
+++ b/src/transport/engine-stream-client.ts
@@ -0,0 +1,122 @@
+import { Agent, request as sendRequest, type Dispatcher } from 'undici'
+
+import {
+  EngineStreamErrorKind,
+  ModelRequestShape,
+  type EngineChunk,
+  type EngineStreamError,
+  type EngineStreamRequest,
+  type EngineStreams
+} from '../coordination/ports/engine-streams.js'
+import { parseEngineChunk } from '../protocol/engine-chunk.js'
+import { createSseParser } from '../protocol/sse-parser.js'
+
+const maxEventCharacters = 1_048_576
+const maxErrorCharacters = 500
+const endOfStream = '[DONE]'
+
+const pathsByShape = {
+  [ModelRequestShape.Chat]: '/v1/chat/completions',
+  [ModelRequestShape.Completion]: '/v1/completions'
+}
+
+const errorKindsByStatus: Readonly<Record<number, EngineStreamErrorKind>> = {
+  400: EngineStreamErrorKind.BadRequest,
+  409: EngineStreamErrorKind.WrongGroup,
+  421: EngineStreamErrorKind.WrongGroup,
+  422: EngineStreamErrorKind.BadRequest,
+  429: EngineStreamErrorKind.Busy,
+  503: EngineStreamErrorKind.WrongGroup
+}
+
+const notSentCodes = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']
+
+export interface EngineStreamClientOptions {
+  readonly connectTimeoutMs: number
+  /** Time without any byte after which a stream counts as broken. */
+  readonly idleTimeoutMs: number
+}
+
+/** The HTTP client for engine streams. */
+export interface EngineStreamClient extends EngineStreams {
+  close (): Promise<void>
+}
+
+/** Creates the HTTP client for engine streams. */
+export function createEngineStreamClient (options: EngineStreamClientOptions): EngineStreamClient {
+  const dispatcher = new Agent({
+    connect: { timeout: options.connectTimeoutMs },
+    headersTimeout: options.idleTimeoutMs,
+    bodyTimeout: options.idleTimeoutMs,
+    pipelining: 1
+  })
+
+  async function * open (address: string, request: EngineStreamRequest, signal: AbortSignal): AsyncGenerator<EngineChunk, EngineStreamError | undefined> {
+    let response: Dispatcher.ResponseData
+    try {
+      response = await sendRequest(`http://${address}${pathsByShape[request.shape]}`, {
+        dispatcher,
+        method: 'POST',
+        headers: toHeaders(request),
+        body: JSON.stringify(toEngineBody(request)),
+        signal
+      })
+    } catch (error) {
+      return toOpenError(error as Error)
+    }
+    if (response.statusCode !== 200) return await toStatusError(response)
+    return yield * readChunks(response)
+  }
+
+  return { open, close: () => dispatcher.destroy() }
+}
+
+async function * readChunks (response: Dispatcher.ResponseData): AsyncGenerator<EngineChunk, EngineStreamError | undefined> {
+  const parser = createSseParser(maxEventCharacters)
+  const decoder = new TextDecoder()
+  try {
+    for await (const bytes of response.body) {
+      const events = parser.push(decoder.decode(bytes as Buffer, { stream: true }))
+      if (!events.isOk) return toBrokenError(events.error.reason)
+      for (const data of events.value) {
+        if (data === endOfStream) continue
+        const chunk = parseEngineChunk(data)
+        if (!chunk.isOk) return toBrokenError(chunk.error.reason)
+        yield chunk.value
+      }
+    }
+  } catch (error) {
+    return toBrokenError((error as Error).message)
+  }
+  return undefined
+}
+
+function toBrokenError (reason: string): EngineStreamError {
+  return { kind: EngineStreamErrorKind.Broken, reason: `stream of the engine broke: ${reason}` }
+}
+
+function toHeaders (request: EngineStreamRequest): Record<string, string> {
+  return {
+    'content-type': 'application/json',
+    accept: 'text/event-stream',
+    'x-group-id': request.groupId,
+    'x-group-epoch': String(request.epoch),
+    'x-request-id': request.requestId,
+    ...(request.traceParent === undefined ? {} : { traceparent: request.traceParent })
+  }
+}
+
+function toEngineBody (request: EngineStreamRequest): object {
+  return { ...request.body, stream: true, priority: request.priority, resume_from_token: request.resumeFromToken }
+}
+
+function toOpenError (error: Error & { code?: string }): EngineStreamError {
+  const isNotSent = error.code !== undefined && notSentCodes.includes(error.code)
+  return { kind: isNotSent ? EngineStreamErrorKind.NotSent : EngineStreamErrorKind.Broken, reason: error.message }
+}
+
+async function toStatusError (response: Dispatcher.ResponseData): Promise<EngineStreamError> {
+  const text = await response.body.text().catch(() => '')
+  const kind = errorKindsByStatus[response.statusCode] ?? EngineStreamErrorKind.Broken
+  return { kind, reason: `engine answered ${response.statusCode}: ${text.slice(0, maxErrorCharacters)}` }
+}
--- /dev/null
+++ b/src/transport/peer-rpc-limits.ts
@@ -0,0 +1,5 @@
+/** Largest message between entry nodes; a configuration is at most 1 MB. */
+export const maxPeerMessageBytes = 4_194_304
+
+/** Metadata key that carries the secret shared by all entry nodes. */
+export const peerSecretHeader = 'x-peer-secret'
--- /dev/null
+++ b/src/transport/peer-rpc-server.ts
@@ -0,0 +1,64 @@
+import { timingSafeEqual } from 'node:crypto'
+
+import { Server, ServerCredentials, status, type sendUnaryData, type ServerUnaryCall } from '@grpc/grpc-js'
+
+import type { PeerHandlers } from '../coordination/ports/peer-link.js'
+import { PeerServiceService, type PeerServiceServer } from '../protocol/generated/egretpaddle/peer/v1/peer.js'
+import { maxPeerMessageBytes, peerSecretHeader } from './peer-rpc-limits.js'
+
+export interface PeerRpcServerOptions {
+  readonly host: string
+  readonly port: number
+  readonly sharedSecret?: string
+  readonly handlers: PeerHandlers
+}
+
+/** The server side of the calls between entry nodes. */
+export interface PeerRpcServer {
+  /** Resolves with the port once the server listens. */
+  listen (): Promise<number>
+  close (): void
+}
+
+/** Creates the server; it does not listen yet. */
+export function createPeerRpcServer (options: PeerRpcServerOptions): PeerRpcServer {
+  const { handlers } = options
+  const server = new Server({ 'grpc.max_receive_message_length': maxPeerMessageBytes })
+  const expectedSecret = options.sharedSecret === undefined ? undefined : Buffer.from(options.sharedSecret)
+
+  function answer<Request, Response> (handler: (request: Request) => Response) {
+    return (call: ServerUnaryCall<Request, Response>, callback: sendUnaryData<Response>) => {
+      const [secret] = call.metadata.get(peerSecretHeader)
+      if (!isSecretValid(expectedSecret, secret)) {
+        callback({ code: status.UNAUTHENTICATED, details: 'peer secret is missing or wrong' })
+        return
+      }
+      callback(null, handler(call.request))
+    }
+  }
+
+  const implementation: PeerServiceServer = {
+    pollGroups: answer(handlers.pollGroups),
+    fetchConfig: answer(request => handlers.fetchConfig(request.knownVersion)),
+    pushConfig: answer(handlers.pushConfig)
+  }
+  server.addService(PeerServiceService, implementation)
+
+  return {
+    listen () {
+      return new Promise((resolve, reject) => {
+        server.bindAsync(`${options.host}:${options.port}`, ServerCredentials.createInsecure(), (error, port) => {
+          if (error === null) resolve(port)
+          else reject(error)
+        })
+      })
+    },
+    close: () => server.forceShutdown()
+  }
+}
+
+function isSecretValid (expected: Buffer | undefined, found: string | Buffer | undefined): boolean {
+  if (expected === undefined) return true
+  const actual = Buffer.from(found ?? '')
+  return actual.length === expected.length && timingSafeEqual(actual, expected)
+}
