Fuzz the HTTP exchange against a server that breaks connections

Cause: "not sent" is what callers are told as "not run", and only a handful of hand-written cases showed that it is true on real sockets.

Ruled out: virtual time. What matters here is undici on sockets, so the area runs on loopback and its timing varies; the oracle holds for any timing.

Change: area "transport": requests at once against answers, closes, resets, cuts, hangs, late answers, a closed port and connections that open after the timeout. Oracle: no request arrives twice, none arrives whose caller was told "not sent", and each answer belongs to its request.

--- a/src/fuzz/index.ts
+++ b/src/fuzz/index.ts
@@ -1,7 +1,9 @@
 import type { FuzzOptions, FuzzReport } from './command-fuzz.js'
 import { runOrdersFuzz } from './orders-fuzz.js'
+import { runTransportFuzz } from './transport-fuzz.js'
 
 /** The areas that the fuzz command can run, by name. */
 export const fuzzAreas: Record<string, (options: FuzzOptions) => Promise<FuzzReport>> = {
-  orders: runOrdersFuzz
+  orders: runOrdersFuzz,
+  transport: runTransportFuzz
 }
