Fuzz the streams of answers and detect a missing last token

Cause: whole answers, honest ends and hand-overs with evidence had no proof. Ruled out: tests on real engines alone; they cannot order a loss between any two chunks. Change: area streams: requests, ten engine faults, lost and returning groups, leaving callers, in virtual time; the oracle looks at the caller's view only. A last chunk names the index behind the last token, and the usage chunk is passed on to callers that ask for it. Conclusion: each token once and in order, no chunk after a known loss. An engine that gives no index in its last chunk is not covered.

--- a/src/callers/answer-assembly.ts
+++ b/src/callers/answer-assembly.ts
@@ -25,6 +25,7 @@
 export function createAnswerAssembly (shape: ModelRequestShape): AnswerAssembly {
   const texts: string[] = []
   let last: OpenAiChunk | undefined
+  let usage: object | undefined
   let tokenCount = 0
 
   return {
@@ -33,8 +34,9 @@
       const choice = content.choices[0]
       const text = shape === ModelRequestShape.Chat ? choice?.delta?.content : choice?.text
       if (typeof text === 'string') texts.push(text)
-      if (chunk.tokenIndex !== undefined) tokenCount += chunk.tokenCount
+      tokenCount += chunk.tokenCount
       if (chunk.isLast) last = content
+      usage = content.usage ?? usage
     },
     getAnswer () {
       if (last === undefined) return undefined
@@ -46,7 +48,7 @@
         created: last.created,
         model: last.model,
         choices: [createChoice(shape, text, finishReason)],
-        usage: last.usage ?? { prompt_tokens: 0, completion_tokens: tokenCount, total_tokens: tokenCount }
+        usage: usage ?? { prompt_tokens: 0, completion_tokens: tokenCount, total_tokens: tokenCount }
       }
     }
   }
--- a/src/callers/model-handler.ts
+++ b/src/callers/model-handler.ts
@@ -53,19 +53,26 @@
     const { modelRequest, parsed } = prepared.value
     const abort = new AbortController()
     exchange.response.on('close', () => abort.abort())
-    const answer = parsed.isStream ? streamAnswer : sendWholeAnswer
     const startedMs = timers.nowMs()
-    const outcome = await answer(exchange, modelRequest, abort.signal)
+    const outcome = parsed.isStream
+      ? await streamAnswer(exchange, modelRequest, parsed.isUsageWanted, abort.signal)
+      : await sendWholeAnswer(exchange, modelRequest, abort.signal)
     metrics.countRequest(shape, outcome.kind)
     metrics.recordDuration(DurationMetric.WholeCall, timers.nowMs() - startedMs)
     exchange.span.addAttributes({ 'egretpaddle.outcome': outcome.kind })
   }
 
-  async function streamAnswer (exchange: CallerExchange, modelRequest: ModelRequest, signal: AbortSignal): Promise<StreamOutcome> {
+  async function streamAnswer (
+    exchange: CallerExchange,
+    modelRequest: ModelRequest,
+    isUsageWanted: boolean,
+    signal: AbortSignal
+  ): Promise<StreamOutcome> {
     const { response } = exchange
     const writer = createPacedWriter(response, timers, slowReaderTimeoutMs)
     const sink = measureTokens({
       async write (chunk) {
+        if (chunk.isUsage && !isUsageWanted) return
         if (!response.headersSent) response.writeHead(200, eventStreamHeaders)
         await writer.write(`data: ${chunk.data}\n\n`)
       }
@@ -101,7 +108,7 @@
     let isFirst = true
     return {
       write (chunk: EngineChunk) {
-        if (chunk.tokenIndex !== undefined) {
+        if (chunk.tokenCount > 0) {
           const nowMs = timers.nowMs()
           metrics.recordDuration(isFirst ? DurationMetric.FirstToken : DurationMetric.BetweenTokens, nowMs - previousMs)
           previousMs = nowMs
--- a/src/callers/model-request.ts
+++ b/src/callers/model-request.ts
@@ -14,6 +14,7 @@
 const commonFields = {
   model: z.string().min(1).max(maxModelNameCharacters),
   stream: z.boolean().nullish(),
+  stream_options: z.looseObject({ include_usage: z.boolean().nullish() }).nullish(),
   n: z.literal(1, { error: 'n must be 1' }).nullish()
 }
 
@@ -31,6 +32,8 @@
 export interface ParsedModelRequest {
   readonly model: string
   readonly isStream: boolean
+  /** Whether the stream ends with a chunk that counts the tokens. */
+  readonly isUsageWanted: boolean
   /** The body for the engine, without the fields that this system sets itself. */
   readonly engineBody: Readonly<Record<string, unknown>>
   readonly prefixHash: string
@@ -45,6 +48,7 @@
   return success({
     model: parsed.data.model,
     isStream: parsed.data.stream === true,
+    isUsageWanted: parsed.data.stream_options?.include_usage === true,
     engineBody: removeReserved(body),
     prefixHash: String(hashText(JSON.stringify(prompt).slice(0, prefixCharacters)))
   })
--- a/src/coordination/ports/engine-streams.ts
+++ b/src/coordination/ports/engine-streams.ts
@@ -25,11 +25,16 @@
   readonly data: string
   /** Request id that the chunk belongs to. */
   readonly requestId: string
-  /** Index of the first token in the chunk; undefined for chunks without tokens. */
+  /**
+   * Index of the first token in the chunk; undefined for chunks without tokens. A last chunk without
+   * tokens names the index behind the last token, where the engine tells it.
+   */
   readonly tokenIndex: number | undefined
   readonly tokenCount: number
   /** True for the chunk that carries the finish reason. */
   readonly isLast: boolean
+  /** True for the chunk behind the last one that only counts tokens. */
+  readonly isUsage: boolean
 }
 
 export enum EngineStreamErrorKind {
--- a/src/coordination/streams/model-streams.ts
+++ b/src/coordination/streams/model-streams.ts
@@ -49,6 +49,8 @@
   readonly isEngineFull?: boolean
 }
 
+const completed: AttemptResult = { end: AttemptEnd.Completed, reason: 'completed' }
+
 /** Creates the runner of model requests. Each token reaches the sink once and in order. */
 export function createModelStreams ({ gate, engineStreams, timers }: ModelStreamDependencies): ModelStreams {
   async function run (request: ModelRequest, sink: ChunkSink, callerSignal: AbortSignal): Promise<StreamOutcome> {
@@ -135,11 +137,12 @@
       resumeFromToken: progress.deliveredTokenCount,
       ...(request.traceParent === undefined ? {} : { traceParent: request.traceParent })
     }, signal)
+    let hasLast = false
     for (;;) {
       const next = await chunks.next()
-      if (next.done === true) return toAttemptResult(progress, next.value)
+      if (next.done === true) return hasLast ? completed : toAttemptResult(progress, next.value)
       const chunk = next.value
-      if (signal.aborted) {
+      if (signal.aborted && !hasLast) {
         await chunks.return(undefined)
         return { end: AttemptEnd.Aborted, reason: 'aborted' }
       }
@@ -149,15 +152,12 @@
         await chunks.return(undefined)
         return { end: AttemptEnd.Failed, reason: `group "${grant.groupId}" ${defect}` }
       }
-      if (!isDelivered(progress, chunk.tokenIndex, chunk.isLast)) {
+      if (!isDelivered(progress, chunk)) {
         progress.hasDeliveredChunk = true
         if (chunk.tokenIndex !== undefined) progress.deliveredTokenCount = chunk.tokenIndex + chunk.tokenCount
         await progress.sink.write(chunk)
       }
-      if (chunk.isLast) {
-        await chunks.return(undefined)
-        return { end: AttemptEnd.Completed, reason: 'completed' }
-      }
+      hasLast ||= chunk.isLast
     }
   }
 
@@ -179,10 +179,11 @@
   return isOverlap ? `repeated part of a chunk at index ${chunk.tokenIndex}` : undefined
 }
 
-/** Chunks without tokens, such as the one that names the role, go out only at the beginning. */
-function isDelivered (progress: StreamProgress, tokenIndex: number | undefined, isLast: boolean): boolean {
-  if (tokenIndex !== undefined) return tokenIndex < progress.deliveredTokenCount
-  return !isLast && progress.hasDeliveredChunk
+/** Chunks without tokens, such as the one that names the role, go out only at the beginning or the end. */
+function isDelivered (progress: StreamProgress, chunk: EngineChunk): boolean {
+  if (chunk.isLast || chunk.isUsage) return false
+  if (chunk.tokenIndex !== undefined) return chunk.tokenIndex < progress.deliveredTokenCount
+  return progress.hasDeliveredChunk
 }
 
 function toReleaseReason (result: AttemptResult, signal: AbortSignal): ReleaseReason {
--- /dev/null
+++ b/src/fuzz/streams-area.ts
@@ -0,0 +1,204 @@
+import fc from 'fast-check'
+
+import { ModelRequestShape, type EngineChunk } from '../coordination/ports/engine-streams.js'
+import { createModelStreams, type ModelStreamDependencies, type ModelStreams } from '../coordination/streams/model-streams.js'
+import { StreamOutcomeKind, type ModelRequest, type StreamOutcome } from '../coordination/streams/stream-outcome.js'
+import { createVirtualTimerService, type VirtualTimerService } from '../shared/virtual-timer-service.js'
+import { runCommandFuzz, type FuzzArea, type FuzzOptions, type FuzzReport } from './command-fuzz.js'
+import { answerTokenCount, createFakeFleet, StreamFault, type FakeFleet } from './streams-fake.js'
+
+const groupIds = ['a', 'b', 'c']
+const deadlineMs = 2000
+
+/** One answer as its caller sees it. */
+interface CallerView {
+  readonly requestId: string
+  readonly tokenIndexes: number[]
+  readonly abort: AbortController
+  lastChunkCount: number
+  outcome: StreamOutcome | undefined
+  outcomeAtMs: number
+  readonly startedAtMs: number
+}
+
+interface StreamsSystem {
+  readonly timers: VirtualTimerService
+  readonly fleet: FakeFleet
+  readonly streams: ModelStreams
+  readonly callers: CallerView[]
+}
+
+/** The oracle keeps nothing: what a caller must see follows from its own view. */
+type StreamsOracle = Record<string, never>
+
+/** Creates the runner under test; a test passes a broken one to see the oracle catch it. */
+export type CreateModelStreams = (dependencies: ModelStreamDependencies) => ModelStreams
+
+abstract class StreamsCommand implements fc.AsyncCommand<StreamsOracle, StreamsSystem> {
+  check (): boolean {
+    return true
+  }
+
+  async run (_oracle: StreamsOracle, system: StreamsSystem): Promise<void> {
+    await this.act(system)
+    checkSafety(system)
+  }
+
+  protected abstract act (system: StreamsSystem): Promise<void>
+  abstract toString (): string
+}
+
+class StartRequest extends StreamsCommand {
+  protected async act (system: StreamsSystem): Promise<void> {
+    const view: CallerView = {
+      requestId: `request-${system.callers.length}`,
+      tokenIndexes: [],
+      abort: new AbortController(),
+      lastChunkCount: 0,
+      outcome: undefined,
+      outcomeAtMs: 0,
+      startedAtMs: system.timers.nowMs()
+    }
+    system.callers.push(view)
+    const sink = {
+      write (chunk: EngineChunk) {
+        assertHolds(system.fleet.isComplete(chunk.data), 'a caller got a chunk of a group that lacks a member')
+        assertHolds(chunk.requestId === view.requestId, 'a caller got a chunk of another request')
+        assertHolds(view.outcome === undefined, 'a caller got a chunk after the outcome')
+        if (chunk.tokenIndex !== undefined && chunk.tokenCount > 0) view.tokenIndexes.push(chunk.tokenIndex)
+        if (chunk.isLast) view.lastChunkCount += 1
+        return Promise.resolve()
+      }
+    }
+    void system.streams.run(createRequest(view.requestId), sink, view.abort.signal).then(outcome => {
+      view.outcome = outcome
+      view.outcomeAtMs = system.timers.nowMs()
+    })
+    await system.timers.advanceAsync(0)
+  }
+
+  toString = () => 'start a request'
+}
+
+class PlanFault extends StreamsCommand {
+  constructor (private readonly fault: StreamFault) { super() }
+
+  protected async act (system: StreamsSystem): Promise<void> {
+    system.fleet.faults.push(this.fault)
+  }
+
+  toString = () => `next stream: ${this.fault}`
+}
+
+class SetGroup extends StreamsCommand {
+  constructor (private readonly groupId: string, private readonly isComplete: boolean) { super() }
+
+  protected async act (system: StreamsSystem): Promise<void> {
+    system.fleet.setComplete(this.groupId, this.isComplete)
+    await system.timers.advanceAsync(0)
+  }
+
+  toString = () => `group ${this.groupId} ${this.isComplete ? 'returns' : 'is lost'}`
+}
+
+class CallerLeaves extends StreamsCommand {
+  constructor (private readonly position: number) { super() }
+
+  protected async act (system: StreamsSystem): Promise<void> {
+    const waiting = system.callers.filter(view => view.outcome === undefined)
+    waiting[this.position % Math.max(1, waiting.length)]?.abort.abort()
+    await system.timers.advanceAsync(0)
+  }
+
+  toString = () => `caller ${this.position} leaves`
+}
+
+class Advance extends StreamsCommand {
+  constructor (private readonly spanMs: number) { super() }
+
+  protected async act (system: StreamsSystem): Promise<void> {
+    await system.timers.advanceAsync(this.spanMs)
+  }
+
+  toString = () => `advance ${this.spanMs} ms`
+}
+
+/** Runs the area `streams` against the given implementation. */
+export function runStreamsFuzz (options: FuzzOptions, createStreams: CreateModelStreams = createModelStreams): Promise<FuzzReport> {
+  return runCommandFuzz(createStreamsArea(createStreams), options)
+}
+
+function createStreamsArea (createStreams: CreateModelStreams): FuzzArea<StreamsOracle, StreamsSystem> {
+  return {
+    commands: [
+      fc.constant(new StartRequest()),
+      fc.constantFrom(...Object.values(StreamFault)).map(fault => new PlanFault(fault)),
+      fc.tuple(fc.constantFrom(...groupIds), fc.boolean()).map(([groupId, isComplete]) => new SetGroup(groupId, isComplete)),
+      fc.nat(5).map(position => new CallerLeaves(position)),
+      fc.integer({ min: 1, max: 200 }).map(spanMs => new Advance(spanMs))
+    ],
+    setup () {
+      const timers = createVirtualTimerService()
+      const fleet = createFakeFleet(timers, groupIds)
+      const streams = createStreams({ gate: fleet.gate, engineStreams: fleet.engineStreams, timers })
+      return { model: {}, real: { timers, fleet, streams, callers: [] } }
+    },
+    async finish (_oracle, system) {
+      await system.timers.advanceAsync(deadlineMs * 2)
+      checkSafety(system)
+      checkEnd(system)
+    }
+  }
+}
+
+function checkSafety (system: StreamsSystem): void {
+  const { record } = system.fleet
+  assertHolds(record.handOverWithoutProofCount === 0, 'a request was handed to an incomplete group')
+  assertHolds(record.releasedTwiceCount === 0, 'a slot was given back twice')
+  for (const view of system.callers) {
+    const isInOrder = view.tokenIndexes.every((tokenIndex, position) => tokenIndex === position)
+    assertHolds(isInOrder, `tokens of ${view.requestId} arrived as ${view.tokenIndexes.join(',')}`)
+    if (view.outcome !== undefined) checkOutcome(system, view, view.outcome)
+  }
+}
+
+function checkOutcome (system: StreamsSystem, view: CallerView, outcome: StreamOutcome): void {
+  const count = view.tokenIndexes.length
+  if (outcome.kind === StreamOutcomeKind.Completed) {
+    assertHolds(count === answerTokenCount, `${view.requestId} was completed with ${count} tokens`)
+    assertHolds(view.lastChunkCount === 1, `${view.requestId} was completed with ${view.lastChunkCount} last chunks`)
+  }
+  if (outcome.kind === StreamOutcomeKind.NotServed) {
+    const wasRun = system.fleet.record.openedRequestIds.has(view.requestId)
+    assertHolds(outcome.wasRun || !wasRun, `${view.requestId} was reported as not run although an engine took it`)
+    assertHolds(outcome.retryAfterMs > 0, `${view.requestId} was refused without a time to come back`)
+    assertHolds(count === 0, `${view.requestId} was reported as not served after ${count} tokens`)
+  }
+  if (outcome.kind === StreamOutcomeKind.Interrupted) {
+    assertHolds(outcome.tokenCount === count, `${view.requestId} reported ${outcome.tokenCount} tokens and delivered ${count}`)
+  }
+  assertHolds(view.outcomeAtMs - view.startedAtMs <= deadlineMs + 1, `${view.requestId} ended after its deadline`)
+}
+
+function checkEnd (system: StreamsSystem): void {
+  assertHolds(system.callers.every(view => view.outcome !== undefined), 'a request has no outcome after its deadline')
+  assertHolds(system.fleet.record.unreleasedGrantCount === 0, 'a slot was never given back')
+}
+
+function createRequest (requestId: string): ModelRequest {
+  return {
+    requestId,
+    partner: 'vrany',
+    team: 'foremen',
+    deployment: 'drafting',
+    shape: ModelRequestShape.Chat,
+    body: {},
+    prefixHash: '0',
+    isInteractive: true,
+    deadlineMs
+  }
+}
+
+function assertHolds (condition: boolean, message: string): void {
+  if (!condition) throw new Error(message)
+}
--- a/src/protocol/engine-chunk.ts
+++ b/src/protocol/engine-chunk.ts
@@ -6,6 +6,7 @@
   readonly id?: unknown
   readonly token_index?: unknown
   readonly token_count?: unknown
+  readonly usage?: unknown
   readonly choices?: ReadonlyArray<{ readonly finish_reason?: unknown }>
 }
 
@@ -21,11 +22,13 @@
   }
   if (typeof fields?.id !== 'string') return failure({ kind: ProtocolErrorKind.Malformed, reason: 'chunk has no id' })
   const finishReason = fields.choices?.[0]?.finish_reason
+  const hasUsage = typeof fields.usage === 'object' && fields.usage !== null
   return success({
     data,
     requestId: fields.id.replace(idPrefixPattern, ''),
     tokenIndex: typeof fields.token_index === 'number' ? fields.token_index : undefined,
-    tokenCount: typeof fields.token_count === 'number' ? fields.token_count : 1,
-    isLast: finishReason !== undefined && finishReason !== null
+    tokenCount: typeof fields.token_count === 'number' ? fields.token_count : Number(fields.token_index !== undefined),
+    isLast: finishReason !== undefined && finishReason !== null,
+    isUsage: hasUsage && fields.choices?.length === 0
   })
 }
--- a/src/transport/engine-stream-client.ts
+++ b/src/transport/engine-stream-client.ts
@@ -107,7 +107,13 @@
 }
 
 function toEngineBody (request: EngineStreamRequest): object {
-  return { ...request.body, stream: true, priority: request.priority, resume_from_token: request.resumeFromToken }
+  return {
+    ...request.body,
+    stream: true,
+    stream_options: { include_usage: true },
+    priority: request.priority,
+    resume_from_token: request.resumeFromToken
+  }
 }
 
 function toOpenError (error: Error & { code?: string }): EngineStreamError {
