Fuzz the forming of groups and the evidence for them

Cause: the points 'no group serves while a member is missing', 'no VM in two groups' and 'a leaving server gets no new work' need proof under kills, pauses, cuts, outages, lost replies, late writes and late orders.

Change: the area 'groups' runs three nodes over two fabric domains, one of whose engines ignore epochs, in virtual time. The shared runner gets isShrunk, so that tests of broken variants need not shrink. An old model version now retires its group, so that streams in flight end first; before, the members were re-formed at once.

--- a/src/coordination/groups/evidence-book.ts
+++ b/src/coordination/groups/evidence-book.ts
@@ -30,6 +30,7 @@
   /** Age of the oldest member report that the statement rests on; counts from the sending of the probe. */
   readonly ageMs: number
   readonly missingVmIds: readonly string[]
+  readonly leavingVmIds: readonly string[]
   readonly load: GroupLoad
   readonly leaderAddress: string
   readonly availabilityZone: string
@@ -112,6 +113,7 @@
     isRefuted: conditions.some(isRefuting),
     ageMs: nowMs - oldestMs,
     missingVmIds: conditions.filter(condition => condition.status !== MemberStatus.Ready).map(condition => condition.member.vmId),
+    leavingVmIds: conditions.filter(condition => condition.isLeaving).map(condition => condition.member.vmId),
     load: {
       activeStreamCount: leaderState?.activeStreamCount ?? 0,
       queuedStreamCount: leaderState?.queuedStreamCount ?? 0
--- a/src/coordination/groups/planner.ts
+++ b/src/coordination/groups/planner.ts
@@ -41,7 +41,7 @@
   for (const situation of input.situations) {
     planRepair(input, draft, situation)
   }
-  updateOneVersion(input, draft)
+  retireOneOldVersion(input, draft)
   formGroups(input, draft)
   const groups = [...draft.groups.values()]
   if (!isChanged(input.record.groups, groups)) return undefined
@@ -132,14 +132,14 @@
   }).length
 }
 
-/** Gives one group at a time the deployment's new model version. */
-function updateOneVersion (input: PlannerInput, draft: Draft): void {
+/** Retires one group at a time whose model version is old; its VMs then form a group of the new version. */
+function retireOneOldVersion (input: PlannerInput, draft: Draft): void {
   const isDomainWhole = input.situations.every(situation => countReady(situation) === situation.group.members.length)
   if (!isDomainWhole) return
   for (const group of draft.groups.values()) {
     const deployment = findDeployment(input.config, group.deployment)
     if (deployment === undefined || deployment.modelVersion === group.modelVersion) continue
-    reform(input, draft, { ...group, modelVersion: deployment.modelVersion })
+    retire(draft, group.groupId)
     return
   }
 }
--- a/src/fuzz/command-fuzz.ts
+++ b/src/fuzz/command-fuzz.ts
@@ -8,6 +8,8 @@
   readonly maxCommandCount: number
   /** Position of one history, as printed by a failed run, to replay just that. */
   readonly path?: string
+  /** False reports the first failing history as it is. */
+  readonly isShrunk?: boolean
 }
 
 export interface FuzzReport {
@@ -38,6 +40,8 @@
   const details = await fc.check(property, {
     seed: options.seed,
     numRuns: options.runCount,
+    includeErrorInReport: true,
+    endOnFailure: options.isShrunk === false,
     ...(options.path === undefined ? {} : { path: options.path })
   })
   if (!details.failed) return { isPassed: true, seed: options.seed, runCount: details.numRuns }
--- /dev/null
+++ b/src/fuzz/groups-world.ts
@@ -0,0 +1,208 @@
+import { createEvidenceCache, type EvidenceCache } from '../coordination/groups/evidence-cache.js'
+import { createGroupCoordinator, type GroupCoordinator, type GroupCoordinatorOptions } from '../coordination/groups/group-coordinator.js'
+import { defaultGroupSettings, type GroupSettings } from '../coordination/groups/group-settings.js'
+import type { EntryNode } from '../coordination/ports/membership-view.js'
+import { VmLifecycle, type ListedVm } from '../coordination/ports/vm-list.js'
+import { createRandomSource, type RandomSource } from '../shared/random-source.js'
+import { delay, type TimerService } from '../shared/timer-service.js'
+import { createVirtualTimerService, type VirtualTimerService } from '../shared/virtual-timer-service.js'
+import type { FleetConfig } from '../state/fleet-config.js'
+import { createFakeEngines, type FakeEngineLink, type FakeEngines } from '../testing/fake-engines.js'
+import { createFakeKeyValueStore, type FakeKeyValueStore, type FakeStoreFaults } from '../testing/fake-key-value-store.js'
+import { createDeployment, createEntryNode, createFakeMembership, createFleetConfig, createListedVm } from '../testing/group-samples.js'
+import { createProcessGate, type ProcessGate } from '../testing/process-gate.js'
+
+/** Settings of the fuzzed system: those of a running one with shorter waits. */
+export const fuzzGroupSettings: GroupSettings = {
+  ...defaultGroupSettings,
+  probeIntervalMs: 1000,
+  evidenceMaxAgeMs: 3000,
+  planIntervalMs: 1000,
+  surplusGraceMs: 10_000,
+  drainTimeoutMs: 8000
+}
+
+/** The parts under test; a broken variant of one shows that the oracle catches its fault. */
+export interface GroupParts {
+  createCoordinator (options: GroupCoordinatorOptions): GroupCoordinator
+  createCache (timers: TimerService, settings: GroupSettings): EvidenceCache
+}
+
+export const realGroupParts: GroupParts = {
+  createCoordinator: createGroupCoordinator,
+  createCache: createEvidenceCache
+}
+
+/** One simulated entry node. */
+export interface WorldNode {
+  readonly entryNode: EntryNode
+  readonly gate: ProcessGate
+  readonly coordinator: GroupCoordinator
+  readonly cache: EvidenceCache
+  readonly storeLink: FakeStoreFaults
+  readonly engineLink: FakeEngineLink
+  /** What the node has learned; each lags on its own. */
+  known: { vms: readonly ListedVm[], listVersion: number, config: FleetConfig }
+}
+
+/** Entry nodes, engines, the store and the platform's list in virtual time. */
+export interface GroupsWorld {
+  readonly timers: VirtualTimerService
+  readonly random: RandomSource
+  readonly store: FakeKeyValueStore
+  readonly engines: FakeEngines
+  readonly nodes: Array<WorldNode | undefined>
+  readonly vms: Map<string, ListedVm>
+  config: FleetConfig
+  /** Lag of the platform's list and of the configuration, for each node spread by up to as much again. */
+  vmListLagMs: number
+  /** Upper bound of the time that a message between nodes takes. */
+  peerDelayMs: number
+  /** Directed links between nodes that lose all messages, as "from>to". */
+  readonly peerCuts: Set<string>
+  /** Nodes that the others take for dead, and that take the others for dead. */
+  readonly isolatedNodes: Set<number>
+  startNode (index: number): void
+  killNode (index: number): void
+  changeVm (vmId: string, vm: ListedVm | undefined): void
+  changeConfig (config: FleetConfig): void
+}
+
+export const checkedDeployment = 'checked'
+export const uncheckedDeployment = 'unchecked'
+export const vmCountPerDomain = 5
+const nodeZones = ['zone-a', 'zone-b', 'zone-a']
+const pollIntervalMs = 1000
+const startMs = 100_000
+/** Time to load weights, short where the engine keeps them in memory. */
+const loadMsByZone: Record<string, number> = { 'zone-a': 500, 'zone-b': 4000 }
+const rejoinMs = 200
+
+/** Creates a fleet of two domains, one whose engines check epochs and one whose engines do not. */
+export function createGroupsWorld (seed: number, parts: GroupParts): GroupsWorld {
+  const timers = createVirtualTimerService(startMs)
+  const random = createRandomSource(seed)
+  const store = createFakeKeyValueStore(timers, random)
+  const engines = createFakeEngines(timers, random)
+  const vms = new Map(['a', 'b'].flatMap(createDomainVms).map(vm => [vm.vmId, vm]))
+  const config = createFleetConfig([
+    createDeployment({ name: checkedDeployment, availabilityZones: ['zone-a'], doesEngineCheckEpoch: true }),
+    createDeployment({ name: uncheckedDeployment, availabilityZones: ['zone-b'], doesEngineCheckEpoch: false })
+  ])
+  for (const vm of vms.values()) {
+    engines.add({ vmId: vm.vmId, address: vm.address, doesCheckEpoch: vm.availabilityZone === 'zone-a', loadMs: loadMsByZone[vm.availabilityZone] ?? 0, rejoinMs })
+  }
+  let listVersion = 0
+  const world: GroupsWorld = {
+    timers,
+    random,
+    store,
+    engines,
+    nodes: nodeZones.map(() => undefined),
+    vms,
+    config,
+    vmListLagMs: 500,
+    peerDelayMs: 5,
+    peerCuts: new Set(),
+    isolatedNodes: new Set(),
+    startNode: index => startNode(world, parts, index, listVersion),
+    killNode: index => {
+      world.nodes[index]?.gate.end()
+      world.nodes[index]?.cache.stop()
+      world.nodes[index]?.coordinator.stop()
+      world.nodes[index] = undefined
+    },
+    changeVm (vmId, vm) {
+      if (vm === undefined) vms.delete(vmId)
+      else vms.set(vmId, vm)
+      listVersion += 1
+      const known = { vms: [...vms.values()], listVersion }
+      publish(world, node => {
+        if (node.known.listVersion < known.listVersion) node.known = { ...node.known, ...known }
+      })
+    },
+    changeConfig (next) {
+      world.config = next
+      publish(world, node => {
+        if (node.known.config.version < next.version) node.known = { ...node.known, config: next }
+      })
+    }
+  }
+  nodeZones.forEach((_, index) => world.startNode(index))
+  return world
+}
+
+function createDomainVms (zone: string): ListedVm[] {
+  return Array.from({ length: vmCountPerDomain }, (_, index) => createListedVm(`vm-${zone}${index}`, `domain-${zone}`, `zone-${zone}`))
+}
+
+/** Applies a change on each node after the present lag, in an order of its own. */
+function publish (world: GroupsWorld, apply: (node: WorldNode) => void): void {
+  for (const index of world.nodes.keys()) {
+    const lagMs = world.vmListLagMs * (1 + world.random.nextFloat())
+    world.timers.subscribeOnce(lagMs, () => {
+      const node = world.nodes[index]
+      if (node !== undefined) apply(node)
+    })
+  }
+}
+
+function startNode (world: GroupsWorld, parts: GroupParts, index: number, listVersion: number): void {
+  if (world.nodes[index] !== undefined) return
+  const entryNode = { ...createEntryNode(`node-${index}`, nodeZones[index] ?? ''), incarnation: world.timers.nowMs() }
+  const gate = createProcessGate(world.timers)
+  const storeClient = world.store.createClient()
+  const engineClient = world.engines.createClient()
+  const node: WorldNode = {
+    entryNode,
+    gate,
+    storeLink: storeClient.faults,
+    engineLink: engineClient.link,
+    cache: parts.createCache(gate.timers, fuzzGroupSettings),
+    known: { vms: [...world.vms.values()], listVersion, config: world.config },
+    coordinator: parts.createCoordinator({
+      store: gate.guard(storeClient.store),
+      vmList: { getListedVms: () => node.known.vms },
+      engineControl: gate.guard(engineClient.control),
+      timers: gate.timers,
+      random: world.random,
+      membership: createFakeMembership(entryNode, () => findLiveNodes(world, index)),
+      settings: fuzzGroupSettings,
+      getConfig: () => node.known.config
+    })
+  }
+  world.nodes[index] = node
+  node.coordinator.start()
+  gate.timers.subscribeEvery(pollIntervalMs, () => {
+    for (const peerIndex of world.nodes.keys()) void pollPeer(world, node, index, peerIndex)
+  })
+}
+
+function findLiveNodes (world: GroupsWorld, self: number): EntryNode[] {
+  const isSeen = (index: number) => index === self || (
+    !world.isolatedNodes.has(self) && !world.isolatedNodes.has(index) && world.nodes[index]?.gate.isStopped() === false
+  )
+  return world.nodes.flatMap((node, index) => node !== undefined && isSeen(index) ? [node.entryNode] : [])
+}
+
+async function pollPeer (world: GroupsWorld, router: WorldNode, routerIndex: number, peerIndex: number): Promise<void> {
+  const sentAtMs = router.gate.timers.nowMs()
+  const peer = world.nodes[peerIndex]
+  if (peer === undefined || isCut(world, routerIndex, peerIndex)) return
+  await delay(world.timers, world.random.nextFloat() * world.peerDelayMs)
+  await peer.gate.pass()
+  const answer = peer.coordinator.evidence.answerPoll()
+  await delay(world.timers, world.random.nextFloat() * world.peerDelayMs)
+  if (isCut(world, peerIndex, routerIndex)) return
+  await router.gate.pass()
+  router.cache.takeAnswer(answer, sentAtMs)
+}
+
+function isCut (world: GroupsWorld, from: number, to: number): boolean {
+  return from !== to && world.peerCuts.has(`${from}>${to}`)
+}
+
+/** Returns whether the platform lists the VM as live and no operator drains it. */
+export function isMeantToServe (world: GroupsWorld, vmId: string): boolean {
+  return world.vms.get(vmId)?.lifecycle === VmLifecycle.Live && !world.config.drainingVmIds.includes(vmId)
+}
--- a/src/fuzz/index.ts
+++ b/src/fuzz/index.ts
@@ -1,10 +1,12 @@
 import type { FuzzOptions, FuzzReport } from './command-fuzz.js'
+import { runGroupsFuzz } from './groups-area.js'
 import { runOrdersFuzz } from './orders-fuzz.js'
 import { runStreamsFuzz } from './streams-area.js'
 import { runTransportFuzz } from './transport-fuzz.js'
 
 /** The areas that the fuzz command can run, by name. */
 export const fuzzAreas: Record<string, (options: FuzzOptions) => Promise<FuzzReport>> = {
+  groups: options => runGroupsFuzz(options),
   orders: runOrdersFuzz,
   streams: options => runStreamsFuzz(options),
   transport: runTransportFuzz
--- a/src/testing/fake-engines.ts
+++ b/src/testing/fake-engines.ts
@@ -41,6 +41,7 @@
   /** Keeps every message from and to the engine away. */
   setDark (isDark: boolean): void
   setActiveStreamCount (count: number): void
+  isAlive (): boolean
   getState (): EngineState
   /** Last moment at which the engine was able to serve the group; -Infinity if never. */
   getServedUntilMs (groupId: string, epoch: number): number
@@ -205,6 +206,7 @@
     setDark: value => change(() => { isDark = value }),
     setLeaving: isLeaving => { state = { ...state, isLeaving } },
     setActiveStreamCount: activeStreamCount => { state = { ...state, activeStreamCount } },
+    isAlive: () => isAlive,
     getState: () => state,
     getServedUntilMs (groupId, epoch) {
       noteServed()
