--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -56,7 +56,7 @@
   const server = createServer({
     maxHeaderSize: settings.maxHeaderBytes,
     headersTimeout: settings.headersTimeoutMs,
-    requestTimeout: settings.slowReaderTimeoutMs,
+    requestTimeout: settings.requestTimeoutMs,
     keepAliveTimeout: keepAliveTimeoutMs,
     connectionsCheckingInterval: 1000
   }, (request, response) => { void handle(request, response) })
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -14,8 +14,13 @@
   maxHeaderBytes: byteCount.default(16_384),
   maxConnectionCount: count.default(4096),
   headersTimeoutMs: durationMs.default(10_000),
+  /** Time for a whole request to arrive; not below `headersTimeoutMs`. */
+  requestTimeoutMs: durationMs.default(30_000),
   /** A caller that takes no bytes for this long while an answer waits is cut off. */
   slowReaderTimeoutMs: durationMs.default(30_000)
+}).superRefine((value, context) => {
+  if (value.requestTimeoutMs >= value.headersTimeoutMs) return
+  context.addIssue({ code: 'custom', path: ['requestTimeoutMs'], message: `at least headersTimeoutMs, ${value.headersTimeoutMs}` })
 })
 
 const peers = z.strictObject({
--- a/src/settings/parse-settings.test.ts
+++ b/src/settings/parse-settings.test.ts
@@ -67,6 +67,12 @@
       expect(loaded.isOk ? '' : describeSettingsError(loaded.error)[0]).to.contain('file "no-such-file.jsonc" is not readable')
     })
 
+    it('refuses a time for the whole request below that for its headers', () => {
+      expect(describeProblems({ ...smallest, callers: { headersTimeoutMs: 500, requestTimeoutMs: 400 } })).to.deep.equal([
+        'field "callers.requestTimeoutMs": found 400; allowed: at least headersTimeoutMs, 500'
+      ])
+    })
+
     it('refuses plain text for operators off loopback unless it is allowed', () => {
       expect(describeProblems({ ...smallest, operators: { host: '10.0.0.1' } })).to.deep.equal([
         'field "operators.allowsPlainText": found nothing; allowed: TLS files, a loopback host, or allowsPlainText true'
