Fuzz admission and credits against an oracle

Cause: the credits must keep a group within its slots through lost and late polls, changes of owner, pauses and split changes; waiting, refusing and releasing must be honest. (2) After two owners had granted at a time, unused credits above the slots stayed out; the book takes them back.

--- a/src/coordination/admission/admission-lane.ts
+++ b/src/coordination/admission/admission-lane.ts
@@ -5,6 +5,7 @@
 import type { RoutableGroup } from '../routing/routable-group.js'
 import type { AdmissionSettings } from './admission-settings.js'
 import { AdmissionKind, RefusalReason, ServiceOutcome, type Admission, type AdmissionRequest } from './admission-types.js'
+import { createDecayingCounter } from './decaying-counter.js'
 import { createRetryAfter } from './retry-after.js'
 import type { RetryBudget } from './retry-budget.js'
 import { createServiceEstimator } from './service-estimator.js'
@@ -51,6 +52,7 @@
     weight: dependencies.getTeamWeight(team),
     inFlightCount: inFlightByTeam.get(team) ?? 0
   }))
+  const refusals = createDecayingCounter(timers, settings.demandWindowMs)
   let isDispatching = false
 
   function getMeanSlotMs (): number {
@@ -61,6 +63,7 @@
     if (reason === RefusalReason.Cancelled) {
       return { kind: AdmissionKind.Refused, reason, retryAfterMs: settings.retryAfter.minRetryAfterMs }
     }
+    refusals.increment()
     const meanSlotMs = getMeanSlotMs()
     return { kind: AdmissionKind.Refused, reason, retryAfterMs: retryAfter.refuse(queue.size * meanSlotMs, meanSlotMs) }
   }
@@ -191,8 +194,8 @@
     },
     getWaitingCount: () => queue.size,
     getUnmetDemand () {
-      const refusedPerMs = retryAfter.getRecentCount() / settings.retryAfter.refusalWindowMs
-      return queue.size + Math.ceil(refusedPerMs * estimator.getOverallMeanMs())
+      const refusedPerMs = refusals.getCount() / settings.demandWindowMs
+      return queue.size + Math.round(refusedPerMs * estimator.getOverallMeanMs())
     }
   }
 }
--- a/src/coordination/admission/admission-settings.ts
+++ b/src/coordination/admission/admission-settings.ts
@@ -10,6 +10,8 @@
   readonly initialServiceMs: number
   /** Time until the owners grant the first credits to a node that had no demand. */
   readonly firstCreditDelayMs: number
+  /** Time over which refused requests count as demand for credits. */
+  readonly demandWindowMs: number
   readonly retryAfter: RetryAfterSettings
   readonly retryBudget: RetryBudgetSettings
 }
@@ -22,6 +24,7 @@
   },
   initialServiceMs: 5000,
   firstCreditDelayMs: 600,
+  demandWindowMs: 1000,
   retryAfter: defaultRetryAfterSettings,
   retryBudget: defaultRetryBudgetSettings
 }
--- a/src/coordination/admission/retry-after.ts
+++ b/src/coordination/admission/retry-after.ts
@@ -1,5 +1,6 @@
 import type { RandomSource } from '../../shared/random-source.js'
 import type { TimerService } from '../../shared/timer-service.js'
+import { createDecayingCounter } from './decaying-counter.js'
 
 export interface RetryAfterSettings {
   readonly minRetryAfterMs: number
@@ -18,33 +19,18 @@
 export interface RetryAfter {
   /** Notes a refusal and returns a time above zero. `queueWaitMs` is what the queue needs to clear; `meanSlotMs` the mean time between two starts. */
   refuse (queueWaitMs: number, meanSlotMs: number): number
-  /** Refusals within the window. */
-  getRecentCount (): number
 }
 
 /** Creates a source of retry times with no refusals yet. */
 export function createRetryAfter (timers: TimerService, random: RandomSource, settings: RetryAfterSettings): RetryAfter {
-  let decayedCount = 0
-  let decayedAtMs = timers.nowMs()
-
-  function decay (): void {
-    const elapsedMs = timers.nowMs() - decayedAtMs
-    decayedCount *= Math.exp(-elapsedMs / settings.refusalWindowMs)
-    decayedAtMs = timers.nowMs()
-  }
-
+  const refusals = createDecayingCounter(timers, settings.refusalWindowMs)
   return {
     refuse (queueWaitMs, meanSlotMs) {
-      decay()
-      decayedCount += 1
-      const backlogMs = queueWaitMs + decayedCount * meanSlotMs
+      refusals.increment()
+      const backlogMs = queueWaitMs + refusals.getCount() * meanSlotMs
       const longestSpreadMs = settings.maxRetryAfterMs - settings.minRetryAfterMs
       const spreadMs = Math.min(longestSpreadMs, Math.max(settings.minRetryAfterMs, backlogMs))
       return Math.ceil(settings.minRetryAfterMs + spreadMs * random.nextFloat())
-    },
-    getRecentCount () {
-      decay()
-      return decayedCount
     }
   }
 }
--- a/src/coordination/routing/credit-book.test.ts
+++ b/src/coordination/routing/credit-book.test.ts
@@ -66,6 +66,16 @@
     expect(poll('a', 0, 50, 1)).to.equal(20)
   })
 
+  it('takes unused credits back when more are out than there are slots', () => {
+    const { poll } = createFixture()
+    poll('a', 20, 0, 20)
+    poll('b', 0, 20, 10)
+    expect(poll('a', 20, 0, 20)).to.equal(10)
+    expect(poll('b', 0, 20, 10)).to.equal(0)
+    expect(poll('a', 12, 0, 10)).to.equal(10)
+    expect(poll('b', 0, 20, 0)).to.equal(8)
+  })
+
   it('ignores a poll that arrives after a later one', () => {
     const { book } = createFixture()
     const report = (inFlightCount: number) => [{ groupId: 'g', partners: [{ partner: 'vrany', inFlightCount, waitingCount: 0, heldCreditCount: 0 }] }]
--- a/src/coordination/routing/credit-book.ts
+++ b/src/coordination/routing/credit-book.ts
@@ -106,13 +106,21 @@
     const routers = [...book.holdings.values()].map(({ nodeId, demands }) => ({ nodeId, partners: demands }))
     const divided = divideCredits({ groupId, slotCount, shares, routers, settings: settings.divider })
     const targets = divided.get(holding.nodeId)
-    let freeCount = Math.max(0, slotCount - countUsable(book))
+    const usableSum = countUsable(book)
+    let freeCount = Math.max(0, slotCount - usableSum)
+    let excessCount = Math.max(0, usableSum - slotCount)
     return shares.map(({ partner }) => {
-      const targetCount = targets?.get(partner) ?? 0
       const usableCount = getUsableCount(holding, partner)
-      const raiseCount = isRaiseAllowed ? Math.min(freeCount, Math.max(0, targetCount - usableCount)) : 0
-      const grantedCount = isRaiseAllowed ? Math.min(targetCount, usableCount + raiseCount) : usableCount
-      freeCount -= raiseCount
+      if (!isRaiseAllowed) return { partner, slotCount: usableCount }
+      const grantedCount = decideGrant({
+        targetCount: targets?.get(partner) ?? 0,
+        usableCount,
+        inFlightCount: getInFlightCount(holding, partner),
+        freeCount,
+        excessCount
+      })
+      freeCount -= Math.max(0, grantedCount - usableCount)
+      excessCount -= Math.min(excessCount, Math.max(0, usableCount - grantedCount))
       return { partner, slotCount: grantedCount }
     })
   }
@@ -153,11 +161,33 @@
   }
 }
 
+interface GrantDecision {
+  readonly targetCount: number
+  readonly usableCount: number
+  readonly inFlightCount: number
+  /** Slots of the group that nobody may use. */
+  readonly freeCount: number
+  /** Slots that routers may use beyond those of the group, after two owners granted at a time. */
+  readonly excessCount: number
+}
+
+/** Raises only into free slots; takes back unused credits while more are out than the group has slots. */
+function decideGrant ({ targetCount, usableCount, inFlightCount, freeCount, excessCount }: GrantDecision): number {
+  if (excessCount === 0) return Math.min(targetCount, usableCount + freeCount)
+  const loweredCount = Math.min(targetCount, usableCount)
+  const remainingExcess = Math.max(0, excessCount - (usableCount - loweredCount))
+  return Math.max(Math.min(inFlightCount, loweredCount), loweredCount - remainingExcess)
+}
+
 function isOlder (incarnation: number, sequence: number, last: RouterHolding): boolean {
   if (incarnation !== last.incarnation) return incarnation < last.incarnation
   return sequence < last.sequence
 }
 
+function getInFlightCount (holding: RouterHolding, partner: string): number {
+  return holding.demands.find(candidate => candidate.partner === partner)?.inFlightCount ?? 0
+}
+
 /** Streams that the router may have in flight for the partner until its next poll. */
 function getUsableCount (holding: RouterHolding, partner: string): number {
   const demand = holding.demands.find(candidate => candidate.partner === partner)
--- /dev/null
+++ b/src/fuzz/admission/admission-commands.ts
@@ -0,0 +1,72 @@
+import fc from 'fast-check'
+
+import { RequestPriority } from '../../state/fleet-config.js'
+import type { AdmissionDriver, DriverRequest } from './admission-driver.js'
+import type { AdmissionOracle } from './admission-oracle.js'
+import { groupIds, partners, routerIds, type WorldNode } from './admission-world.js'
+
+type AdmissionCommand = fc.AsyncCommand<AdmissionOracle, AdmissionDriver>
+
+/** Wraps an action as a command that can always run. */
+function createCommand (text: string, action: (driver: AdmissionDriver, oracle: AdmissionOracle) => Promise<void> | void): AdmissionCommand {
+  return {
+    check: () => true,
+    async run (oracle, driver) {
+      await action(driver, oracle)
+    },
+    toString: () => text
+  }
+}
+
+function getNode (driver: AdmissionDriver, nodeId: string): WorldNode {
+  const node = driver.world.nodes.find(candidate => candidate.nodeId === nodeId)
+  if (node === undefined) throw new Error(`node "${nodeId}" does not exist`)
+  return node
+}
+
+const requestArbitrary: fc.Arbitrary<DriverRequest> = fc.record({
+  nodeIndex: fc.nat(routerIds.length - 1),
+  partner: fc.constantFrom(...partners),
+  team: fc.constantFrom('large', 'small'),
+  priority: fc.constantFrom(RequestPriority.Interactive, RequestPriority.Batch),
+  deadlineMs: fc.constantFrom(400, 1500, 4000, 20_000)
+})
+const nodeIdArbitrary = fc.constantFrom(...routerIds)
+const groupIdArbitrary = fc.constantFrom(...groupIds)
+
+/** Requests, ends of requests, time, and every fault of the area. */
+export const admissionCommands: Array<fc.Arbitrary<AdmissionCommand>> = [
+  requestArbitrary.map(request => createCommand(`request(${JSON.stringify(request)})`, driver => driver.request(request))),
+  fc.tuple(requestArbitrary, fc.integer({ min: 5, max: 30 })).map(([request, count]) =>
+    createCommand(`burst(${count}, ${JSON.stringify(request)})`, async driver => {
+      for (let index = 0; index < count; index += 1) await driver.request(request)
+    })),
+  fc.nat(50).map(index => createCommand(`finish(${index})`, driver => driver.finish(index))),
+  fc.nat(50).map(index => createCommand(`cancel(${index})`, driver => driver.cancel(index))),
+  fc.integer({ min: 1, max: 1500 }).map(spanMs => createCommand(`advance(${spanMs})`, driver => driver.advance(spanMs))),
+  fc.integer({ min: 100, max: 1500 }).map(spanMs => createCommand(`press(${spanMs})`, async driver => {
+    await driver.press(partners, spanMs)
+  })),
+  nodeIdArbitrary.map(nodeId => createCommand(`changeOwner(${nodeId})`, (driver, oracle) => {
+    oracle.noteOwnerChange()
+    driver.world.changeOwner(nodeId)
+  })),
+  fc.tuple(nodeIdArbitrary, fc.integer({ min: 1, max: 16 })).map(([nodeId, count]) =>
+    createCommand(`losePolls(${nodeId}, ${count})`, driver => { getNode(driver, nodeId).lostPollCount = count })),
+  fc.tuple(nodeIdArbitrary, fc.integer({ min: 1, max: 8 })).map(([nodeId, count]) =>
+    createCommand(`delayPolls(${nodeId}, ${count})`, driver => { getNode(driver, nodeId).latePollCount = count })),
+  fc.constantFrom(20, 50, 70).map(percent => createCommand(`changeSplit(${percent})`, driver => {
+    driver.world.share.percent = percent
+  })),
+  groupIdArbitrary.map(groupId => createCommand(`loseGroup(${groupId})`, driver => driver.loseGroup(groupId))),
+  groupIdArbitrary.map(groupId => createCommand(`restoreGroup(${groupId})`, driver => {
+    driver.world.lostGroupIds.delete(groupId)
+  })),
+  fc.tuple(nodeIdArbitrary, fc.constantFrom(300, 2000, 7000)).map(([nodeId, spanMs]) =>
+    createCommand(`pauseNode(${nodeId}, ${spanMs})`, driver => {
+      const node = getNode(driver, nodeId)
+      if (driver.world.isPaused(node)) return
+      node.pausedSinceMs = driver.world.timers.nowMs()
+      node.pausedUntilMs = driver.world.timers.nowMs() + spanMs
+    }))
+]
--- /dev/null
+++ b/src/fuzz/admission/admission-driver.ts
@@ -0,0 +1,144 @@
+import { ServiceOutcome, type Admission, type AdmissionRequest } from '../../coordination/admission/admission-types.js'
+import { drainMicrotasks } from '../../shared/virtual-timer-service.js'
+import { RequestPriority } from '../../state/fleet-config.js'
+import { createAdmissionOracle, getAdmitted, getGroupId, minServiceMs, type AdmissionOracle, type WorldCall } from './admission-oracle.js'
+import { createAdmissionWorld, deployment, partners, type AdmissionWorld, type WorldNode, type WorldParts } from './admission-world.js'
+
+const checkIntervalMs = 50
+const maxExtraServiceMs = 2000
+const deadlineOfPressMs = 20_000
+
+export interface DriverRequest {
+  readonly nodeIndex: number
+  readonly partner: string
+  readonly team: string
+  readonly priority: RequestPriority
+  readonly deadlineMs: number
+}
+
+/** Acts as the callers and engines of a world and keeps its oracle up to date. */
+export interface AdmissionDriver {
+  readonly world: AdmissionWorld
+  readonly oracle: AdmissionOracle
+  request (request: DriverRequest): Promise<void>
+  /** Ends the service of one of the served calls. */
+  finish (index: number): Promise<void>
+  /** The caller of one of the unanswered calls goes away. */
+  cancel (index: number): Promise<void>
+  loseGroup (groupId: string): Promise<void>
+  advance (spanMs: number): Promise<void>
+  /** Keeps a queue of the partners' requests at every node for some time; returns the mean count of their served streams in the second half. */
+  press (pressingPartners: readonly string[], spanMs: number): Promise<Map<string, number>>
+}
+
+/** Creates a driver around a fresh world. */
+export function createAdmissionDriver (seed: number, parts: WorldParts): AdmissionDriver {
+  const world = createAdmissionWorld(seed, parts)
+  const oracle = createAdmissionOracle(world)
+  const { timers, random } = world
+
+  async function settle (): Promise<void> {
+    await drainMicrotasks()
+    oracle.check()
+  }
+
+  /** Ends the service; a paused node gives the slot back only when it goes on. */
+  function endService (call: WorldCall, outcome: ServiceOutcome): void {
+    if (!call.isServed) return
+    call.isServed = false
+    const release = () => {
+      call.isReleased = true
+      getAdmitted(call)?.release(outcome)
+      if (random.nextFloat() < 0.2) getAdmitted(call)?.release(outcome)
+    }
+    if (world.isPaused(call.node)) timers.subscribeOnce(call.node.pausedUntilMs - timers.nowMs(), release)
+    else release()
+  }
+
+  function onAnswer (call: WorldCall, admission: Admission): void {
+    oracle.noteAnswer(call, admission)
+    if (getAdmitted(call) === undefined) return
+    const serviceMs = minServiceMs + maxExtraServiceMs * random.nextFloat()
+    timers.subscribeOnce(serviceMs, () => endService(call, ServiceOutcome.Succeeded))
+  }
+
+  async function request ({ nodeIndex, partner, team, priority, deadlineMs }: DriverRequest): Promise<void> {
+    const node = getNode(nodeIndex)
+    if (world.isPaused(node)) return
+    const controller = new AbortController()
+    const admissionRequest: AdmissionRequest = { partner, team, deployment, priority, deadlineMs, signal: controller.signal }
+    const call: WorldCall = { node, request: admissionRequest, controller, arrivedAtMs: timers.nowMs(), isServed: false, isReleased: true }
+    oracle.addCall(call)
+    void world.request(node, admissionRequest).then(admission => onAnswer(call, admission)).catch(noteFailure)
+    await drainMicrotasks()
+    throwFailure()
+  }
+
+  let failure: unknown
+
+  function noteFailure (error: unknown): void {
+    failure ??= error
+  }
+
+  function throwFailure (): void {
+    if (failure !== undefined) throw failure
+  }
+
+  function getNode (index: number): WorldNode {
+    const node = world.nodes[index % world.nodes.length]
+    if (node === undefined) throw new Error('the world has no nodes')
+    return node
+  }
+
+  async function advance (spanMs: number): Promise<void> {
+    for (let leftMs = spanMs; leftMs > 0; leftMs -= checkIntervalMs) {
+      await timers.advanceAsync(Math.min(checkIntervalMs, leftMs))
+      throwFailure()
+      oracle.check()
+    }
+  }
+
+  async function press (pressingPartners: readonly string[], spanMs: number): Promise<Map<string, number>> {
+    const sums = new Map<string, number>(partners.map(partner => [partner, 0]))
+    const stepCount = Math.ceil(spanMs / checkIntervalMs)
+    for (let step = 0; step < stepCount; step += 1) {
+      for (const [nodeIndex, node] of world.nodes.entries()) {
+        for (const partner of pressingPartners) {
+          if (node.admission.getWaitingCount(deployment, partner) >= 3) continue
+          await request({ nodeIndex, partner, team: 'large', priority: RequestPriority.Interactive, deadlineMs: deadlineOfPressMs })
+        }
+      }
+      await advance(checkIntervalMs)
+      if (step < stepCount / 2) continue
+      for (const [partner, sum] of sums) sums.set(partner, sum + oracle.countServed(partner))
+    }
+    const sampleCount = Math.floor(stepCount / 2)
+    return new Map([...sums].map(([partner, sum]) => [partner, sum / sampleCount]))
+  }
+
+  return {
+    world,
+    oracle,
+    request,
+    async finish (index) {
+      const served = oracle.calls.filter(call => call.isServed && !world.isPaused(call.node))
+      const call = served[index % Math.max(1, served.length)]
+      if (call !== undefined) endService(call, ServiceOutcome.Failed)
+      await settle()
+    },
+    async cancel (index) {
+      const waiting = oracle.calls.filter(call => call.admission === undefined)
+      waiting[index % Math.max(1, waiting.length)]?.controller.abort()
+      await settle()
+    },
+    async loseGroup (groupId) {
+      world.lostGroupIds.add(groupId)
+      for (const call of oracle.calls) {
+        if (getGroupId(call) === groupId) endService(call, ServiceOutcome.Failed)
+      }
+      await settle()
+    },
+    advance,
+    press
+  }
+}
--- a/src/fuzz/index.ts
+++ b/src/fuzz/index.ts
@@ -1,3 +1,4 @@
+import { fuzzAdmission } from './admission/admission-area.js'
 import type { FuzzOptions, FuzzReport } from './command-fuzz.js'
 import { runGroupsFuzz } from './groups-area.js'
 import { runOrdersFuzz } from './orders-fuzz.js'
@@ -9,5 +10,6 @@
   groups: options => runGroupsFuzz(options),
   orders: runOrdersFuzz,
   streams: options => runStreamsFuzz(options),
-  transport: runTransportFuzz
+  transport: runTransportFuzz,
+  admission: options => fuzzAdmission(options)
 }
