Add membership among entry nodes

Cause: entry nodes must know each other with a cost that does not grow with their number, through restarts, pauses and cuts, without consensus.

Ruled out: heartbeats to all (130 KB/s at 2,200 nodes); leases in the store (writes that grow with the fleet); stopping at piggybacked updates alone (a lost update is never repeated; nodes now compare a digest of the live set and fetch a peer's table in pages when it differs for long).

Change: SWIM core as `(now, event) -> actions` with one probe a period, indirect probes, suspicion, refutation, updates bounded in bytes and repeats; probes of dead nodes and unknown seeds so that healed cuts meet; join through seeds and a stored list a zone; distrust after a pause. The gate of orders fuzz is replaced by the shared process gate.

--- /dev/null
+++ b/src/coordination/membership/member-table.ts
@@ -0,0 +1,128 @@
+import { hashText } from '../../shared/rendezvous.js'
+import type { EntryNode } from '../ports/membership-view.js'
+import { isLiveStatus, isNewer, MemberStatus, type MemberUpdate } from './member-update.js'
+import type { MembershipSettings } from './membership-settings.js'
+
+/** What is known of one node, with the time of its last change. */
+export interface Member extends MemberUpdate {
+  readonly sinceMs: number
+}
+
+/** The nodes that a node knows, with itself. */
+export interface MemberTable {
+  get (nodeId: string): Member | undefined
+  /** Returns the live node with this membership address. */
+  findLiveByAddress (gossipAddress: string): Member | undefined
+  /** Takes an update in; false when it is not newer than what is known. */
+  apply (update: MemberUpdate, nowMs: number): boolean
+  /** Live nodes ordered by id. */
+  getLiveNodes (): readonly EntryNode[]
+  /** Live and dead nodes ordered by id, without those that left. */
+  getKnownNodes (): readonly EntryNode[]
+  /** All members ordered by id, with those that left. */
+  getMembers (): readonly Member[]
+  getSuspects (): readonly Member[]
+  getDead (): readonly Member[]
+  /** Combined hash of ids and incarnations of the live nodes. */
+  getLiveDigest (): number
+  /** Forgets nodes that died or left long ago. */
+  prune (nowMs: number): void
+}
+
+/** Creates a table that knows only the node itself. */
+export function createMemberTable (self: EntryNode, nowMs: number, settings: MembershipSettings): MemberTable {
+  const members = new Map<string, Member>()
+  const liveIdsByAddress = new Map<string, string>()
+  const suspectIds = new Set<string>()
+  const deadIds = new Set<string>()
+  let liveDigest = 0
+  let ordered: readonly Member[] | undefined
+  let liveNodes: readonly EntryNode[] | undefined
+
+  function getOrdered (): readonly Member[] {
+    ordered ??= [...members.values()].sort((left, right) => left.node.nodeId < right.node.nodeId ? -1 : 1)
+    return ordered
+  }
+
+  function unindex (member: Member | undefined): void {
+    if (member === undefined) return
+    const { nodeId, gossipAddress } = member.node
+    suspectIds.delete(nodeId)
+    deadIds.delete(nodeId)
+    if (!isLiveStatus(member.status)) return
+    liveDigest ^= getMemberDigest(member.node)
+    if (liveIdsByAddress.get(gossipAddress) === nodeId) liveIdsByAddress.delete(gossipAddress)
+  }
+
+  function index (member: Member): void {
+    const { nodeId, gossipAddress } = member.node
+    if (member.status === MemberStatus.Suspect) suspectIds.add(nodeId)
+    if (member.status === MemberStatus.Dead) deadIds.add(nodeId)
+    if (!isLiveStatus(member.status)) return
+    liveDigest ^= getMemberDigest(member.node)
+    liveIdsByAddress.set(gossipAddress, nodeId)
+  }
+
+  function put (member: Member): void {
+    const known = members.get(member.node.nodeId)
+    unindex(known)
+    index(member)
+    members.set(member.node.nodeId, member)
+    ordered = undefined
+    const isSameLive = known !== undefined && known.node === member.node && isLiveStatus(known.status) === isLiveStatus(member.status)
+    if (!isSameLive) liveNodes = undefined
+  }
+
+  function getAll (nodeIds: Iterable<string>): Member[] {
+    const found: Member[] = []
+    for (const nodeId of nodeIds) {
+      const member = members.get(nodeId)
+      if (member !== undefined) found.push(member)
+    }
+    return found
+  }
+
+  put({ node: self, refutation: 0, status: MemberStatus.Alive, sinceMs: nowMs })
+
+  return {
+    get: nodeId => members.get(nodeId),
+    findLiveByAddress (gossipAddress) {
+      const nodeId = liveIdsByAddress.get(gossipAddress)
+      return nodeId === undefined ? undefined : members.get(nodeId)
+    },
+    apply (update, atMs) {
+      const known = members.get(update.node.nodeId)
+      if (known !== undefined && !isNewer(update, known)) return false
+      const isSameNode = known !== undefined && isSame(known.node, update.node)
+      put({ ...update, node: isSameNode ? known.node : update.node, sinceMs: atMs })
+      return true
+    },
+    getLiveNodes () {
+      liveNodes ??= getOrdered().filter(member => isLiveStatus(member.status)).map(member => member.node)
+      return liveNodes
+    },
+    getKnownNodes: () => getOrdered().filter(member => member.status !== MemberStatus.Left).map(member => member.node),
+    getMembers: getOrdered,
+    getSuspects: () => getAll(suspectIds),
+    getDead: () => getAll(deadIds),
+    getLiveDigest: () => liveDigest >>> 0,
+    prune (atMs) {
+      for (const member of [...members.values()]) {
+        if (isLiveStatus(member.status)) continue
+        const retentionMs = member.status === MemberStatus.Left ? settings.leftRetentionMs : settings.deadRetentionMs
+        if (atMs - member.sinceMs < retentionMs) continue
+        unindex(member)
+        members.delete(member.node.nodeId)
+        ordered = undefined
+      }
+    }
+  }
+}
+
+function isSame (left: EntryNode, right: EntryNode): boolean {
+  return left.incarnation === right.incarnation && left.gossipAddress === right.gossipAddress && left.peerAddress === right.peerAddress
+}
+
+function getMemberDigest (node: EntryNode): number {
+  return hashText(`${node.nodeId}/${node.incarnation}`)
+}
--- /dev/null
+++ b/src/coordination/membership/member-update.ts
@@ -0,0 +1,88 @@
+import { NodeUpdate, NodeUpdate_Status as WireStatus } from '../../protocol/generated/egretpaddle/peer/v1/peer.js'
+import type { EntryNode } from '../ports/membership-view.js'
+
+export enum MemberStatus {
+  Alive = 'alive',
+  /** Did not answer; counts as live until its time to refute is over. */
+  Suspect = 'suspect',
+  Dead = 'dead',
+  /** Left by a graceful shutdown. */
+  Left = 'left'
+}
+
+/** What is said about one node. */
+export interface MemberUpdate {
+  readonly node: EntryNode
+  /** Raised by the node itself to refute a suspicion. */
+  readonly refutation: number
+  readonly status: MemberStatus
+}
+
+const statusRanks: Record<MemberStatus, number> = {
+  [MemberStatus.Alive]: 0,
+  [MemberStatus.Suspect]: 1,
+  [MemberStatus.Dead]: 2,
+  [MemberStatus.Left]: 3
+}
+
+/**
+ * Tells whether an update replaces what is known. Higher incarnations win, then a graceful
+ * leave, then higher refutations, then the worse status.
+ */
+export function isNewer (update: MemberUpdate, known: MemberUpdate): boolean {
+  if (update.node.incarnation !== known.node.incarnation) return update.node.incarnation > known.node.incarnation
+  if (known.status === MemberStatus.Left) return false
+  if (update.status === MemberStatus.Left) return true
+  if (update.refutation !== known.refutation) return update.refutation > known.refutation
+  return statusRanks[update.status] > statusRanks[known.status]
+}
+
+/** Tells whether a node with this status counts as live. */
+export function isLiveStatus (status: MemberStatus): boolean {
+  return status === MemberStatus.Alive || status === MemberStatus.Suspect
+}
+
+const wireStatuses: Record<MemberStatus, WireStatus> = {
+  [MemberStatus.Alive]: WireStatus.STATUS_ALIVE,
+  [MemberStatus.Suspect]: WireStatus.STATUS_SUSPECT,
+  [MemberStatus.Dead]: WireStatus.STATUS_DEAD,
+  [MemberStatus.Left]: WireStatus.STATUS_LEFT
+}
+
+/** Encodes an update with everything that is known of the node. */
+export function toFullWireUpdate ({ node, refutation, status }: MemberUpdate): NodeUpdate {
+  return {
+    nodeId: node.nodeId,
+    incarnation: node.incarnation,
+    refutation,
+    status: wireStatuses[status],
+    peerAddress: node.peerAddress,
+    gossipAddress: node.gossipAddress,
+    availabilityZone: node.availabilityZone,
+    partner: node.partner
+  }
+}
+
+/** Encodes an update for spreading: bad news goes without addresses, which receivers know. */
+export function toWireUpdate (update: MemberUpdate): NodeUpdate {
+  if (update.status === MemberStatus.Alive) return toFullWireUpdate(update)
+  const { nodeId, incarnation, refutation, status } = toFullWireUpdate(update)
+  return NodeUpdate.fromPartial({ nodeId, incarnation, refutation, status })
+}
+
+/**
+ * Decodes an update; undefined when it is malformed. `known` completes an update that came
+ * without addresses; without it such an update is of no use.
+ */
+export function fromWireUpdate (wire: NodeUpdate, known: EntryNode | undefined): MemberUpdate | undefined {
+  const status = Object.values(MemberStatus).find(candidate => wireStatuses[candidate] === wire.status)
+  if (status === undefined || wire.nodeId === '') return undefined
+  if (wire.gossipAddress !== '') {
+    const { nodeId, incarnation, peerAddress, gossipAddress, availabilityZone, partner } = wire
+    return { node: { nodeId, incarnation, peerAddress, gossipAddress, availabilityZone, partner }, refutation: wire.refutation, status }
+  }
+  if (known === undefined) return undefined
+  // The addresses of a newer incarnation are not known yet, so it can't be probed.
+  if (wire.incarnation > known.incarnation && isLiveStatus(status)) return undefined
+  return { node: { ...known, incarnation: wire.incarnation }, refutation: wire.refutation, status }
+}
--- /dev/null
+++ b/src/coordination/membership/membership-event.ts
@@ -0,0 +1,35 @@
+import type { ConfigStatus, GossipMessage } from '../../protocol/generated/egretpaddle/peer/v1/peer.js'
+import type { EntryNode } from '../ports/membership-view.js'
+
+export enum MembershipEventKind {
+  /** Regular look at what is due. */
+  Tick = 'tick',
+  Received = 'received',
+  /** Addresses of nodes through which this one may join. */
+  SeedsFound = 'seedsFound',
+  /** Nobody answered for a while, and the directory, which was just read, names nobody who does. */
+  AloneConfirmed = 'aloneConfirmed',
+  Leave = 'leave'
+}
+
+export type MembershipEvent =
+  | { readonly kind: MembershipEventKind.Tick }
+  | { readonly kind: MembershipEventKind.Received, readonly message: GossipMessage }
+  | { readonly kind: MembershipEventKind.SeedsFound, readonly addresses: readonly string[] }
+  | { readonly kind: MembershipEventKind.AloneConfirmed }
+  | { readonly kind: MembershipEventKind.Leave }
+
+export enum MembershipActionKind {
+  Send = 'send',
+  /** The set of live nodes changed. */
+  ViewChanged = 'viewChanged',
+  PeerConfig = 'peerConfig',
+  /** The node began, or ceased, to trust its own view. */
+  TrustChanged = 'trustChanged'
+}
+
+export type MembershipAction =
+  | { readonly kind: MembershipActionKind.Send, readonly address: string, readonly message: GossipMessage }
+  | { readonly kind: MembershipActionKind.ViewChanged, readonly liveNodes: readonly EntryNode[] }
+  | { readonly kind: MembershipActionKind.PeerConfig, readonly node: EntryNode, readonly status: ConfigStatus }
+  | { readonly kind: MembershipActionKind.TrustChanged, readonly isTrusted: boolean }
--- /dev/null
+++ b/src/coordination/membership/membership.ts
@@ -0,0 +1,111 @@
+import { createChannel, type Channel } from '../../shared/channel.js'
+import type { RandomSource } from '../../shared/random-source.js'
+import type { TimerService, TimerSubscription } from '../../shared/timer-service.js'
+import type { ConfigStatus, GossipMessage } from '../../protocol/generated/egretpaddle/peer/v1/peer.js'
+import type { EntryNode, MembershipView } from '../ports/membership-view.js'
+import { createJoiner } from './joiner.js'
+import { createMembershipCore } from './membership-core.js'
+import { MembershipActionKind, MembershipEventKind, type MembershipAction, type MembershipEvent } from './membership-event.js'
+import type { MembershipSettings } from './membership-settings.js'
+import type { NodeDirectory } from './node-directory.js'
+
+/** Carries membership messages between nodes; messages may be lost, doubled or late. */
+export interface GossipLink {
+  send (address: string, message: GossipMessage): void
+  readonly received: Channel<GossipMessage>
+}
+
+/** A peer's configuration status, as it came with a message. */
+export interface PeerConfigStatus {
+  readonly node: EntryNode
+  readonly status: ConfigStatus
+}
+
+/** The membership of one node in the fleet of entry nodes. */
+export interface Membership {
+  readonly view: MembershipView
+  readonly peerConfigStatuses: Channel<PeerConfigStatus>
+  /** Tells when the node begins, or ceases, to trust its own view. */
+  readonly trustChanges: Channel<boolean>
+  /** False from a start or a long pause until the whole table of a peer has been heard, or no peer is left. */
+  isViewTrusted (): boolean
+  /** Begins to probe and joins through the seeds and the directory. */
+  start (): void
+  /** Tells peers that the node leaves, and stops. */
+  leave (): void
+}
+
+export interface MembershipOptions {
+  readonly self: EntryNode
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly link: GossipLink
+  getConfigStatus (): ConfigStatus
+  /** Membership addresses of nodes through which this one may join. */
+  readonly seeds: readonly string[]
+  /** The stored directory; undefined joins through the seeds alone. */
+  readonly directory?: NodeDirectory
+  readonly settings: MembershipSettings
+}
+
+/** Creates the membership of one node. */
+export function createMembership ({ self, timers, random, link, getConfigStatus, seeds, directory, settings }: MembershipOptions): Membership {
+  const core = createMembershipCore({ self, startMs: timers.nowMs(), random, settings, getConfigStatus })
+  const viewChanges = createChannel<readonly EntryNode[]>()
+  const peerConfigStatuses = createChannel<PeerConfigStatus>()
+  const trustChanges = createChannel<boolean>()
+  const joiner = createJoiner({
+    timers,
+    directory,
+    settings,
+    getSelf: core.getSelf,
+    getLiveNodes: core.table.getLiveNodes,
+    handle
+  })
+  let ticks: TimerSubscription | undefined
+
+  function perform (action: MembershipAction): void {
+    switch (action.kind) {
+      case MembershipActionKind.Send:
+        link.send(action.address, action.message)
+        break
+      case MembershipActionKind.ViewChanged:
+        viewChanges.send(action.liveNodes)
+        break
+      case MembershipActionKind.PeerConfig:
+        peerConfigStatuses.send({ node: action.node, status: action.status })
+        break
+      case MembershipActionKind.TrustChanged:
+        trustChanges.send(action.isTrusted)
+        if (action.isTrusted) void joiner.onTrusted()
+        break
+    }
+  }
+
+  function handle (event: MembershipEvent): void {
+    for (const action of core.step(timers.nowMs(), event)) perform(action)
+  }
+
+  return {
+    view: {
+      get self () { return core.getSelf() },
+      getLiveNodes: () => core.table.getLiveNodes(),
+      getKnownNodes: () => core.table.getKnownNodes(),
+      changes: viewChanges.messages
+    },
+    peerConfigStatuses,
+    trustChanges,
+    isViewTrusted: core.isViewTrusted,
+    start () {
+      void link.received.messages.observe(message => handle({ kind: MembershipEventKind.Received, message }))
+      handle({ kind: MembershipEventKind.SeedsFound, addresses: seeds })
+      joiner.start()
+      ticks = timers.subscribeEvery(settings.tickMs, () => handle({ kind: MembershipEventKind.Tick }))
+    },
+    leave () {
+      ticks?.cancel()
+      joiner.stop()
+      handle({ kind: MembershipEventKind.Leave })
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/membership/node-directory.ts
@@ -0,0 +1,95 @@
+import { z } from 'zod'
+
+import type { RandomSource } from '../../shared/random-source.js'
+import { delay, type TimerService } from '../../shared/timer-service.js'
+import type { EntryNode } from '../ports/membership-view.js'
+import { KeyValueErrorKind, type KeyValueEntry, type KeyValueStore } from '../ports/key-value-store.js'
+
+/** Prefix of the keys that hold one list of nodes for each availability zone. */
+export const directoryKeyPrefix = 'egretpaddle/directory/'
+
+/** Stored lists of nodes through which others may join. */
+export interface NodeDirectory {
+  /** Returns the membership addresses of all zones; retries while the store does not answer. */
+  readAddresses (): Promise<readonly string[]>
+  /**
+   * Writes the node into its zone's list and drops the nodes that are not live. Writes nothing
+   * when enough live nodes of the zone are listed already. Without knowledge of who is live the
+   * node always takes the place of the oldest entry. Retries while the store does not answer.
+   */
+  announce (self: EntryNode, liveNodeIds: ReadonlySet<string> | undefined): Promise<void>
+}
+
+const directoryEntrySchema = z.object({
+  nodeId: z.string(),
+  incarnation: z.number(),
+  gossipAddress: z.string()
+})
+const directoryListSchema = z.object({ nodes: z.array(directoryEntrySchema) })
+
+type DirectoryEntry = z.infer<typeof directoryEntrySchema>
+
+/** Number of live nodes that a zone's list needs. */
+const enoughEntryCount = 8
+const minRetryMs = 500
+const maxRetryMs = 10_000
+
+/** Creates the access of one node to the directory. */
+export function createNodeDirectory (store: KeyValueStore, timers: TimerService, random: RandomSource): NodeDirectory {
+  async function waitToRetry (attemptCount: number): Promise<void> {
+    const boundMs = Math.min(maxRetryMs, minRetryMs * 2 ** attemptCount)
+    await delay(timers, boundMs * (0.5 + random.nextFloat() / 2))
+  }
+
+  /** Returns the list to write; undefined when nothing has to be written. */
+  function plan (current: KeyValueEntry | undefined, self: EntryNode, liveNodeIds: ReadonlySet<string> | undefined): DirectoryEntry[] | undefined {
+    const listed = parseDirectoryList(current)
+    const others = listed.filter(entry => entry.nodeId !== self.nodeId && (liveNodeIds?.has(entry.nodeId) ?? true))
+    const { nodeId, incarnation, gossipAddress } = self
+    const isListed = listed.some(entry => entry.nodeId === nodeId && entry.incarnation === incarnation)
+    const isPruned = others.length + (isListed ? 1 : 0) === listed.length
+    const isEnough = isListed || (liveNodeIds !== undefined && others.length >= enoughEntryCount)
+    if (isPruned && isEnough) return undefined
+    return [...others.slice(-(enoughEntryCount - 1)), { nodeId, incarnation, gossipAddress }]
+  }
+
+  return {
+    async readAddresses () {
+      for (let attemptCount = 0; ; attemptCount += 1) {
+        const listed = await store.list(directoryKeyPrefix)
+        if (listed.isOk) return listed.value.flatMap(entry => parseDirectoryList(entry).map(node => node.gossipAddress))
+        await waitToRetry(attemptCount)
+      }
+    },
+    async announce (self, liveNodeIds) {
+      const key = directoryKeyPrefix + encodeURIComponent(self.availabilityZone)
+      for (let attemptCount = 0; ; attemptCount += 1) {
+        if (attemptCount > 0) await waitToRetry(attemptCount)
+        const found = await store.get(key)
+        if (!found.isOk) continue
+        const nodes = plan(found.value, self, liveNodeIds)
+        if (nodes === undefined) return
+        const stored = await store.compareAndSwap({ key, expectedRevision: found.value?.revision ?? 0, value: JSON.stringify({ nodes }) })
+        if (stored.isOk) return
+        // A lost reply is told apart by reading the list again: a listed node need not be written.
+        if (stored.error.kind === KeyValueErrorKind.Ambiguous && await isListed(key, self)) return
+      }
+    }
+  }
+
+  async function isListed (key: string, self: EntryNode): Promise<boolean> {
+    const found = await store.get(key)
+    if (!found.isOk) return false
+    return parseDirectoryList(found.value).some(entry => entry.nodeId === self.nodeId && entry.incarnation === self.incarnation)
+  }
+}
+
+function parseDirectoryList (entry: KeyValueEntry | undefined): DirectoryEntry[] {
+  if (entry === undefined) return []
+  try {
+    const parsed = directoryListSchema.safeParse(JSON.parse(entry.value))
+    return parsed.success ? parsed.data.nodes : []
+  } catch {
+    return []
+  }
+}
--- a/src/fuzz/index.ts
+++ b/src/fuzz/index.ts
@@ -1,6 +1,7 @@
 import { fuzzAdmission } from './admission/admission-area.js'
 import type { FuzzOptions, FuzzReport } from './command-fuzz.js'
 import { runGroupsFuzz } from './groups-area.js'
+import { runMembershipFuzz } from './membership-fuzz.js'
 import { runOrdersFuzz } from './orders-fuzz.js'
 import { runStreamsFuzz } from './streams-area.js'
 import { runTransportFuzz } from './transport-fuzz.js'
@@ -8,6 +9,7 @@
 /** The areas that the fuzz command can run, by name. */
 export const fuzzAreas: Record<string, (options: FuzzOptions) => Promise<FuzzReport>> = {
   groups: options => runGroupsFuzz(options),
+  membership: runMembershipFuzz,
   orders: runOrdersFuzz,
   streams: options => runStreamsFuzz(options),
   transport: runTransportFuzz,
--- a/src/fuzz/orders-fuzz.test.ts
+++ b/src/fuzz/orders-fuzz.test.ts
@@ -103,7 +103,7 @@
   describe('oracle', () => {
     for (const { name, breakPorts, complaint } of brokenVariants) {
       it(`catches a ledger that ${name}`, async () => {
-        const report = await runCommandFuzz(createOrdersFuzzArea(breakPorts), { seed: 1, runCount: 300, maxCommandCount: 40 })
+        const report = await runCommandFuzz(createOrdersFuzzArea(breakPorts), { seed: 1, runCount: 300, maxCommandCount: 40, isShrunk: false })
         expect(report.isPassed).to.equal(false)
         expect(report.message).to.match(complaint)
         if (process.env.SHOW) console.log(report.message?.slice(0, 900))
--- a/src/fuzz/orders-world.ts
+++ b/src/fuzz/orders-world.ts
@@ -5,9 +5,9 @@
 import { createRandomSource, type RandomSource } from '../shared/random-source.js'
 import { createVirtualTimerService, type VirtualTimerService } from '../shared/virtual-timer-service.js'
 import { createFakeKeyValueStore, type FakeKeyValueStore, type FakeStoreFaults } from '../testing/fake-key-value-store.js'
-import { createNodeGate, type NodeGate } from './orders-node-gate.js'
 import { createOrdersOracle, type OrdersOracle } from './orders-oracle.js'
 import { createFakeOrderService, type FakeOrderService } from './orders-service.js'
+import { createGatedTimers, createProcessGate, type ProcessGate } from './process-gate.js'
 
 export const ordersNodeCount = 3
 
@@ -27,7 +27,7 @@
 
 interface SimulatedNode {
   readonly nodeId: string
-  readonly gate: NodeGate
+  readonly gate: ProcessGate
   readonly faults: FakeStoreFaults
   readonly ledger: OrderLedger
 }
@@ -72,12 +72,12 @@
   function createNode (nodeIndex: number): SimulatedNode {
     incarnation += 1
     const nodeId = `entry-${nodeIndex}`
-    const gate = createNodeGate(timers)
+    const gate = createProcessGate()
     const client = store.createClient()
     const ledger = createOrderLedger(breakPorts({
       store: gateStore(client.store, gate),
-      serviceCaller: { call: (address, request) => gate.pass(orderService.caller.call(address, request)) },
-      timers: gate.timers,
+      serviceCaller: { call: (address, request) => gateReply(gate, orderService.caller.call(address, request)) },
+      timers: createGatedTimers(timers, gate),
       random: createNodeRandom(random),
       claimant: `${nodeId}:${incarnation}`,
       settings: ordersFuzzSettings
@@ -104,7 +104,7 @@
       const attemptId = `attempt-${attemptCount}`
       const node = getNode(nodeIndex)
       oracle.noteAttempt(attemptId, key, body, node.nodeId, timers.nowMs() + deadlineMs)
-      if (!node.gate.isRunning() || node.faults.isOut || store.faults.isOut) oracle.noteNodeDisturbed(node.nodeId)
+      if (!node.gate.isOpen || node.faults.isOut || store.faults.isOut) oracle.noteNodeDisturbed(node.nodeId)
       const outcome = await node.ledger.submit({
         partner,
         service,
@@ -127,15 +127,15 @@
     },
     pause (nodeIndex) {
       oracle.noteNodeDisturbed(getNode(nodeIndex).nodeId)
-      getNode(nodeIndex).gate.pause()
+      getNode(nodeIndex).gate.close()
     },
     resume (nodeIndex) {
-      getNode(nodeIndex).gate.resume()
+      wake(getNode(nodeIndex).gate)
     },
     restart (nodeIndex) {
       const node = getNode(nodeIndex)
       oracle.noteNodeDisturbed(node.nodeId)
-      node.gate.kill()
+      node.gate.destroy()
       nodes[nodeIndex % ordersNodeCount] = createNode(nodeIndex % ordersNodeCount)
     },
     setStoreOut (nodeIndex, isOut) {
@@ -159,7 +159,7 @@
     for (const faults of [store.faults, ...nodes.map(node => node.faults)]) {
       Object.assign(faults, { isOut: false, requestDelayMs: 0, replyDelayMs: 0, lostReplyCount: 0, lateWriteCount: 0 })
     }
-    for (const node of nodes) node.gate.resume()
+    for (const node of nodes) wake(node.gate)
   }
 
   /** A key must become done, unknown, or be refused to all but one of its bodies. */
@@ -189,13 +189,25 @@
   return createRandomSource(random.nextInt(2 ** 31))
 }
 
-function gateStore (store: KeyValueStore, gate: NodeGate): KeyValueStore {
+/** Holds a reply back until the process runs; a call that is under way goes on while the process is stopped. */
+async function gateReply<T> (gate: ProcessGate, reply: Promise<T>): Promise<T> {
+  const value = await reply
+  await gate.pass()
+  return value
+}
+
+function wake (gate: ProcessGate): void {
+  gate.open()
+  gate.release()
+}
+
+function gateStore (store: KeyValueStore, gate: ProcessGate): KeyValueStore {
   return {
-    get: key => gate.pass(store.get(key)),
-    list: prefix => gate.pass(store.list(prefix)),
-    compareAndSwap: request => gate.pass(store.compareAndSwap(request)),
-    watch: request => gate.pass(store.watch(request)),
-    grantLease: durationMs => gate.pass(store.grantLease(durationMs)),
-    keepLeaseAlive: leaseId => gate.pass(store.keepLeaseAlive(leaseId))
+    get: key => gateReply(gate, store.get(key)),
+    list: prefix => gateReply(gate, store.list(prefix)),
+    compareAndSwap: request => gateReply(gate, store.compareAndSwap(request)),
+    watch: request => gateReply(gate, store.watch(request)),
+    grantLease: durationMs => gateReply(gate, store.grantLease(durationMs)),
+    keepLeaseAlive: leaseId => gateReply(gate, store.keepLeaseAlive(leaseId))
   }
 }
