Fuzz the configuration among entry nodes

Ruled out: single random faults alone.

The oracle sees the store, the outcomes and each node's version in use.

--- /dev/null
+++ b/src/fuzz/config-commands.ts
@@ -0,0 +1,213 @@
+import fc from 'fast-check'
+
+import { setDrain } from '../state/config-change.js'
+import { isMajority, listWitnessSets } from '../state/witness-plan.js'
+import { createStoreFaults, type FakeStoreFaults } from '../testing/fake-key-value-store.js'
+import type { ConfigFleet, FleetNode } from './config-fleet.js'
+import type { Attempt, ConfigOracle } from './config-oracle.js'
+
+export type ConfigCommand = fc.AsyncCommand<ConfigOracle, ConfigFleet>
+
+const probeIntervalMs = 50
+const staleSetupMs = 1_500
+/** Time for which the caretaker must see a witness missing, with allowance. */
+const replacementPauseMs = 2_000
+
+/** Lets virtual time pass and checks the oracle at short intervals. */
+export async function advanceAndCheck (oracle: ConfigOracle, fleet: ConfigFleet, spanMs: number): Promise<void> {
+  for (let passedMs = 0; passedMs < spanMs; passedMs += probeIntervalMs) {
+    await fleet.timers.advanceAsync(probeIntervalMs)
+    oracle.check()
+  }
+}
+
+function command (text: string, run: (oracle: ConfigOracle, fleet: ConfigFleet) => void | Promise<void>): ConfigCommand {
+  return {
+    check: () => true,
+    async run (oracle, fleet) {
+      await run(oracle, fleet)
+      await fleet.timers.advanceAsync(1)
+      oracle.check()
+    },
+    toString: () => text
+  }
+}
+
+function startChange (oracle: ConfigOracle, fleet: ConfigFleet, index: number, expectedVersion: number): void {
+  const node = fleet.nodes[index]
+  if (node === undefined || !node.gate.isOpen) return
+  const name = `op-${oracle.attempts.length}`
+  const attempt: Attempt = { vmId: `vm-${name}`, changedBy: `alpha/${name}`, expectedVersion }
+  oracle.attempts.push(attempt)
+  void node.keeper.change({
+    transition: config => setDrain(config, 'alpha', attempt.vmId, true),
+    expectedVersion,
+    changedBy: attempt.changedBy
+  }).then(outcome => oracle.noteOutcome(attempt, outcome))
+}
+
+/** Two operators race; the write of the first is lost on the way back or arrives late. */
+function raceWithFault (oracle: ConfigOracle, fleet: ConfigFleet, indexes: readonly [number, number], faults: Partial<FakeStoreFaults>): void {
+  const { version } = oracle.readStored()
+  Object.assign(fleet.nodes[indexes[0]]?.storeFaults ?? {}, faults)
+  for (const index of indexes) startChange(oracle, fleet, index, version)
+}
+
+function isolate (fleet: ConfigFleet, index: number, isOneWay: boolean): void {
+  const nodeId = fleet.nodes[index]?.nodeId
+  for (const other of fleet.nodes) {
+    if (other.nodeId === nodeId) continue
+    fleet.cuts.add(`${other.nodeId}>${nodeId}`)
+    if (!isOneWay) fleet.cuts.add(`${nodeId}>${other.nodeId}`)
+  }
+}
+
+/** Cuts the nodes below the index from the others; both sides keep their links among themselves. */
+function partition (fleet: ConfigFleet, index: number): void {
+  for (const left of fleet.nodes.slice(0, index)) {
+    for (const right of fleet.nodes.slice(index)) {
+      fleet.cuts.add(`${left.nodeId}>${right.nodeId}`)
+      fleet.cuts.add(`${right.nodeId}>${left.nodeId}`)
+    }
+  }
+}
+
+/** Cuts a node from the store and from its peers. */
+function cutOff (fleet: ConfigFleet, index: number): void {
+  isolate(fleet, index, false)
+  setStoreLink(fleet, index, true)
+}
+
+/** Restarts a node that then reaches one peer and nothing else. */
+function restartBeside (fleet: ConfigFleet, index: number, peer: number): void {
+  const [self, other] = [fleet.nodes[index]?.nodeId, fleet.nodes[peer]?.nodeId]
+  cutOff(fleet, index)
+  fleet.kill(index)
+  fleet.restart(index)
+  setStoreLink(fleet, index, true)
+  fleet.cuts.delete(`${self}>${other}`)
+  fleet.cuts.delete(`${other}>${self}`)
+}
+
+function setStoreLink (fleet: ConfigFleet, index: number, isOut: boolean): void {
+  const node = fleet.nodes[index]
+  if (node !== undefined) node.storeFaults.isOut = isOut
+}
+
+function cutFromStore (fleet: ConfigFleet, nodeCount: number): void {
+  for (let index = 0; index < nodeCount; index += 1) setStoreLink(fleet, index, true)
+}
+
+/** A node restarts in an outage and reaches only a peer that was cut off during a change. */
+async function restartBesideStale (oracle: ConfigOracle, fleet: ConfigFleet, index: number, peer: number): Promise<void> {
+  endFaults(oracle, fleet)
+  await advanceAndCheck(oracle, fleet, staleSetupMs)
+  cutOff(fleet, peer)
+  startChange(oracle, fleet, index, 0)
+  await advanceAndCheck(oracle, fleet, staleSetupMs)
+  fleet.store.faults.isOut = true
+  restartBeside(fleet, index, peer)
+}
+
+/** A node comes back under another name only while a majority of the witnesses stays. */
+function isReplaceable (oracle: ConfigOracle, fleet: ConfigFleet, node: FleetNode): boolean {
+  const config = oracle.readStored()
+  const remaining = fleet.nodes.filter(other => other !== node && other.isRunning).map(other => other.nodeId)
+  const isSettled = fleet.nodes.some(other => other.keeper.getConfig()?.version === config.version)
+  return isSettled && listWitnessSets(config).every(set => isMajority(new Set(remaining), set))
+}
+
+async function replace (oracle: ConfigOracle, fleet: ConfigFleet, index: number): Promise<void> {
+  const node = fleet.nodes[index]
+  if (node === undefined || !isReplaceable(oracle, fleet, node)) return
+  fleet.kill(index)
+  await advanceAndCheck(oracle, fleet, replacementPauseMs)
+  fleet.replace(index)
+}
+
+function resume (oracle: ConfigOracle, fleet: ConfigFleet, index: number): void {
+  fleet.resume(index, () => oracle.checkNodes())
+}
+
+/** Ends all faults and starts all nodes that are down. */
+export function endFaults (oracle: ConfigOracle, fleet: ConfigFleet): void {
+  fleet.cuts.clear()
+  Object.assign(fleet.store.faults, createStoreFaults())
+  fleet.nodes.forEach((node, index) => {
+    Object.assign(node.storeFaults, createStoreFaults())
+    if (!node.isRunning) fleet.restart(index)
+    else if (!node.gate.isOpen) resume(oracle, fleet, index)
+  })
+}
+
+function setFaults (index: number | undefined, faults: Partial<FakeStoreFaults>): ConfigCommand {
+  const target = index === undefined ? 'store' : `link of ${index} to the store`
+  return command(`${target}: ${JSON.stringify(faults)}`, (oracle, fleet) => {
+    Object.assign(index === undefined ? fleet.store.faults : fleet.nodes[index]?.storeFaults ?? {}, faults)
+  })
+}
+
+/** The commands of a history for a fleet of the given size. */
+export function createConfigCommands (nodeCount: number): Array<fc.Arbitrary<ConfigCommand>> {
+  const index = fc.nat({ max: nodeCount - 1 })
+  const link = fc.option(index, { nil: undefined, freq: 2 })
+  const spanMs = fc.oneof(fc.integer({ min: 1, max: 40 }), fc.integer({ min: 40, max: 140 }))
+    .map(steps => steps * probeIntervalMs)
+  const advance = spanMs.map(span => command(`advance ${span} ms`, (oracle, fleet) => advanceAndCheck(oracle, fleet, span)))
+  const change = index.map(at => command(`change at ${at}`, (oracle, fleet) => startChange(oracle, fleet, at, 0)))
+  const endAll = fc.constant(command('end all faults', endFaults))
+  // What stands more than once is chosen more often.
+  return [
+    advance,
+    advance,
+    advance,
+    change,
+    change,
+    fc.tuple(index, index).map(([first, second]) => command(`race at ${first} and ${second}`, (oracle, fleet) => {
+      const { version } = oracle.readStored()
+      startChange(oracle, fleet, first, version)
+      startChange(oracle, fleet, second, version)
+    })),
+    fc.tuple(index, index).map(([from, to]) => command(`cut ${from}>${to}`, (_oracle, fleet) => {
+      fleet.cuts.add(`${fleet.nodes[from]?.nodeId}>${fleet.nodes[to]?.nodeId}`)
+    })),
+    fc.tuple(index, fc.boolean()).map(([at, isOneWay]) => command(`isolate ${at}${isOneWay ? ' one way' : ''}`, (_oracle, fleet) => isolate(fleet, at, isOneWay))),
+    index.map(at => command(`partition before ${at}`, (_oracle, fleet) => partition(fleet, at))),
+    index.map(at => command(`cut off ${at}`, (_oracle, fleet) => cutOff(fleet, at))),
+    fc.tuple(index, index).map(([at, peer]) => command(`restart ${at} beside ${peer}`, (_oracle, fleet) => restartBeside(fleet, at, peer))),
+    fc.tuple(index, index).map(([at, peer]) => command(`restart ${at} beside ${peer}, which missed a change`, (oracle, fleet) => restartBesideStale(oracle, fleet, at, peer))),
+    index.map(at => command(`cut those before ${at} from the store`, (_oracle, fleet) => cutFromStore(fleet, at))),
+    index.map(at => command(`make an island of those before ${at}`, (_oracle, fleet) => {
+      partition(fleet, at)
+      cutFromStore(fleet, at)
+    })),
+    endAll,
+    endAll,
+    endAll,
+    fc.constant(command('heal links', (_oracle, fleet) => fleet.cuts.clear())),
+    index.map(at => command(`kill ${at}`, (_oracle, fleet) => fleet.kill(at))),
+    index.map(at => command(`restart ${at}`, (_oracle, fleet) => fleet.restart(at))),
+    index.map(at => command(`kill and restart ${at}`, (_oracle, fleet) => {
+      fleet.kill(at)
+      fleet.restart(at)
+    })),
+    index.map(at => command(`replace ${at}`, (oracle, fleet) => replace(oracle, fleet, at))),
+    index.map(at => command(`pause ${at}`, (_oracle, fleet) => fleet.pause(at))),
+    index.map(at => command(`resume ${at}`, (oracle, fleet) => resume(oracle, fleet, at))),
+    fc.tuple(link, fc.boolean()).map(([at, isOut]) => setFaults(at, { isOut })),
+    fc.constant(setFaults(undefined, { isOut: true })),
+    fc.constant(setFaults(undefined, { isOut: false })),
+    link.map(at => setFaults(at, { lostReplyCount: 1 })),
+    fc.tuple(link, fc.integer({ min: 100, max: 8_000 })).map(([at, lateWriteDelayMs]) => setFaults(at, { lateWriteCount: 1, lateWriteDelayMs })),
+    fc.tuple(index, index, fc.integer({ min: 1, max: 500 })).map(([first, second, lateWriteDelayMs]) => command(
+      `race at ${first}, written ${lateWriteDelayMs} ms late, and ${second}`,
+      (oracle, fleet) => raceWithFault(oracle, fleet, [first, second], { lateWriteCount: 1, lateWriteDelayMs })
+    )),
+    fc.tuple(index, index).map(([first, second]) => command(
+      `race at ${first}, reply lost, and ${second}`,
+      (oracle, fleet) => raceWithFault(oracle, fleet, [first, second], { lostReplyCount: 1 })
+    )),
+    fc.tuple(link, fc.nat({ max: 2_000 }), fc.nat({ max: 2_000 }))
+      .map(([at, requestDelayMs, replyDelayMs]) => setFaults(at, { requestDelayMs, replyDelayMs }))
+  ]
+}
--- a/src/fuzz/index.ts
+++ b/src/fuzz/index.ts
@@ -1,5 +1,6 @@
 import { fuzzAdmission } from './admission/admission-area.js'
 import type { FuzzOptions, FuzzReport } from './command-fuzz.js'
+import { runConfigFuzz } from './config-area.js'
 import { runGroupsFuzz } from './groups-area.js'
 import { runMembershipFuzz } from './membership-fuzz.js'
 import { runOrdersFuzz } from './orders-fuzz.js'
@@ -8,6 +9,7 @@
 
 /** The areas that the fuzz command can run, by name. */
 export const fuzzAreas: Record<string, (options: FuzzOptions) => Promise<FuzzReport>> = {
+  config: runConfigFuzz,
   groups: options => runGroupsFuzz(options),
   membership: runMembershipFuzz,
   orders: runOrdersFuzz,
