--- a/src/coordination/admission/admission-lane.ts
+++ b/src/coordination/admission/admission-lane.ts
@@ -169,6 +169,10 @@
     const next = queue.peek()
     if (next === undefined) return false
     const choice = router.choose(next.request)
+    if (choice.kind === RouteChoiceKind.NoGroup && next.request.excludedGroupIds !== undefined) {
+      next.settle(refuse(RefusalReason.NoGroup))
+      return true
+    }
     if (choice.kind !== RouteChoiceKind.Chosen) return false
     next.settle(admit(next.request, choice.group, timers.nowMs() - next.enqueuedAtMs))
     return true
--- a/src/coordination/admission/admission-types.ts
+++ b/src/coordination/admission/admission-types.ts
@@ -17,6 +17,8 @@
    * from the retry budget and never waits.
    */
   readonly retry?: { readonly excludedGroupIds: readonly string[] }
+  /** Groups that failed the request after its first token; it goes on elsewhere, and may wait for that. */
+  readonly excludedGroupIds?: readonly string[]
 }
 
 export enum AdmissionKind {
--- a/src/coordination/admission/admission.test.ts
+++ b/src/coordination/admission/admission.test.ts
@@ -141,6 +141,19 @@
     expect(getReason(last)).to.equal(RefusalReason.RetryBudgetExhausted)
   })
 
+  it('sends a resumption to another group than the one that failed, also after a wait', async () => {
+    const { request, groups, admission, answers } = createFixture(1)
+    expect(getReason(await request('only', { excludedGroupIds: ['a'] }))).to.equal(RefusalReason.NoGroup)
+    groups.ids = ['a', 'b']
+    const moved = await request('moved', { excludedGroupIds: ['a'] }) as Admitted
+    expect(moved.group.groupId).to.equal('b')
+    expect(await request('waiting', { excludedGroupIds: ['a'] })).to.equal(undefined)
+    groups.ids = ['a']
+    admission.dispatch()
+    await drainMicrotasks()
+    expect(getReason(answers.get('waiting'))).to.equal(RefusalReason.NoGroup)
+  })
+
   it('spreads the times to come back', async () => {
     const { request } = createFixture(1)
     await request('first')
--- a/src/coordination/streams/admission-gate.ts
+++ b/src/coordination/streams/admission-gate.ts
@@ -88,7 +88,6 @@
 }
 
 function toAdmissionRequest (request: ModelRequest, context: AcquireContext): AdmissionRequest {
-  const isSecondTry = context.failedGroupIds.length > 0 && !context.isResumption
   return {
     partner: request.partner,
     team: request.team,
@@ -97,10 +96,16 @@
     priority: request.isInteractive ? RequestPriority.Interactive : RequestPriority.Batch,
     deadlineMs: context.remainingMs,
     signal: context.signal,
-    ...(isSecondTry ? { retry: { excludedGroupIds: context.failedGroupIds } } : {})
+    ...toExclusion(context)
   }
 }
 
+/** A resumption is no second try: it spends nothing from the retry budget. */
+function toExclusion ({ failedGroupIds, isResumption }: AcquireContext): Pick<AdmissionRequest, 'retry' | 'excludedGroupIds'> {
+  if (failedGroupIds.length === 0) return {}
+  return isResumption ? { excludedGroupIds: failedGroupIds } : { retry: { excludedGroupIds: failedGroupIds } }
+}
+
 function toRefusal (refused: Refused): GrantResult {
   return {
     isGranted: false,
