Add the operators' service and the program egretpaddle

Cause: operators need to apply declarations kept in version control, to change the split, to drain VMs and to see the state, each within the rights of a partner.

Ruled out: drain marks as one plain list (a partner could remove the mark that another one set); naming new witnesses by itself when most of them are missing (they may serve on an island with an older version), so an operator must name those that have ended.

Change: pure service, gRPC server and client, operator program with exit codes, example declarations. The operator schema gains ReplaceWitnesses, is_in_force of a change, and can_serve, witnesses and draining VMs of the status.

Conclusion: covered over real sockets with a keeper double; TLS was not run.

--- a/src/coordination/config/config-keeper.ts
+++ b/src/coordination/config/config-keeper.ts
@@ -61,7 +61,7 @@
 
   async function writeChange (request: ChangeRequest): Promise<Result<FleetConfig, WriteError>> {
     // A stored version that can not be settled would end the service of all nodes with the lease.
-    if (!await quorum.canSettle()) {
+    if (request.isWithoutWitnesses !== true && !await quorum.canSettle()) {
       return failure({ kind: WriteErrorKind.Unavailable, reason: 'too few witnesses of the configuration answer' })
     }
     const written = await writer.change(request)
--- a/src/coordination/config/config-writer.ts
+++ b/src/coordination/config/config-writer.ts
@@ -15,6 +15,8 @@
   readonly expectedVersion: number
   /** Operator as `partner/name`, or the node. */
   readonly changedBy: string
+  /** Set when the change names new witnesses because the present ones are gone. */
+  readonly isWithoutWitnesses?: boolean
 }
 
 export enum WriteErrorKind {
--- /dev/null
+++ b/src/coordination/operators/operator-status.ts
@@ -0,0 +1,51 @@
+import type { GetStatusResponse, GroupStatus, NodeStatus } from '../../protocol/generated/egretpaddle/operator/v1/operator.js'
+import type { ConfigKeeper } from '../config/config-keeper.js'
+import type { MembershipView } from '../ports/membership-view.js'
+
+/** What the answering node knows about the groups of the fleet. */
+export interface FleetGroups {
+  readonly groups: readonly GroupStatus[]
+  /** Accelerators of live VMs that serve no complete group. */
+  readonly strandedAcceleratorCount: number
+  readonly acceleratorCount: number
+}
+
+/** Gives the operators' service the state of the groups. */
+export interface FleetStatusSource {
+  getGroups (): FleetGroups
+}
+
+export interface OperatorStatusOptions {
+  readonly keeper: Pick<ConfigKeeper, 'getConfig' | 'getStatus' | 'getFreshness'>
+  readonly membership: MembershipView
+  readonly statusSource: FleetStatusSource
+}
+
+/** Describes the fleet as the answering node sees it. */
+export function describeFleet ({ keeper, membership, statusSource }: OperatorStatusOptions): GetStatusResponse {
+  const config = keeper.getConfig()
+  const status = keeper.getStatus()
+  const { groups, strandedAcceleratorCount, acceleratorCount } = statusSource.getGroups()
+  return {
+    configVersion: status.versionInUse,
+    configConfirmedAgeMs: status.confirmedAgeMs,
+    isStoreReachable: !status.isStoreUnreachable,
+    nodes: listNodes(membership),
+    groups: [...groups],
+    strandedAcceleratorCount,
+    acceleratorCount,
+    canServe: keeper.getFreshness().canServe,
+    witnessNodeIds: [...config?.witnesses ?? []],
+    drainingVmIds: [...config?.drainingVmIds ?? []]
+  }
+}
+
+function listNodes (membership: MembershipView): NodeStatus[] {
+  const liveIds = new Set(membership.getLiveNodes().map(node => node.nodeId))
+  return membership.getKnownNodes().map(node => ({
+    nodeId: node.nodeId,
+    availabilityZone: node.availabilityZone,
+    partner: node.partner,
+    status: liveIds.has(node.nodeId) ? 'live' : 'missing'
+  }))
+}
--- a/src/state/witness-plan.ts
+++ b/src/state/witness-plan.ts
@@ -37,6 +37,11 @@
   return { ...config, witnesses: chosen, formerWitnesses: current }
 }
 
+/** Names witnesses among the candidates without the agreement of the present ones. */
+export function replaceWitnesses (config: FleetConfig, candidates: readonly WitnessCandidate[]): FleetConfig {
+  return { ...config, witnesses: chooseWitnesses([], candidates), formerWitnesses: [] }
+}
+
 /** Keeps live witnesses, fills up from the zones in turn, and returns an odd number of them. */
 function chooseWitnesses (current: readonly string[], candidates: readonly WitnessCandidate[]): string[] {
   const wantedCount = Math.min(maxWitnessCount, candidates.length - (candidates.length + 1) % 2)
--- /dev/null
+++ b/src/transport/operator-grpc-server.ts
@@ -0,0 +1,128 @@
+import { Server, ServerCredentials, status, type Metadata, type sendUnaryData, type ServerUnaryCall, type ServerWritableStream } from '@grpc/grpc-js'
+import { type Stream } from 'most'
+
+import { OperatorErrorKind, type OperatorError } from '../coordination/operators/operator-error.js'
+import type { OperatorIdentity } from '../coordination/operators/operator-identity.js'
+import type { OperatorService } from '../coordination/operators/operator-service.js'
+import {
+  OperatorServiceService,
+  type GetStatusRequest,
+  type GetStatusResponse,
+  type OperatorServiceServer
+} from '../protocol/generated/egretpaddle/operator/v1/operator.js'
+import { failure, type Result } from '../shared/result.js'
+
+/** Certificate and key of the server, as PEM. */
+export interface OperatorTls {
+  readonly certificate: Buffer
+  readonly key: Buffer
+}
+
+export interface OperatorGrpcServerOptions {
+  readonly host: string
+  readonly port: number
+  /** Without it the server speaks plain text, which is refused off loopback unless `allowsPlainText` is set. */
+  readonly tls?: OperatorTls
+  readonly allowsPlainText?: boolean
+  readonly service: OperatorService
+  describeFleet (): GetStatusResponse
+  /** Emits whenever the status may have changed. */
+  readonly statusChanges: Stream<unknown>
+}
+
+/** The server of the operators' interface. */
+export interface OperatorGrpcServer {
+  /** Resolves with the port once the server listens. */
+  listen (): Promise<number>
+  close (): void
+}
+
+const loopbackHosts = ['127.0.0.1', '::1', 'localhost']
+const bearerPrefix = 'Bearer '
+const maxMessageBytes = 2_097_152
+
+const statusOfError = {
+  [OperatorErrorKind.Unauthenticated]: status.UNAUTHENTICATED,
+  [OperatorErrorKind.NotAllowed]: status.PERMISSION_DENIED,
+  [OperatorErrorKind.Invalid]: status.INVALID_ARGUMENT,
+  [OperatorErrorKind.NotPossible]: status.FAILED_PRECONDITION,
+  [OperatorErrorKind.Conflict]: status.ABORTED,
+  [OperatorErrorKind.Unavailable]: status.UNAVAILABLE,
+  [OperatorErrorKind.OutcomeUnknown]: status.UNKNOWN
+}
+
+/** Creates the server; it does not listen yet. */
+export function createOperatorGrpcServer (options: OperatorGrpcServerOptions): OperatorGrpcServer {
+  const { service } = options
+  const server = new Server({ 'grpc.max_receive_message_length': maxMessageBytes })
+
+  function authenticate (metadata: Metadata): Result<OperatorIdentity, OperatorError> {
+    const header = String(metadata.get('authorization')[0] ?? '')
+    if (header.startsWith(bearerPrefix)) return service.authenticate(header.slice(bearerPrefix.length))
+    return failure({ kind: OperatorErrorKind.Unauthenticated, message: 'metadata "authorization: Bearer <secret>" is missing' })
+  }
+
+  function answer<Request, Response> (handler: (operator: OperatorIdentity, request: Request) => Result<Response, OperatorError> | Promise<Result<Response, OperatorError>>) {
+    return async (call: ServerUnaryCall<Request, Response>, callback: sendUnaryData<Response>) => {
+      const operator = authenticate(call.metadata)
+      const outcome = operator.isOk ? await handler(operator.value, call.request) : operator
+      if (outcome.isOk) callback(null, outcome.value)
+      else callback(toStatus(outcome.error))
+    }
+  }
+
+  function watchStatus (call: ServerWritableStream<GetStatusRequest, GetStatusResponse>): void {
+    const operator = authenticate(call.metadata)
+    if (!operator.isOk) {
+      call.destroy(Object.assign(new Error(operator.error.message), toStatus(operator.error)))
+      return
+    }
+    call.write(options.describeFleet())
+    const subscription = options.statusChanges.subscribe({
+      next: () => { call.write(options.describeFleet()) },
+      error: () => call.end(),
+      complete: () => call.end()
+    })
+    call.on('cancelled', () => subscription.unsubscribe())
+  }
+
+  const implementation: OperatorServiceServer = {
+    getConfig: answer(operator => service.getConfig(operator)),
+    getSplit: answer(() => service.getSplit()),
+    apply: answer(service.apply),
+    proposeSplit: answer(service.proposeSplit),
+    acceptSplit: answer((operator, request) => service.acceptSplit(operator, request.expectedVersion)),
+    setDrain: answer(service.setDrain),
+    replaceWitnesses: answer(service.replaceWitnesses),
+    getStatus: answer(() => ({ isOk: true, value: options.describeFleet() })),
+    watchStatus
+  }
+  server.addService(OperatorServiceService, implementation)
+
+  return {
+    listen () {
+      return new Promise((resolve, reject) => {
+        const credentials = createCredentials(options)
+        if (credentials === undefined) {
+          reject(new Error(`operators' interface on "${options.host}" needs TLS, a loopback host, or plain text allowed by a setting`))
+          return
+        }
+        server.bindAsync(`${options.host}:${options.port}`, credentials, (error, port) => {
+          if (error === null) resolve(port)
+          else reject(error)
+        })
+      })
+    },
+    close: () => server.forceShutdown()
+  }
+}
+
+function createCredentials ({ host, tls, allowsPlainText }: OperatorGrpcServerOptions): ServerCredentials | undefined {
+  if (tls !== undefined) return ServerCredentials.createSsl(null, [{ cert_chain: tls.certificate, private_key: tls.key }])
+  const isPlainTextAllowed = loopbackHosts.includes(host) || allowsPlainText === true
+  return isPlainTextAllowed ? ServerCredentials.createInsecure() : undefined
+}
+
+function toStatus (error: OperatorError): { code: status, details: string } {
+  return { code: statusOfError[error.kind], details: error.message }
+}
