Measure groups and remember the owners of domains

Cause: no figures yet for the re-forming policies, spares, quotas and the cost of owning domains. The slopes showed the worst one at once: finding the owned ones of 194 domains among 2,200 nodes ranked every node for every domain, at each probe, plan and poll.

Ruled out: ranking over fewer nodes alone, which still repeats the work at each call.

Owners are ranked anew only when the list of VMs or the live nodes change, and over the domain's own availability zone first.

--- a/src/bench/index.ts
+++ b/src/bench/index.ts
@@ -1,9 +1,13 @@
 import type { Benchmark } from './benchmark.js'
 import { runPathBenchmark } from './path.js'
+import { runGroupsBenchmark } from './groups-benchmark.js'
+import { runGroupSlopesBenchmark } from './groups-slopes.js'
 import { runOrdersBenchmark } from './orders-benchmark.js'
 
 /** The benchmarks that the command can run, by name. */
 export const benchmarks: Record<string, Benchmark> = {
   path: runPathBenchmark,
+  'group-slopes': runGroupSlopesBenchmark,
+  groups: runGroupsBenchmark,
   orders: runOrdersBenchmark
 }
--- a/src/coordination/groups/domain-ownership.ts
+++ b/src/coordination/groups/domain-ownership.ts
@@ -22,9 +22,10 @@
  * Nodes of the domain's availability zone come first.
  */
 export function rankDomainOwners (fabricDomain: string, availabilityZone: string, nodes: readonly EntryNode[]): EntryNode[] {
-  const ranked = rankByRendezvous(`domain/${fabricDomain}`, nodes, node => node.nodeId)
-  const near = ranked.filter(node => node.availabilityZone === availabilityZone)
-  const far = ranked.filter(node => node.availabilityZone !== availabilityZone)
+  const rank = (candidates: readonly EntryNode[]) => rankByRendezvous(`domain/${fabricDomain}`, candidates, node => node.nodeId)
+  const near = rank(nodes.filter(node => node.availabilityZone === availabilityZone))
+  if (near.length >= ownerCount) return near.slice(0, ownerCount)
+  const far = rank(nodes.filter(node => node.availabilityZone !== availabilityZone))
   return [...near, ...far].slice(0, ownerCount)
 }
 
@@ -58,3 +59,52 @@
     return domains
   }
 }
+
+/** Finds owners; ranks anew only when the list of VMs or the live nodes have changed. */
+export interface OwnerLookup {
+  ownersOf (domain: ListedDomain): readonly EntryNode[]
+  /** Domains that the node owns, as first or second. */
+  getOwnedDomains (nodeId: string): readonly ListedDomain[]
+  /** Domains that the node owns first, and so plans. */
+  getPlannedDomains (nodeId: string): readonly ListedDomain[]
+}
+
+/** Creates a lookup over the listed domains and the live nodes. */
+export function createOwnerLookup (getDomains: () => readonly ListedDomain[], getLiveNodes: () => readonly EntryNode[]): OwnerLookup {
+  let rankedDomains: readonly ListedDomain[] | undefined
+  let rankedNodes: readonly EntryNode[] = []
+  let ownersByDomain = new Map<string, readonly EntryNode[]>()
+
+  function getOwners (): ReadonlyMap<string, readonly EntryNode[]> {
+    const domains = getDomains()
+    const nodes = getLiveNodes()
+    if (domains !== rankedDomains || !areSameNodes(nodes, rankedNodes)) {
+      ownersByDomain = new Map(domains.map(({ fabricDomain, availabilityZone }) => {
+        return [fabricDomain, rankDomainOwners(fabricDomain, availabilityZone, nodes)]
+      }))
+      rankedDomains = domains
+      rankedNodes = nodes
+    }
+    return ownersByDomain
+  }
+
+  return {
+    ownersOf: domain => getOwners().get(domain.fabricDomain) ?? [],
+    getOwnedDomains (nodeId) {
+      const owners = getOwners()
+      return getDomains().filter(domain => owners.get(domain.fabricDomain)?.some(node => node.nodeId === nodeId))
+    },
+    getPlannedDomains (nodeId) {
+      const owners = getOwners()
+      return getDomains().filter(domain => owners.get(domain.fabricDomain)?.[0]?.nodeId === nodeId)
+    }
+  }
+}
+
+function areSameNodes (left: readonly EntryNode[], right: readonly EntryNode[]): boolean {
+  if (left === right) return true
+  return left.length === right.length && left.every((node, index) => {
+    const other = right[index]
+    return node === other || (node.nodeId === other?.nodeId && node.incarnation === other.incarnation)
+  })
+}
--- a/src/coordination/groups/group-coordinator.ts
+++ b/src/coordination/groups/group-coordinator.ts
@@ -6,7 +6,7 @@
 import type { KeyValueStore } from '../ports/key-value-store.js'
 import type { EntryNode, MembershipView } from '../ports/membership-view.js'
 import { createDomainOwner } from './domain-owner.js'
-import { createDomainLookup, rankDomainOwners, type ListedDomain, type VmListView } from './domain-ownership.js'
+import { createDomainLookup, createOwnerLookup, type ListedDomain, type VmListView } from './domain-ownership.js'
 import { computeQuotas, holdSparesByWeight, type DomainQuota, type SpareRule } from './domain-quota.js'
 import { createDomainRecords } from './domain-records.js'
 import { createEngineProbes, type ProbeTarget } from './engine-probes.js'
@@ -54,6 +54,7 @@
   const records = createDomainRecords(options.store, timers, events)
   const probes = createEngineProbes(options.engineControl, timers, settings)
   const getDomains = createDomainLookup(options.vmList)
+  const owners = createOwnerLookup(getDomains, membership.getLiveNodes)
   const getQuota = createQuotaLookup(getDomains, options.getConfig, options.spareRule ?? holdSparesByWeight)
   const evidence = createEvidenceBook({ timers, records, probes, settings, getOwnedDomains, getConfig: options.getConfig })
   const nextReadAtMs = new Map<string, number>()
@@ -68,16 +69,8 @@
     tokenPrefix: `${membership.self.nodeId}/${membership.self.incarnation}`
   })
 
-  function rankOwners (domain: ListedDomain): EntryNode[] {
-    return rankDomainOwners(domain.fabricDomain, domain.availabilityZone, membership.getLiveNodes())
-  }
-
-  function isSelf (node: EntryNode | undefined): boolean {
-    return node?.nodeId === membership.self.nodeId
-  }
-
   function getOwnedDomains (): readonly ListedDomain[] {
-    return getDomains().filter(domain => rankOwners(domain).some(isSelf))
+    return owners.getOwnedDomains(membership.self.nodeId)
   }
 
   function findTargets (): ProbeTarget[] {
@@ -102,22 +95,22 @@
   function planOwned (): void {
     const config = options.getConfig()
     if (config === undefined) return
-    for (const domain of getDomains()) {
-      if (isSelf(rankOwners(domain)[0])) void owner.plan(domain, config)
+    for (const domain of owners.getPlannedDomains(membership.self.nodeId)) {
+      void owner.plan(domain, config)
     }
   }
 
   function ownersOf (groupId: string): EntryNode[] {
     const fabricDomain = getFabricDomain(groupId)
     const domain = getDomains().find(candidate => candidate.fabricDomain === fabricDomain)
-    return domain === undefined ? [] : rankOwners(domain)
+    return domain === undefined ? [] : [...owners.ownersOf(domain)]
   }
 
   function ownersOfDeployment (name: string): EntryNode[] {
     const deployment = options.getConfig()?.deployments.find(candidate => candidate.name === name)
     const zones = new Set(deployment?.availabilityZones)
-    const owners = getDomains().filter(domain => zones.has(domain.availabilityZone)).flatMap(rankOwners)
-    return [...new Map(owners.map(node => [node.nodeId, node])).values()]
+    const nodes = getDomains().filter(domain => zones.has(domain.availabilityZone)).flatMap(owners.ownersOf)
+    return [...new Map(nodes.map(node => [node.nodeId, node])).values()]
   }
 
   /** Begins at a random moment, so that nodes which start together do not probe together. */
--- a/src/fuzz/groups-commands.ts
+++ b/src/fuzz/groups-commands.ts
@@ -2,7 +2,7 @@
 
 import { VmLifecycle } from '../coordination/ports/vm-list.js'
 import { createListedVm } from '../testing/group-samples.js'
-import type { GroupsOracle } from './groups-oracle.js'
+import { LeavingCause, type GroupsOracle } from './groups-oracle.js'
 import { vmCountPerDomain, type GroupsWorld, type WorldNode } from './groups-world.js'
 
 type GroupsCommand = fc.AsyncCommand<GroupsOracle, GroupsWorld>
@@ -50,7 +50,8 @@
   const isListedLive = world.vms.get(vmId)?.lifecycle === VmLifecycle.Live
   if (engine === undefined || (engine.isAlive() && isListedLive && !engine.getState().isLeaving)) return
   const zone = vmId.charAt('vm-'.length)
-  if (!world.config.drainingVmIds.includes(vmId)) oracle.noteLeaving(vmId, undefined)
+  oracle.clearLeaving(vmId, LeavingCause.Engine)
+  oracle.clearLeaving(vmId, LeavingCause.PlatformList)
   engine.restart()
   world.changeVm(vmId, createListedVm(vmId, `domain-${zone}`, `zone-${zone}`))
 }
@@ -78,8 +79,8 @@
 }
 
 /** Notes when the last node learns a change that is published now. */
-function noteLeavingAfterLag (vmId: string, world: GroupsWorld, oracle: GroupsOracle): void {
-  oracle.noteLeaving(vmId, world.timers.nowMs() + 2 * world.vmListLagMs)
+function noteLeavingAfterLag (vmId: string, cause: LeavingCause, world: GroupsWorld, oracle: GroupsOracle): void {
+  oracle.noteLeaving(vmId, cause, world.timers.nowMs() + 2 * world.vmListLagMs)
 }
 
 const advance = fc.integer({ min: 100, max: 9000 }).map(spanMs => {
@@ -94,24 +95,24 @@
   withVm('loseVm', (vmId, world, oracle) => {
     world.engines.get(vmId)?.kill()
     world.changeVm(vmId, undefined)
-    noteLeavingAfterLag(vmId, world, oracle)
+    noteLeavingAfterLag(vmId, LeavingCause.PlatformList, world, oracle)
   }),
   withVm('leaveByEngine', (vmId, world, oracle) => {
     world.engines.get(vmId)?.setLeaving(true)
-    oracle.noteLeaving(vmId, world.timers.nowMs())
+    oracle.noteLeaving(vmId, LeavingCause.Engine, world.timers.nowMs())
   }),
   withVm('leaveByList', (vmId, world, oracle) => {
     const vm = world.vms.get(vmId)
     if (vm === undefined) return
     world.changeVm(vmId, { ...vm, lifecycle: VmLifecycle.Leaving })
-    noteLeavingAfterLag(vmId, world, oracle)
+    noteLeavingAfterLag(vmId, LeavingCause.PlatformList, world, oracle)
   }),
   withVm('drainVm', (vmId, world, oracle) => {
     world.changeConfig({ ...world.config, version: world.config.version + 1, drainingVmIds: [vmId] })
     for (const other of vmIds) {
-      if (other !== vmId && world.vms.get(other)?.lifecycle === VmLifecycle.Live) oracle.noteLeaving(other, undefined)
+      if (other !== vmId) oracle.clearLeaving(other, LeavingCause.Operator)
     }
-    noteLeavingAfterLag(vmId, world, oracle)
+    noteLeavingAfterLag(vmId, LeavingCause.Operator, world, oracle)
   }),
   withVm('startStream', (vmId, world) => world.engines.get(vmId)?.setActiveStreamCount(1)),
   withVm('endStreams', (vmId, world) => world.engines.get(vmId)?.setActiveStreamCount(0)),
--- a/src/fuzz/groups-oracle.ts
+++ b/src/fuzz/groups-oracle.ts
@@ -7,6 +7,13 @@
   readonly epoch: number
 }
 
+/** Who says that a VM leaves. */
+export enum LeavingCause {
+  Engine = 'engine',
+  PlatformList = 'platformList',
+  Operator = 'operator'
+}
+
 /** Greatest time between a member's loss and the last hand-over to its group. */
 export const handOverBoundMs = fuzzGroupSettings.evidenceMaxAgeMs
 /** Greatest time between the moment at which all nodes know that a VM leaves and the last hand-over to its group. */
@@ -18,8 +25,10 @@
   check (world: GroupsWorld): void
   /** Checks one hand-over that a router makes now. */
   checkHandOver (world: GroupsWorld, group: OpenGroup): void
-  /** Notes that every node knows now that the VM is to get no new work; undefined takes it back. */
-  noteLeaving (vmId: string, knownAtMs: number | undefined): void
+  /** Notes when every node knows that the VM is to get no new work. */
+  noteLeaving (vmId: string, cause: LeavingCause, knownAtMs: number): void
+  /** Takes a cause back. */
+  clearLeaving (vmId: string, cause: LeavingCause): void
   /** Checks that the wanted groups serve; faults have ended a bounded time ago. */
   checkRecovered (world: GroupsWorld): void
   readonly counts: { handOverCount: number, checkCount: number }
@@ -75,7 +84,7 @@
       if (nowMs - servedUntilMs > handOverBoundMs) {
         throw new Error(`group "${group.groupId}" took a request ${nowMs - servedUntilMs} ms after member "${vmId}" served its epoch ${group.epoch}`)
       }
-      const knownAtMs = leavingKnownAtMs.get(vmId) ?? Infinity
+      const knownAtMs = Math.min(...Object.values(LeavingCause).map(cause => leavingKnownAtMs.get(`${vmId}/${cause}`) ?? Infinity))
       if (nowMs - knownAtMs > leavingBoundMs) {
         throw new Error(`group "${group.groupId}" took a request ${nowMs - knownAtMs} ms after member "${vmId}" was known to leave`)
       }
@@ -122,9 +131,12 @@
     check,
     checkHandOver,
     checkRecovered,
-    noteLeaving (vmId, knownAtMs) {
-      if (knownAtMs === undefined) leavingKnownAtMs.delete(vmId)
-      else if (!leavingKnownAtMs.has(vmId)) leavingKnownAtMs.set(vmId, knownAtMs)
+    noteLeaving (vmId, cause, knownAtMs) {
+      const key = `${vmId}/${cause}`
+      if (!leavingKnownAtMs.has(key)) leavingKnownAtMs.set(key, knownAtMs)
+    },
+    clearLeaving (vmId, cause) {
+      leavingKnownAtMs.delete(`${vmId}/${cause}`)
     }
   }
 }
