Spread membership news faster and measure membership by fleet size

Change: while there are changes to pass on, one more message every 300 ms (`KIND_NEWS`, not answered); suspicion 3 periods times log10 N, no longer rounded up. The member table keeps its order instead of sorting after each change.

--- a/src/bench/index.ts
+++ b/src/bench/index.ts
@@ -2,6 +2,7 @@
 import { runPathBenchmark } from './path.js'
 import { runGroupsBenchmark } from './groups-benchmark.js'
 import { runGroupSlopesBenchmark } from './groups-slopes.js'
+import { runMembershipBenchmark } from './membership-benchmark.js'
 import { runOrdersBenchmark } from './orders-benchmark.js'
 
 /** The benchmarks that the command can run, by name. */
@@ -9,5 +10,6 @@
   path: runPathBenchmark,
   'group-slopes': runGroupSlopesBenchmark,
   groups: runGroupsBenchmark,
+  membership: runMembershipBenchmark,
   orders: runOrdersBenchmark
 }
--- a/src/coordination/membership/member-table.ts
+++ b/src/coordination/membership/member-table.ts
@@ -35,13 +35,24 @@
   const liveIdsByAddress = new Map<string, string>()
   const suspectIds = new Set<string>()
   const deadIds = new Set<string>()
+  /** All members by id, kept in order so that a change costs no sort. */
+  const ordered: Member[] = []
   let liveDigest = 0
-  let ordered: readonly Member[] | undefined
   let liveNodes: readonly EntryNode[] | undefined
 
-  function getOrdered (): readonly Member[] {
-    ordered ??= [...members.values()].sort((left, right) => left.node.nodeId < right.node.nodeId ? -1 : 1)
-    return ordered
+  /** Returns the position of a node id in the order, or where it would have to be. */
+  function findPosition (nodeId: string): number {
+    let low = 0
+    let high = ordered.length
+    while (low < high) {
+      const middle = (low + high) >>> 1
+      if ((ordered[middle] as Member).node.nodeId < nodeId) {
+        low = middle + 1
+      } else {
+        high = middle
+      }
+    }
+    return low
   }
 
   function unindex (member: Member | undefined): void {
@@ -68,7 +79,7 @@
     unindex(known)
     index(member)
     members.set(member.node.nodeId, member)
-    ordered = undefined
+    ordered.splice(findPosition(member.node.nodeId), known === undefined ? 0 : 1, member)
     const isSameLive = known !== undefined && known.node === member.node && isLiveStatus(known.status) === isLiveStatus(member.status)
     if (!isSameLive) liveNodes = undefined
   }
@@ -98,11 +109,11 @@
       return true
     },
     getLiveNodes () {
-      liveNodes ??= getOrdered().filter(member => isLiveStatus(member.status)).map(member => member.node)
+      liveNodes ??= ordered.filter(member => isLiveStatus(member.status)).map(member => member.node)
       return liveNodes
     },
-    getKnownNodes: () => getOrdered().filter(member => member.status !== MemberStatus.Left).map(member => member.node),
-    getMembers: getOrdered,
+    getKnownNodes: () => ordered.filter(member => member.status !== MemberStatus.Left).map(member => member.node),
+    getMembers: () => ordered,
     getSuspects: () => getAll(suspectIds),
     getDead: () => getAll(deadIds),
     getLiveDigest: () => liveDigest >>> 0,
@@ -113,7 +124,7 @@
         if (atMs - member.sinceMs < retentionMs) continue
         unindex(member)
         members.delete(member.node.nodeId)
-        ordered = undefined
+        ordered.splice(findPosition(member.node.nodeId), 1)
       }
     }
   }
--- a/src/coordination/membership/membership-core.ts
+++ b/src/coordination/membership/membership-core.ts
@@ -41,6 +41,7 @@
   let sequence = 0
   let lastTickMs: number | undefined
   let nextPruneMs = startMs + pruneIntervalMs
+  let nextNewsMs = startMs
   let isTrusted = false
   let hasLeft = false
   let shownLiveNodes = table.getLiveNodes()
@@ -151,11 +152,20 @@
     if (gapMs > settings.maxTickGapMs) wake(nowMs)
     detector.onTick(nowMs)
     sync.onTick(nowMs)
+    spreadNews(nowMs)
     if (nowMs < nextPruneMs) return
     nextPruneMs = nowMs + pruneIntervalMs
     table.prune(nowMs)
   }
 
+  /** Passes changes on faster than probes do; costs nothing while there are none. */
+  function spreadNews (nowMs: number): void {
+    if (nowMs < nextNewsMs || queue.isEmpty()) return
+    nextNewsMs = nowMs + settings.newsIntervalMs
+    const peer = random.pick(table.getLiveNodes())
+    if (peer !== undefined && peer.nodeId !== selfId) sender.send(MessageKind.KIND_NEWS, peer.gossipAddress, nextSequence())
+  }
+
   function wake (nowMs: number): void {
     setTrusted(false)
     detector.onWake(nowMs)
--- a/src/coordination/membership/membership-settings.ts
+++ b/src/coordination/membership/membership-settings.ts
@@ -4,6 +4,8 @@
   readonly periodMs: number
   /** Time between two looks at what is due. */
   readonly tickMs: number
+  /** Time between two messages that only pass changes on, while there are any. */
+  readonly newsIntervalMs: number
   /** Time to wait for a direct answer before other nodes are asked to probe. */
   readonly ackTimeoutMs: number
   /** Number of nodes that are asked to probe a silent node. */
@@ -35,9 +37,10 @@
 export const defaultMembershipSettings: MembershipSettings = {
   periodMs: 1_000,
   tickMs: 100,
+  newsIntervalMs: 300,
   ackTimeoutMs: 400,
   indirectProbeCount: 3,
-  suspicionPeriodCount: 4,
+  suspicionPeriodCount: 3,
   retransmitCount: 4,
   maxUpdateBytes: 900,
   maxTickGapMs: 2_000,
@@ -50,7 +53,7 @@
   leaveFanOutCount: 5
 }
 
-/** Scales a count with the number of nodes: one for each begun power of ten, at least one. */
+/** Scales a count with the logarithm of the number of nodes, in which the time to reach them all grows. */
 export function scaleWithNodes (count: number, nodeCount: number): number {
-  return count * Math.max(1, Math.ceil(Math.log10(nodeCount + 1)))
+  return count * Math.max(1, Math.log10(nodeCount + 1))
 }
--- a/src/coordination/membership/update-queue.ts
+++ b/src/coordination/membership/update-queue.ts
@@ -11,6 +11,7 @@
 export interface UpdateQueue {
   /** Queues a change, in place of an older one about the same node. */
   add (update: MemberUpdate): void
+  isEmpty (): boolean
   /** Takes the changes sent least often, within the byte budget. */
   take (maxBytes: number, maxSentCount: number): NodeUpdate[]
 }
@@ -33,6 +34,7 @@
       queued.delete(wire.nodeId)
       queued.set(wire.nodeId, { wire, bytes: getUpdateBytes(wire), sentCount: 0 })
     },
+    isEmpty: () => queued.size === 0,
     take (maxBytes, maxSentCount) {
       if (queued.size === 0) return []
       const taken: NodeUpdate[] = []
--- a/src/fuzz/membership-fuzz.ts
+++ b/src/fuzz/membership-fuzz.ts
@@ -6,6 +6,7 @@
 type MembershipCommand = fc.AsyncCommand<object, MembershipWorld>
 
 const maxAdvanceMs = 25_000
+const longCutMs = 15_000
 const startedNodeCount = 3
 
 const nodeArbitrary = fc.nat({ max: membershipNodeCount - 1 })
@@ -33,6 +34,13 @@
     }))
 }
 
+/** A cut between two nodes that lasts for longer than a suspicion. */
+const longCutArbitrary = fc.tuple(nodeArbitrary, nodeArbitrary).map(([from, to]) =>
+  createCommand(`longCut(${from}, ${to})`, async world => {
+    world.cut(from, to)
+    await world.timers.advanceAsync(longCutMs)
+  }))
+
 const advanceArbitrary = fc.oneof(fc.integer({ min: 1, max: 1_000 }), fc.integer({ min: 1_000, max: maxAdvanceMs })).map(spanMs =>
   createCommand(`advance(${spanMs})`, world => world.timers.advanceAsync(spanMs)))
 
@@ -53,7 +61,7 @@
     commands: [
       advanceArbitrary, advanceArbitrary, createNodeCommand('start'), createNodeCommand('start'), createNodeCommand('kill'),
       createNodeCommand('leave'), createNodeCommand('pause'), createNodeCommand('resume'), createPairCommand('cut'),
-      createPairCommand('heal'), isolateArbitrary, healAllArbitrary, lossArbitrary, storeOutArbitrary
+      createPairCommand('heal'), longCutArbitrary, isolateArbitrary, healAllArbitrary, lossArbitrary, storeOutArbitrary
     ],
     setup (systemSeed) {
       const world = createMembershipWorld(systemSeed, breakParts)
