Replace a member at once when its port is closed

Cause: the weighted policy gave every loss the same 3 s of grace. Without pauses it was worse than the baseline 'rebuild at once'.

Change: a closed port, or a member that left, proves that the member cannot go on; only silence waits. The setting reformGraceMs, which nothing read, is gone; the grace is one of the policy's times.

--- a/src/coordination/groups/group-settings.ts
+++ b/src/coordination/groups/group-settings.ts
@@ -15,8 +15,6 @@
   readonly orderTimeoutMs: number
   /** Time before an order without effect is repeated. */
   readonly orderRetryMs: number
-  /** Time that a member must be missing before its group is re-formed. */
-  readonly reformGraceMs: number
   /** Time that a domain must be over its quota before a group is retired. */
   readonly surplusGraceMs: number
   /** Time that a group with a leaving member may take to end its streams. */
@@ -37,7 +35,6 @@
   clockDriftMs: 100,
   orderTimeoutMs: 1000,
   orderRetryMs: 2000,
-  reformGraceMs: 3000,
   surplusGraceMs: 120_000,
   drainTimeoutMs: 60_000,
   maxLoadingGroupCount: 2,
--- a/src/coordination/groups/planner.ts
+++ b/src/coordination/groups/planner.ts
@@ -98,7 +98,11 @@
   const lost = situation.conditions.filter(condition => isLost(condition) || (condition.isLeaving && mayReplaceLeaving))
   if (lost.length === 0) return
   const broken = describeBrokenGroup(input, draft, situation, deployment, lost.length)
-  const decision = input.policy.decide({ ...broken, isGoneForGood: lost.some(condition => condition.isLeaving) })
+  const decision = input.policy.decide({
+    ...broken,
+    isGoneForGood: lost.some(condition => condition.isLeaving),
+    isProvenDown: lost.every(condition => condition.isLeaving || condition.observation?.isUnreachable === true)
+  })
   if (decision === ReformingDecision.Dissolve) remove(input, draft, group)
   if (decision !== ReformingDecision.Replace) return
   const lostVmIds = new Set(lost.map(condition => condition.member.vmId))
@@ -106,7 +110,7 @@
   if (members.every(member => member !== undefined)) reform(input, draft, { ...group, members })
 }
 
-function describeBrokenGroup (input: PlannerInput, draft: Draft, situation: GroupSituation, deployment: Deployment, missingCount: number): Omit<BrokenGroup, 'isGoneForGood'> {
+function describeBrokenGroup (input: PlannerInput, draft: Draft, situation: GroupSituation, deployment: Deployment, missingCount: number): Omit<BrokenGroup, 'isGoneForGood' | 'isProvenDown'> {
   const partner = input.config.partners.find(candidate => candidate.name === deployment.partner)
   const memberCount = situation.group.members.length
   return {
--- /dev/null
+++ b/src/coordination/groups/reforming-policy.test.ts
@@ -0,0 +1,46 @@
+import { expect } from 'chai'
+
+import { RebuildAtOnce, ReformingDecision, WaitForReturn, WeightedReforming, type BrokenGroup } from './reforming-policy.js'
+
+const silent: BrokenGroup = {
+  missingCount: 1,
+  memberCount: 4,
+  missingForMs: 1000,
+  isGoneForGood: false,
+  isProvenDown: false,
+  acceleratorsPerVm: 8,
+  spareCount: 1,
+  mendableGroupCount: 0,
+  weights: { groupDowntimeWeight: 20, strandedAcceleratorWeight: 1 }
+}
+
+describe('re-forming policy', () => {
+  describe('weighted', () => {
+    const policy = new WeightedReforming()
+
+    it('waits for a member that has just gone silent', () => {
+      expect(policy.decide(silent)).to.equal(ReformingDecision.Wait)
+    })
+
+    it('replaces a member that stays silent', () => {
+      expect(policy.decide({ ...silent, missingForMs: 10_000 })).to.equal(ReformingDecision.Replace)
+    })
+
+    it('replaces a member at once on which nothing listens', () => {
+      expect(policy.decide({ ...silent, isProvenDown: true })).to.equal(ReformingDecision.Replace)
+    })
+
+    it('waits without a spare, unless another group can be mended', () => {
+      const long = { ...silent, missingForMs: 10_000, spareCount: 0 }
+      expect(policy.decide(long)).to.equal(ReformingDecision.Wait)
+      expect(policy.decide({ ...long, mendableGroupCount: 1 })).to.equal(ReformingDecision.Dissolve)
+    })
+  })
+
+  describe('baselines', () => {
+    it('differ on a silent member', () => {
+      expect(new RebuildAtOnce().decide(silent)).to.equal(ReformingDecision.Replace)
+      expect(new WaitForReturn().decide({ ...silent, missingForMs: 100_000 })).to.equal(ReformingDecision.Wait)
+    })
+  })
+})
--- a/src/coordination/groups/reforming-policy.ts
+++ b/src/coordination/groups/reforming-policy.ts
@@ -17,6 +17,8 @@
   readonly missingForMs: number
   /** True when the platform no longer lists one of the missing members, or it leaves. */
   readonly isGoneForGood: boolean
+  /** True when nothing listens on the missing members or they left, so that none of them can go on where it was. */
+  readonly isProvenDown: boolean
   readonly acceleratorsPerVm: number
   /** Healthy VMs of the domain without a group. */
   readonly spareCount: number
@@ -32,7 +34,7 @@
 
 /** Expected times that the weighted policy compares. */
 export interface ReformingTimes {
-  /** Time that a member must be missing before anything is done. */
+  /** Time that a member may be silent before anything is done. */
   readonly graceMs: number
   /** Time to load weights on a spare. */
   readonly loadMs: number
@@ -57,7 +59,7 @@
   constructor (private readonly times: ReformingTimes = defaultReformingTimes) {}
 
   decide (group: BrokenGroup): ReformingDecision {
-    if (group.missingForMs < this.times.graceMs) return ReformingDecision.Wait
+    if (!group.isProvenDown && group.missingForMs < this.times.graceMs) return ReformingDecision.Wait
     const returnMs = this.expectReturnMs(group)
     const survivorCount = group.memberCount - group.missingCount
     const waitCost = this.costOf(group, 1, returnMs + this.times.loadMs, survivorCount)
