Join the entry nodes into one membership; let a burst wait for lent slots

Cause: entry nodes did not know each other. Once they did, their owners shared the credits, and a burst of 12 requests over two nodes with 16 free slots was partly refused as overloaded (process test: gives many callers at once each the answer to its own request). A node estimated the wait from its few first credits and 5 s an answer, and the next poll was up to 500 ms away. Ruled out: larger first credits (they would strand slots at idle nodes), and the slots themselves (16 for 12 streams). Change: gossip socket and membership in the entry node; while slots are free by the last reports the wait counts as that for the next answer; a request that begins to wait makes the node poll its owners at most 100 ms later; a leaving node answers its peers for 1 s more.

--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -30,9 +30,9 @@
   process.exit(0)
 }
 
-const node = createEntryNode(settings.value)
-handleTermination(() => node.stop(), () => node.abort())
 try {
+  const node = await createEntryNode(settings.value)
+  handleTermination(() => node.stop(), () => node.abort())
   const ports = await node.start()
   console.log(`ready on ${settings.value.callers.host}:${ports.callerPort}`)
 } catch (error) {
--- a/src/coordination/admission/admission-lane.ts
+++ b/src/coordination/admission/admission-lane.ts
@@ -32,6 +32,8 @@
   readonly deployment: string
   readonly partner: string
   getTeamWeight (team: string): number
+  /** Called for each request that begins to wait. */
+  onWait? (): void
 }
 
 interface WaitingRequest extends QueuedRequest {
@@ -110,6 +112,8 @@
   function estimateWaitMs (request: AdmissionRequest): number {
     const creditCount = router.countCredits(deployment, partner)
     const aheadCount = queue.countAhead(request.team, request.priority)
+    // The owners lend unused slots with their next answers, long before a stream of this node ends.
+    if (aheadCount < router.countFreeSlots(deployment)) return settings.firstCreditDelayMs
     const creditDelayMs = creditCount === 0 ? settings.firstCreditDelayMs : 0
     return creditDelayMs + (aheadCount + 1) * getMeanSlotMs()
   }
@@ -160,6 +164,7 @@
         }
       }
       queue.push(waiting)
+      dependencies.onWait?.()
       subscriptions.push(timers.subscribeOnce(longestWaitMs, () => waiting.settle(refuse(lapseReason))))
       request.signal?.addEventListener('abort', onAbort, { once: true })
     })
--- a/src/coordination/admission/admission.test.ts
+++ b/src/coordination/admission/admission.test.ts
@@ -72,6 +72,13 @@
     expect(await request('third')).to.equal(undefined)
   })
 
+  it('lets a burst wait while slots are free, although its first credits are few', async () => {
+    const { request } = createFixture(1)
+    await request('first', { deadlineMs: 60_000 })
+    const waiting = await Promise.all(['second', 'third', 'fourth'].map(name => request(name, { deadlineMs: 60_000 })))
+    expect(waiting).to.deep.equal([undefined, undefined, undefined])
+  })
+
   it('refuses at once without a complete group', async () => {
     const { request, groups } = createFixture(1)
     groups.ids = []
--- a/src/coordination/admission/admission.ts
+++ b/src/coordination/admission/admission.ts
@@ -13,6 +13,8 @@
   readonly router: Router
   /** Relative weight of a team among the partner's teams. */
   getTeamWeight (partner: string, team: string): number
+  /** Called for each request that begins to wait for credits. */
+  onWait? (): void
 }
 
 /** Decides for each request whether it starts now, waits a little, or is refused. */
--- a/src/coordination/polling/group-poller.ts
+++ b/src/coordination/polling/group-poller.ts
@@ -17,6 +17,7 @@
   readonly creditHolder: CreditHolder
   readonly demandReport: DemandReport
   readonly pollIntervalMs: number
+  readonly minPollIntervalMs: number
   readonly subsetSettings: GroupSubsetSettings
   getDomains (): readonly ListedDomain[]
   getConfigStatus (): ConfigStatus
@@ -31,6 +32,8 @@
 /** Polls the owners of the groups that this node routes to. */
 export interface GroupPoller {
   start (): void
+  /** Polls earlier than due, for requests that wait for credits; bounded by `minPollIntervalMs`. */
+  pollSoon (): void
   stop (): void
 }
 
@@ -45,6 +48,8 @@
   const knownGroups = new Map<string, KnownGroup[]>()
   const pendingOwners = new Set<string>()
   let subscription: TimerSubscription | undefined
+  let soonSubscription: TimerSubscription | undefined
+  let lastPollAtMs = -Infinity
 
   function selectDomains (): ListedDomain[] {
     const candidates = options.getDomains().map(domain => ({
@@ -110,6 +115,7 @@
   }
 
   function pollAll (): void {
+    lastPollAtMs = timers.nowMs()
     for (const [owner, domains] of groupDomainsByOwner()) void pollOwner(owner, domains)
   }
 
@@ -117,6 +123,17 @@
     start () {
       subscription = timers.subscribeEvery(options.pollIntervalMs, pollAll)
     },
-    stop: () => subscription?.cancel()
+    pollSoon () {
+      if (soonSubscription !== undefined) return
+      const waitMs = Math.max(0, lastPollAtMs + options.minPollIntervalMs - timers.nowMs())
+      soonSubscription = timers.subscribeOnce(waitMs, () => {
+        soonSubscription = undefined
+        pollAll()
+      })
+    },
+    stop () {
+      subscription?.cancel()
+      soonSubscription?.cancel()
+    }
   }
 }
--- a/src/coordination/routing/router.ts
+++ b/src/coordination/routing/router.ts
@@ -58,6 +58,8 @@
   backOff (groupId: string): void
   /** Streams that the partner may have in flight from this node over all groups of the deployment. */
   countCredits (deployment: string, partner: string): number
+  /** Slots over all groups of the deployment that no stream uses, by the last reports and this node's own streams. */
+  countFreeSlots (deployment: string): number
   getInFlightCount (groupId: string, partner: string): number
   /** Partners with streams of this node on the group. */
   getPartnersInFlight (groupId: string): readonly string[]
@@ -98,17 +100,20 @@
     return dependencies.getGroups(deployment).find(group => group.groupId === groupId)
   }
 
-  function toCandidate (group: RoutableGroup, partner: string): RoutingCandidate {
-    const ownCount = ledger.getTotal(group.groupId)
+  function estimateStreamCount (group: RoutableGroup): number {
     const reportedAtMs = group.observedAtMs - settings.reportLagMs
     const reportedCount = group.activeStreamCount + group.queuedStreamCount
     const othersCount = Math.max(0, reportedCount - ledger.getTotalAt(group.groupId, reportedAtMs))
+    return othersCount + ledger.getTotal(group.groupId)
+  }
+
+  function toCandidate (group: RoutableGroup, partner: string): RoutingCandidate {
     const credit = getCredit(group, partner)
     const inFlightCount = ledger.getCount(group.groupId, partner)
     return {
       group,
       isLocal: group.availabilityZone === dependencies.availabilityZone,
-      estimatedStreamCount: othersCount + ownCount,
+      estimatedStreamCount: estimateStreamCount(group),
       freeCreditCount: credit - inFlightCount,
       creditUse: Math.min(1, inFlightCount / Math.max(1, credit))
     }
@@ -144,6 +149,9 @@
     countCredits (deployment, partner) {
       return getFreshGroups(deployment).reduce((sum, group) => sum + getCredit(group, partner), 0)
     },
+    countFreeSlots (deployment) {
+      return getFreshGroups(deployment).reduce((sum, group) => sum + Math.max(0, group.slotCount - estimateStreamCount(group)), 0)
+    },
     getInFlightCount: (groupId, partner) => ledger.getCount(groupId, partner),
     getPartnersInFlight: groupId => ledger.getPartners(groupId),
     getHeldCredit (deployment, groupId, partner) {
--- a/src/entry/entry-node.ts
+++ b/src/entry/entry-node.ts
@@ -6,7 +6,6 @@
 import { createConfigKeeper } from '../coordination/config/config-keeper.js'
 import type { PeerConfigPort } from '../coordination/config/peer-config.js'
 import { defaultGroupSettings } from '../coordination/groups/group-settings.js'
-import { createStaticMembership } from '../coordination/membership/static-membership.js'
 import { createOrderLedger } from '../coordination/orders/order-ledger.js'
 import { defaultOrderSettings } from '../coordination/orders/order-settings.js'
 import type { PeerLink } from '../coordination/ports/peer-link.js'
@@ -20,6 +19,7 @@
 import { createSystemTimerService, delay } from '../shared/timer-service.js'
 import { createPeerRpcClient } from '../transport/peer-rpc-client.js'
 import { createPeerRpcServer } from '../transport/peer-rpc-server.js'
+import { openMembershipPart } from './membership-part.js'
 import { createOwnerPart } from './owner-part.js'
 import { createPlatformClients } from './platform-clients.js'
 import { createRouterPart } from './router-part.js'
@@ -27,6 +27,9 @@
 const peerCallTimeoutMs = 1000
 const millisecondsPerHour = 3_600_000
 
+/** Time for which a leaving node still answers its peers, so that they turn to the other owners. */
+const handOverMs = 1000
+
 /** One entry node: the router for its callers and an owner among its peers. */
 export interface EntryNode {
   /** Resolves with the ports once all servers listen. */
@@ -42,8 +45,8 @@
   readonly peerPort: number
 }
 
-/** Creates an entry node from its settings. */
-export function createEntryNode (settings: EntrySettings): EntryNode {
+/** Creates an entry node from its settings; rejects when its membership address is taken. */
+export async function createEntryNode (settings: EntrySettings): Promise<EntryNode> {
   const timers = createSystemTimerService()
   const random = createRandomSource(createProcessSeed())
   const createLogger = createLoggerFactory(settings.log)
@@ -59,20 +62,20 @@
     evidenceMaxAgeMs: settings.groups.evidenceMaxAgeMs,
     orderLifeMs: settings.groups.engineOrderLifeMs
   }
-  const self = {
-    nodeId: settings.nodeId,
-    incarnation: timers.wallClockMs(),
-    peerAddress: `${settings.peers.host}:${settings.peers.port}`,
-    gossipAddress: `${settings.peers.host}:${settings.peers.gossipPort}`,
-    availabilityZone: settings.availabilityZone,
-    partner: settings.partner
-  }
-  const membership = createStaticMembership(self)
+  const { membership, socket } = await openMembershipPart({
+    settings,
+    sharedSecret: sharedSecret.sharedSecret,
+    store: clients.store,
+    timers,
+    random,
+    getConfigStatus: () => keeper.getStatus()
+  })
+  const { self } = membership.view
   const keeper = createConfigKeeper({
     store: clients.store,
     timers,
     random,
-    membership,
+    membership: membership.view,
     peerConfig: createPeerConfigPort(peerClient),
     settings: { configLeaseMs: settings.configuration.leaseMs, pollIntervalMs: settings.configuration.refreshMs }
   })
@@ -83,7 +86,7 @@
     availabilityZone: settings.availabilityZone,
     refreshMs: settings.platform.vmListRefreshMs
   })
-  const shared = { clients, vms, timers, random, membership, keeper, groupSettings }
+  const shared = { clients, vms, timers, random, membership: membership.view, keeper, groupSettings }
   const ownerPart = createOwnerPart(shared)
   const routerPart = createRouterPart({ ...shared, peerLink: peerClient, settings, answerPoll: ownerPart.answerPoll })
   const orders = createOrderLedger({
@@ -145,6 +148,8 @@
 
   async function start (): Promise<EntryPorts> {
     const peerPort = await peerServer.listen()
+    void membership.peerConfigStatuses.messages.observe(({ node, status }) => keeper.observePeerStatus(node.nodeId, status))
+    membership.start()
     keeper.start()
     await vms.start()
     ownerPart.coordinator.start()
@@ -166,6 +171,8 @@
     routerPart.admission.close()
     await orders.drain()
     await keeper.leave()
+    membership.leave()
+    await delay(timers, handOverMs)
     await closeParts()
     log.info('The node has ended.')
   }
@@ -176,6 +183,7 @@
     ownerPart.coordinator.stop()
     keeper.stop()
     vms.stop()
+    await socket.close()
     peerServer.close()
     peerClient.close()
     await clients.close()
--- /dev/null
+++ b/src/entry/membership-part.ts
@@ -0,0 +1,56 @@
+import { createMembership, type Membership } from '../coordination/membership/membership.js'
+import { defaultMembershipSettings } from '../coordination/membership/membership-settings.js'
+import { createNodeDirectory } from '../coordination/membership/node-directory.js'
+import type { EntryNode } from '../coordination/ports/membership-view.js'
+import type { KeyValueStore } from '../coordination/ports/key-value-store.js'
+import type { ConfigStatus } from '../protocol/generated/egretpaddle/peer/v1/peer.js'
+import type { EntrySettings } from '../settings/entry-settings.js'
+import type { RandomSource } from '../shared/random-source.js'
+import type { TimerService } from '../shared/timer-service.js'
+import { openGossipSocket, type GossipSocket } from '../transport/gossip-udp.js'
+
+export interface MembershipPartOptions {
+  readonly settings: EntrySettings
+  readonly sharedSecret: string | undefined
+  readonly store: KeyValueStore
+  readonly timers: TimerService
+  readonly random: RandomSource
+  getConfigStatus (): ConfigStatus
+}
+
+/** What a node does to know its peers. */
+export interface MembershipPart {
+  readonly membership: Membership
+  readonly socket: GossipSocket
+}
+
+/** Opens the membership socket of an entry node; rejects when its address is taken. */
+export async function openMembershipPart (options: MembershipPartOptions): Promise<MembershipPart> {
+  const { settings, sharedSecret, store, timers, random } = options
+  const opened = await openGossipSocket({
+    host: settings.peers.host,
+    port: settings.peers.gossipPort,
+    ...(sharedSecret === undefined ? {} : { secret: sharedSecret })
+  })
+  if (!opened.isOk) throw new Error(`membership socket was not opened: ${opened.error.reason}`)
+  const socket = opened.value
+  const self: EntryNode = {
+    nodeId: settings.nodeId,
+    incarnation: timers.wallClockMs(),
+    peerAddress: `${settings.peers.host}:${settings.peers.port}`,
+    gossipAddress: socket.address,
+    availabilityZone: settings.availabilityZone,
+    partner: settings.partner
+  }
+  const membership = createMembership({
+    self,
+    timers,
+    random,
+    link: socket.link,
+    seeds: settings.peers.seeds,
+    directory: createNodeDirectory(store, timers, random),
+    settings: defaultMembershipSettings,
+    getConfigStatus: options.getConfigStatus
+  })
+  return { membership, socket }
+}
--- a/src/entry/router-part.ts
+++ b/src/entry/router-part.ts
@@ -23,6 +23,8 @@
 import type { TimerService } from '../shared/timer-service.js'
 import type { PlatformClients } from './platform-clients.js'
 
+const minPollIntervalMs = 100
+
 export interface RouterPartOptions {
   readonly clients: PlatformClients
   readonly vms: VmDirectory
@@ -72,7 +74,8 @@
     random,
     router,
     settings: { ...defaultAdmissionSettings, maxWaitingCount: settings.requests.maxWaitingCount },
-    getTeamWeight: (partner, team) => findTeamWeight(keeper, partner, team)
+    getTeamWeight: (partner, team) => findTeamWeight(keeper, partner, team),
+    onWait: () => poller.pollSoon()
   })
   const gate = createAdmissionGate({
     admission,
@@ -89,6 +92,7 @@
     creditHolder,
     demandReport: createDemandReport(router, admission, deployment => getGroups(deployment).length),
     pollIntervalMs: settings.groups.pollIntervalMs,
+    minPollIntervalMs,
     subsetSettings: defaultGroupSubsetSettings,
     getDomains: createDomainLookup(vms),
     getConfigStatus: keeper.getStatus,
--- a/src/testing/test-fleet.ts
+++ b/src/testing/test-fleet.ts
@@ -48,7 +48,7 @@
   const keyValuePort = (await keyValue.listen()).port
   const vmListPort = (await vmList.listen()).port
   await storeConfig(keyValuePort, createTestConfig())
-  const entry = createEntryNode(entrySettingsSchema.parse({
+  const entry = await createEntryNode(entrySettingsSchema.parse({
     nodeId: 'entry-1',
     partner: 'vrany',
     availabilityZone: 'praha-dilna',
