--- a/src/coordination/orders/order-claims.ts
+++ b/src/coordination/orders/order-claims.ts
@@ -1,10 +1,10 @@
 import type { RandomSource } from '../../shared/random-source.js'
 import type { TimerService } from '../../shared/timer-service.js'
-import { encodeOrderRecord, getOrderKey, OrderState, parseOrderRecord, releaseOrder, type OrderRecord } from '../../state/order-record.js'
-import { KeyValueErrorKind, type KeyValueEntry, type KeyValueStore } from '../ports/key-value-store.js'
-import type { OrderLeases } from './order-lease.js'
+import { getOrderKey, OrderState, parseOrderRecord, releaseOrder, type OrderRecord } from '../../state/order-record.js'
+import { KeyValueErrorKind, type KeyValueEntry } from '../ports/key-value-store.js'
 import type { OrderRequest } from './order-outcome.js'
 import { getOutcomeDueInMs, type OrderSettings } from './order-settings.js'
+import type { OrderStore } from './order-store.js'
 import type { OrderWriter } from './order-writer.js'
 
 /** A claim that is stored. Its holder may send the order until `sendBeforeMs`. */
@@ -12,7 +12,6 @@
   readonly key: string
   readonly record: OrderRecord
   readonly revision: number
-  readonly leaseId: string
   /** Monotonic time after which nothing may be sent under the claim. */
   readonly sendBeforeMs: number
   /** Monotonic time after which the call is given up. */
@@ -42,10 +41,9 @@
 }
 
 export interface OrderClaimsOptions {
-  readonly store: KeyValueStore
+  readonly store: OrderStore
   readonly timers: TimerService
   readonly random: RandomSource
-  readonly leases: OrderLeases
   readonly writer: OrderWriter
   /** Node id and incarnation of this process. */
   readonly claimant: string
@@ -55,7 +53,7 @@
 const tokenRandomBound = 2 ** 31
 
 /** Creates the claims of one node. */
-export function createOrderClaims ({ store, timers, random, leases, writer, claimant, settings }: OrderClaimsOptions): OrderClaims {
+export function createOrderClaims ({ store, timers, random, writer, claimant, settings }: OrderClaimsOptions): OrderClaims {
   let claimCount = 0
 
   function createToken (): string {
@@ -76,7 +74,7 @@
 
   /** Looks for the claim after a lost reply. A claim that is not found may still be written late. */
   async function readBack (claim: HeldClaim, expectedRevision: number): Promise<ClaimResult> {
-    const found = await store.get(claim.key)
+    const found = await store.read(claim.key)
     if (found.isOk && found.value !== undefined && found.value.revision !== expectedRevision) {
       const stored = parseOrderRecord(found.value.value)
       if (stored?.claimToken !== claim.record.claimToken) return { kind: ClaimResultKind.Taken, entry: found.value }
@@ -84,29 +82,21 @@
         return { kind: ClaimResultKind.Held, claim: { ...claim, revision: found.value.revision } }
       }
     }
-    void writer.write({ key: claim.key, record: releaseOrder(claim.record), leaseId: claim.leaseId, expectedRevision })
+    void writer.write({ key: claim.key, record: releaseOrder(claim.record), expectedRevision })
     return { kind: ClaimResultKind.Undecided, reason: 'the reply to the claim was lost' }
   }
 
   return {
     async claim (request, requestSha256Hex, expectedRevision) {
       const startedAtMs = timers.nowMs()
-      const lease = await leases.getLease()
-      if (!lease.isOk) return { kind: ClaimResultKind.StoreOut, reason: 'the key-value service grants no lease' }
       const claim: HeldClaim = {
         key: getOrderKey(request),
         record: createRecord(requestSha256Hex),
         revision: expectedRevision,
-        leaseId: lease.value,
         sendBeforeMs: startedAtMs + settings.sendWindowMs,
         finishBeforeMs: startedAtMs + settings.sendWindowMs + settings.callTimeoutMs
       }
-      const stored = await store.compareAndSwap({
-        key: claim.key,
-        expectedRevision,
-        value: encodeOrderRecord(claim.record),
-        leaseId: claim.leaseId
-      })
+      const stored = await store.write({ key: claim.key, expectedRevision, record: claim.record })
       if (stored.isOk) return { kind: ClaimResultKind.Held, claim: { ...claim, revision: stored.value } }
       switch (stored.error.kind) {
         case KeyValueErrorKind.Unavailable:
--- a/src/coordination/orders/order-ledger.test.ts
+++ b/src/coordination/orders/order-ledger.test.ts
@@ -99,6 +99,13 @@
       expect(replayed).to.have.nested.property('answer.isBodyOmitted', true)
     })
 
+    it('takes a new lease when the store no longer knows the old one', async () => {
+      const { store, settle, first } = createBench()
+      await settle(first.ledger.submit({ ...createRequest(), idempotencyKey: 'other' }))
+      store.forgetLeases()
+      expect((await settle(first.ledger.submit(createRequest()))).kind).to.equal(OrderOutcomeKind.Done)
+    })
+
     it('frees the key after a claim that is written late', async () => {
       const { timers, service, settle, first, second } = createBench()
       await settle(first.ledger.submit({ ...createRequest(), idempotencyKey: 'other' }))
--- a/src/coordination/orders/order-ledger.ts
+++ b/src/coordination/orders/order-ledger.ts
@@ -8,12 +8,12 @@
 import { getRequestDigest } from './order-digest.js'
 import { OrderEventKind, type OrderEvent } from './order-event.js'
 import { createOrderJudge } from './order-judge.js'
-import { createOrderLeases } from './order-lease.js'
 import { EarlierAttempts, OrderOutcomeKind, type OrderOutcome, type OrderRequest, type OrderStatus, type OrderStatusRequest } from './order-outcome.js'
 import { createOrderReplies } from './order-replies.js'
 import { createOrderSender } from './order-sender.js'
 import type { OrderSettings } from './order-settings.js'
 import { createOrderStatusCheck } from './order-status.js'
+import { createOrderStore } from './order-store.js'
 import { createOrderWriter } from './order-writer.js'
 import { createOverdueClaims } from './overdue-claims.js'
 
@@ -53,12 +53,12 @@
 export function createOrderLedger ({ store, serviceCaller, timers, random, claimant, settings }: OrderLedgerOptions): OrderLedger {
   const events = createChannel<OrderEvent>()
   const replies = createOrderReplies(random, settings)
-  const leases = createOrderLeases(store, timers, random, settings)
-  const writer = createOrderWriter({ store, timers, random, events, settings, onSettled: notifyDrained })
-  const claims = createOrderClaims({ store, timers, random, leases, writer, claimant, settings })
+  const orderStore = createOrderStore(store, timers, random, settings)
+  const writer = createOrderWriter({ store: orderStore, timers, random, events, settings, onSettled: notifyDrained })
+  const claims = createOrderClaims({ store: orderStore, timers, random, writer, claimant, settings })
   const sender = createOrderSender(serviceCaller, timers, settings)
-  const overdueClaims = createOverdueClaims({ store, timers, leases, events, settings })
-  const statusCheck = createOrderStatusCheck({ serviceCaller, leases, writer, settings })
+  const overdueClaims = createOverdueClaims({ store: orderStore, timers, events, settings })
+  const statusCheck = createOrderStatusCheck({ serviceCaller, writer, settings })
   const heldTokens = new Set<string>()
   const judge = createOrderJudge({ replies, overdueClaims, isHeld: token => heldTokens.has(token) })
   const drainWaiters: Array<() => void> = []
@@ -72,7 +72,7 @@
     const outcome = getSentOutcome(sent)
     attempt.knownOutcome = outcome
     const retryForMs = sent.kind === OrderOutcomeKind.NotRun ? {} : { retryForMs: settings.outcomeRetryForMs }
-    await writer.write({ key: claim.key, record: sent.record, leaseId: claim.leaseId, expectedRevision: claim.revision, ...retryForMs })
+    await writer.write({ key: claim.key, record: sent.record, expectedRevision: claim.revision, ...retryForMs })
     heldTokens.delete(claim.record.claimToken)
     return outcome
   }
@@ -112,7 +112,7 @@
 
   /** Looks an order up that cannot be sent now, so that a stored answer is still replayed. */
   async function lookUp (attempt: Attempt, reason: string): Promise<OrderOutcome> {
-    const found = await store.get(getOrderKey(attempt.request))
+    const found = await orderStore.read(getOrderKey(attempt.request))
     if (!found.isOk) return replies.notRun(reason, EarlierAttempts.NotChecked)
     if (found.value === undefined) return replies.notRun(reason, EarlierAttempts.NoneRan)
     return judge.judge(found.value, attempt.digest)
@@ -161,7 +161,7 @@
   }
 
   async function getStatus (request: OrderStatusRequest): Promise<OrderStatus> {
-    const found = await store.get(getOrderKey(request))
+    const found = await orderStore.read(getOrderKey(request))
     if (!found.isOk) {
       return { kind: OrderOutcomeKind.Unavailable, reason: 'the key-value service does not answer', retryAfterMs: replies.spreadRetry() }
     }
--- a/src/coordination/orders/order-status.ts
+++ b/src/coordination/orders/order-status.ts
@@ -2,7 +2,6 @@
 
 import { AnswerSource, completeOrder, type OrderRecord } from '../../state/order-record.js'
 import type { ServiceCaller } from '../ports/service-caller.js'
-import type { OrderLeases } from './order-lease.js'
 import type { OrderAnswer, OrderStatusRequest } from './order-outcome.js'
 import { encodeAnswer } from './order-sender.js'
 import type { OrderSettings } from './order-settings.js'
@@ -22,13 +21,12 @@
 
 export interface OrderStatusCheckOptions {
   readonly serviceCaller: ServiceCaller
-  readonly leases: OrderLeases
   readonly writer: OrderWriter
   readonly settings: OrderSettings
 }
 
 /** Creates the status check of one node. */
-export function createOrderStatusCheck ({ serviceCaller, leases, writer, settings }: OrderStatusCheckOptions): OrderStatusCheck {
+export function createOrderStatusCheck ({ serviceCaller, writer, settings }: OrderStatusCheckOptions): OrderStatusCheck {
   return {
     async resolve (request, key, revision, record) {
       const address = request.pickBackend()
@@ -43,11 +41,8 @@
       })
       if (!answered.isOk || answered.value.statusCode !== okStatusCode || !isDone(answered.value.body)) return undefined
       const answer = { ...answered.value, isBodyOmitted: false, source: AnswerSource.StatusCheck }
-      const lease = await leases.getLease()
-      if (lease.isOk) {
-        const done = completeOrder(record, encodeAnswer(answer, settings.maxStoredAnswerBytes))
-        await writer.write({ key, record: done, leaseId: lease.value, expectedRevision: revision, retryForMs: settings.outcomeRetryForMs })
-      }
+      const done = completeOrder(record, encodeAnswer(answer, settings.maxStoredAnswerBytes))
+      await writer.write({ key, record: done, expectedRevision: revision, retryForMs: settings.outcomeRetryForMs })
       return answer
     }
   }
--- a/src/coordination/orders/order-writer.ts
+++ b/src/coordination/orders/order-writer.ts
@@ -1,18 +1,14 @@
 import type { Channel } from '../../shared/channel.js'
 import type { RandomSource } from '../../shared/random-source.js'
 import { delay, type TimerService } from '../../shared/timer-service.js'
-import { decideOverwrite, encodeOrderRecord, OverwriteDecision, parseOrderRecord, type OrderRecord } from '../../state/order-record.js'
-import { KeyValueErrorKind, type KeyValueEntry, type KeyValueStore } from '../ports/key-value-store.js'
+import { decideOverwrite, OverwriteDecision, parseOrderRecord } from '../../state/order-record.js'
+import { KeyValueErrorKind, type KeyValueEntry } from '../ports/key-value-store.js'
 import { OrderEventKind, type OrderEvent } from './order-event.js'
 import type { OrderSettings } from './order-settings.js'
+import type { OrderStore, OrderWrite } from './order-store.js'
 
 /** A record that the holder of a claim token wants to see stored. */
-export interface PendingWrite {
-  readonly key: string
-  readonly record: OrderRecord
-  readonly leaseId: string
-  /** Revision that the key is expected to have; 0 when it is expected to be absent. */
-  readonly expectedRevision: number
+export interface PendingWrite extends OrderWrite {
   /** Time for which the write is retried; undefined retries as long as the process lives. */
   readonly retryForMs?: number
 }
@@ -26,7 +22,7 @@
 }
 
 export interface OrderWriterOptions {
-  readonly store: KeyValueStore
+  readonly store: OrderStore
   readonly timers: TimerService
   readonly random: RandomSource
   readonly events: Channel<OrderEvent>
@@ -45,12 +41,7 @@
   async function tryOnce (write: PendingWrite): Promise<PendingWrite | undefined> {
     let next = write
     for (let count = 0; count < maxOverwriteCount; count += 1) {
-      const stored = await store.compareAndSwap({
-        key: next.key,
-        expectedRevision: next.expectedRevision,
-        value: encodeOrderRecord(next.record),
-        leaseId: next.leaseId
-      })
+      const stored = await store.write(next)
       if (stored.isOk) return undefined
       if (stored.error.kind !== KeyValueErrorKind.Conflict) return next
       const overwritten = getOverwrite(next, stored.error.current)
--- a/src/coordination/orders/overdue-claims.ts
+++ b/src/coordination/orders/overdue-claims.ts
@@ -1,10 +1,10 @@
 import type { Channel } from '../../shared/channel.js'
 import type { TimerService } from '../../shared/timer-service.js'
 import { encodeOrderRecord, markOrderUnknown, OrderState, parseOrderRecord, type OrderRecord } from '../../state/order-record.js'
-import { KeyValueErrorKind, type KeyValueEntry, type KeyValueStore } from '../ports/key-value-store.js'
+import { KeyValueErrorKind, type KeyValueEntry } from '../ports/key-value-store.js'
 import { OrderEventKind, type OrderEvent } from './order-event.js'
-import type { OrderLeases } from './order-lease.js'
 import type { OrderSettings } from './order-settings.js'
+import type { OrderStore } from './order-store.js'
 
 interface WatchedClaim {
   readonly revision: number
@@ -27,15 +27,14 @@
 }
 
 export interface OverdueClaimsOptions {
-  readonly store: KeyValueStore
+  readonly store: OrderStore
   readonly timers: TimerService
-  readonly leases: OrderLeases
   readonly events: Channel<OrderEvent>
   readonly settings: OrderSettings
 }
 
 /** Creates the watch of one node over the claims of others. */
-export function createOverdueClaims ({ store, timers, leases, events, settings }: OverdueClaimsOptions): OverdueClaims {
+export function createOverdueClaims ({ store, timers, events, settings }: OverdueClaimsOptions): OverdueClaims {
   const watched = new Map<string, WatchedClaim>()
 
   function observe (entry: KeyValueEntry, record: OrderRecord): number {
@@ -61,7 +60,7 @@
   }
 
   async function settle (key: string, revision: number): Promise<void> {
-    const found = await store.get(key)
+    const found = await store.read(key)
     if (!found.isOk) {
       lookAgain(key, revision, settings.maxBackoffMs)
       return
@@ -78,14 +77,12 @@
   }
 
   async function markUnknown (entry: KeyValueEntry, record: OrderRecord): Promise<KeyValueEntry | undefined> {
-    const lease = await leases.getLease()
-    if (!lease.isOk) return undefined
-    const value = encodeOrderRecord(markOrderUnknown(record))
-    const stored = await store.compareAndSwap({ key: entry.key, expectedRevision: entry.revision, value, leaseId: lease.value })
+    const unknown = markOrderUnknown(record)
+    const stored = await store.write({ key: entry.key, expectedRevision: entry.revision, record: unknown })
     if (stored.isOk) {
       forget(entry.key, entry.revision)
       events.send({ kind: OrderEventKind.OverdueMarked, key: entry.key })
-      return { key: entry.key, value, revision: stored.value }
+      return { key: entry.key, value: encodeOrderRecord(unknown), revision: stored.value }
     }
     if (stored.error.kind !== KeyValueErrorKind.Conflict) return undefined
     forget(entry.key, entry.revision)
--- a/src/fuzz/orders-fuzz.test.ts
+++ b/src/fuzz/orders-fuzz.test.ts
@@ -81,6 +81,16 @@
 /** Does not see time pass. */
 const ignoresDeadline: PortBreaker = options => ({ ...options, timers: { ...options.timers, nowMs: () => 0 } })
 
+/** Goes on with its first lease when the store no longer knows it. */
+const keepsRefusedLease: PortBreaker = options => {
+  let first: ReturnType<KeyValueStore['grantLease']> | undefined
+  const grantLease: KeyValueStore['grantLease'] = durationMs => {
+    first ??= options.store.grantLease(durationMs)
+    return first
+  }
+  return { ...options, store: { ...options.store, grantLease } }
+}
+
 const brokenVariants = [
   { name: 'sends before the claim is stored', breakPorts: sendsBeforeClaim, complaint: /ran again/ },
   { name: 'takes an ambiguous claim as held', breakPorts: trustsAmbiguousClaim, complaint: /ran again/ },
@@ -89,6 +99,7 @@
   { name: 'takes a reset as not run', breakPorts: trustsReset, complaint: /ran again|ran and was told not run/ },
   { name: 'repeats a call without an answer', breakPorts: repeatsCall, complaint: /ran again/ },
   { name: 'sends after a pause beyond its deadline', breakPorts: ignoresDeadline, complaint: /after its caller had gone/ },
+  { name: 'keeps a refused lease', breakPorts: keepsRefusedLease, complaint: /stays blocked/ },
   { name: 'refuses a retry with the same body', breakPorts: confusesBodies, complaint: /is reused, but it is not/ }
 ]
 
--- a/src/fuzz/orders-fuzz.ts
+++ b/src/fuzz/orders-fuzz.ts
@@ -77,6 +77,8 @@
   delayMs: fc.integer({ min: 1, max: maxLateMs })
 }).map(({ kind, delayMs }) => createCommand(`service(${kind}, ${delayMs})`, world => { world.service.faults.push({ kind, delayMs }) }))
 
+const forgetLeasesArbitrary = fc.constant(createCommand('forgetLeases()', world => { world.store.forgetLeases() }))
+
 const backendArbitrary = fc.boolean().map(hasBackend =>
   createCommand(`backend(${hasBackend})`, world => { world.hasBackend = hasBackend }))
 
@@ -86,7 +88,7 @@
     commands: [
       submitArbitrary, submitArbitrary, raceArbitrary, advanceArbitrary, advanceArbitrary, statusArbitrary,
       pauseArbitrary, resumeArbitrary, restartArbitrary, storeOutArbitrary, storeFaultArbitrary, storeSlowArbitrary,
-      serviceFaultArbitrary, serviceFaultArbitrary, backendArbitrary
+      serviceFaultArbitrary, serviceFaultArbitrary, backendArbitrary, forgetLeasesArbitrary
     ],
     setup (systemSeed) {
       const world = createOrdersWorld(systemSeed, breakPorts)
--- a/src/testing/fake-key-value-store.ts
+++ b/src/testing/fake-key-value-store.ts
@@ -43,6 +43,8 @@
   peekAll (prefix: string): KeyValueEntry[]
   /** Writes a value without going through a client. */
   put (key: string, value: string): number
+  /** Forgets all leases and keeps the values, as after a restart of the service. */
+  forgetLeases (): void
 }
 
 const watchPollIntervalMs = 20
@@ -82,6 +84,9 @@
     if ((current?.revision ?? 0) !== request.expectedRevision) {
       return failure({ kind: KeyValueErrorKind.Conflict, current })
     }
+    const lease = leaseDeadlines.get(request.leaseId ?? '')
+    const isLeaseLapsed = request.leaseId !== undefined && (lease === undefined || lease.deadlineMs <= timers.nowMs())
+    if (isLeaseLapsed) return failure({ kind: KeyValueErrorKind.Conflict, current })
     keyLeases.delete(request.key)
     if (request.value === undefined) {
       entries.delete(request.key)
@@ -176,5 +181,10 @@
       .sort((left, right) => left.key < right.key ? -1 : 1)
   }
 
-  return { faults, counts, createClient, peek: key => entries.get(key), peekAll, put }
+  function forgetLeases (): void {
+    leaseDeadlines.clear()
+    keyLeases.clear()
+  }
+
+  return { faults, counts, createClient, peek: key => entries.get(key), peekAll, put, forgetLeases }
 }
