Measure routing, admission and shares against baselines

Cause: the policies need figures against random, round robin, two choices, local quotas, engine priority alone and no admission, in the same run. Change: benchmark 'serving' in virtual time: 65 servers in 11 groups of 8 or 4, 3 zones 4 ms apart, 16 entry nodes, ten teams a partner with two large ones, uneven callers, interactive and batch work. Ruled out: a fixed deadline for all answers; 1.8 % of the answers were too long for it at any pace.

--- a/src/bench/index.ts
+++ b/src/bench/index.ts
@@ -3,6 +3,7 @@
 import { runGroupsBenchmark } from './groups-benchmark.js'
 import { runGroupSlopesBenchmark } from './groups-slopes.js'
 import { runMembershipBenchmark } from './membership-benchmark.js'
+import { runServingBenchmark } from './serving/serving-benchmark.js'
 import { runOrdersBenchmark } from './orders-benchmark.js'
 
 /** The benchmarks that the command can run, by name. */
@@ -11,5 +12,6 @@
   'group-slopes': runGroupSlopesBenchmark,
   groups: runGroupsBenchmark,
   membership: runMembershipBenchmark,
-  orders: runOrdersBenchmark
+  orders: runOrdersBenchmark,
+  serving: runServingBenchmark
 }
--- /dev/null
+++ b/src/bench/serving/workload.ts
@@ -0,0 +1,213 @@
+import { AdmissionKind, ServiceOutcome, type Admitted } from '../../coordination/admission/admission-types.js'
+import type { RandomSource } from '../../shared/random-source.js'
+import type { TimerService } from '../../shared/timer-service.js'
+import { RequestPriority } from '../../state/fleet-config.js'
+import { deploymentName, getDelayMs, type BenchNode } from './entry-fleet.js'
+import type { EngineStream, FakeEngineGroup } from './fake-engine-group.js'
+import { createCounts, type Measures } from './measures.js'
+import { partnerNames, ShareMode, type PartnerName, type ServingCase } from './serving-case.js'
+
+/** Parts of the requests by team; a few teams are large. */
+const teamParts = [0.35, 0.25, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05]
+const largeTeamCount = 2
+/** Parts of the callers by entry node; the balancer spreads them unevenly. */
+const nodeParts = [0.3, 0.2, 0.15, 0.1, 0.1, 0.05, 0.05, 0.05]
+const batchPart = 0.2
+const meanTokenCount = { [RequestPriority.Interactive]: 150, [RequestPriority.Batch]: 300 }
+const minTokenCount = 20
+const batchDeadlineMs = 40_000
+const interactiveDeadlineMs = 3000
+const interactiveDeadlineMsPerToken = 35
+/** Actions that start later than this before the end of the run are not measured. */
+const unmeasuredEndMs = 12_000
+/** An interactive answer is in time only when its first token comes within this time. */
+const firstTokenDueMs = 2000
+const prefixesPerTeam = 6
+const maxTryCount = 4
+/** What a caller waits after a refusal that names no time. */
+const unspreadRetryMs = 1000
+export const sampleIntervalMs = 100
+
+interface Action {
+  readonly partner: PartnerName
+  readonly teamIndex: number
+  readonly priority: RequestPriority
+  readonly prefixHash: string
+  readonly tokenCount: number
+  readonly node: BenchNode
+  readonly startedAtMs: number
+  readonly isMeasured: boolean
+  tryCount: number
+  isFirstTokenLate: boolean
+}
+
+export interface WorkloadOptions {
+  readonly servingCase: ServingCase
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly nodes: readonly BenchNode[]
+  readonly groups: readonly FakeEngineGroup[]
+  readonly measures: Measures
+}
+
+/** Starts the callers of both partners. */
+export function startWorkload (options: WorkloadOptions): void {
+  const { servingCase, timers, random, nodes, groups, measures } = options
+  const streamCount = createCounts()
+  const groupsById = new Map(groups.map(group => [group.groupId, group]))
+
+  function pickByPart (parts: readonly number[]): number {
+    let left = random.nextFloat()
+    const index = parts.findIndex(part => (left -= part) < 0)
+    return index === -1 ? parts.length - 1 : index
+  }
+
+  function getRate (partner: PartnerName): number {
+    return servingCase.load[partner].findLast(step => step.fromMs <= timers.nowMs())?.requestsPerSecond ?? 0
+  }
+
+  function scheduleArrival (partner: PartnerName): void {
+    const rate = getRate(partner)
+    const gapMs = rate === 0 ? sampleIntervalMs : -Math.log(1 - random.nextFloat()) * 1000 / rate
+    timers.subscribeOnce(gapMs, () => {
+      if (rate > 0) startAction(partner)
+      scheduleArrival(partner)
+    })
+  }
+
+  function startAction (partner: PartnerName): void {
+    const teamIndex = pickByPart(teamParts)
+    const priority = random.nextFloat() < batchPart ? RequestPriority.Batch : RequestPriority.Interactive
+    const node = nodes.filter(candidate => candidate.partner === partner)[pickByPart(nodeParts)]
+    if (node === undefined) return
+    const action: Action = {
+      partner,
+      teamIndex,
+      priority,
+      prefixHash: `${partner}/${teamIndex}/${Math.floor(prefixesPerTeam * random.nextFloat() ** 2)}`,
+      tokenCount: minTokenCount + Math.round(-Math.log(1 - random.nextFloat()) * (meanTokenCount[priority] - minTokenCount)),
+      node,
+      startedAtMs: timers.nowMs(),
+      isMeasured: isMeasured(),
+      tryCount: 0,
+      isFirstTokenLate: false
+    }
+    if (action.isMeasured) measures.actionCount[partner] += 1
+    if (isOfSmallTeam(action)) measures.smallTeam.actionCount += 1
+    void tryAction(action)
+  }
+
+  /** Leaves out the end of the run, where answers can no longer come in time. */
+  function isMeasured (): boolean {
+    const nowMs = timers.nowMs()
+    return nowMs >= servingCase.warmUpMs && nowMs < servingCase.spanMs - unmeasuredEndMs
+  }
+
+  function isOfSmallTeam (action: Action): boolean {
+    return action.isMeasured && action.partner === partnerNames[0] && action.teamIndex >= largeTeamCount
+  }
+
+  function getLeftMs (action: Action): number {
+    const isBatch = action.priority === RequestPriority.Batch
+    const deadlineMs = isBatch ? batchDeadlineMs : interactiveDeadlineMs + interactiveDeadlineMsPerToken * action.tokenCount
+    return action.startedAtMs + deadlineMs - timers.nowMs()
+  }
+
+  async function tryAction (action: Action, excludedGroupIds?: readonly string[]): Promise<void> {
+    if (excludedGroupIds === undefined) action.tryCount += 1
+    if (action.isMeasured) measures.tryCount += 1
+    const admission = await action.node.admission.request({
+      partner: action.partner,
+      team: `${action.teamIndex}`,
+      deployment: deploymentName,
+      prefixHash: action.prefixHash,
+      priority: action.priority,
+      deadlineMs: getLeftMs(action),
+      ...(excludedGroupIds === undefined ? {} : { retry: { excludedGroupIds } })
+    })
+    if (admission.kind === AdmissionKind.Refused) return retryLater(action, admission.retryAfterMs)
+    serve(action, admission)
+  }
+
+  function retryLater (action: Action, retryAfterMs: number): void {
+    if (action.isMeasured) measures.refusalCount += 1
+    const waitMs = servingCase.shareMode === ShareMode.NoAdmission ? unspreadRetryMs : retryAfterMs
+    if (action.tryCount >= maxTryCount || getLeftMs(action) <= waitMs) return
+    timers.subscribeOnce(waitMs, () => { void tryAction(action) })
+  }
+
+  function serve (action: Action, admitted: Admitted): void {
+    const group = groupsById.get(admitted.group.groupId)
+    if (group === undefined) return
+    const delayMs = getDelayMs(action.node.availabilityZone, group.availabilityZone)
+    timers.subscribeOnce(delayMs, () => startStream(action, admitted, group, delayMs))
+  }
+
+  function startStream (action: Action, admitted: Admitted, group: FakeEngineGroup, delayMs: number): void {
+    let startedAtMs: number | undefined
+
+    function end (outcome: ServiceOutcome): void {
+      giveUp.cancel()
+      admitted.release(outcome)
+      if (startedAtMs === undefined) return
+      streamCount[action.partner] -= 1
+      noteEnd(action, outcome, timers.nowMs() - startedAtMs)
+    }
+
+    const stream: EngineStream = {
+      prefixHash: action.prefixHash,
+      tokenCount: action.tokenCount,
+      priority: getEnginePriority(action),
+      onStart () {
+        startedAtMs = timers.nowMs()
+        streamCount[action.partner] += 1
+      },
+      onFirstToken (tokenIntervalMs, isPrefixHit) {
+        noteFirstToken(action, timers.nowMs() + delayMs - action.startedAtMs, tokenIntervalMs, isPrefixHit)
+      },
+      onEnd: () => end(ServiceOutcome.Succeeded),
+      onLost () {
+        end(ServiceOutcome.Failed)
+        void tryAction(action, [group.groupId])
+      }
+    }
+    const giveUp = timers.subscribeOnce(getLeftMs(action), () => {
+      group.cancel(stream)
+      end(ServiceOutcome.Cancelled)
+    })
+    if (group.start(stream)) return
+    giveUp.cancel()
+    admitted.release(ServiceOutcome.EngineFull)
+    void tryAction(action, [group.groupId])
+  }
+
+  function getEnginePriority (action: Action): number {
+    const isInteractive = action.priority === RequestPriority.Interactive ? 1 : 0
+    if (servingCase.shareMode === ShareMode.NoAdmission) return 0
+    if (servingCase.shareMode !== ShareMode.EnginePriority) return isInteractive
+    const isLarger = action.partner === partnerNames[0] ? servingCase.sharePercent > 50 : servingCase.sharePercent < 50
+    return isInteractive + (isLarger ? 2 : 0)
+  }
+
+  function noteFirstToken (action: Action, firstTokenMs: number, tokenIntervalMs: number, isPrefixHit: boolean): void {
+    action.isFirstTokenLate = action.priority === RequestPriority.Interactive && firstTokenMs > firstTokenDueMs
+    if (!action.isMeasured) return
+    measures.streamCount += 1
+    if (isPrefixHit) measures.prefixHitCount += 1
+    if (action.priority === RequestPriority.Interactive) measures.firstTokenMs.recordValue(Math.round(firstTokenMs))
+    measures.tokenIntervalUs.recordValue(Math.round(tokenIntervalMs * 1000))
+  }
+
+  function noteEnd (action: Action, outcome: ServiceOutcome, servedMs: number): void {
+    if (!action.isMeasured) return
+    measures.slotMs += servedMs
+    if (outcome !== ServiceOutcome.Succeeded || action.isFirstTokenLate) return
+    measures.inTimeCount[action.partner] += 1
+    if (isOfSmallTeam(action)) measures.smallTeam.inTimeCount += 1
+  }
+
+  for (const partner of partnerNames) scheduleArrival(partner)
+  timers.subscribeEvery(sampleIntervalMs, () => {
+    measures.samples.push({ atMs: timers.nowMs(), streamCount: { ...streamCount } })
+  })
+}
