--- a/src/bench/serving/entry-fleet.ts
+++ b/src/bench/serving/entry-fleet.ts
@@ -19,6 +19,7 @@
 export const deploymentName = 'drafting'
 export const nodesOfPartner = 8
 const pollIntervalMs = 500
+const minPollIntervalMs = 100
 const zoneDelayMs = 4
 const localDelayMs = 1
 const ownersOfGroup = 2
@@ -60,12 +61,16 @@
 /** Creates the entry nodes of both partners and starts their polls. */
 export function createEntryFleet (options: EntryFleetOptions): readonly BenchNode[] {
   const { servingCase, timers, random, groups, measures } = options
+  const lastPollAtMs = new Map<string, number>()
+  const isPollPending = new Set<string>()
   const nodes = partnerNames.flatMap(partner =>
     Array.from({ length: nodesOfPartner }, (_, index) => createNode(partner, index)))
   const nodeIds = nodes.map(node => node.nodeId)
   const ownersByGroup = new Map(groups.map(group =>
     [group.groupId, rankByRendezvous(group.groupId, nodes, node => node.nodeId).slice(0, ownersOfGroup)]))
 
+  const owners = new Set([...ownersByGroup.values()].flat())
+
   function getSharePercent (): number {
     const change = servingCase.shareChange
     return change !== undefined && timers.nowMs() >= change.atMs ? change.sharePercent : servingCase.sharePercent
@@ -126,7 +131,7 @@
       policy: createPolicy(),
       getGroups: () => groups.flatMap(toRoutable)
     })
-    const admission = createAdmission({ timers, random, settings: defaultAdmissionSettings, router, getTeamWeight: () => 1 })
+    const admission = createAdmission({ timers, random, settings: defaultAdmissionSettings, router, getTeamWeight: () => 1, onWait: () => pollSoon(nodeId) })
     const book = createCreditBook({
       timers,
       settings: defaultCreditSettings,
@@ -193,12 +198,26 @@
     measures.controlBytes += byteCount
   }
 
+  function pollAll (node: BenchNode): void {
+    lastPollAtMs.set(node.nodeId, timers.nowMs())
+    for (const owner of owners) pollOwner(node, owner)
+  }
+
+  /** Polls earlier than due for a request that waits, as the entry node does. */
+  function pollSoon (nodeId: string): void {
+    if (isPollPending.has(nodeId)) return
+    isPollPending.add(nodeId)
+    const waitMs = Math.max(0, (lastPollAtMs.get(nodeId) ?? 0) + minPollIntervalMs - timers.nowMs())
+    timers.subscribeOnce(waitMs, () => {
+      isPollPending.delete(nodeId)
+      const node = nodes.find(candidate => candidate.nodeId === nodeId)
+      if (node !== undefined) pollAll(node)
+    })
+  }
+
   for (const node of nodes) {
-    const owners = new Set([...ownersByGroup.values()].flat())
     timers.subscribeOnce(random.nextFloat() * pollIntervalMs, () => {
-      timers.subscribeEvery(pollIntervalMs, () => {
-        for (const owner of owners) pollOwner(node, owner)
-      })
+      timers.subscribeEvery(pollIntervalMs, () => pollAll(node))
     })
   }
   return nodes
--- a/src/coordination/admission/admission-lane.ts
+++ b/src/coordination/admission/admission-lane.ts
@@ -109,13 +109,14 @@
     return Math.min(settings.maxWaitMs[request.priority], spareMs)
   }
 
+  /** Whichever comes first: an end of a stream on the node's own credits, or more credits by the owners' next answers. */
   function estimateWaitMs (request: AdmissionRequest): number {
-    const creditCount = router.countCredits(deployment, partner)
     const aheadCount = queue.countAhead(request.team, request.priority)
     // The owners lend unused slots with their next answers, long before a stream of this node ends.
     if (aheadCount < router.countFreeSlots(deployment)) return settings.firstCreditDelayMs
-    const creditDelayMs = creditCount === 0 ? settings.firstCreditDelayMs : 0
-    return creditDelayMs + (aheadCount + 1) * getMeanSlotMs()
+    const byGrantMs = (aheadCount + 1) * settings.firstCreditDelayMs
+    if (router.countCredits(deployment, partner) === 0) return byGrantMs
+    return Math.min(byGrantMs, (aheadCount + 1) * getMeanSlotMs())
   }
 
   function requestSecondTry (request: AdmissionRequest, excludedGroupIds: readonly string[]): Admission {
