Serve the operators' interface, log events, and show a split and a kill in the demo

Cause: the operators' program had no node to talk to, and a node said nothing about what it did. Ruled out: status from the answering node's own probes alone, which leaves out the domains of other owners; and members in each poll answer, which would cost bytes in every poll for what operators ask now and then. Change: operators' server in the entry node; an RPC by which each node describes the domains that it plans; events of groups, orders, configuration and membership as log lines and gauges; the demo bootstraps by the program, shows the status, changes the split between two operators at two nodes, and kills the leader of a group during a stream. Conclusion: stands for two nodes in one zone.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,5 +1,9 @@
 #!/usr/bin/env bash
-# Serves a stream and an order on stand-ins and two entry nodes, all separate processes.
+# Serves a stream and an order on stand-ins and two entry nodes, all separate processes, changes the cost
+# split and kills a member of a group during a stream.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bash scripts/fleet.sh node scripts/demo-requests.mjs
+mkdir -p run
+printf 'demo-vrany-operator' > run/vrany.secret
+printf 'demo-lotus-operator' > run/lotus.secret
+bash scripts/fleet.sh bash scripts/demo-steps.sh
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,6 +15,7 @@
   shift
   node "$@" > "run/$name.log" 2>&1 &
   pids+=("$!")
+  echo "$!" > "run/$name.pid"
 }
 
 wait_for () {
@@ -35,8 +36,7 @@
   start "service-$number" dist/bin/standin-service.js --port "720$number"
 done
 wait_for http://127.0.0.1:7001/stats
-value=$(node -e 'console.log(JSON.stringify({ key: "egretpaddle/config", expectedRevision: 0, value: require("fs").readFileSync(process.argv[1], "utf8") }))' "$config_file")
-curl -sf -X POST -H 'content-type: application/json' -d "$value" http://127.0.0.1:7001/kv/cas > /dev/null
+node dist/bin/operator.js bootstrap "$config_file" --store http://127.0.0.1:7001
 for number in 1 2; do
   start "entry-$number" dist/bin/entry.js --settings "examples/settings/demo-entry-$number.jsonc"
 done
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -33,6 +33,8 @@
   getReadiness (): Readiness
   /** Told to the balancer; unready already while a shutdown still serves what arrives. */
   getBalancerReadiness (): Readiness
+  /** Called before the metrics are rendered. */
+  updateGauges (): void
 }
 
 /** The HTTP server for callers and for the platform's balancer. */
@@ -97,6 +99,7 @@
       return true
     }
     if (url === '/metrics') {
+      dependencies.updateGauges()
       response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
       response.end(await metrics.render())
       return true
--- a/src/coordination/groups/evidence-book.ts
+++ b/src/coordination/groups/evidence-book.ts
@@ -29,6 +29,8 @@
   readonly isRefuted: boolean
   /** Age of the oldest member report that the statement rests on; counts from the sending of the probe. */
   readonly ageMs: number
+  /** Members in rank order. */
+  readonly memberVmIds: readonly string[]
   readonly missingVmIds: readonly string[]
   readonly leavingVmIds: readonly string[]
   readonly load: GroupLoad
@@ -112,6 +114,7 @@
     isLeaving: isServing && isLeaving,
     isRefuted: conditions.some(isRefuting),
     ageMs: nowMs - oldestMs,
+    memberVmIds: group.members.map(member => member.vmId),
     missingVmIds: conditions.filter(condition => condition.status !== MemberStatus.Ready).map(condition => condition.member.vmId),
     leavingVmIds: conditions.filter(condition => condition.isLeaving).map(condition => condition.member.vmId),
     load: {
--- a/src/coordination/groups/group-coordinator.ts
+++ b/src/coordination/groups/group-coordinator.ts
@@ -38,6 +38,8 @@
   ownersOf (groupId: string): EntryNode[]
   /** Nodes to poll about all groups of a deployment in its availability zones, each once. */
   ownersOfDeployment (deployment: string): EntryNode[]
+  /** Nodes that own a domain, the planning one first. */
+  ownersOfDomain (domain: ListedDomain): readonly EntryNode[]
   /** Domains that this node owns, as first or second. */
   getOwnedDomains (): readonly ListedDomain[]
   getProbeCount (): number
@@ -131,6 +133,7 @@
     evidence,
     events,
     ownersOf,
+    ownersOfDomain: owners.ownersOf,
     ownersOfDeployment,
     getOwnedDomains,
     getProbeCount: probes.getProbeCount,
--- /dev/null
+++ b/src/coordination/operators/fleet-groups.ts
@@ -0,0 +1,62 @@
+import type { DescribeDomainsResponse, DomainDescription } from '../../protocol/generated/egretpaddle/peer/v1/peer.js'
+import type { GroupCoordinator } from '../groups/group-coordinator.js'
+import type { GroupStatement } from '../groups/evidence-book.js'
+import { getFabricDomain } from '../groups/group-id.js'
+import type { MembershipView } from '../ports/membership-view.js'
+import type { PeerLink } from '../ports/peer-link.js'
+import { VmLifecycle } from '../ports/vm-list.js'
+import type { FleetGroups, FleetStatusSource } from './operator-status.js'
+
+/** Largest number of nodes that one status question asks. */
+const maxAskedNodeCount = 256
+
+/** Describes the domains that this node plans, from its own probes. */
+export function describeOwnDomains (coordinator: GroupCoordinator, selfId: string): DescribeDomainsResponse {
+  const statements = coordinator.evidence.getAllEvidence()
+  const domains = coordinator.getOwnedDomains()
+    .filter(domain => coordinator.ownersOfDomain(domain)[0]?.nodeId === selfId)
+    .map(({ fabricDomain, vms }) => {
+      const groups = statements.filter(statement => getFabricDomain(statement.groupId) === fabricDomain)
+      const servingIds = new Set(groups.filter(group => group.isComplete).flatMap(group => group.memberVmIds))
+      const liveVms = vms.filter(vm => vm.lifecycle === VmLifecycle.Live)
+      const strandedVms = liveVms.filter(vm => !servingIds.has(vm.vmId))
+      return {
+        fabricDomain,
+        groups: groups.map(toDomainGroup),
+        acceleratorCount: sum(liveVms.map(vm => vm.acceleratorCount)),
+        strandedAcceleratorCount: sum(strandedVms.map(vm => vm.acceleratorCount))
+      }
+    })
+  return { domains }
+}
+
+/** Creates the source of the fleet's groups: each live node describes the domains that it plans. */
+export function createFleetGroupsSource (membership: MembershipView, peerLink: PeerLink, describeSelf: () => DescribeDomainsResponse): FleetStatusSource {
+  return {
+    async getGroups () {
+      const peers = membership.getLiveNodes().filter(node => node.nodeId !== membership.self.nodeId).slice(0, maxAskedNodeCount)
+      const answers = await Promise.all(peers.map(node => peerLink.describeDomains(node.peerAddress)))
+      const described = answers.flatMap(answer => answer.isOk ? answer.value.domains : [])
+      return combine([...describeSelf().domains, ...described])
+    }
+  }
+}
+
+function combine (domains: readonly DomainDescription[]): FleetGroups {
+  const byName = new Map(domains.map(domain => [domain.fabricDomain, domain]))
+  const unique = [...byName.values()].sort((left, right) => left.fabricDomain < right.fabricDomain ? -1 : 1)
+  return {
+    groups: unique.flatMap(({ fabricDomain, groups }) => groups.map(group => ({ ...group, fabricDomain }))),
+    acceleratorCount: sum(unique.map(domain => domain.acceleratorCount)),
+    strandedAcceleratorCount: sum(unique.map(domain => domain.strandedAcceleratorCount))
+  }
+}
+
+function toDomainGroup (statement: GroupStatement) {
+  const { groupId, deployment, epoch, isComplete, memberVmIds, missingVmIds } = statement
+  return { groupId, deployment, epoch, isComplete, memberVmIds: [...memberVmIds], missingVmIds: [...missingVmIds] }
+}
+
+function sum (counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0)
+}
--- a/src/coordination/operators/operator-status.ts
+++ b/src/coordination/operators/operator-status.ts
@@ -12,7 +12,7 @@
 
 /** Gives the operators' service the state of the groups. */
 export interface FleetStatusSource {
-  getGroups (): FleetGroups
+  getGroups (): Promise<FleetGroups>
 }
 
 export interface OperatorStatusOptions {
@@ -22,10 +22,10 @@
 }
 
 /** Describes the fleet as the answering node sees it. */
-export function describeFleet ({ keeper, membership, statusSource }: OperatorStatusOptions): GetStatusResponse {
+export async function describeFleet ({ keeper, membership, statusSource }: OperatorStatusOptions): Promise<GetStatusResponse> {
+  const { groups, strandedAcceleratorCount, acceleratorCount } = await statusSource.getGroups()
   const config = keeper.getConfig()
   const status = keeper.getStatus()
-  const { groups, strandedAcceleratorCount, acceleratorCount } = statusSource.getGroups()
   return {
     configVersion: status.versionInUse,
     configConfirmedAgeMs: status.confirmedAgeMs,
--- a/src/coordination/ports/peer-link.ts
+++ b/src/coordination/ports/peer-link.ts
@@ -1,4 +1,10 @@
-import type { ConfigSnapshot, ConfigStatus, PollGroupsRequest, PollGroupsResponse } from '../../protocol/generated/egretpaddle/peer/v1/peer.js'
+import type {
+  ConfigSnapshot,
+  ConfigStatus,
+  DescribeDomainsResponse,
+  PollGroupsRequest,
+  PollGroupsResponse
+} from '../../protocol/generated/egretpaddle/peer/v1/peer.js'
 import type { Result } from '../../shared/result.js'
 
 export enum PeerErrorKind {
@@ -17,6 +23,7 @@
   pollGroups (peerAddress: string, request: PollGroupsRequest): Promise<Result<PollGroupsResponse, PeerError>>
   fetchConfig (peerAddress: string, knownVersion: number): Promise<Result<ConfigSnapshot, PeerError>>
   pushConfig (peerAddress: string, snapshot: ConfigSnapshot): Promise<Result<ConfigStatus, PeerError>>
+  describeDomains (peerAddress: string): Promise<Result<DescribeDomainsResponse, PeerError>>
 }
 
 /** What a node answers to calls of its peers. */
@@ -24,4 +31,5 @@
   pollGroups (request: PollGroupsRequest): PollGroupsResponse
   fetchConfig (knownVersion: number): ConfigSnapshot
   pushConfig (snapshot: ConfigSnapshot): ConfigStatus
+  describeDomains (): DescribeDomainsResponse
 }
--- a/src/entry/entry-node.ts
+++ b/src/entry/entry-node.ts
@@ -6,12 +6,13 @@
 import { createConfigKeeper } from '../coordination/config/config-keeper.js'
 import type { PeerConfigPort } from '../coordination/config/peer-config.js'
 import { defaultGroupSettings } from '../coordination/groups/group-settings.js'
+import { createFleetGroupsSource, describeOwnDomains } from '../coordination/operators/fleet-groups.js'
 import { createOrderLedger } from '../coordination/orders/order-ledger.js'
 import { defaultOrderSettings } from '../coordination/orders/order-settings.js'
 import type { PeerLink } from '../coordination/ports/peer-link.js'
 import { createVmDirectory } from '../coordination/vms/vm-directory.js'
 import { createLoggerFactory } from '../observability/log.js'
-import { createMetrics } from '../observability/metrics.js'
+import { createMetrics, MetricGauge } from '../observability/metrics.js'
 import { createTraces } from '../observability/traces.js'
 import type { EntrySettings } from '../settings/entry-settings.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
@@ -19,7 +20,9 @@
 import { createSystemTimerService, delay } from '../shared/timer-service.js'
 import { createPeerRpcClient } from '../transport/peer-rpc-client.js'
 import { createPeerRpcServer } from '../transport/peer-rpc-server.js'
+import { startEventLog } from './event-log.js'
 import { openMembershipPart } from './membership-part.js'
+import { createOperatorPart } from './operator-part.js'
 import { createOwnerPart } from './owner-part.js'
 import { createPlatformClients } from './platform-clients.js'
 import { createRouterPart } from './router-part.js'
@@ -42,6 +45,7 @@
 
 export interface EntryPorts {
   readonly callerPort: number
+  readonly operatorPort: number
   readonly peerPort: number
 }
 
@@ -101,6 +105,7 @@
       maxStoredAnswerBytes: settings.orders.maxStoredAnswerBytes
     }
   })
+  const describeSelf = () => describeOwnDomains(ownerPart.coordinator, self.nodeId)
   let isStopping = false
 
   function getReadiness (): Readiness {
@@ -114,6 +119,14 @@
     return isStopping ? { isReady: false, reason: 'the node is shutting down' } : getReadiness()
   }
 
+  function updateGauges (): void {
+    const deployments = keeper.getConfig()?.deployments ?? []
+    const completeCount = deployments.reduce((count, { name }) => count + routerPart.evidenceCache.getFreshGroups(name, timers.nowMs()).length, 0)
+    metrics.setGauge(MetricGauge.CompleteGroupCount, completeCount)
+    metrics.setGauge(MetricGauge.IsReady, Number(getBalancerReadiness().isReady))
+    metrics.setGauge(MetricGauge.InFlightCount, callerServer.getInFlightCount())
+  }
+
   const callerServer = createCallerServer({
     settings: settings.callers,
     modelHandler: createModelHandler({
@@ -130,7 +143,8 @@
     traces,
     log: createLogger('callers'),
     getReadiness,
-    getBalancerReadiness
+    getBalancerReadiness,
+    updateGauges
   })
   const peerServer = createPeerRpcServer({
     host: settings.peers.host,
@@ -142,9 +156,19 @@
         return ownerPart.answerPoll(request)
       },
       fetchConfig: keeper.getSnapshot,
-      pushConfig: keeper.acceptSnapshot
+      pushConfig: keeper.acceptSnapshot,
+      describeDomains: describeSelf
     }
   })
+  const operatorServer = createOperatorPart({
+    settings: settings.operators,
+    keeper,
+    timers,
+    membership: membership.view,
+    coordinator: ownerPart.coordinator,
+    statusSource: createFleetGroupsSource(membership.view, peerClient, describeSelf)
+  })
+  startEventLog({ createLogger, metrics, groupEvents: ownerPart.coordinator.events, orderEvents: orders.events, keeper, membership })
 
   async function start (): Promise<EntryPorts> {
     const peerPort = await peerServer.listen()
@@ -154,9 +178,10 @@
     await vms.start()
     ownerPart.coordinator.start()
     routerPart.poller.start()
+    const operatorPort = await operatorServer.listen()
     const callerPort = await callerServer.listen()
-    log.info('The node listens.', { nodeId: self.nodeId, callerPort, peerPort })
-    return { callerPort, peerPort }
+    log.info('The node listens.', { nodeId: self.nodeId, callerPort, peerPort, operatorPort })
+    return { callerPort, peerPort, operatorPort }
   }
 
   async function stop (): Promise<void> {
@@ -184,6 +209,7 @@
     keeper.stop()
     vms.stop()
     await socket.close()
+    operatorServer.close()
     peerServer.close()
     peerClient.close()
     await clients.close()
--- /dev/null
+++ b/src/entry/operator-part.ts
@@ -0,0 +1,38 @@
+import { readFileSync } from 'node:fs'
+
+import { merge } from 'most'
+
+import type { ConfigKeeper } from '../coordination/config/config-keeper.js'
+import { createOperatorService } from '../coordination/operators/operator-service.js'
+import { describeFleet, type FleetStatusSource } from '../coordination/operators/operator-status.js'
+import type { GroupCoordinator } from '../coordination/groups/group-coordinator.js'
+import type { MembershipView } from '../coordination/ports/membership-view.js'
+import type { EntrySettings } from '../settings/entry-settings.js'
+import type { TimerService } from '../shared/timer-service.js'
+import { createOperatorGrpcServer, type OperatorGrpcServer } from '../transport/operator-grpc-server.js'
+
+export interface OperatorPartOptions {
+  readonly settings: EntrySettings['operators']
+  readonly keeper: ConfigKeeper
+  readonly membership: MembershipView
+  readonly coordinator: GroupCoordinator
+  readonly statusSource: FleetStatusSource
+  readonly timers: TimerService
+}
+
+/** Creates the operators' interface of an entry node; throws when a TLS file is not readable. */
+export function createOperatorPart (options: OperatorPartOptions): OperatorGrpcServer {
+  const { settings, keeper, membership, coordinator, statusSource, timers } = options
+  const tls = settings.tls === undefined
+    ? undefined
+    : { certificate: readFileSync(settings.tls.certificateFile), key: readFileSync(settings.tls.keyFile) }
+  return createOperatorGrpcServer({
+    host: settings.host,
+    port: settings.port,
+    service: createOperatorService({ keeper, membership, timers }),
+    describeFleet: () => describeFleet({ keeper, membership, statusSource }),
+    statusChanges: merge<unknown>(keeper.changes, membership.changes, coordinator.events.messages),
+    ...(tls === undefined ? {} : { tls }),
+    ...(settings.allowsPlainText === undefined ? {} : { allowsPlainText: settings.allowsPlainText })
+  })
+}
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -61,8 +61,8 @@
 
 const configuration = z.strictObject({
   /** A node whose configuration was last confirmed longer ago refuses new work. */
-  leaseMs: durationMs.default(4000),
-  refreshMs: durationMs.default(1000)
+  leaseMs: durationMs.default(3000),
+  refreshMs: durationMs.default(500)
 })
 
 const requests = z.strictObject({
--- a/src/transport/operator-grpc-server.ts
+++ b/src/transport/operator-grpc-server.ts
@@ -10,7 +10,7 @@
   type GetStatusResponse,
   type OperatorServiceServer
 } from '../protocol/generated/egretpaddle/operator/v1/operator.js'
-import { failure, type Result } from '../shared/result.js'
+import { failure, success, type Result } from '../shared/result.js'
 
 /** Certificate and key of the server, as PEM. */
 export interface OperatorTls {
@@ -25,7 +25,7 @@
   readonly tls?: OperatorTls
   readonly allowsPlainText?: boolean
   readonly service: OperatorService
-  describeFleet (): GetStatusResponse
+  describeFleet (): GetStatusResponse | Promise<GetStatusResponse>
   /** Emits whenever the status may have changed. */
   readonly statusChanges: Stream<unknown>
 }
@@ -77,9 +77,13 @@
       call.destroy(Object.assign(new Error(operator.error.message), toStatus(operator.error)))
       return
     }
-    call.write(options.describeFleet())
+    const writeStatus = async (): Promise<void> => {
+      const description = await options.describeFleet()
+      if (!call.cancelled) call.write(description)
+    }
+    void writeStatus()
     const subscription = options.statusChanges.subscribe({
-      next: () => { call.write(options.describeFleet()) },
+      next: () => { void writeStatus() },
       error: () => call.end(),
       complete: () => call.end()
     })
@@ -94,7 +98,7 @@
     acceptSplit: answer((operator, request) => service.acceptSplit(operator, request.expectedVersion)),
     setDrain: answer(service.setDrain),
     replaceWitnesses: answer(service.replaceWitnesses),
-    getStatus: answer(() => ({ isOk: true, value: options.describeFleet() })),
+    getStatus: answer(async () => success(await options.describeFleet())),
     watchStatus
   }
   server.addService(OperatorServiceService, implementation)
--- a/src/transport/peer-rpc-client.ts
+++ b/src/transport/peer-rpc-client.ts
@@ -67,6 +67,10 @@
       const client = getClient(peerAddress)
       return call(client.pushConfig.bind(client), snapshot)
     },
+    describeDomains (peerAddress) {
+      const client = getClient(peerAddress)
+      return call(client.describeDomains.bind(client), {})
+    },
     close () {
       for (const client of clients.values()) client.close()
       clients.clear()
--- a/src/transport/peer-rpc-server.ts
+++ b/src/transport/peer-rpc-server.ts
@@ -40,7 +40,8 @@
   const implementation: PeerServiceServer = {
     pollGroups: answer(handlers.pollGroups),
     fetchConfig: answer(request => handlers.fetchConfig(request.knownVersion)),
-    pushConfig: answer(handlers.pushConfig)
+    pushConfig: answer(handlers.pushConfig),
+    describeDomains: answer(() => handlers.describeDomains())
   }
   server.addService(PeerServiceService, implementation)
 
