Bound the wait of a shutdown for delayed order writes

Cause: `drain()` waited until every delayed write was settled. With the store out a release is retried as long as the process lives, so a graceful shutdown in an outage would never have ended.

Ruled out: giving up releases early in general (a late claim would block its key until it is overdue).

Change: `drain()` waits for orders in flight, then up to `drainWritesForMs` (30 s), and returns how many writes are left.

--- a/src/coordination/orders/order-ledger.test.ts
+++ b/src/coordination/orders/order-ledger.test.ts
@@ -154,5 +154,17 @@
       await drained
       expect((await settle(first.ledger.submit(createRequest()))).kind).to.equal(OrderOutcomeKind.NotRun)
     })
+
+    it('does not wait for ever for writes that the store does not take', async () => {
+      const { settle, first } = createBench()
+      let pickCount = 0
+      const pickBackend = () => {
+        pickCount += 1
+        first.faults.isOut = pickCount > 1
+        return '127.0.0.1:9'
+      }
+      expect((await settle(first.ledger.submit({ ...createRequest(), pickBackend }))).kind).to.equal(OrderOutcomeKind.Done)
+      expect(await settle(first.ledger.drain(), settings.drainWritesForMs + 1_000)).to.equal(1)
+    })
   })
 })
--- a/src/coordination/orders/order-ledger.ts
+++ b/src/coordination/orders/order-ledger.ts
@@ -24,8 +24,11 @@
   /** Says what is known of an order; asks the service's own status check when the outcome is unknown. */
   getStatus (request: OrderStatusRequest): Promise<OrderStatus>
   readonly events: Channel<OrderEvent>
-  /** Refuses new orders and resolves when none is in flight and every write is settled. */
-  drain (): Promise<void>
+  /**
+   * Refuses new orders and resolves when none is in flight and every write is settled. Delayed
+   * writes are waited for only so long; returns how many are left.
+   */
+  drain (): Promise<number>
 }
 
 export interface OrderLedgerOptions {
@@ -138,8 +141,27 @@
   }
 
   function notifyDrained (): void {
-    if (inFlightCount > 0 || writer.getPendingCount() > 0) return
-    for (const resolve of drainWaiters.splice(0)) resolve()
+    if (inFlightCount > 0) return
+    for (const notify of drainWaiters.splice(0)) notify()
+  }
+
+  async function waitUntil (isReached: () => boolean): Promise<void> {
+    while (!isReached()) {
+      await new Promise<void>(resolve => { drainWaiters.push(resolve) })
+    }
+  }
+
+  async function drain (): Promise<number> {
+    isDraining = true
+    await waitUntil(() => inFlightCount === 0)
+    let isLate = false
+    const limit = timers.subscribeOnce(settings.drainWritesForMs, () => {
+      isLate = true
+      notifyDrained()
+    })
+    await waitUntil(() => writer.getPendingCount() === 0 || isLate)
+    limit.cancel()
+    return writer.getPendingCount()
   }
 
   async function submit (request: OrderRequest): Promise<OrderOutcome> {
@@ -184,13 +206,7 @@
     submit,
     getStatus,
     events,
-    drain () {
-      isDraining = true
-      return new Promise(resolve => {
-        drainWaiters.push(resolve)
-        notifyDrained()
-      })
-    }
+    drain
   }
 }
 
--- a/src/coordination/orders/order-settings.ts
+++ b/src/coordination/orders/order-settings.ts
@@ -21,6 +21,8 @@
   readonly maxBackoffMs: number
   /** Time for which the write of an outcome is retried. */
   readonly outcomeRetryForMs: number
+  /** Time that a shutdown waits for delayed writes once no order is in flight. */
+  readonly drainWritesForMs: number
   /** Time that the service's status check has to answer. */
   readonly statusTimeoutMs: number
   /** Number of overdue claims of other nodes that are watched at once. */
@@ -40,6 +42,7 @@
   minBackoffMs: 100,
   maxBackoffMs: 5_000,
   outcomeRetryForMs: 15 * 60_000,
+  drainWritesForMs: 30_000,
   statusTimeoutMs: 5_000,
   maxWatchedClaimCount: 10_000
 }
