Close connections that become idle during a drain; test entry node and platform faults on real processes

Cause: a test that sends SIGTERM to an entry node during a stream and an order saw both end well and the process stay: 20 s later it had not ended. The drain closed the connections that were idle at its start; one that was busy then became idle later and stayed open for its keep-alive time of 60 s.

Ruled out: the ledger, the keeper and the traces, whose shutdown takes 50 ms; closing all connections when the last answer has been written, which may cut an answer that the caller still reads.

Change: each answer that ends during a drain closes the connections that are idle by then.

--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -68,8 +68,14 @@
     else socket.destroy()
   })
 
+  /** A connection that was busy when the drain began would otherwise stay open until its keep-alive time is over. */
+  function closeIdleWhenDraining (): void {
+    if (isDraining) server.closeIdleConnections()
+  }
+
   async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     response.on('error', () => response.destroy())
+    response.on('close', closeIdleWhenDraining)
     if (isDraining) response.setHeader('connection', 'close')
     const url = request.url ?? '/'
     if (await handleProbe(url, response)) return
--- a/src/testing/process-fleet.ts
+++ b/src/testing/process-fleet.ts
@@ -89,6 +89,7 @@
       callers: { port: callerPort },
       peers: { port: peerPort, gossipPort, seeds: [`127.0.0.1:${otherGossipPort}`] },
       operators: { port: operatorPort },
+      configuration: { leaseMs: 3000, refreshMs: 500 },
       shutdown: { balancerNoticeMs: 200 }
     }))
     return file
