Test that streams go on through an outage of the store

Ruled out: a longer lease, which only moves the moment.

Conclusion: the two nodes confirm the configuration among themselves while the store is out.

--- a/src/process-tests/platform-faults.test.ts
+++ b/src/process-tests/platform-faults.test.ts
@@ -1,11 +1,13 @@
 import { expect } from 'chai'
 
-import { sendOrder } from '../testing/caller-client.js'
+import { getExpectedText, openCallerStream, sendOrder } from '../testing/caller-client.js'
 import { pollUntil } from '../testing/child-program.js'
 import type { FleetProgram, ProcessFleet } from '../testing/process-fleet.js'
 import { useSharedFleet } from './shared-fleet.js'
 
 const boundMs = 30_000
+/** Longer than the lease of the configuration, so that the nodes have to confirm it among themselves. */
+const outageMs = 4000
 
 describe('faults of the platform and of services', () => {
   let fleet: ProcessFleet
@@ -33,6 +35,13 @@
     expect((await fleet.fetchServiceCounts()).runs['outage']).to.equal(1)
   })
 
+  it('an outage of the store leaves streams alone', async () => {
+    await fleet.setFaults(fleet.keyValue, { isOut: true })
+    await new Promise(resolve => { setTimeout(resolve, outageMs) })
+    const results = await Promise.all(fleet.entries.map(entry => openCallerStream(entry.url, 'outage', 10).finished))
+    expect(results.map(result => [result.statusCode, result.text])).to.deep.equal(results.map(() => [200, getExpectedText('outage', 10)]))
+  })
+
   for (const fault of ['lostReplyCount', 'lateWriteCount']) {
     it(`orders run at most once while the store has the fault ${fault}`, async () => {
       await fleet.setFaults(fleet.keyValue, { [fault]: 4 })
