--- a/src/bench/index.ts
+++ b/src/bench/index.ts
@@ -3,6 +3,7 @@
 import { runGroupsBenchmark } from './groups-benchmark.js'
 import { runGroupSlopesBenchmark } from './groups-slopes.js'
 import { runMembershipBenchmark } from './membership-benchmark.js'
+import { runServingSlopesBenchmark } from './serving/serving-slopes.js'
 import { runServingBenchmark } from './serving/serving-benchmark.js'
 import { runOrdersBenchmark } from './orders-benchmark.js'
 
@@ -13,5 +14,6 @@
   groups: runGroupsBenchmark,
   membership: runMembershipBenchmark,
   orders: runOrdersBenchmark,
-  serving: runServingBenchmark
+  serving: runServingBenchmark,
+  'serving-slopes': runServingSlopesBenchmark
 }
--- a/src/coordination/routing/cost-routing.ts
+++ b/src/coordination/routing/cost-routing.ts
@@ -6,7 +6,7 @@
 export interface CostRoutingSettings {
   /** Cost of serving from another availability zone: delay and price of the link. */
   readonly crossingCostMs: number
-  /** Time to compute a prompt prefix that the group does not hold in its cache. */
+  /** Time to compute a prompt prefix that the group does not hold in its cache; counts less the more a group is used. */
   readonly prefillMs: number
   /** Tokens of a typical answer. */
   readonly answerTokenCount: number
@@ -54,7 +54,8 @@
     const excessStreamCount = candidate.estimatedStreamCount + 1 - candidate.group.slotCount
     const waitMs = Math.max(0, excessStreamCount) / Math.max(1, candidate.group.slotCount) * answerMs
     const crossingMs = candidate.isLocal ? 0 : crossingCostMs
-    const missMs = prefillMs * getMissPart(candidate.prefixRank)
+    const idlePart = Math.max(0, 1 - getUtilisation(candidate))
+    const missMs = prefillMs * getMissPart(candidate.prefixRank) * idlePart
     const delayMs = Math.max(0, candidate.group.tokenIntervalMs - slowestIntervalMs) * answerTokenCount
     return delayMs + waitMs + crossingMs + missMs + utilisationCostMs * getUtilisation(candidate) ** 2
   }
