--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -72,7 +72,7 @@
 })
 
 const orders = z.strictObject({
-  retentionHours: z.number().int().min(1).max(8760).default(168),
+  retentionHours: z.number().int().min(1).max(8760).default(72),
   maxStoredAnswerBytes: byteCount.default(65_536)
 })
 
