Revert the late loading of the OTLP exporter

Conclusion: the resident memory is in the sum of the libraries; each alone adds 12 to 20 MB to a bare process of 39 MB.

--- a/src/entry/entry-node.ts
+++ b/src/entry/entry-node.ts
@@ -56,7 +56,7 @@
   const createLogger = createLoggerFactory(settings.log)
   const log = createLogger('entry')
   const metrics = createMetrics()
-  const traces = await createTraces(settings.traces, settings.nodeId)
+  const traces = createTraces(settings.traces, settings.nodeId)
   const clients = createPlatformClients(settings.platform, timers)
   const sharedSecret = readSharedSecret(settings)
   const peerClient = createPeerRpcClient({ timers, callTimeoutMs: peerCallTimeoutMs, ...sharedSecret })
--- a/src/observability/traces.ts
+++ b/src/observability/traces.ts
@@ -2,6 +2,7 @@
 
 import { defaultTextMapGetter, ROOT_CONTEXT, SpanStatusCode, trace, type Span, type Tracer } from '@opentelemetry/api'
 import { W3CTraceContextPropagator } from '@opentelemetry/core'
+import { OTLPTraceExporter } from '@opentelemetry/exporter-trace-otlp-http'
 import {
   BatchSpanProcessor,
   NodeTracerProvider,
@@ -34,8 +35,8 @@
 const nanosecondsPerSecond = 1_000_000_000n
 
 /** Creates the traces of one program. Without an exporter in the settings spans still pass on their context. */
-export async function createTraces (settings: TraceSettings, nodeId: string): Promise<Traces> {
-  const provider = new NodeTracerProvider({ spanProcessors: await createProcessors(settings) })
+export function createTraces (settings: TraceSettings, nodeId: string): Traces {
+  const provider = new NodeTracerProvider({ spanProcessors: createProcessors(settings) })
   // The provider is not registered globally: its context manager would hook every promise of the process.
   const propagator = new W3CTraceContextPropagator()
   const tracer = provider.getTracer('egretpaddle')
@@ -51,13 +52,9 @@
   }
 }
 
-async function createProcessors (settings: TraceSettings): Promise<SpanProcessor[]> {
+function createProcessors (settings: TraceSettings): SpanProcessor[] {
   const exporters: SpanExporter[] = []
-  if (settings.otlpUrl !== undefined) {
-    // Loaded only where it is used, for its memory.
-    const { OTLPTraceExporter } = await import('@opentelemetry/exporter-trace-otlp-http')
-    exporters.push(new OTLPTraceExporter({ url: settings.otlpUrl }))
-  }
+  if (settings.otlpUrl !== undefined) exporters.push(new OTLPTraceExporter({ url: settings.otlpUrl }))
   if (settings.file !== undefined) exporters.push(createFileExporter(settings.file))
   return exporters.map(exporter => new BatchSpanProcessor(exporter, { scheduledDelayMillis: 500 }))
 }
