Fetch the VM list only when it changed; probe members once a second

Cause: at rest an entry node of the demo received 1,606 B/s of unchanged VM list for 8 VMs, which grows with the fleet (computed 27 KB/s for 136 VMs), and 4,432 B/s of engine states for 6 engines at two probes a second. Ruled out: a longer interval for the list; leaving servers would get new work for longer. Change: conditional requests by entity tag (an unchanged list stays the same array, so that nothing is computed anew from it); probes each 1,000 ms under evidence of at most 2,500 ms, the bound of the fuzz runs.

--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -52,10 +52,10 @@
 })
 
 const groups = z.strictObject({
-  probeIntervalMs: durationMs.default(500),
+  probeIntervalMs: durationMs.default(1000),
   pollIntervalMs: durationMs.default(500),
   /** Older evidence lets no request through. */
-  evidenceMaxAgeMs: durationMs.default(2000),
+  evidenceMaxAgeMs: durationMs.default(2500),
   engineOrderLifeMs: durationMs.default(3000)
 })
 
--- a/src/standin/json-server.ts
+++ b/src/standin/json-server.ts
@@ -19,7 +19,9 @@
 
 export interface JsonReply {
   readonly statusCode: number
+  /** Undefined sends no body. */
   readonly body: unknown
+  readonly headers?: Readonly<Record<string, string>>
 }
 
 /** Answers a call; undefined means that the handler has answered or closed the connection itself. */
@@ -66,8 +68,14 @@
 
 /** Writes a JSON reply to a response that has not started. */
 export function sendJson (response: ServerResponse, reply: JsonReply): void {
+  if (reply.body === undefined) {
+    response.writeHead(reply.statusCode, reply.headers)
+    response.end()
+    return
+  }
   const text = JSON.stringify(reply.body)
-  response.writeHead(reply.statusCode, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  const headers = { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...reply.headers }
+  response.writeHead(reply.statusCode, headers)
   response.end(text)
 }
 
--- a/src/standin/vm-list-standin.ts
+++ b/src/standin/vm-list-standin.ts
@@ -1,3 +1,5 @@
+import { createHash } from 'node:crypto'
+
 import { z } from 'zod'
 
 import { VmLifecycle, VmRole, type ListedVm } from '../coordination/ports/vm-list.js'
@@ -72,6 +74,13 @@
     return change(current.flatMap(vm => vm.vmId === vmId ? replace(vm) : [vm]))
   }
 
+  function showList (call: JsonCall): JsonReply {
+    if (faults.isOut) return { statusCode: 503, body: { error: { message: 'VM list is out' } } }
+    const etag = `"${createHash('sha256').update(JSON.stringify(shown)).digest('hex')}"`
+    if (call.request.headers['if-none-match'] === etag) return { statusCode: 304, body: undefined, headers: { etag } }
+    return { ...ok({ vms: shown }), headers: { etag } }
+  }
+
   const server = createJsonServer({
     host: options.host,
     port: options.port,
@@ -79,7 +88,7 @@
       {
         method: 'GET',
         pattern: /^\/vms$/,
-        handle: () => faults.isOut ? { statusCode: 503, body: { error: { message: 'VM list is out' } } } : ok({ vms: shown })
+        handle: showList
       },
       { method: 'POST', pattern: /^\/vms$/, handle: call => change(parseBody(listSchema, call.readJson()).vms) },
       {
--- a/src/transport/vm-list-http-client.test.ts
+++ b/src/transport/vm-list-http-client.test.ts
@@ -41,6 +41,15 @@
     expect(await client.fetch()).to.deep.equal({ isOk: true, value: [vm] })
   })
 
+  it('gets an unchanged list as the same array, and a changed one anew', async () => {
+    const first = await client.fetch()
+    const second = await client.fetch()
+    expect(first.isOk && second.isOk && first.value === second.value).to.equal(true)
+    await send('PATCH', '/vms/vm-1', { lifecycle: VmLifecycle.Leaving })
+    const third = await client.fetch()
+    expect(third.isOk && third.value[0]?.lifecycle).to.equal(VmLifecycle.Leaving)
+  })
+
   it('sees VMs that were set, changed and removed', async () => {
     const other = { ...vm, vmId: 'vm-2' }
     await send('POST', '/vms', { vms: [vm, other] })
--- a/src/transport/vm-list-http-client.ts
+++ b/src/transport/vm-list-http-client.ts
@@ -31,17 +31,24 @@
 })
 const listSchema = z.object({ vms: z.array(listedVmSchema) })
 
-/** Creates a client of the platform's list of VMs. */
+/** Creates a client of the platform's list of VMs. An unchanged list is not sent again and stays the same array. */
 export function createVmListHttpClient (options: VmListHttpClientOptions): VmListHttpClient {
   const { baseUrl, timeoutMs } = options
   const exchange = createHttpExchange({ timers: options.timers })
 
+  let last: { readonly etag: string, readonly vms: readonly ListedVm[] } | undefined
+
   async function fetchVms (): Promise<Result<readonly ListedVm[], TransportError>> {
-    const reply = await exchange.send({ origin: baseUrl, method: 'GET', path: '/vms', timeoutMs })
+    const headers: Record<string, string> = last === undefined ? {} : { 'if-none-match': last.etag }
+    const reply = await exchange.send({ origin: baseUrl, method: 'GET', path: '/vms', headers, timeoutMs })
     if (!reply.isOk) return reply
+    if (reply.value.statusCode === 304 && last !== undefined) return success(last.vms)
     if (reply.value.statusCode !== 200) return failure(toUnexpectedStatus(reply.value))
     const list = readJsonReply(reply.value, listSchema)
-    return list.isOk ? success(list.value.vms) : list
+    if (!list.isOk) return list
+    const { etag } = reply.value.headers
+    last = etag === undefined ? undefined : { etag, vms: list.value.vms }
+    return success(list.value.vms)
   }
 
   return {
