--- a/src/bench/index.ts
+++ b/src/bench/index.ts
@@ -1,4 +1,5 @@
 import type { Benchmark } from './benchmark.js'
+import { runConfigBenchmark } from './config-benchmark.js'
 import { runPathBenchmark } from './path.js'
 import { runGroupsBenchmark } from './groups-benchmark.js'
 import { runGroupSlopesBenchmark } from './groups-slopes.js'
@@ -9,6 +10,7 @@
 
 /** The benchmarks that the command can run, by name. */
 export const benchmarks: Record<string, Benchmark> = {
+  config: runConfigBenchmark,
   path: runPathBenchmark,
   'group-slopes': runGroupSlopesBenchmark,
   groups: runGroupsBenchmark,
--- a/src/fuzz/config-fleet.ts
+++ b/src/fuzz/config-fleet.ts
@@ -6,6 +6,7 @@
 import type { PeerConfigError, PeerConfigPort } from '../coordination/config/peer-config.js'
 import type { KeyValueStore } from '../coordination/ports/key-value-store.js'
 import type { EntryNode, MembershipView } from '../coordination/ports/membership-view.js'
+import { ConfigSnapshot, ConfigStatus, FetchConfigRequest } from '../protocol/generated/egretpaddle/peer/v1/peer.js'
 import { createRandomSource } from '../shared/random-source.js'
 import { failure, success, type Result } from '../shared/result.js'
 import { delay } from '../shared/timer-service.js'
@@ -22,6 +23,7 @@
   readonly nodeCount: number
   readonly zoneCount: number
   readonly settings?: Partial<ConfigKeeperSettings>
+  readonly firstConfig?: FleetConfig
   /** Creates the keepers; a test may hand in a broken one. */
   readonly createKeeper?: KeeperFactory
 }
@@ -37,11 +39,17 @@
   stoppedAtMs: number
 }
 
+/** Messages between nodes, with their encoded size but without framing. */
 export interface PeerTraffic {
   messageCount: number
   byteCount: number
 }
 
+interface PeerMessages<Reply> {
+  readonly requestBytes: number
+  countReplyBytes (reply: Reply): number
+}
+
 export interface ConfigFleet {
   readonly timers: VirtualTimerService
   readonly store: FakeKeyValueStore
@@ -64,7 +72,6 @@
 const maxLinkDelayMs = 5
 const deathDetectionMs = 2_000
 const forgetMs = 60_000
-const frameBytes = 60
 
 /** Creates and starts entry nodes that share a fake store, with peer links that can be cut. */
 export function createConfigFleet (options: ConfigFleetOptions): ConfigFleet {
@@ -83,7 +90,20 @@
     return node.isRunning || timers.nowMs() - node.stoppedAtMs < spanMs
   }
 
+  /** Counts starts and kills, so that lists of nodes are computed once while nothing changes. */
+  let topologyVersion = 0
+  const cachedLists = new Map<number, { readonly topologyVersion: number, readonly untilMs: number, readonly entries: EntryNode[] }>()
+
   function listRemembered (spanMs: number): EntryNode[] {
+    const cached = cachedLists.get(spanMs)
+    if (cached !== undefined && cached.topologyVersion === topologyVersion && timers.nowMs() < cached.untilMs) return cached.entries
+    const entries = computeRemembered(spanMs)
+    const expiries = [...former, ...nodes].filter(node => !node.isRunning).map(node => node.stoppedAtMs + spanMs).filter(atMs => atMs > timers.nowMs())
+    cachedLists.set(spanMs, { topologyVersion, untilMs: Math.min(...expiries), entries })
+    return entries
+  }
+
+  function computeRemembered (spanMs: number): EntryNode[] {
     const entries = new Map<string, EntryNode>()
     for (const node of [...former, ...nodes]) {
       if (isRemembered(node, spanMs)) entries.set(node.nodeId, node.entry)
@@ -103,7 +123,7 @@
 
   function countMessage (bytes: number): void {
     traffic.messageCount += 1
-    traffic.byteCount += bytes + frameBytes
+    traffic.byteCount += bytes
   }
 
   async function travel (from: string, to: string): Promise<boolean> {
@@ -112,15 +132,15 @@
   }
 
   /** Runs the operation on the target; a target that is paused runs it when it goes on. */
-  async function call<T> (from: string, to: string, requestBytes: number, operation: (keeper: ConfigKeeper) => T): Promise<Result<T, PeerConfigError>> {
-    countMessage(requestBytes)
+  async function call<T> (from: string, to: string, messages: PeerMessages<T>, operation: (keeper: ConfigKeeper) => T): Promise<Result<T, PeerConfigError>> {
+    countMessage(messages.requestBytes)
     const answer = (async () => {
       if (!await travel(from, to)) return undefined
       const target = nodes.find(node => node.nodeId === to)
       if (target === undefined || !target.isRunning) return undefined
       await target.gate.pass()
       const value = operation(target.keeper)
-      countMessage(JSON.stringify(value).length)
+      countMessage(messages.countReplyBytes(value))
       return await travel(to, from) ? { value } : undefined
     })()
     const timeout = delay(timers, peerTimeoutMs).then(() => undefined)
@@ -132,13 +152,23 @@
     return {
       async fetch (node, knownVersion) {
         await gate.pass()
-        const answer = await call(from, node.nodeId, 0, keeper => keeper.getSnapshot(knownVersion))
+        const answer = await call(
+          from,
+          node.nodeId,
+          { requestBytes: FetchConfigRequest.encode({ knownVersion }).finish().length, countReplyBytes: countSnapshotBytes },
+          keeper => keeper.getSnapshot(knownVersion)
+        )
         await gate.pass()
         return answer
       },
       async push (node, snapshot) {
         await gate.pass()
-        const answer = await call(from, node.nodeId, snapshot.configJson.length, keeper => keeper.acceptSnapshot(snapshot))
+        const answer = await call(
+          from,
+          node.nodeId,
+          { requestBytes: countSnapshotBytes(snapshot), countReplyBytes: (status: ConfigStatus) => ConfigStatus.encode(status).finish().length },
+          keeper => keeper.acceptSnapshot(snapshot)
+        )
         await gate.pass()
         return answer
       }
@@ -173,6 +203,7 @@
     const node = nodes[index]
     if (node === undefined || !node.isRunning) return
     node.isRunning = false
+    topologyVersion += 1
     node.stoppedAtMs = timers.nowMs()
     node.keeper.stop()
     node.gate.destroy()
@@ -183,12 +214,14 @@
     if (node === undefined || node.isRunning) return
     former.push(node)
     nodes[index] = startNode(nodeId, index % options.zoneCount)
+    topologyVersion += 1
   }
 
   function addFirstNodes (): void {
-    store.put(fleetConfigKey, JSON.stringify(createFirstConfig()))
+    store.put(fleetConfigKey, JSON.stringify(options.firstConfig ?? createFirstConfig()))
     for (let index = 0; index < options.nodeCount; index += 1) {
       nodes.push(startNode(`node-${nextName++}`, index % options.zoneCount))
+      topologyVersion += 1
     }
   }
 
@@ -216,6 +249,10 @@
   }
 }
 
+function countSnapshotBytes (snapshot: ConfigSnapshot): number {
+  return ConfigSnapshot.encode(snapshot).finish().length
+}
+
 function gateStore (store: KeyValueStore, gate: ProcessGate): KeyValueStore {
   async function guard<T> (call: () => Promise<T>): Promise<T> {
     await gate.pass()
