Answer the new peer call in the configuration benchmark

Ruled out: an optional handler; every server has to answer the call.

Change: the benchmark's server answers with no domains.

Conclusion: type check passes.

--- a/src/bench/config-benchmark.ts
+++ b/src/bench/config-benchmark.ts
@@ -133,7 +133,8 @@
     handlers: {
       pollGroups: () => ({ groups: [], config: status }),
       fetchConfig: knownVersion => ({ status, configJson: knownVersion === 0 ? JSON.stringify(config) : '' }),
-      pushConfig: () => status
+      pushConfig: () => status,
+      describeDomains: () => ({ domains: [] })
     }
   })
   const port = await server.listen()
