--- a/src/callers/caller-error.ts
+++ b/src/callers/caller-error.ts
@@ -1,6 +1,9 @@
 /** Whether the work of a failed request ran. */
 export enum WorkState {
+  /** Nothing ran, neither for this request nor for an earlier one with its idempotency key. */
   NotRun = 'not_run',
+  /** Nothing ran for this request; earlier ones with its idempotency key were not looked up. */
+  AttemptNotRun = 'attempt_not_run',
   /** Some of the answer was produced. */
   PartlyRun = 'partly_run',
   Running = 'running',
@@ -94,3 +97,8 @@
 export function notRun (kind: CallerErrorKind, message: string, retryAfterMs?: number): CallerError {
   return { kind, message, workState: WorkState.NotRun, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }
 }
+
+/** Creates an error for an attempt that sent nothing, while earlier ones with its key may have run. */
+export function attemptNotRun (kind: CallerErrorKind, message: string, retryAfterMs: number): CallerError {
+  return { kind, message, workState: WorkState.AttemptNotRun, retryAfterMs }
+}
--- a/src/callers/caller-server.test.ts
+++ b/src/callers/caller-server.test.ts
@@ -141,13 +141,13 @@
       expect((await fetch(`${fleet.baseUrl}/v1/orders/quarry-orders/none`, { headers })).status).to.equal(404)
     })
 
-    it('are refused at once as not run while the store is out', async () => {
+    it('are refused at once while the store is out, without a word on earlier attempts', async () => {
       fleet.keyValue.faults.isOut = true
       const refused = await postOrder('key-4', {})
       fleet.keyValue.faults.isOut = false
       expect(refused.status).to.equal(503)
       expect(Number(refused.headers.get('retry-after'))).to.be.above(0)
-      expect((await readError(refused)).work_state).to.equal('not_run')
+      expect((await readError(refused)).work_state).to.equal('attempt_not_run')
       expect(fleet.service.getCounts().runs).to.not.have.property('key-4')
     })
 
--- a/src/callers/caller-server.ts
+++ b/src/callers/caller-server.ts
@@ -8,7 +8,7 @@
 import { failure, success, type Result } from '../shared/result.js'
 import type { FleetConfig } from '../state/fleet-config.js'
 import { createAuthenticator, type CallerIdentity } from './authentication.js'
-import { CallerErrorKind, notRun, WorkState, type CallerError } from './caller-error.js'
+import { attemptNotRun, CallerErrorKind, notRun, WorkState, type CallerError } from './caller-error.js'
 import type { CallerExchange, ModelHandler } from './model-handler.js'
 import { readBody } from './request-body.js'
 import { sendError, sendJson } from './response-writer.js'
@@ -132,7 +132,11 @@
 
   function admitCaller (request: IncomingMessage): Result<{ identity: CallerIdentity, config: FleetConfig }, CallerError> {
     const readiness = dependencies.getReadiness()
-    if (!readiness.isReady) return failure(notRun(CallerErrorKind.Unavailable, `node takes no work: ${readiness.reason}`, notReadyRetryMs))
+    if (!readiness.isReady) {
+      const isKeyed = request.headers['idempotency-key'] !== undefined
+      const refuse = isKeyed ? attemptNotRun : notRun
+      return failure(refuse(CallerErrorKind.Unavailable, `node takes no work: ${readiness.reason}`, notReadyRetryMs))
+    }
     const identity = authenticator.identify(readiness.config, request.headers.authorization)
     if (!identity.isOk) return identity
     return success({ identity: identity.value, config: readiness.config })
--- a/src/callers/service-handler.ts
+++ b/src/callers/service-handler.ts
@@ -1,11 +1,11 @@
-import { OrderOutcomeKind, type OrderAnswer, type OrderOutcome, type OrderStatus } from '../coordination/orders/order-outcome.js'
+import { EarlierAttempts, OrderOutcomeKind, type OrderAnswer, type OrderOutcome, type OrderStatus } from '../coordination/orders/order-outcome.js'
 import type { OrderLedger } from '../coordination/orders/order-ledger.js'
 import { ServiceErrorKind, type ServiceCaller, type ServiceResponse } from '../coordination/ports/service-caller.js'
 import { DurationMetric, type Metrics } from '../observability/metrics.js'
 import { failure, success, type Result } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { PlainService, ServiceRoute } from '../state/fleet-config.js'
-import { CallerErrorKind, notRun, WorkState, type CallerError } from './caller-error.js'
+import { attemptNotRun, CallerErrorKind, notRun, WorkState, type CallerError } from './caller-error.js'
 import { readDeadlineMs, type CallerExchange } from './model-handler.js'
 import { sendError, sendJson } from './response-writer.js'
 
@@ -209,7 +209,9 @@
 function toOrderError (outcome: Exclude<OrderOutcome, { kind: OrderOutcomeKind.Done }>): CallerError {
   switch (outcome.kind) {
     case OrderOutcomeKind.NotRun:
-      return notRun(CallerErrorKind.Unavailable, `${outcome.reason}; earlier attempts: ${outcome.earlierAttempts}`, outcome.retryAfterMs)
+      return outcome.earlierAttempts === EarlierAttempts.NoneRan
+        ? notRun(CallerErrorKind.Unavailable, outcome.reason, outcome.retryAfterMs)
+        : attemptNotRun(CallerErrorKind.Unavailable, outcome.reason, outcome.retryAfterMs)
     case OrderOutcomeKind.Running:
       return {
         kind: CallerErrorKind.StillRunning,
--- a/src/entry/router-part.ts
+++ b/src/entry/router-part.ts
@@ -24,6 +24,7 @@
 import type { PlatformClients } from './platform-clients.js'
 
 const minPollIntervalMs = 100
+const percent = 100
 
 export interface RouterPartOptions {
   readonly clients: PlatformClients
@@ -73,7 +74,11 @@
     timers,
     random,
     router,
-    settings: { ...defaultAdmissionSettings, maxWaitingCount: settings.requests.maxWaitingCount },
+    settings: {
+      ...defaultAdmissionSettings,
+      maxWaitingCount: settings.requests.maxWaitingCount,
+      retryBudget: { ...defaultAdmissionSettings.retryBudget, retriesPerSuccess: settings.requests.retryPercent / percent }
+    },
     getTeamWeight: (partner, team) => findTeamWeight(keeper, partner, team),
     onWait: () => poller.pollSoon()
   })
--- a/src/process-tests/entry-faults.test.ts
+++ b/src/process-tests/entry-faults.test.ts
@@ -93,7 +93,7 @@
     await expectWhole(streams[0]!)
     expect((await before).statusCode).to.equal(200)
     const late = await during
-    expect(late.workState ?? late.statusCode).to.be.oneOf(['not_run', 200])
+    expect(late.workState ?? late.statusCode).to.be.oneOf(['attempt_not_run', 200])
     const retry = await pollUntil('the paused node takes orders again', boundMs, async () => {
       const reply = await sendOrder(first.url, 'during-pause')
       return reply.statusCode === 200 && reply
--- a/src/process-tests/platform-faults.test.ts
+++ b/src/process-tests/platform-faults.test.ts
@@ -24,7 +24,7 @@
   it('an outage of the store refuses orders at once, and nothing of them runs', async () => {
     await fleet.setFaults(fleet.keyValue, { isOut: true })
     const replies = await Promise.all(fleet.entries.map(entry => sendOrder(entry.url, 'outage')))
-    expect(replies.map(reply => [reply.statusCode, reply.workState])).to.deep.equal([[503, 'not_run'], [503, 'not_run']])
+    expect(replies.map(reply => [reply.statusCode, reply.workState])).to.deep.equal([[503, 'attempt_not_run'], [503, 'attempt_not_run']])
     expect((await fleet.fetchServiceCounts()).runs['outage']).to.equal(undefined)
     await fleet.setFaults(fleet.keyValue, { isOut: false })
     const after = await pollUntil('orders are taken again', boundMs, async () => {
--- a/src/testing/process-fleet.ts
+++ b/src/testing/process-fleet.ts
@@ -1,5 +1,5 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer, type AddressInfo } from 'node:net'
+import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
@@ -18,6 +18,12 @@
 const startBoundMs = 30_000
 const requestBoundMs = 5000
 
+const firstPort = 20_000
+const portCount = 10_000
+
+/** Differs between test processes that run at the same time. */
+let nextPortOffset = (process.pid * 101) % portCount
+
 /** A program of the fleet that can be ended and started again on the same port. */
 export interface FleetProgram {
   readonly url: string
@@ -211,12 +217,24 @@
   if (!answer.ok) throw new Error(`${url} answered ${answer.status}: ${await answer.text()}`)
 }
 
-/** Finds ports that are free for TCP now; all are held until the last one is found. */
+/**
+ * Finds ports that are free for TCP now. They lie below the range from which the system takes the ports of
+ * outgoing connections, so that no connection takes one before the program has bound it.
+ */
 async function findFreePorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  const ports = await Promise.all(servers.map(server => new Promise<number>(resolve => {
-    server.listen(0, '127.0.0.1', () => resolve((server.address() as AddressInfo).port))
-  })))
-  await Promise.all(servers.map(server => new Promise(resolve => { server.close(resolve) })))
+  const ports: number[] = []
+  while (ports.length < count) {
+    const port = firstPort + nextPortOffset
+    nextPortOffset = (nextPortOffset + 1) % portCount
+    if (await isPortFree(port)) ports.push(port)
+  }
   return ports
 }
+
+function isPortFree (port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const server = createServer()
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
+}
