--- /dev/null
+++ b/scripts/closing-reporter.cjs
@@ -0,0 +1,14 @@
+const { reporters, Runner } = require('mocha')
+
+/** Mocha's dot reporter with a closing line that counts the tests. */
+class ClosingReporter extends reporters.Dot {
+  constructor (runner, options) {
+    super(runner, options)
+    runner.once(Runner.constants.EVENT_RUN_END, () => {
+      const { passes, failures } = this.stats
+      console.log(`${passes} passed, ${failures} failed`)
+    })
+  }
+}
+
+module.exports = ClosingReporter
