--- /dev/null
+++ b/src/entry/entry-servers.ts
@@ -0,0 +1,80 @@
+import { createCallerServer, type Readiness } from '../callers/caller-server.js'
+import { createModelHandler } from '../callers/model-handler.js'
+import { createServiceHandler } from '../callers/service-handler.js'
+import { createFleetGroupsSource, describeOwnDomains } from '../coordination/operators/fleet-groups.js'
+import { MetricGauge } from '../observability/metrics.js'
+import type { EntrySettings } from '../settings/entry-settings.js'
+import { createPeerRpcServer } from '../transport/peer-rpc-server.js'
+import type { EntryParts } from './entry-parts.js'
+import { createOperatorPart } from './operator-part.js'
+
+/** The servers of one entry node. */
+export type EntryServers = ReturnType<typeof createEntryServers>
+
+/** Creates the servers for callers, peers and operators; none listens yet. */
+export function createEntryServers (settings: EntrySettings, parts: EntryParts, isStopping: () => boolean) {
+  const { timers, createLogger, metrics, traces, sharedSecret, peerClient, membership, keeper, vms, serviceCaller, ownerPart, routerPart, orders } = parts
+  const describeSelf = () => describeOwnDomains(ownerPart.coordinator, membership.view.self.nodeId)
+
+  function getReadiness (): Readiness {
+    const config = keeper.getConfig()
+    const freshness = keeper.getFreshness()
+    if (config === undefined || !freshness.canServe) return { isReady: false, reason: `configuration is not confirmed: ${freshness.reason}` }
+    return { isReady: true, config }
+  }
+
+  function getBalancerReadiness (): Readiness {
+    return isStopping() ? { isReady: false, reason: 'the node is shutting down' } : getReadiness()
+  }
+
+  function updateGauges (): void {
+    const deployments = keeper.getConfig()?.deployments ?? []
+    const completeCount = deployments.reduce((count, { name }) => count + routerPart.evidenceCache.getFreshGroups(name, timers.nowMs()).length, 0)
+    metrics.setGauge(MetricGauge.CompleteGroupCount, completeCount)
+    metrics.setGauge(MetricGauge.IsReady, Number(getBalancerReadiness().isReady))
+    metrics.setGauge(MetricGauge.InFlightCount, callerServer.getInFlightCount())
+  }
+
+  const callerServer = createCallerServer({
+    settings: settings.callers,
+    modelHandler: createModelHandler({
+      streams: routerPart.streams, timers, metrics, slowReaderTimeoutMs: settings.callers.slowReaderTimeoutMs
+    }),
+    serviceHandler: createServiceHandler({
+      orders,
+      serviceCaller,
+      timers,
+      metrics,
+      pickBackend: serviceName => vms.pickBackend(serviceName, new Set(keeper.getConfig()?.drainingVmIds))
+    }),
+    metrics,
+    traces,
+    log: createLogger('callers'),
+    getReadiness,
+    getBalancerReadiness,
+    updateGauges
+  })
+  const peerServer = createPeerRpcServer({
+    host: settings.peers.host,
+    port: settings.peers.port,
+    ...sharedSecret,
+    handlers: {
+      pollGroups (request) {
+        if (request.config !== undefined) keeper.observePeerStatus(request.nodeId, request.config)
+        return ownerPart.answerPoll(request)
+      },
+      fetchConfig: keeper.getSnapshot,
+      pushConfig: keeper.acceptSnapshot,
+      describeDomains: describeSelf
+    }
+  })
+  const operatorServer = createOperatorPart({
+    settings: settings.operators,
+    keeper,
+    timers,
+    membership: membership.view,
+    coordinator: ownerPart.coordinator,
+    statusSource: createFleetGroupsSource(membership.view, peerClient, describeSelf)
+  })
+  return { callerServer, peerServer, operatorServer }
+}
--- a/src/transport/operator-grpc-client.ts
+++ b/src/transport/operator-grpc-client.ts
@@ -17,6 +17,7 @@
   type SplitResponse
 } from '../protocol/generated/egretpaddle/operator/v1/operator.js'
 import { failure, success, type Result } from '../shared/result.js'
+import { createSystemTimerService, type TimerService } from '../shared/timer-service.js'
 
 export enum OperatorCallErrorKind {
   /** Refused, or not possible now. */
@@ -35,6 +36,8 @@
 }
 
 export interface OperatorGrpcClientOptions {
+  /** The system's timers when left out. */
+  readonly timers?: TimerService
   /** `host:port` of an entry node's operators' interface. */
   readonly address: string
   readonly secret: string
@@ -66,6 +69,7 @@
 
 /** Creates a client of the operators' interface of one node. It repeats no call. */
 export function createOperatorGrpcClient (options: OperatorGrpcClientOptions) {
+  const timers = options.timers ?? createSystemTimerService()
   const channel = options.certificateAuthority === undefined
     ? credentials.createInsecure()
     : credentials.createSsl(options.certificateAuthority)
@@ -76,7 +80,7 @@
   return {
     call<Name extends keyof UnaryCalls> (name: Name, request: UnaryCalls[Name][0]): Promise<Result<UnaryCalls[Name][1], OperatorCallError>> {
       const method = client[name].bind(client) as unknown as UnaryMethod<UnaryCalls[Name][0], UnaryCalls[Name][1]>
-      const deadline = new Date(Date.now() + options.callTimeoutMs)
+      const deadline = new Date(timers.wallClockMs() + options.callTimeoutMs)
       return new Promise(resolve => {
         method(request, metadata, { deadline }, (error, response) => {
           resolve(error === null ? success(response) : failure(toCallError(error)))
