Let leases lapse in virtual time in the client's test

Ruled out: a fault of the client or the stand-in; a lapsed lease is refused as it should be. Conclusion: no bound of real time is left in it.

--- a/src/transport/key-value-http-client.test.ts
+++ b/src/transport/key-value-http-client.test.ts
@@ -2,6 +2,7 @@
 
 import { KeyValueErrorKind } from '../coordination/ports/key-value-store.js'
 import type { Result } from '../shared/result.js'
+import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
 import { createKeyValueStandin, type KeyValueStandin } from '../standin/key-value-standin.js'
 import { createKeyValueHttpClient, type KeyValueHttpClient } from './key-value-http-client.js'
 
@@ -79,11 +80,20 @@
 
   describe('leases', () => {
     it('remove their keys when they lapse', async () => {
-      const lease = await client.grantLease(5)
+      const timers = createVirtualTimerService()
+      const timed = createKeyValueStandin({ timers })
+      const { port } = await timed.listen()
+      const timedClient = createKeyValueHttpClient({ baseUrl: `http://127.0.0.1:${port}`, timeoutMs: 5000 })
+      const lease = await timedClient.grantLease(1000)
       if (!lease.isOk) throw new Error(lease.error.kind)
-      await put('a', 'one', 0, lease.value)
-      while (standin.table.get('a') !== undefined) await new Promise(resolve => { setTimeout(resolve, 1) })
-      expect(await client.keepLeaseAlive(lease.value)).to.deep.equal({ isOk: true, value: false })
+      expect(kindOf(await timedClient.compareAndSwap({ key: 'a', expectedRevision: 0, value: 'one', leaseId: lease.value }))).to.equal('ok')
+      timers.advance(999)
+      expect(timed.table.get('a')?.value).to.equal('one')
+      timers.advance(1)
+      expect(timed.table.get('a')).to.equal(undefined)
+      expect(await timedClient.keepLeaseAlive(lease.value)).to.deep.equal({ isOk: true, value: false })
+      await timedClient.close()
+      timed.abort()
     })
 
     it('are kept alive', async () => {
