Trace each hop to an engine or a plain service

Cause: only the request had a span, and the histogram of hops had no recorder. Ruled out: spans in the decisions; they know nothing of traces. Change: wrappers of the two ports that start a span from the request's trace context, pass on their own and end it with the error; the hop histogram. Conclusion: calls to the store and among entry nodes still have no spans.

--- a/src/entry/entry-parts.ts
+++ b/src/entry/entry-parts.ts
@@ -13,6 +13,7 @@
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSystemTimerService } from '../shared/timer-service.js'
 import { createPeerRpcClient } from '../transport/peer-rpc-client.js'
+import { createHopTracing } from './hop-tracing.js'
 import { openMembershipPart } from './membership-part.js'
 import { createOwnerPart } from './owner-part.js'
 import { createPeerConfigPort } from './peer-config-port.js'
@@ -65,10 +66,12 @@
     availabilityZone: settings.availabilityZone,
     refreshMs: settings.platform.vmListRefreshMs
   })
-  const serviceCaller = createWatchfulServiceCaller(clients.serviceCaller, vms)
+  const hopTracing = createHopTracing({ traces, metrics, timers })
+  const serviceCaller = createWatchfulServiceCaller(hopTracing.traceServiceCaller(clients.serviceCaller), vms)
+  const engineStreams = hopTracing.traceEngineStreams(clients.engineStreams)
   const shared = { clients, vms, timers, random, membership: membership.view, keeper, groupSettings }
   const ownerPart = createOwnerPart(shared)
-  const routerPart = createRouterPart({ ...shared, peerLink: peerClient, settings, answerPoll: ownerPart.answerPoll })
+  const routerPart = createRouterPart({ ...shared, engineStreams, peerLink: peerClient, settings, answerPoll: ownerPart.answerPoll })
   const orders = createOrderLedger({
     store: clients.store,
     serviceCaller,
--- /dev/null
+++ b/src/entry/hop-tracing.ts
@@ -0,0 +1,60 @@
+import type { EngineStreams } from '../coordination/ports/engine-streams.js'
+import type { ServiceCaller } from '../coordination/ports/service-caller.js'
+import { DurationMetric, type Metrics } from '../observability/metrics.js'
+import type { Traces, TraceSpan } from '../observability/traces.js'
+import type { TimerService } from '../shared/timer-service.js'
+
+export interface HopTracingOptions {
+  readonly traces: Traces
+  readonly metrics: Metrics
+  readonly timers: TimerService
+}
+
+/** Adds a span and a duration for each hop to an engine or a plain service. */
+export interface HopTracing {
+  traceEngineStreams (streams: EngineStreams): EngineStreams
+  traceServiceCaller (caller: ServiceCaller): ServiceCaller
+}
+
+/** Creates the tracing of the hops that leave an entry node. The hop's span continues the request's trace. */
+export function createHopTracing ({ traces, metrics, timers }: HopTracingOptions): HopTracing {
+  function startHop (name: string, traceParent: string | undefined, address: string): { span: TraceSpan, end: (reason?: string) => void } {
+    const startedMs = timers.nowMs()
+    const span = traces.startRequest(name, traceParent, { 'egretpaddle.backend_address': address })
+    return {
+      span,
+      end (reason) {
+        metrics.recordDuration(DurationMetric.Hop, timers.nowMs() - startedMs)
+        span.end(reason)
+      }
+    }
+  }
+
+  return {
+    traceEngineStreams (streams) {
+      return {
+        async * open (address, request, signal) {
+          const hop = startHop('engine stream', request.traceParent, address)
+          let reason: string | undefined
+          try {
+            const error = yield * streams.open(address, { ...request, traceParent: hop.span.traceParent }, signal)
+            reason = error?.reason
+            return error
+          } finally {
+            hop.end(reason)
+          }
+        }
+      }
+    },
+    traceServiceCaller (caller) {
+      return {
+        async call (address, request) {
+          const hop = startHop('service call', request.traceParent, address)
+          const answer = await caller.call(address, { ...request, traceParent: hop.span.traceParent })
+          hop.end(answer.isOk ? undefined : answer.error.reason)
+          return answer
+        }
+      }
+    }
+  }
+}
--- a/src/entry/router-part.ts
+++ b/src/entry/router-part.ts
@@ -5,6 +5,7 @@
 import { createEvidenceCache, type EvidenceCache, type FreshGroup } from '../coordination/groups/evidence-cache.js'
 import type { GroupSettings } from '../coordination/groups/group-settings.js'
 import { createGroupPoller, type GroupPoller } from '../coordination/polling/group-poller.js'
+import type { EngineStreams } from '../coordination/ports/engine-streams.js'
 import type { MembershipView } from '../coordination/ports/membership-view.js'
 import type { PeerLink } from '../coordination/ports/peer-link.js'
 import { CostRouting } from '../coordination/routing/cost-routing.js'
@@ -21,13 +22,12 @@
 import type { EntrySettings } from '../settings/entry-settings.js'
 import type { RandomSource } from '../shared/random-source.js'
 import type { TimerService } from '../shared/timer-service.js'
-import type { PlatformClients } from './platform-clients.js'
 
 const minPollIntervalMs = 100
 const percent = 100
 
 export interface RouterPartOptions {
-  readonly clients: PlatformClients
+  readonly engineStreams: EngineStreams
   readonly vms: VmDirectory
   readonly timers: TimerService
   readonly random: RandomSource
@@ -49,7 +49,7 @@
 
 /** Creates the router part of an entry node. */
 export function createRouterPart (options: RouterPartOptions): RouterPart {
-  const { clients, vms, timers, random, membership, keeper, groupSettings, settings } = options
+  const { engineStreams, vms, timers, random, membership, keeper, groupSettings, settings } = options
   const evidenceCache = createEvidenceCache(timers, groupSettings)
   const creditHolder = createCreditHolder(timers, defaultCreditSettings.creditLifetimeMs)
 
@@ -105,7 +105,7 @@
     observePeerStatus: keeper.observePeerStatus,
     onAnswer: admission.dispatch
   })
-  const streams = createModelStreams({ gate, engineStreams: clients.engineStreams, timers })
+  const streams = createModelStreams({ gate, engineStreams, timers })
   return { admission, evidenceCache, poller, streams }
 }
 
