--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'src/protocol/generated/**', 'coverage/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'src/protocol/generated/**', 'coverage/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- /dev/null
+++ b/src/coordination/dispatch/retry-share.ts
@@ -0,0 +1,47 @@
+import type { TimerService } from '../../shared/timer-service.js'
+
+export interface RetryShareSettings {
+  /** Second attempts that each request earns. */
+  readonly ratio: number
+  /** Second attempts in a window on top of that, of all gateways together. */
+  readonly slackCount: number
+  readonly windowMs: number
+}
+
+/** This gateway's part of the second attempts that a service may get. */
+export interface RetryShare {
+  noteRequest (): void
+  /** Takes one second attempt; false when none is left. */
+  tryTake (): boolean
+}
+
+/** Keeps a margin to the bound, since requests and attempts are counted in windows that differ. */
+const usedPart = 0.8
+
+/**
+ * Creates a share. In any window at most the ratio of the requests plus an equal part of the slack is
+ * taken: half of that part can be saved up and the other half returns within a window.
+ */
+export function createRetryShare (timers: TimerService, settings: RetryShareSettings, getGatewayCount: () => number): RetryShare {
+  let savedCount = Infinity
+  let filledAtMs = timers.nowMs()
+
+  function fill (): void {
+    const halfSlackCount = settings.slackCount * usedPart / 2 / Math.max(1, getGatewayCount())
+    const elapsedMs = timers.nowMs() - filledAtMs
+    filledAtMs = timers.nowMs()
+    savedCount = Math.min(halfSlackCount, savedCount + halfSlackCount * elapsedMs / settings.windowMs)
+  }
+
+  return {
+    noteRequest () {
+      savedCount += settings.ratio * usedPart
+    },
+    tryTake () {
+      fill()
+      if (savedCount < 1) return false
+      savedCount -= 1
+      return true
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/replicas/domain-layout.ts
@@ -0,0 +1,67 @@
+import type { BackendServer } from '../../state/backend-server.js'
+import type { ReplicatedModel } from '../../state/serving-config.js'
+
+/** A group to form next. */
+export interface NewGroup {
+  readonly model: ReplicatedModel
+  readonly members: readonly BackendServer[]
+}
+
+export interface LayoutInput {
+  readonly models: readonly ReplicatedModel[]
+  /** Servers of one fabric domain that belong to no group. */
+  readonly free: readonly BackendServer[]
+  /** Servers in groups or about to be, of the whole service, by model. */
+  readonly serverCounts: ReadonlyMap<string, number>
+}
+
+/** How soon a server could serve a model: less is sooner. */
+export function rankPreparation (server: BackendServer, model: string): number {
+  if (server.loadedModels.includes(model)) return 0
+  return server.stagedModels.includes(model) ? 1 : 2
+}
+
+/** Whether serving the model needs the weight store. */
+export function needsLoad (server: BackendServer, model: string): boolean {
+  return rankPreparation(server, model) === 2
+}
+
+/**
+ * Chooses the group to form from a domain's free servers: of the models that fit, one that needs no
+ * load first, then the one whose part of the servers is farthest below its share of the work.
+ */
+export function chooseNewGroup ({ models, free, serverCounts }: LayoutInput): NewGroup | undefined {
+  const candidates = models.filter(model => free.length >= model.groupSize).map(model => {
+    const members = pickMembers(free, model)
+    return {
+      model,
+      members,
+      loadCount: members.filter(member => needsLoad(member, model.name)).length,
+      saturation: (serverCounts.get(model.name) ?? 0) / Math.max(model.share, 0.01)
+    }
+  })
+  candidates.sort((left, right) => Math.sign(left.loadCount) - Math.sign(right.loadCount) ||
+    left.saturation - right.saturation || right.model.groupSize - left.model.groupSize)
+  const best = candidates[0]
+  return best === undefined ? undefined : { model: best.model, members: best.members }
+}
+
+/**
+ * Chooses the servers of a group. Servers prepared for another model come last, since they replace
+ * members of its groups sooner than an empty one.
+ */
+function pickMembers (free: readonly BackendServer[], model: ReplicatedModel): BackendServer[] {
+  return [...free].sort((left, right) => rankPreparation(left, model.name) - rankPreparation(right, model.name) ||
+    left.stagedModels.length - right.stagedModels.length || (left.id < right.id ? -1 : 1)).slice(0, model.groupSize)
+}
+
+/** Chooses the model that a free server should stage, given those that the domain's other free servers have. */
+export function chooseStaging (server: BackendServer, others: readonly BackendServer[], models: readonly ReplicatedModel[]): string | undefined {
+  if (server.stagedModels.length > 0) return undefined
+  const counts = models.map(model => ({
+    model,
+    stagedCount: others.filter(other => other.stagedModels.includes(model.name)).length
+  }))
+  counts.sort((left, right) => left.stagedCount - right.stagedCount || right.model.groupSize - left.model.groupSize)
+  return counts[0]?.model.name
+}
--- /dev/null
+++ b/src/coordination/replicas/planner-lease.ts
@@ -0,0 +1,123 @@
+import type { Logger } from '../../observability/log.js'
+import { createClockGap } from '../../shared/clock-gap.js'
+import type { RandomSource } from '../../shared/random-source.js'
+import { delay, type TimerService } from '../../shared/timer-service.js'
+import { StoreErrorKind, type RevisionedStore } from '../ports/revisioned-store.js'
+
+/** The stored record that names the planner. */
+export interface PlannerRecord {
+  readonly value: string
+  readonly revision: number
+}
+
+export interface PlannerLeaseOptions {
+  readonly store: RevisionedStore
+  readonly timers: TimerService
+  readonly random: RandomSource
+  readonly logger: Logger
+  readonly nodeId: string
+  /** Key of the record in the store. */
+  readonly key: string
+  readonly leaseMs: number
+  /** The record as last read; undefined when there is none. */
+  getRecord (): PlannerRecord | undefined
+  /** Whether the view of the store is current enough to see a record's absence. */
+  canSeeStore (): boolean
+}
+
+/** Names one gateway at a time as the planner, by a record that lasts as long as its lease. */
+export interface PlannerLease {
+  /** Fencing token while this gateway is the planner; checked right before each order. */
+  getGeneration (): number | undefined
+  /** Another planner's orders were seen. */
+  giveUp (): void
+  start (): void
+  stop (): Promise<void>
+}
+
+interface Held {
+  readonly leaseId: number
+  readonly generation: number
+  renewedAtMs: number
+}
+
+const stepMs = 150
+const renewalsPerLease = 3
+/** Part of the lease that is not used, for the way of the renewal and late timers. */
+const unusedPart = 0.15
+/** Spreads the gateways that try to become planner at the same moment. */
+const maxStartDelayMs = 250
+
+/** Creates a lease that is not held. */
+export function createPlannerLease (options: PlannerLeaseOptions): PlannerLease {
+  const { store, timers, random, logger, nodeId, key, leaseMs } = options
+  const clockGap = createClockGap(timers)
+  let held: Held | undefined
+  const state = { isRunning: false }
+  let attemptCount = 0
+
+  function isValid (candidate: Held): boolean {
+    candidate.renewedAtMs -= clockGap.takeGapMs()
+    return timers.nowMs() - candidate.renewedAtMs < leaseMs * (1 - unusedPart)
+  }
+
+  function lose (reason: string): void {
+    if (held === undefined) return
+    logger.warn('This gateway is no longer the planner.', { generation: held.generation, reason })
+    held = undefined
+  }
+
+  async function renew (current: Held): Promise<void> {
+    if (!isValid(current)) {
+      lose('the lease was not renewed in time')
+      return
+    }
+    if (timers.nowMs() - current.renewedAtMs < leaseMs / renewalsPerLease) return
+    const askedAtMs = timers.nowMs()
+    const answer = await store.keepLease(current.leaseId)
+    if (answer.isOk) current.renewedAtMs = Math.max(current.renewedAtMs, askedAtMs)
+    else if (answer.error.kind === StoreErrorKind.LeaseEnded) lose('the lease has ended')
+  }
+
+  async function tryAcquire (): Promise<void> {
+    await delay(timers, maxStartDelayMs * random.nextFloat())
+    if (!state.isRunning || !options.canSeeStore() || options.getRecord() !== undefined) return
+    const askedAtMs = timers.nowMs()
+    const granted = await store.grantLease(leaseMs)
+    if (!granted.isOk) return
+    attemptCount += 1
+    const value = `${nodeId} ${attemptCount}`
+    const written = await store.write({ key, expectedRevision: 0, value, leaseId: granted.value })
+    if (!written.isOk) {
+      if (written.error.kind === StoreErrorKind.Conflict) await store.endLease(granted.value)
+      // A write whose reply was lost ends with its lease, which is not renewed.
+      return
+    }
+    clockGap.takeGapMs()
+    held = { leaseId: granted.value, generation: written.value, renewedAtMs: askedAtMs }
+    logger.info('This gateway is the planner.', { generation: written.value })
+  }
+
+  async function run (): Promise<void> {
+    while (state.isRunning) {
+      if (held !== undefined) await renew(held)
+      else if (options.canSeeStore() && options.getRecord() === undefined) await tryAcquire()
+      await delay(timers, stepMs)
+    }
+  }
+
+  return {
+    getGeneration: () => held !== undefined && isValid(held) ? held.generation : undefined,
+    giveUp: () => lose('a server has seen a later planner'),
+    start () {
+      state.isRunning = true
+      void run()
+    },
+    async stop () {
+      state.isRunning = false
+      const current = held
+      held = undefined
+      if (current !== undefined) await store.endLease(current.leaseId)
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/replicas/planner-task.ts
@@ -0,0 +1,129 @@
+import type { Logger } from '../../observability/log.js'
+import type { TimerService, TimerSubscription } from '../../shared/timer-service.js'
+import type { BackendServer } from '../../state/backend-server.js'
+import type { Replica } from '../../state/replica.js'
+import type { EngineProfile } from '../../state/serving-config.js'
+import { isAccepted, OrderOutcome, ServerOrderKind, type ServerOrders } from '../ports/server-orders.js'
+import { createOrderSequences } from './order-sequences.js'
+import type { PlannerLease } from './planner-lease.js'
+import { createReplicaPlanner, type PlannedOrder, type ReplicaPlanner } from './replica-planner.js'
+
+interface PlannedService {
+  readonly name: string
+  readonly engine: EngineProfile
+  readonly servers: readonly BackendServer[]
+  readonly replicas: readonly Replica[]
+}
+
+export interface PlannerTaskOptions {
+  readonly timers: TimerService
+  readonly logger: Logger
+  readonly lease: PlannerLease
+  readonly orders: ServerOrders
+  readonly stallLimitMs: number
+  listServices (): readonly PlannedService[]
+}
+
+/** Carries out the plans of this gateway while it is the planner. */
+export interface PlannerTask {
+  /** Plans with what is known now. */
+  wake (): void
+  /** A group gives no events; its members are asked, and those that do not answer are replaced. */
+  checkReplica (replicaId: string): void
+  start (): void
+  stop (): void
+}
+
+const tickMs = 200
+/** Time between two checks of one group. */
+const checkIntervalMs = 1000
+
+/** Creates the task; it plans only while the lease is held. */
+export function createPlannerTask (options: PlannerTaskOptions): PlannerTask {
+  const { timers, logger, lease, orders, stallLimitMs } = options
+  const sequences = createOrderSequences()
+  const planners = new Map<string, ReplicaPlanner>()
+  const checkedAtMs = new Map<string, number>()
+  let plannersGeneration: number | undefined
+  let ticker: TimerSubscription | undefined
+
+  function getPlanner (serviceName: string, generation: number): ReplicaPlanner {
+    if (plannersGeneration !== generation) {
+      planners.clear()
+      plannersGeneration = generation
+    }
+    const existing = planners.get(serviceName)
+    if (existing !== undefined) return existing
+    const created = createReplicaPlanner({ generation, stallLimitMs })
+    planners.set(serviceName, created)
+    return created
+  }
+
+  function wake (): void {
+    const generation = lease.getGeneration()
+    if (generation === undefined) return
+    for (const service of options.listServices()) {
+      const planner = getPlanner(service.name, generation)
+      const planned = planner.plan({ nowMs: timers.nowMs(), serviceName: service.name, ...service })
+      for (const order of planned) void carryOut(planner, order, generation)
+    }
+  }
+
+  async function carryOut (planner: ReplicaPlanner, planned: PlannedOrder, generation: number): Promise<void> {
+    const { server, order } = planned
+    const outcome = lease.getGeneration() === generation
+      ? await orders.send(server, order, { fencingToken: generation, expectedSequence: sequences.get(server) })
+      : OrderOutcome.Refused
+    logger.info('An order was answered.', describe(planned, generation, outcome))
+    if (outcome === OrderOutcome.Begun) sequences.noteBegun(server)
+    if (outcome === OrderOutcome.Unfit || outcome === OrderOutcome.Unanswered) await refreshSequence(planner, server)
+    if (outcome === OrderOutcome.Fenced && order.kind !== ServerOrderKind.Join) lease.giveUp()
+    planner.noteOutcome(planned, outcome, timers.nowMs())
+    if (isAccepted(outcome)) wake()
+  }
+
+  async function refreshSequence (planner: ReplicaPlanner, server: BackendServer): Promise<void> {
+    const report = await orders.readReport(server)
+    if (report.isOk) sequences.set(server, report.value.orderSequence)
+    else planner.noteUnreachable(server, timers.nowMs())
+  }
+
+  async function checkMember (planner: ReplicaPlanner, member: BackendServer, replicaId: string): Promise<void> {
+    const report = await orders.readReport(member)
+    if (report.isOk) {
+      planner.noteReachable(member)
+      return
+    }
+    logger.warn('A member of a stalled group does not answer.', { replicaId, serverId: member.id, reason: report.error })
+    planner.noteUnreachable(member, timers.nowMs())
+    wake()
+  }
+
+  return {
+    wake,
+    checkReplica (replicaId) {
+      const generation = lease.getGeneration()
+      if (generation === undefined) return
+      if (timers.nowMs() - (checkedAtMs.get(replicaId) ?? -Infinity) < checkIntervalMs) return
+      for (const service of options.listServices()) {
+        const replica = service.replicas.find(candidate => candidate.id === replicaId)
+        if (replica === undefined || !replica.isOpen) continue
+        checkedAtMs.set(replicaId, timers.nowMs())
+        const planner = getPlanner(service.name, generation)
+        for (const member of replica.members) void checkMember(planner, member, replicaId)
+      }
+    },
+    start () {
+      ticker = timers.subscribeEvery(tickMs, wake)
+    },
+    stop () {
+      ticker?.cancel()
+    }
+  }
+}
+
+function describe ({ server, order }: PlannedOrder, generation: number, outcome: OrderOutcome) {
+  const group = order.kind === ServerOrderKind.Stage ? '' : order.groupName
+  const model = order.kind === ServerOrderKind.Stage || order.kind === ServerOrderKind.Join ? order.model : ''
+  return { order: order.kind, serverId: server.id, group, model, generation, outcome }
+}
--- /dev/null
+++ b/src/coordination/replicas/replica-planner.ts
@@ -0,0 +1,359 @@
+import { MemberState, ServerState, type BackendServer } from '../../state/backend-server.js'
+import { formatGroupName, formatReplicaId, type Replica } from '../../state/replica.js'
+import type { EngineProfile, ReplicatedModel } from '../../state/serving-config.js'
+import { isAccepted, OrderOutcome, ServerOrderKind, type ServerOrder } from '../ports/server-orders.js'
+import { chooseNewGroup, chooseStaging, needsLoad } from './domain-layout.js'
+import { createLoadPacer } from './load-pacer.js'
+
+/** An order for one server. */
+export interface PlannedOrder {
+  readonly server: BackendServer
+  readonly order: ServerOrder
+}
+
+export interface PlannerInput {
+  readonly nowMs: number
+  readonly serviceName: string
+  readonly engine: EngineProfile
+  readonly servers: readonly BackendServer[]
+  readonly replicas: readonly Replica[]
+}
+
+export interface PlannerSettings {
+  /** Fencing token of this planner's lease; a later planner has a higher one. */
+  readonly generation: number
+  /** Time after which a group that lost a member refuses requests by itself. */
+  readonly stallLimitMs: number
+}
+
+/** Forms groups of servers, replaces groups that lost a member, and stages models on spares. */
+export interface ReplicaPlanner {
+  /** Returns the orders to send now. No server gets a second order before the outcome of the first. */
+  plan (input: PlannerInput): PlannedOrder[]
+  noteOutcome (planned: PlannedOrder, outcome: OrderOutcome, nowMs: number): void
+  /** A server did not answer; it joins no group until it is seen again. */
+  noteUnreachable (server: BackendServer, nowMs: number): void
+  noteReachable (server: BackendServer): void
+  isUnreachable (server: BackendServer): boolean
+}
+
+interface Forming {
+  readonly serviceName: string
+  readonly model: ReplicatedModel
+  readonly groupName: string
+  readonly epoch: number
+  readonly members: readonly BackendServer[]
+  readonly joinedIds: Set<string>
+  readonly startedAtMs: number
+}
+
+interface Dissolving {
+  readonly startedAtMs: number
+  /** When a member is known to have left; from then on the leader stands still. */
+  memberLostAtMs: number | undefined
+  /** The leader has accepted to stop serving, and refuses older planners. */
+  isClosed: boolean
+}
+
+/** Epochs of one planner; a later planner begins above them. */
+const epochsPerGeneration = 10_000
+/** A group that another planner began to form is given up after this time. */
+const inheritedFormingMs = 1500
+/** Covers the answer to an order and the report that follows it. */
+const stallMarginMs = 500
+/** Requests in progress of a group with a leaving member may end within this time. */
+const closeWaitMs = 2500
+/** Loads slow each other down; a group that is not ready after this many of its load times is given up. */
+const formingLoadTimes = 4
+const formingSlackMs = 8000
+const retryMs = 300
+/** Mark of a server that did not answer, unless it registers anew. */
+const unreachableMs = 6000
+
+/** Creates a planner that has seen nothing yet. */
+export function createReplicaPlanner ({ generation, stallLimitMs }: PlannerSettings): ReplicaPlanner {
+  const forming = new Map<string, Forming>()
+  const dissolving = new Map<string, Dissolving>()
+  /** Groups whose leader is known not to serve and to refuse older planners. */
+  const released = new Set<string>()
+  const firstSeenMs = new Map<string, number>()
+  const leaders = new Map<string, { id: string, startedAtMs: number }>()
+  const busy = new Set<string>()
+  const notBeforeMs = new Map<string, number>()
+  const unreachable = new Map<string, { startedAtMs: number, untilMs: number }>()
+  /** Staging under way, which the list does not show before its end. */
+  const staging = new Map<string, { model: string, startedAtMs: number }>()
+  const pacer = createLoadPacer()
+  let epochCount = 0
+  let nowMs = 0
+
+  function canOrder (server: BackendServer): boolean {
+    return !busy.has(server.id) && (notBeforeMs.get(server.id) ?? 0) <= nowMs
+  }
+
+  function isUnreachable (server: BackendServer): boolean {
+    const mark = unreachable.get(server.id)
+    return mark !== undefined && mark.startedAtMs === server.startedAtMs && mark.untilMs > nowMs
+  }
+
+  function isUsable (server: BackendServer): boolean {
+    return server.state === ServerState.Ready && !isUnreachable(server)
+  }
+
+  function isIntact (replica: Replica): boolean {
+    return replica.isComplete && replica.members.every(member => isUsable(member) && member.group?.state !== MemberState.Broken)
+  }
+
+  function orderOnce (orders: PlannedOrder[], server: BackendServer, order: ServerOrder): boolean {
+    if (!canOrder(server)) return false
+    busy.add(server.id)
+    orders.push({ server, order })
+    return true
+  }
+
+  function planReplica (replica: Replica, orders: PlannedOrder[]): void {
+    if (!firstSeenMs.has(replica.id)) firstSeenMs.set(replica.id, nowMs)
+    if (replica.leader !== undefined) leaders.set(replica.id, { id: replica.leader.id, startedAtMs: replica.leader.startedAtMs })
+    if (released.has(replica.id) || forming.has(replica.id)) return
+    if (dissolving.has(replica.id)) {
+      dissolve(replica, orders)
+      return
+    }
+    if (isIntact(replica)) {
+      openWhenReady(replica, orders)
+      return
+    }
+    const isYoung = nowMs - (firstSeenMs.get(replica.id) ?? nowMs) < inheritedFormingMs
+    if (isYoung && !replica.isOpen && replica.members.every(member => member.group?.state !== MemberState.Broken)) return
+    dissolving.set(replica.id, { startedAtMs: nowMs, memberLostAtMs: undefined, isClosed: false })
+    dissolve(replica, orders)
+  }
+
+  function openWhenReady (replica: Replica, orders: PlannedOrder[]): void {
+    const { leader, groupName, epoch } = replica
+    if (leader === undefined || replica.members.some(member => member.group?.state !== MemberState.Ready)) return
+    orderOnce(orders, leader, { kind: ServerOrderKind.Open, groupName, epoch })
+  }
+
+  function dissolve (replica: Replica, orders: PlannedOrder[]): void {
+    const state = dissolving.get(replica.id) as Dissolving
+    const { leader, groupName, epoch } = replica
+    if (leader === undefined || isUnreachable(leader)) {
+      waitForStall(replica, state, orders)
+      return
+    }
+    if (leader.group?.state === MemberState.Ready || leader.group?.state === MemberState.Joining) {
+      if (state.isClosed) release(replica.id)
+      else orderOnce(orders, leader, { kind: ServerOrderKind.Leave, groupName, epoch })
+      return
+    }
+    const areAllAlive = replica.members.length === replica.model?.groupSize && replica.members.every(member => !isUnreachable(member)) &&
+      leader.group?.state !== MemberState.Broken
+    const isPreempting = !areAllAlive || nowMs - state.startedAtMs > closeWaitMs
+    if (leader.group?.state === MemberState.Closing && !isPreempting) return
+    orderOnce(orders, leader, { kind: ServerOrderKind.Close, groupName, epoch, isPreempting })
+  }
+
+  /** Without the leader's answer its group serves no more once a member has left and the stall limit has passed. */
+  function waitForStall (replica: Replica, state: Dissolving, orders: PlannedOrder[]): void {
+    if (state.memberLostAtMs !== undefined) {
+      if (nowMs - state.memberLostAtMs > stallLimitMs + stallMarginMs) release(replica.id)
+      return
+    }
+    const survivor = replica.members.find(member => member !== replica.leader && !isUnreachable(member))
+    if (survivor === undefined) return
+    orderOnce(orders, survivor, { kind: ServerOrderKind.Leave, groupName: replica.groupName, epoch: replica.epoch })
+  }
+
+  /** A leader that registered anew under its id has lost its group. */
+  function releaseRestarted (servers: ReadonlyMap<string, BackendServer>): void {
+    for (const [id, leader] of leaders) {
+      const current = servers.get(leader.id)
+      if (current !== undefined && current.startedAtMs !== leader.startedAtMs) release(id)
+    }
+  }
+
+  function release (replicaId: string): void {
+    released.add(replicaId)
+    dissolving.delete(replicaId)
+    leaders.delete(replicaId)
+  }
+
+  function planForming (servers: ReadonlyMap<string, BackendServer>, engine: EngineProfile, orders: PlannedOrder[]): void {
+    for (const [id, group] of forming) {
+      const current = group.members.map(member => servers.get(member.id))
+      const isLost = group.members.some((member, index) => {
+        const server = current[index]
+        return server === undefined || server.startedAtMs !== member.startedAtMs || !isUsable(server)
+      })
+      const limitMs = group.model.loadMs * formingLoadTimes + formingSlackMs
+      if (isLost || nowMs - group.startedAtMs > limitMs) {
+        forming.delete(id)
+        release(id)
+        continue
+      }
+      joinMembers(group, current as BackendServer[], engine, orders)
+      if (current.every(server => isReadyIn(server as BackendServer, group))) {
+        const leader = current[0] as BackendServer
+        if (leader.group?.state === MemberState.Open) forming.delete(id)
+        else orderOnce(orders, leader, { kind: ServerOrderKind.Open, groupName: group.groupName, epoch: group.epoch })
+      }
+    }
+  }
+
+  function joinMembers (group: Forming, servers: readonly BackendServer[], engine: EngineProfile, orders: PlannedOrder[]): void {
+    const { groupName, epoch, model } = group
+    for (const server of servers) {
+      if (group.joinedIds.has(server.id) || !canOrder(server)) continue
+      if (isMemberOf(server, group)) {
+        group.joinedIds.add(server.id)
+        continue
+      }
+      if (needsLoad(server, model.name) && !pacer.tryTake(nowMs, engine.loadsPerSecond)) return
+      orderOnce(orders, server, {
+        kind: ServerOrderKind.Join, groupName, epoch, model: model.name, memberIds: group.members.map(member => member.id)
+      })
+    }
+  }
+
+  function isMemberOf (server: BackendServer, group: Forming): boolean {
+    return server.group?.groupName === group.groupName && server.group.epoch === group.epoch
+  }
+
+  function isReadyIn (server: BackendServer, group: Forming): boolean {
+    return isMemberOf(server, group) && (server.group?.state === MemberState.Ready || server.group?.state === MemberState.Open)
+  }
+
+  function listFree (servers: readonly BackendServer[]): BackendServer[] {
+    const taken = new Set([...forming.values()].flatMap(group => group.members.map(member => member.id)))
+    return servers.filter(server => {
+      if (!isUsable(server) || taken.has(server.id) || server.domain === undefined) return false
+      return server.group === undefined || released.has(formatReplicaId(server.group.groupName, server.group.epoch))
+    }).map(addStaging)
+  }
+
+  function addStaging (server: BackendServer): BackendServer {
+    const mark = staging.get(server.id)
+    if (mark === undefined || mark.startedAtMs !== server.startedAtMs) return server
+    return { ...server, stagedModels: [...new Set([...server.stagedModels, mark.model])] }
+  }
+
+  function countServers (replicas: readonly Replica[]): Map<string, number> {
+    const counts = new Map<string, number>()
+    const add = (model: string, count: number) => counts.set(model, (counts.get(model) ?? 0) + count)
+    for (const replica of replicas) {
+      if (replica.model !== undefined && !released.has(replica.id) && !forming.has(replica.id)) add(replica.model.name, replica.model.groupSize)
+    }
+    for (const group of forming.values()) add(group.model.name, group.model.groupSize)
+    return counts
+  }
+
+  function formGroups (input: PlannerInput, free: readonly BackendServer[]): BackendServer[] {
+    const spares: BackendServer[] = []
+    for (const members of groupByDomain(free).values()) {
+      let rest = members
+      for (;;) {
+        const next = chooseNewGroup({ models: input.engine.models, free: rest, serverCounts: countServers(input.replicas) })
+        if (next === undefined) break
+        const taken = new Set(next.members)
+        rest = rest.filter(server => !taken.has(server))
+        startForming(input.serviceName, next.model, next.members)
+      }
+      spares.push(...rest)
+    }
+    return spares
+  }
+
+  function startForming (serviceName: string, model: ReplicatedModel, members: readonly BackendServer[]): void {
+    epochCount += 1
+    const epoch = generation * epochsPerGeneration + epochCount
+    const groupName = formatGroupName(model.name, String(epoch))
+    forming.set(formatReplicaId(groupName, epoch), {
+      serviceName, model, groupName, epoch, members, joinedIds: new Set(), startedAtMs: nowMs
+    })
+  }
+
+  function stageSpares (spares: readonly BackendServer[], engine: EngineProfile, orders: PlannedOrder[]): void {
+    for (const members of groupByDomain(spares).values()) {
+      for (const server of members) {
+        const model = chooseStaging(server, members.filter(other => other !== server), engine.models)
+        if (model === undefined || !canOrder(server)) continue
+        if (!pacer.tryTake(nowMs, engine.loadsPerSecond)) return
+        orderOnce(orders, server, { kind: ServerOrderKind.Stage, model })
+        break
+      }
+    }
+  }
+
+  return {
+    plan (input) {
+      nowMs = input.nowMs
+      const orders: PlannedOrder[] = []
+      const servers = new Map(input.servers.map(server => [server.id, server]))
+      releaseRestarted(servers)
+      for (const replica of input.replicas) planReplica(replica, orders)
+      const spares = formGroups(input, listFree(input.servers))
+      planForming(servers, input.engine, orders)
+      stageSpares(spares, input.engine, orders)
+      return orders
+    },
+    noteOutcome ({ server, order }, outcome, atMs) {
+      busy.delete(server.id)
+      notBeforeMs.set(server.id, atMs + (isAccepted(outcome) ? 0 : retryMs))
+      if (outcome === OrderOutcome.Unreachable) unreachable.set(server.id, { startedAtMs: server.startedAtMs, untilMs: atMs + unreachableMs })
+      if (order.kind === ServerOrderKind.Stage) {
+        if (isAccepted(outcome)) staging.set(server.id, { model: order.model, startedAtMs: server.startedAtMs })
+        return
+      }
+      const id = formatReplicaId(order.groupName, order.epoch)
+      if (!isAccepted(outcome)) {
+        if (order.kind === ServerOrderKind.Join && outcome === OrderOutcome.Fenced) {
+          forming.delete(id)
+          release(id)
+        }
+        return
+      }
+      switch (order.kind) {
+        case ServerOrderKind.Join:
+          forming.get(id)?.joinedIds.add(server.id)
+          break
+        case ServerOrderKind.Open:
+          notBeforeMs.set(server.id, atMs + openHoldMs)
+          break
+        case ServerOrderKind.Close: {
+          const state = dissolving.get(id)
+          if (state !== undefined) state.isClosed = true
+          notBeforeMs.set(server.id, atMs + retryMs)
+          break
+        }
+        case ServerOrderKind.Leave: {
+          const state = dissolving.get(id)
+          if (state === undefined) break
+          if (leaders.get(id)?.id === server.id) release(id)
+          else state.memberLostAtMs = atMs
+        }
+      }
+    },
+    noteUnreachable (server, atMs) {
+      unreachable.set(server.id, { startedAtMs: server.startedAtMs, untilMs: atMs + unreachableMs })
+    },
+    noteReachable (server) {
+      unreachable.delete(server.id)
+    },
+    isUnreachable
+  }
+}
+
+/** Time in which the leader reports that it is open. */
+const openHoldMs = 1000
+
+function groupByDomain (servers: readonly BackendServer[]): Map<string, BackendServer[]> {
+  const domains = new Map<string, BackendServer[]>()
+  for (const server of servers) {
+    const key = server.domain ?? ''
+    const members = domains.get(key)
+    if (members === undefined) domains.set(key, [server])
+    else members.push(server)
+  }
+  return domains
+}
--- /dev/null
+++ b/src/gateway/caller-server.ts
@@ -0,0 +1,74 @@
+import http, { type IncomingMessage, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+import type { NetworkAddress } from '../shared/network-address.js'
+import type { CallerLimits } from '../state/serving-config.js'
+
+/** The server that callers connect to. */
+export interface CallerServer {
+  start (): Promise<void>
+  applyLimits (limits: CallerLimits): void
+  /** Answers from now on tell callers to close their connections. */
+  beginDrain (): void
+  /** Refuses new connections and closes idle ones; resolves when no request is in progress. */
+  stop (): Promise<void>
+  countInProgress (): number
+}
+
+export interface CallerServerOptions {
+  readonly address: NetworkAddress
+  readonly maxHeaderBytes: number
+  handle (request: IncomingMessage, response: ServerResponse): void
+}
+
+/** Callers reuse a connection that was idle for up to the limit; it is closed only after it. */
+const idleSlackMs = 2000
+const backlogLength = 1024
+const statusByErrorCode: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+
+/** Creates the server; it listens after `start`. */
+export function createCallerServer ({ address, maxHeaderBytes, handle }: CallerServerOptions): CallerServer {
+  let inProgressCount = 0
+  let isDraining = false
+
+  const server = http.createServer({ maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true }, (request, response) => {
+    inProgressCount += 1
+    response.sendDate = false
+    if (isDraining) response.shouldKeepAlive = false
+    response.once('close', () => { inProgressCount -= 1 })
+    handle(request, response)
+  })
+  server.on('clientError', refuseMalformed)
+
+  return {
+    start: () => new Promise((resolve, reject) => {
+      server.once('error', reject)
+      server.listen({ host: address.host, port: address.port, backlog: backlogLength }, resolve)
+    }),
+    applyLimits (limits) {
+      server.headersTimeout = limits.headerTimeoutMs
+      server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs
+    },
+    beginDrain () {
+      isDraining = true
+    },
+    stop: () => new Promise(resolve => {
+      isDraining = true
+      server.close(() => resolve())
+      server.closeIdleConnections()
+    }),
+    countInProgress: () => inProgressCount
+  }
+}
+
+function refuseMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy()
+    return
+  }
+  const status = statusByErrorCode[error.code ?? ''] ?? '400 Bad Request'
+  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,171 @@
+import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import { createRetryShare, type RetryShare } from '../coordination/dispatch/retry-share.js'
+import { createServerScores } from '../coordination/dispatch/server-scores.js'
+import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
+import type { ServerOrders } from '../coordination/ports/server-orders.js'
+import { createPlannerLease } from '../coordination/replicas/planner-lease.js'
+import { createPlannerTask } from '../coordination/replicas/planner-task.js'
+import { createBoundedLogger } from '../observability/bounded-logger.js'
+import type { LoggerFactory } from '../observability/log.js'
+import { createMetrics } from '../observability/metrics.js'
+import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
+import { delay, type TimerService } from '../shared/timer-service.js'
+import { createServerConnections } from '../transport/server-exchange.js'
+import type { CallServices } from './call-context.js'
+import { createCallIntake } from './call-intake.js'
+import { createCallerServer } from './caller-server.js'
+import { createFleetView, FleetEvent, type StoreLayout } from './fleet-view.js'
+import type { GatewaySettings } from './gateway-settings.js'
+import { createLoadSharing } from './load-sharing.js'
+import { createPresence } from './presence.js'
+import { createMetricsServer, createReadinessServer } from './side-servers.js'
+import type { WireCodec } from './wire-codec.js'
+
+export interface GatewayOptions {
+  readonly settings: GatewaySettings
+  readonly timers: TimerService
+  readonly store: RevisionedStore
+  readonly orders: ServerOrders
+  readonly layout: StoreLayout
+  readonly codec: WireCodec
+  readonly createLogger: LoggerFactory
+}
+
+/** One process between callers and backend servers. */
+export interface Gateway {
+  start (): Promise<void>
+  /** Leaves the balancer, ends what is in progress, and stops. */
+  stop (): Promise<void>
+}
+
+/** A planner that was lost is replaced after this time. */
+const plannerLeaseMs = 2000
+const plannerItem = 'planner'
+const gatewayItemPrefix = 'gateways/'
+/** The balancer asks every second and takes two misses; new connections arrive until then. */
+const balancerNoticeMs = 2500
+/** Left at the end of a shutdown for the last bytes and the exit. */
+const exitMarginMs = 700
+const drainPollMs = 50
+/** Kept from the revocation bound for the way of a request to its server. */
+const revocationMarginMs = 300
+/** One server's connections from one process; small against what servers accept from all. */
+const maxConnectionsPerServer = 48
+const maxHeaderBytes = 16_384
+const requestLinesPerSecond = 60
+
+/** Creates a gateway; it serves after `start`. */
+export function createGateway (options: GatewayOptions): Gateway {
+  const { settings, timers, store, layout, codec, createLogger } = options
+  const log = createLogger('gateway')
+  const random = createRandomSource(createProcessSeed())
+  const metrics = createMetrics({ hasProcessMetrics: false })
+  const fleet = createFleetView({ store, timers, layout, logger: createLogger('fleet') })
+  const loads = createReplicaLoads(timers)
+  const presence = createPresence({
+    store,
+    timers,
+    logger: createLogger('presence'),
+    nodeId: settings.nodeId,
+    address: settings.peerAddress,
+    storePrefix: layout.ownPrefix + gatewayItemPrefix,
+    itemPrefix: gatewayItemPrefix,
+    listItems: fleet.listOwnItems
+  })
+  const lease = createPlannerLease({
+    store,
+    timers,
+    random,
+    logger: createLogger('planner'),
+    nodeId: settings.nodeId,
+    key: layout.ownPrefix + plannerItem,
+    leaseMs: Math.max(settings.minLeaseMs, plannerLeaseMs),
+    getRecord: () => fleet.listOwnItems().get(plannerItem),
+    canSeeStore: () => fleet.isStoreReachable() && fleet.getConfig() !== undefined
+  })
+  const planner = createPlannerTask({
+    timers, logger: createLogger('planner'), lease, orders: options.orders, stallLimitMs: settings.stallLimitMs, listServices: fleet.listReplicatedServices
+  })
+  const retryShares = new Map<string, RetryShare>()
+  const services: CallServices = {
+    zone: settings.zone,
+    timers,
+    random,
+    fleet,
+    codec,
+    connections: createServerConnections({ timers, maxConnectionsPerServer }),
+    scores: createServerScores(timers),
+    loads,
+    metrics,
+    logger: createBoundedLogger(createLogger('calls'), timers, requestLinesPerSecond),
+    getRetryShare,
+    reportStall (replicaId) {
+      loads.markStalled(replicaId)
+      planner.checkReplica(replicaId)
+    }
+  }
+  const sharing = createLoadSharing({
+    settings, timers, logger: createLogger('loads'), loads, presence, onStall: replicaId => planner.checkReplica(replicaId)
+  })
+  const maxConfigAgeMs = settings.keyRevocationLimitMs === undefined ? undefined : settings.keyRevocationLimitMs - revocationMarginMs
+  const intake = createCallIntake({ services, maxConfigAgeMs })
+  const callers = createCallerServer({ address: settings.callerAddress, maxHeaderBytes, handle: intake.handle })
+  const readiness = createReadinessServer(settings.readinessAddress, isReady)
+  const metricsServer = createMetricsServer(settings.metricsAddress, metrics)
+  let isStopping = false
+
+  function getRetryShare (serviceName: string): RetryShare {
+    const existing = retryShares.get(serviceName)
+    if (existing !== undefined) return existing
+    const created = createRetryShare(timers, {
+      ratio: settings.retryRatio, slackCount: settings.retrySlackCount, windowMs: settings.retryWindowMs
+    }, presence.countGateways)
+    retryShares.set(serviceName, created)
+    return created
+  }
+
+  function isReady (): boolean {
+    if (isStopping || fleet.getConfig() === undefined) return false
+    return maxConfigAgeMs === undefined || fleet.getConfigAgeMs() <= maxConfigAgeMs
+  }
+
+  function observeFleet (): void {
+    void fleet.events.messages.observe(event => {
+      if (event === FleetEvent.Config) {
+        const limits = fleet.getConfig()?.limits
+        if (limits !== undefined) callers.applyLimits(limits)
+      }
+      planner.wake()
+    })
+  }
+
+  async function waitForCalls (untilMs: number): Promise<void> {
+    while (callers.countInProgress() > 0 && timers.nowMs() < untilMs) await delay(timers, drainPollMs)
+  }
+
+  return {
+    async start () {
+      observeFleet()
+      fleet.start()
+      await Promise.all([callers.start(), readiness.start(), metricsServer.start(), sharing.start()])
+      presence.start()
+      lease.start()
+      planner.start()
+      log.info('The gateway has started.', { node: settings.nodeId, zone: settings.zone })
+    },
+    async stop () {
+      const stopsAtMs = timers.nowMs() + settings.shutdownLimitMs - exitMarginMs
+      isStopping = true
+      log.info('The gateway is stopping.', { inProgressCount: callers.countInProgress() })
+      planner.stop()
+      callers.beginDrain()
+      await Promise.race([Promise.all([lease.stop(), presence.stop()]), delay(timers, balancerNoticeMs)])
+      await delay(timers, balancerNoticeMs)
+      void callers.stop()
+      await waitForCalls(stopsAtMs)
+      fleet.stop()
+      sharing.stop()
+      log.info('The gateway has stopped.', { inProgressCount: callers.countInProgress() })
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/presence.ts
@@ -0,0 +1,86 @@
+import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
+import { StoreErrorKind } from '../coordination/ports/revisioned-store.js'
+import type { Logger } from '../observability/log.js'
+import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
+import { delay, type TimerService } from '../shared/timer-service.js'
+import type { OwnItem } from './fleet-view.js'
+
+/** Keeps this gateway in the list of gateways, and reads the others from it. */
+export interface Presence {
+  listPeers (): readonly NetworkAddress[]
+  /** Gateways in the list, at least one. */
+  countGateways (): number
+  start (): void
+  stop (): Promise<void>
+}
+
+export interface PresenceOptions {
+  readonly store: RevisionedStore
+  readonly timers: TimerService
+  readonly logger: Logger
+  readonly nodeId: string
+  readonly address: NetworkAddress
+  /** Prefix of the store's keys of gateways, and the same prefix among the items of the view. */
+  readonly storePrefix: string
+  readonly itemPrefix: string
+  listItems (): ReadonlyMap<string, OwnItem>
+}
+
+/** A gateway that was lost leaves the list after this time. */
+const leaseMs = 9000
+const renewIntervalMs = 2500
+const retryMs = 700
+
+/** Creates the presence; it is registered after `start`. */
+export function createPresence (options: PresenceOptions): Presence {
+  const { store, timers, logger, nodeId, address } = options
+  const ownAddress = `${address.host}:${address.port}`
+  let leaseId: number | undefined
+  const state = { isRunning: false }
+
+  function listAddresses (): string[] {
+    return [...options.listItems()].filter(([key]) => key.startsWith(options.itemPrefix)).map(([, item]) => item.value)
+  }
+
+  async function register (): Promise<boolean> {
+    const granted = await store.grantLease(leaseMs)
+    if (!granted.isOk) return false
+    // A key of an earlier life of this process is replaced; its revision is known from the list.
+    const expectedRevision = options.listItems().get(options.itemPrefix + nodeId)?.revision ?? 0
+    const written = await store.write({ key: options.storePrefix + nodeId, expectedRevision, value: ownAddress, leaseId: granted.value })
+    if (!written.isOk) {
+      logger.warn('This gateway could not be listed.', { reason: written.error.reason })
+      return false
+    }
+    leaseId = granted.value
+    return true
+  }
+
+  async function renew (current: number): Promise<boolean> {
+    const answer = await store.keepLease(current)
+    if (!answer.isOk && answer.error.kind === StoreErrorKind.LeaseEnded) leaseId = undefined
+    return answer.isOk
+  }
+
+  async function run (): Promise<void> {
+    while (state.isRunning) {
+      const isDone = leaseId === undefined ? await register() : await renew(leaseId)
+      await delay(timers, isDone ? renewIntervalMs : retryMs)
+    }
+  }
+
+  return {
+    listPeers () {
+      return listAddresses().filter(text => text !== ownAddress).flatMap(text => parseAddress(text) ?? [])
+    },
+    countGateways: () => Math.max(1, listAddresses().length),
+    start () {
+      state.isRunning = true
+      void run()
+    },
+    async stop () {
+      state.isRunning = false
+      if (leaseId !== undefined) await store.endLease(leaseId)
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/request-body.ts
@@ -0,0 +1,36 @@
+import type { IncomingMessage } from 'node:http'
+
+export enum BodyResultKind {
+  /** Read whole; undefined for a request without a body. */
+  Whole = 'whole',
+  TooLarge = 'tooLarge',
+  /** The caller left before the end. */
+  Aborted = 'aborted'
+}
+
+export type BodyResult =
+  | { readonly kind: BodyResultKind.Whole, readonly body: Buffer | undefined }
+  | { readonly kind: BodyResultKind.TooLarge | BodyResultKind.Aborted }
+
+/** Reads a request's body up to a bound. */
+export function readRequestBody (request: IncomingMessage, maxBytes: number): Promise<BodyResult> {
+  const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined
+  if (!hasBody) return Promise.resolve({ kind: BodyResultKind.Whole, body: undefined })
+  if (Number(request.headers['content-length'] ?? 0) > maxBytes) return Promise.resolve({ kind: BodyResultKind.TooLarge })
+  return new Promise(resolve => {
+    const chunks: Buffer[] = []
+    let size = 0
+    request.on('data', (chunk: Buffer) => {
+      size += chunk.length
+      if (size > maxBytes) {
+        request.pause()
+        resolve({ kind: BodyResultKind.TooLarge })
+        return
+      }
+      chunks.push(chunk)
+    })
+    request.on('end', () => resolve({ kind: BodyResultKind.Whole, body: Buffer.concat(chunks) }))
+    request.on('error', () => resolve({ kind: BodyResultKind.Aborted }))
+    request.on('close', () => resolve({ kind: BodyResultKind.Aborted }))
+  })
+}
--- /dev/null
+++ b/src/gateway/stream-forwarding.ts
@@ -0,0 +1,272 @@
+import { ReplicaChoiceKind, chooseReplica, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
+import { DurationMetric } from '../observability/metrics.js'
+import { createEventFramer, type EventFramer, type FramedEvent } from '../protocol/event-framer.js'
+import type { Replica } from '../state/replica.js'
+import { ExchangeFailureKind, type AnswerHead, type ServerExchange } from '../transport/server-exchange.js'
+import { filterAnswerHeaders } from './answer-headers.js'
+import { answerOwn, buildServerRequest, CallOutcome, getRemainingMs, recordOutcome, type Call, type CallServices } from './call-context.js'
+
+/** How an attempt at one group ended without the end of the stream. */
+enum AttemptEnd {
+  /** Proven not to have run. */
+  NotRun = 'notRun',
+  /** Broken off or without events for too long. */
+  Lost = 'lost',
+  /** The server answered with a failure. */
+  ServerFailure = 'serverFailure'
+}
+
+interface Attempt {
+  readonly replica: Replica
+  readonly framer: EventFramer
+  readonly startedAtMs: number
+  exchange: ServerExchange | undefined
+  head: AnswerHead | undefined
+  hasEvents: boolean
+  lastEventAtMs: number
+  failureBody: Buffer[]
+}
+
+/** The first event needs the prompt to be read and a place in the batch. */
+const firstEventLimitObjectives = 2
+/** Pauses between events that a working group makes stay below this. */
+const pauseLimitObjectives = 2
+const sweepMs = 50
+/** Attempts that no server ran, on top of those that ran. */
+const maxNotRunCount = 3
+/** Attempts whose group was lost meanwhile do not count towards the route's limit. */
+const maxLostCount = 3
+const minRetryAfterMs = 250
+const retryAfterSpreadMs = 750
+const successStatus = 200
+
+/** Forwards a stream event by event; when its group fails, the stream goes on at another one. */
+export function forwardStream (services: CallServices, call: Call): void {
+  const { timers, loads } = services
+  const share = services.getRetryShare(call.serviceName)
+  const excludedIds = new Set<string>()
+  const replicaIds: string[] = []
+  const mayRepeat = call.route.isResumable
+  let attempt: Attempt | undefined
+  let lastEventId = call.facts.lastEventId
+  let eventCount = 0
+  let ranCount = 0
+  let lostCount = 0
+  let notRunCount = 0
+  let isFinished = false
+  share.noteRequest()
+
+  function finish (outcome: CallOutcome, reason = ''): void {
+    if (isFinished) return
+    isFinished = true
+    sweep.cancel()
+    call.response.off('close', onCallerLeft)
+    dropAttempt()
+    recordOutcome(services, call, outcome, { model: call.facts.model ?? '', groups: replicaIds.join(' '), eventCount, reason })
+  }
+
+  function dropAttempt (): void {
+    if (attempt === undefined) return
+    attempt.exchange?.abort()
+    loads.end(attempt.replica.id)
+    attempt = undefined
+  }
+
+  function onCallerLeft (): void {
+    finish(CallOutcome.CallerLeft)
+  }
+
+  function choose (): ReplicaChoice {
+    const service = services.fleet.listReplicatedServices().find(candidate => candidate.name === call.serviceName)
+    if (service === undefined) return { kind: ReplicaChoiceKind.Absent }
+    return chooseReplica({
+      replicas: service.replicas,
+      model: call.facts.model ?? '',
+      slotCount: service.engine.slotCount,
+      zone: services.zone,
+      excludedIds
+    }, loads, services.random)
+  }
+
+  function startAttempt (): void {
+    const choice = choose()
+    if (choice.kind !== ReplicaChoiceKind.Chosen) {
+      giveUp(choice.kind === ReplicaChoiceKind.Full ? `all groups are full, the emptiest with ${choice.streamCount} streams` : 'no group serves the model')
+      return
+    }
+    const { replica } = choice
+    const leader = replica.leader
+    if (leader === undefined) return
+    const nowMs = timers.nowMs()
+    const current: Attempt = {
+      replica, framer: createEventFramer(), startedAtMs: nowMs, exchange: undefined, head: undefined, hasEvents: false, lastEventAtMs: nowMs, failureBody: []
+    }
+    attempt = current
+    replicaIds.push(replica.id)
+    excludedIds.add(replica.id)
+    loads.begin(replica.id)
+    current.exchange = services.connections.open(buildServerRequest(services, call, leader, { isDedicated: !mayRepeat, lastEventId }), {
+      onHead: head => takeHead(current, head),
+      onData: chunk => takeData(current, chunk),
+      onEnd: () => takeEnd(current),
+      onFailure (failure) {
+        endAttempt(current, failure.kind === ExchangeFailureKind.NotSent ? AttemptEnd.NotRun : AttemptEnd.Lost, failure.reason)
+      }
+    })
+  }
+
+  function takeHead (current: Attempt, head: AnswerHead): void {
+    current.head = head
+    if (head.statusCode !== successStatus) return
+    const answer = services.codec.readServerAnswer(head.statusCode, head.headers)
+    if (answer.requestId !== call.facts.requestId || !answer.isStamped || answer.isEncoded) {
+      endAttempt(current, AttemptEnd.Lost, 'the answer is not one to this request')
+    }
+  }
+
+  function takeData (current: Attempt, chunk: Buffer): void {
+    if (current !== attempt) return
+    if (current.head?.statusCode !== successStatus) {
+      current.failureBody.push(chunk)
+      return
+    }
+    for (const event of current.framer.push(chunk)) {
+      if (!deliver(current, event)) return
+    }
+  }
+
+  function deliver (current: Attempt, event: FramedEvent): boolean {
+    if (event.id !== undefined && lastEventId !== undefined && Number(event.id) <= Number(lastEventId)) {
+      endAttempt(current, AttemptEnd.Lost, `event ${event.id} came after event ${lastEventId}`)
+      return false
+    }
+    const nowMs = timers.nowMs()
+    noteEventTime(current, nowMs)
+    if (!call.response.headersSent) writeHead(current.head as AnswerHead)
+    const isFlowing = call.response.write(event.bytes)
+    eventCount += 1
+    lastEventId = event.id ?? lastEventId
+    if (!isFlowing) {
+      current.exchange?.pause()
+      call.response.once('drain', () => current.exchange?.resume())
+    }
+    return true
+  }
+
+  function noteEventTime (current: Attempt, nowMs: number): void {
+    if (!current.hasEvents) {
+      current.hasEvents = true
+      loads.clearStalled(current.replica.id)
+      services.metrics.recordDuration(DurationMetric.FirstToken, nowMs - call.arrivedAtMs)
+    } else {
+      services.metrics.recordDuration(DurationMetric.BetweenTokens, nowMs - current.lastEventAtMs)
+    }
+    current.lastEventAtMs = nowMs
+  }
+
+  function writeHead (head: AnswerHead): void {
+    call.response.writeHead(head.statusCode, head.statusMessage, filterAnswerHeaders(head.rawHeaders, false) as never)
+  }
+
+  function takeEnd (current: Attempt): void {
+    if (current !== attempt) return
+    if (current.head?.statusCode !== successStatus) {
+      takeFailureAnswer(current)
+      return
+    }
+    if (current.framer.hasPartialEvent() || !current.hasEvents) {
+      endAttempt(current, AttemptEnd.Lost, 'the stream ended within an event')
+      return
+    }
+    call.response.end()
+    finish(CallOutcome.Served)
+  }
+
+  function takeFailureAnswer (current: Attempt): void {
+    const head = current.head as AnswerHead
+    const answer = services.codec.readServerAnswer(head.statusCode, head.headers)
+    if (answer.isNotRun) {
+      if (answer.faultyServerId !== undefined) services.reportStall(current.replica.id)
+      endAttempt(current, AttemptEnd.NotRun, `the server refused with ${head.statusCode}`)
+      return
+    }
+    endAttempt(current, AttemptEnd.ServerFailure, `the server failed with ${head.statusCode}`)
+  }
+
+  function endAttempt (current: Attempt, end: AttemptEnd, reason: string): void {
+    if (current !== attempt || isFinished) return
+    dropAttempt()
+    if (end === AttemptEnd.NotRun) notRunCount += 1
+    else ranCount += 1
+    if (end === AttemptEnd.Lost) lostCount += 1
+    services.logger.info('An attempt ended.', {
+      requestId: call.facts.requestId ?? '', group: current.replica.id, serverId: current.replica.leader?.id ?? '', end, reason, lastEventId: lastEventId ?? ''
+    })
+    if (mayStartAnother(end) && share.tryTake()) startAttempt()
+    else conclude(current, end, reason)
+  }
+
+  function mayStartAnother (end: AttemptEnd): boolean {
+    if (getRemainingMs(services, call) <= 0) return false
+    if (end === AttemptEnd.NotRun) return notRunCount <= maxNotRunCount
+    if (!mayRepeat) return false
+    return ranCount < call.route.maxAttempts || (lostCount === ranCount && lostCount < maxLostCount)
+  }
+
+  function conclude (current: Attempt, end: AttemptEnd, reason: string): void {
+    const { head } = current
+    const isPassedOn = end === AttemptEnd.ServerFailure && head !== undefined && !call.response.headersSent && isOwnStatus(head.statusCode)
+    if (!isPassedOn || head === undefined) {
+      giveUp(reason)
+      return
+    }
+    const body = Buffer.concat(current.failureBody)
+    call.response.writeHead(head.statusCode, head.statusMessage, [...filterAnswerHeaders(head.rawHeaders, false), 'Content-Length', String(body.length)] as never)
+    call.response.end(body)
+    finish(CallOutcome.ServerFailure, reason)
+  }
+
+  /** Ends the call without a whole stream. */
+  function giveUp (reason: string): void {
+    if (call.response.headersSent) {
+      finish(CallOutcome.Broken, reason)
+      call.response.destroy()
+      return
+    }
+    if (ranCount === 0) {
+      const retryAfterMs = Math.round(minRetryAfterMs + retryAfterSpreadMs * services.random.nextFloat())
+      finish(CallOutcome.Refused, reason)
+      answerOwn(services, call.response, call.facts.requestId, 503, retryAfterMs)
+      return
+    }
+    finish(CallOutcome.Broken, reason)
+    answerOwn(services, call.response, call.facts.requestId, 502)
+  }
+
+  function checkTime (): void {
+    if (isFinished) return
+    const nowMs = timers.nowMs()
+    if (nowMs >= call.endsAtMs) {
+      const isStarted = call.response.headersSent
+      finish(CallOutcome.TimedOut)
+      if (isStarted) call.response.destroy()
+      else answerOwn(services, call.response, call.facts.requestId, 504)
+      return
+    }
+    if (attempt === undefined || !mayRepeat) return
+    const limitMs = attempt.hasEvents ? call.route.pauseObjectiveMs * pauseLimitObjectives : call.route.objectiveMs * firstEventLimitObjectives
+    const waitedMs = nowMs - attempt.lastEventAtMs
+    if (waitedMs < limitMs) return
+    services.reportStall(attempt.replica.id)
+    endAttempt(attempt, AttemptEnd.Lost, `no event for ${Math.round(waitedMs)} ms`)
+  }
+
+  call.response.on('close', onCallerLeft)
+  const sweep = timers.subscribeEvery(sweepMs, checkTime)
+  startAttempt()
+}
+
+/** Statuses that would promise the caller that its request has not run are the gateway's alone. */
+function isOwnStatus (statusCode: number): boolean {
+  return ![408, 421, 429, 503].includes(statusCode)
+}
--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -23,27 +23,38 @@
   debug: LogLevels.debug
 }
 
-const jsonReporter: ConsolaReporter = {
-  log (entry) {
-    const [sentence, fields] = entry.args as [string, LogFields | undefined]
-    const line = { timestamp: entry.date.toISOString(), level: entry.type, part: entry.tag, message: sentence, ...fields }
-    process.stderr.write(`${JSON.stringify(line)}\n`)
+/** Where lines of a log go. */
+export interface LogOutput {
+  write (line: string): unknown
+}
+
+function createJsonReporter (output: LogOutput): ConsolaReporter {
+  return {
+    log (entry) {
+      const [sentence, fields] = entry.args as [string, LogFields | undefined]
+      const line = { timestamp: entry.date.toISOString(), level: entry.type, part: entry.tag, message: sentence, ...fields }
+      output.write(`${JSON.stringify(line)}\n`)
+    }
   }
 }
 
-const textReporter: ConsolaReporter = {
-  log (entry) {
-    const [sentence, fields] = entry.args as [string, LogFields | undefined]
-    const details = Object.entries(fields ?? {}).map(([name, value]) => ` ${name}=${value}`).join('')
-    process.stderr.write(`${entry.date.toISOString()} ${entry.type} [${entry.tag}] ${sentence}${details}\n`)
+function createTextReporter (output: LogOutput): ConsolaReporter {
+  return {
+    log (entry) {
+      const [sentence, fields] = entry.args as [string, LogFields | undefined]
+      const details = Object.entries(fields ?? {}).map(([name, value]) => ` ${name}=${value}`).join('')
+      output.write(`${entry.date.toISOString()} ${entry.type} [${entry.tag}] ${sentence}${details}\n`)
+    }
   }
 }
 
-/** Creates the loggers of one program. Lines go to standard error. */
-export function createLoggerFactory (settings: LogSettings): LoggerFactory {
+/** Creates the loggers of one program. Lines go to standard error unless another output is given. */
+export function createLoggerFactory (settings: LogSettings, output: LogOutput = process.stderr): LoggerFactory {
   const root: ConsolaInstance = createConsola({
     level: levelNumbers[settings.level],
-    reporters: [settings.format === 'json' ? jsonReporter : textReporter]
+    reporters: [settings.format === 'json' ? createJsonReporter(output) : createTextReporter(output)],
+    // Consola holds back repeated lines by default; each decision is one line.
+    throttle: 0
   })
   return prefix => {
     const tagged = root.withTag(prefix)
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -32,9 +32,9 @@
 const quantiles = [0.5, 0.95, 0.99, 1]
 
 /** Creates the metrics of a program; names start with `egretpaddle_`. */
-export function createMetrics (): Metrics {
+export function createMetrics ({ hasProcessMetrics = true }: { readonly hasProcessMetrics?: boolean } = {}): Metrics {
   const registry = new Registry()
-  collectDefaultMetrics({ register: registry })
+  if (hasProcessMetrics) collectDefaultMetrics({ register: registry })
   const histograms = new Map<DurationMetric, hdr.Histogram>()
   const requestCounter = new Counter({
     name: 'egretpaddle_requests_total',
--- /dev/null
+++ b/src/transport/server-exchange.ts
@@ -0,0 +1,171 @@
+import http from 'node:http'
+import type { Socket } from 'node:net'
+
+import type { TimerService } from '../shared/timer-service.js'
+
+export interface ServerRequest {
+  readonly host: string
+  readonly port: number
+  readonly method: string
+  readonly path: string
+  /** Names and values in turn. */
+  readonly rawHeaders: readonly string[]
+  readonly body: Buffer | undefined
+  /** Opens a connection for this request alone, so that it meets none that the server has just closed. */
+  readonly isDedicated: boolean
+}
+
+/** The status line and headers of a server's answer. */
+export interface AnswerHead {
+  readonly statusCode: number
+  readonly statusMessage: string
+  readonly rawHeaders: readonly string[]
+  readonly headers: http.IncomingHttpHeaders
+}
+
+export enum ExchangeFailureKind {
+  /** No byte of the request was sent, and none will be. */
+  NotSent = 'notSent',
+  /** The connection broke or the answer is malformed; the request may have run. */
+  Lost = 'lost'
+}
+
+export interface ExchangeFailure {
+  readonly kind: ExchangeFailureKind
+  readonly reason: string
+}
+
+/** Called in order: the head, then data, then either the end or a failure. */
+export interface ExchangeListener {
+  onHead (head: AnswerHead): void
+  onData (chunk: Buffer): void
+  /** The whole answer has arrived. */
+  onEnd (): void
+  onFailure (failure: ExchangeFailure): void
+}
+
+/** One request in progress at a server. */
+export interface ServerExchange {
+  /** Closes the connection; the listener hears nothing further. */
+  abort (): void
+  pause (): void
+  resume (): void
+}
+
+export interface ServerConnections {
+  open (request: ServerRequest, listener: ExchangeListener): ServerExchange
+  close (): void
+}
+
+export interface ServerConnectionsOptions {
+  readonly timers: TimerService
+  /** Connections that one server gets from this process. */
+  readonly maxConnectionsPerServer: number
+}
+
+/** A server in reach accepts a connection within a few milliseconds. */
+const connectTimeoutMs = 300
+/** Connections without a request are closed after this time, before most servers do. */
+const idleTimeoutMs = 4000
+
+/** Creates the connections of this process to backend servers. */
+export function createServerConnections ({ timers, maxConnectionsPerServer }: ServerConnectionsOptions): ServerConnections {
+  const pooled = new http.Agent({ keepAlive: true, maxSockets: maxConnectionsPerServer, timeout: idleTimeoutMs })
+  const dedicated = new http.Agent({ keepAlive: false, maxSockets: Infinity })
+  pooled.on('free', guardIdleSocket)
+
+  return {
+    open: (request, listener) => openExchange(timers, request.isDedicated ? dedicated : pooled, request, listener),
+    close () {
+      pooled.destroy()
+      dedicated.destroy()
+    }
+  }
+}
+
+const guardedSockets = new WeakSet<Socket>()
+
+/** Bytes that arrive while no request is in progress belong to no request; the connection is closed. */
+function guardIdleSocket (socket: Socket): void {
+  if (guardedSockets.has(socket)) return
+  guardedSockets.add(socket)
+  socket.prependListener('data', () => {
+    const isIdle = (socket as Socket & { _httpMessage?: unknown })._httpMessage === null
+    if (isIdle) socket.destroy()
+  })
+}
+
+function openExchange (timers: TimerService, agent: http.Agent, request: ServerRequest, listener: ExchangeListener): ServerExchange {
+  let isFinished = false
+  let isConnected = false
+  let answer: http.IncomingMessage | undefined
+
+  const clientRequest = http.request({
+    agent,
+    host: request.host,
+    port: request.port,
+    method: request.method,
+    path: request.path,
+    headers: request.rawHeaders as unknown as http.OutgoingHttpHeaders,
+    setHost: false
+  })
+
+  const connectTimer = timers.subscribeOnce(connectTimeoutMs, () => {
+    if (!isConnected) fail(`no connection to ${request.host}:${request.port} within ${connectTimeoutMs} ms`)
+  })
+
+  function finish (): boolean {
+    if (isFinished) return false
+    isFinished = true
+    connectTimer.cancel()
+    return true
+  }
+
+  function fail (reason: string): void {
+    if (!finish()) return
+    clientRequest.destroy()
+    listener.onFailure({ kind: isConnected ? ExchangeFailureKind.Lost : ExchangeFailureKind.NotSent, reason })
+  }
+
+  clientRequest.on('socket', socket => {
+    if (!socket.connecting) isConnected = true
+    else socket.once('connect', () => { isConnected = true })
+  })
+  clientRequest.on('error', error => fail(error.message))
+  clientRequest.on('close', () => fail('the connection closed without an answer'))
+  clientRequest.on('response', response => {
+    answer = response
+    if (isFinished) return
+    listener.onHead({
+      statusCode: response.statusCode ?? 0,
+      statusMessage: response.statusMessage ?? '',
+      rawHeaders: response.rawHeaders,
+      headers: response.headers
+    })
+    response.on('data', (chunk: Buffer) => {
+      if (!isFinished) listener.onData(chunk)
+    })
+    response.on('end', () => {
+      if (!response.complete) {
+        fail('the answer ended early')
+        return
+      }
+      if (finish()) listener.onEnd()
+    })
+    response.on('error', error => fail(error.message))
+    response.on('close', () => fail('the answer ended early'))
+  })
+  clientRequest.end(request.body)
+
+  return {
+    abort () {
+      if (finish()) clientRequest.destroy()
+    },
+    pause () {
+      answer?.pause()
+    },
+    resume () {
+      answer?.resume()
+    }
+  }
+}
