Read order sequences from reports, and form groups once a domain's list stands still

Cause: every order was answered 409. Then no group of six formed: servers register one after the other, so groups of three took the first ones. Ruled out: a wrong group name or member list (joins pass once the sequence is right).

--- a/src/coordination/replicas/domain-layout.ts
+++ b/src/coordination/replicas/domain-layout.ts
@@ -28,24 +28,27 @@
 
 /**
  * Chooses the group to form from a domain's free servers: of the models that fit, one that needs no
- * load first, then the one whose part of the servers is farthest below its share of the work.
+ * load first, then the one whose part of the servers is farthest below its share of the work. A model
+ * that is ahead of another one by more than a group of that one waits for servers that fit the other.
  */
 export function chooseNewGroup ({ models, free, serverCounts }: LayoutInput): NewGroup | undefined {
+  const saturations = new Map(models.map(model => [model, (serverCounts.get(model.name) ?? 0) / getShare(model)]))
+  const limit = Math.min(...models.map(model => (saturations.get(model) ?? 0) + model.groupSize / getShare(model)))
   const candidates = models.filter(model => free.length >= model.groupSize).map(model => {
     const members = pickMembers(free, model)
-    return {
-      model,
-      members,
-      loadCount: members.filter(member => needsLoad(member, model.name)).length,
-      saturation: (serverCounts.get(model.name) ?? 0) / Math.max(model.share, 0.01)
-    }
-  })
+    const loadCount = members.filter(member => needsLoad(member, model.name)).length
+    return { model, members, loadCount, saturation: saturations.get(model) ?? 0 }
+  }).filter(candidate => candidate.loadCount === 0 || candidate.saturation < limit)
   candidates.sort((left, right) => Math.sign(left.loadCount) - Math.sign(right.loadCount) ||
     left.saturation - right.saturation || right.model.groupSize - left.model.groupSize)
   const best = candidates[0]
   return best === undefined ? undefined : { model: best.model, members: best.members }
 }
 
+function getShare (model: ReplicatedModel): number {
+  return Math.max(model.share, 0.01)
+}
+
 /**
  * Chooses the servers of a group. Servers prepared for another model come last, since they replace
  * members of its groups sooner than an empty one.
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -71,9 +71,7 @@
 
   async function carryOut (planner: ReplicaPlanner, planned: PlannedOrder, generation: number): Promise<void> {
     const { server, order } = planned
-    const outcome = lease.getGeneration() === generation
-      ? await orders.send(server, order, { fencingToken: generation, expectedSequence: sequences.get(server) })
-      : OrderOutcome.Refused
+    const outcome = await send(planner, planned, generation)
     logger.info('An order was answered.', describe(planned, generation, outcome))
     if (outcome === OrderOutcome.Begun) sequences.noteBegun(server)
     if (outcome === OrderOutcome.Unfit || outcome === OrderOutcome.Unanswered) await refreshSequence(planner, server)
@@ -82,6 +80,14 @@
     if (isAccepted(outcome)) wake()
   }
 
+  async function send (planner: ReplicaPlanner, { server, order }: PlannedOrder, generation: number): Promise<OrderOutcome> {
+    if (sequences.get(server) === undefined) await refreshSequence(planner, server)
+    const expectedSequence = sequences.get(server)
+    if (expectedSequence === undefined) return OrderOutcome.Unreachable
+    if (lease.getGeneration() !== generation) return OrderOutcome.Refused
+    return orders.send(server, order, { fencingToken: generation, expectedSequence })
+  }
+
   async function refreshSequence (planner: ReplicaPlanner, server: BackendServer): Promise<void> {
     const report = await orders.readReport(server)
     if (report.isOk) sequences.set(server, report.value.orderSequence)
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -67,6 +67,7 @@
 const formingLoadTimes = 4
 const formingSlackMs = 8000
 const retryMs = 300
+const settleMs = 400
 /** Mark of a server that did not answer, unless it registers anew. */
 const unreachableMs = 6000
 
@@ -83,6 +84,7 @@
   const unreachable = new Map<string, { startedAtMs: number, untilMs: number }>()
   /** Staging under way, which the list does not show before its end. */
   const staging = new Map<string, { model: string, startedAtMs: number }>()
+  const domainCounts = new Map<string, { count: number, grownAtMs: number }>()
   const pacer = createLoadPacer()
   let epochCount = 0
   let nowMs = 0
@@ -250,9 +252,9 @@
 
   function formGroups (input: PlannerInput, free: readonly BackendServer[]): BackendServer[] {
     const spares: BackendServer[] = []
-    for (const members of groupByDomain(free).values()) {
+    for (const [domain, members] of groupByDomain(free)) {
       let rest = members
-      for (;;) {
+      while (isSettled(domain, input.servers)) {
         const next = chooseNewGroup({ models: input.engine.models, free: rest, serverCounts: countServers(input.replicas) })
         if (next === undefined) break
         const taken = new Set(next.members)
@@ -264,6 +266,18 @@
     return spares
   }
 
+  /** Servers of one domain register one after the other; groups wait until the list stands still. */
+  function isSettled (domain: string, servers: readonly BackendServer[]): boolean {
+    const count = servers.filter(server => server.domain === domain).length
+    const mark = domainCounts.get(domain)
+    if (mark === undefined || count > mark.count) {
+      domainCounts.set(domain, { count, grownAtMs: nowMs })
+      return false
+    }
+    mark.count = count
+    return nowMs - mark.grownAtMs >= settleMs
+  }
+
   function startForming (serviceName: string, model: ReplicatedModel, members: readonly BackendServer[]): void {
     epochCount += 1
     const epoch = generation * epochsPerGeneration + epochCount
--- a/src/state/backend-server.ts
+++ b/src/state/backend-server.ts
@@ -32,8 +32,6 @@
   readonly slotCount: number
   /** Wall clock of its start; distinguishes two lives under one id. */
   readonly startedAtMs: number
-  /** Number of the orders that it has accepted in this life. */
-  readonly orderSequence: number
   /** Undefined for a server that belongs to no fabric domain. */
   readonly domain: string | undefined
   readonly stagedModels: readonly string[]
