Do not take a busy group for a stalled one; stage spares domain by domain

Spares began staging after traffic had begun, where a load takes ten times as long. Ruled out: lost groups after the restart (three and seven were open while requests were refused with 'no group'). Change: a group that gave an event to another stream is busy, not stalled; loads go to one domain after the other, groups first, then its spares.

--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -15,9 +15,12 @@
   getOwnCount (replicaId: string): number
   /** Streams of all gateways. */
   getCount (replicaId: string): number
+  /** An event of one of the group's streams arrived. */
+  noteProgress (replicaId: string): void
+  /** Whether one of the group's streams gave an event within this time. */
+  hasProgressed (replicaId: string, withinMs: number): boolean
   /** Marks a group whose streams stand still; it gets no new ones for a while. */
   markStalled (replicaId: string): void
-  clearStalled (replicaId: string): void
   isStalled (replicaId: string): boolean
   createReport (nodeId: string): LoadReport
   takeReport (report: LoadReport): void
@@ -25,6 +28,10 @@
 
 /** A gateway that was not heard of for this long has no streams in the sum. */
 const reportMaxAgeMs = 2500
+/** A group that gave an event this recently is not stalled; its steps take some ten milliseconds. */
+export const aliveMs = 300
+/** Groups of the past whose progress is remembered. */
+const maxRememberedCount = 500
 /** A stalled group is tried again after this time unless it was replaced. */
 const stalledMs = 5500
 
@@ -33,6 +40,7 @@
   const own = new Map<string, number>()
   const peers = new Map<string, { report: LoadReport, arrivedAtMs: number }>()
   const stalledUntilMs = new Map<string, number>()
+  const progressedAtMs = new Map<string, number>()
   let sequence = 0
 
   function isStalled (replicaId: string): boolean {
@@ -45,8 +53,12 @@
     },
     end (replicaId) {
       const count = (own.get(replicaId) ?? 0) - 1
-      if (count > 0) own.set(replicaId, count)
-      else own.delete(replicaId)
+      if (count > 0) {
+        own.set(replicaId, count)
+        return
+      }
+      own.delete(replicaId)
+      if (progressedAtMs.size > maxRememberedCount) progressedAtMs.clear()
     },
     getOwnCount: replicaId => own.get(replicaId) ?? 0,
     getCount (replicaId) {
@@ -56,12 +68,14 @@
       }
       return count
     },
+    noteProgress (replicaId) {
+      progressedAtMs.set(replicaId, timers.nowMs())
+      stalledUntilMs.delete(replicaId)
+    },
+    hasProgressed: (replicaId, withinMs) => timers.nowMs() - (progressedAtMs.get(replicaId) ?? -Infinity) <= withinMs,
     markStalled (replicaId) {
       stalledUntilMs.set(replicaId, timers.nowMs() + stalledMs)
     },
-    clearStalled (replicaId) {
-      stalledUntilMs.delete(replicaId)
-    },
     isStalled,
     createReport (nodeId) {
       sequence += 1
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -35,6 +35,7 @@
 }
 
 const tickMs = 200
+const summaryIntervalMs = 500
 /** Time between two checks of one group. */
 const checkIntervalMs = 1000
 
@@ -45,6 +46,8 @@
   const planners = new Map<string, ReplicaPlanner>()
   const checkedAtMs = new Map<string, number>()
   let plannersGeneration: number | undefined
+  let summarizedAtMs = -Infinity
+  let lastSummary = ''
   let ticker: TimerSubscription | undefined
 
   function getPlanner (serviceName: string, generation: number): ReplicaPlanner {
@@ -66,9 +69,21 @@
       const planner = getPlanner(service.name, generation)
       const planned = planner.plan({ nowMs: timers.nowMs(), serviceName: service.name, ...service })
       for (const order of planned) void carryOut(planner, order, generation)
+      logSummary(planner, service)
     }
   }
 
+  function logSummary (planner: ReplicaPlanner, service: PlannedService): void {
+    const nowMs = timers.nowMs()
+    if (nowMs - summarizedAtMs < summaryIntervalMs) return
+    const fields = { service: service.name, ...planner.summarize({ nowMs, serviceName: service.name, ...service }) }
+    const text = JSON.stringify(fields)
+    if (text === lastSummary) return
+    summarizedAtMs = nowMs
+    lastSummary = text
+    logger.info('Groups have changed.', fields)
+  }
+
   async function carryOut (planner: ReplicaPlanner, planned: PlannedOrder, generation: number): Promise<void> {
     const { server, order } = planned
     const outcome = await send(planner, planned, generation)
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -35,10 +35,20 @@
   noteUnreachable (server: BackendServer, nowMs: number): void
   noteReachable (server: BackendServer): void
   isUnreachable (server: BackendServer): boolean
+  /** Counts for logs: groups by model and state, and the servers in none. */
+  summarize (input: PlannerInput): PlannerSummary
+}
+
+export interface PlannerSummary {
+  readonly openGroups: string
+  readonly formingGroups: string
+  readonly dissolvingGroups: string
+  readonly freeServers: string
+  readonly unusableCount: number
 }
 
 interface Forming {
-  readonly serviceName: string
+  readonly domain: string
   readonly model: ReplicatedModel
   readonly groupName: string
   readonly epoch: number
@@ -181,8 +191,9 @@
     leaders.delete(replicaId)
   }
 
-  function planForming (servers: ReadonlyMap<string, BackendServer>, engine: EngineProfile, orders: PlannedOrder[]): void {
+  function planForming (domain: string, servers: ReadonlyMap<string, BackendServer>, engine: EngineProfile, orders: PlannedOrder[]): void {
     for (const [id, group] of forming) {
+      if (group.domain !== domain) continue
       const current = group.members.map(member => servers.get(member.id))
       const isLost = group.members.some((member, index) => {
         const server = current[index]
@@ -259,7 +270,7 @@
         if (next === undefined) break
         const taken = new Set(next.members)
         rest = rest.filter(server => !taken.has(server))
-        startForming(input.serviceName, next.model, next.members)
+        startForming(domain, next.model, next.members)
       }
       spares.push(...rest)
     }
@@ -278,24 +289,22 @@
     return nowMs - mark.grownAtMs >= settleMs
   }
 
-  function startForming (serviceName: string, model: ReplicatedModel, members: readonly BackendServer[]): void {
+  function startForming (domain: string, model: ReplicatedModel, members: readonly BackendServer[]): void {
     epochCount += 1
     const epoch = generation * epochsPerGeneration + epochCount
     const groupName = formatGroupName(model.name, String(epoch))
     forming.set(formatReplicaId(groupName, epoch), {
-      serviceName, model, groupName, epoch, members, joinedIds: new Set(), startedAtMs: nowMs
+      domain, model, groupName, epoch, members, joinedIds: new Set(), startedAtMs: nowMs
     })
   }
 
   function stageSpares (spares: readonly BackendServer[], engine: EngineProfile, orders: PlannedOrder[]): void {
-    for (const members of groupByDomain(spares).values()) {
-      for (const server of members) {
-        const model = chooseStaging(server, members.filter(other => other !== server), engine.models)
-        if (model === undefined || !canOrder(server)) continue
-        if (!pacer.tryTake(nowMs, engine.loadsPerSecond)) return
-        orderOnce(orders, server, { kind: ServerOrderKind.Stage, model })
-        break
-      }
+    for (const server of spares) {
+      const model = chooseStaging(server, spares.filter(other => other !== server), engine.models)
+      if (model === undefined || !canOrder(server)) continue
+      if (!pacer.tryTake(nowMs, engine.loadsPerSecond)) return
+      orderOnce(orders, server, { kind: ServerOrderKind.Stage, model })
+      return
     }
   }
 
@@ -307,8 +316,12 @@
       releaseRestarted(servers)
       for (const replica of input.replicas) planReplica(replica, orders)
       const spares = formGroups(input, listFree(input.servers))
-      planForming(servers, input.engine, orders)
-      stageSpares(spares, input.engine, orders)
+      // One domain after the other gets its groups and its spares, since loads are paced.
+      const sparesByDomain = groupByDomain(spares)
+      for (const domain of [...groupByDomain(input.servers).keys()].sort()) {
+        planForming(domain, servers, input.engine, orders)
+        stageSpares(sparesByDomain.get(domain) ?? [], input.engine, orders)
+      }
       return orders
     },
     noteOutcome ({ server, order }, outcome, atMs) {
@@ -354,10 +367,27 @@
     noteReachable (server) {
       unreachable.delete(server.id)
     },
-    isUnreachable
+    isUnreachable,
+    summarize ({ replicas, servers }) {
+      const open = replicas.filter(replica => replica.isOpen && isIntact(replica))
+      return {
+        openGroups: countNames(open.map(replica => replica.model?.name ?? '')),
+        formingGroups: [...forming.values()].map(group => `${group.groupName} ${group.joinedIds.size}/${group.members.length}`).join(', '),
+        dissolvingGroups: [...dissolving.keys()].join(', '),
+        freeServers: [...groupByDomain(listFree(servers))].map(([domain, free]) =>
+          `${domain}: ${free.map(server => server.stagedModels[0] ?? 'empty').join(' ')}`).join('; '),
+        unusableCount: servers.filter(server => !isUsable(server)).length
+      }
+    }
   }
 }
 
+function countNames (names: readonly string[]): string {
+  const counts = new Map<string, number>()
+  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1)
+  return [...counts].sort().map(([name, count]) => `${name} ${count}`).join(', ')
+}
+
 /** Time in which the leader reports that it is open. */
 const openHoldMs = 1000
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,4 @@
-import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import { aliveMs, createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import { createRetryShare, type RetryShare } from '../coordination/dispatch/retry-share.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
@@ -100,6 +100,7 @@
     logger: createBoundedLogger(createLogger('calls'), timers, requestLinesPerSecond),
     getRetryShare,
     reportStall (replicaId) {
+      if (loads.hasProgressed(replicaId, aliveMs)) return
       loads.markStalled(replicaId)
       planner.checkReplica(replicaId)
     }
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -1,4 +1,4 @@
-import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import { aliveMs, type ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { Logger } from '../observability/log.js'
 import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
 import { createLoadDatagrams } from '../transport/load-datagrams.js'
@@ -31,6 +31,7 @@
     onReport (report) {
       loads.takeReport(report)
       for (const replicaId of report.stalledIds) {
+        if (loads.hasProgressed(replicaId, aliveMs)) continue
         if (!loads.isStalled(replicaId)) loads.markStalled(replicaId)
         onStall(replicaId)
       }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -32,6 +32,8 @@
 /** Pauses between events that a working group makes stay below this. */
 const pauseLimitObjectives = 2
 const sweepMs = 50
+/** Callers give up streams without events after two seconds. */
+const busyLimitMs = 1600
 /** Attempts that no server ran, on top of those that ran. */
 const maxNotRunCount = 3
 /** Attempts whose group was lost meanwhile do not count towards the route's limit. */
@@ -156,12 +158,12 @@
   function noteEventTime (current: Attempt, nowMs: number): void {
     if (!current.hasEvents) {
       current.hasEvents = true
-      loads.clearStalled(current.replica.id)
       services.metrics.recordDuration(DurationMetric.FirstToken, nowMs - call.arrivedAtMs)
     } else {
       services.metrics.recordDuration(DurationMetric.BetweenTokens, nowMs - current.lastEventAtMs)
     }
     current.lastEventAtMs = nowMs
+    loads.noteProgress(current.replica.id)
   }
 
   function writeHead (head: AnswerHead): void {
@@ -257,6 +259,8 @@
     const limitMs = attempt.hasEvents ? call.route.pauseObjectiveMs * pauseLimitObjectives : call.route.objectiveMs * firstEventLimitObjectives
     const waitedMs = nowMs - attempt.lastEventAtMs
     if (waitedMs < limitMs) return
+    // A group that gives events to other streams is busy; another one would read the prompt again.
+    if (loads.hasProgressed(attempt.replica.id, limitMs) && waitedMs < busyLimitMs) return
     services.reportStall(attempt.replica.id)
     endAttempt(attempt, AttemptEnd.Lost, `no event for ${Math.round(waitedMs)} ms`)
   }
