Keep the weight store busy before traffic and no busier than it carries after

Cause: after traffic begins a load takes ten times as long and more than eight at once slow each other, so spares staged late and loads of a new planner that forgot those in progress starved the groups of six.

--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -12,7 +12,8 @@
 export interface ReplicaLoads {
   begin (replicaId: string): void
   end (replicaId: string): void
-  getOwnCount (replicaId: string): number
+  /** Whether any gateway has reported a stream. */
+  hasAny (): boolean
   /** Streams of all gateways. */
   getCount (replicaId: string): number
   /** An event of one of the group's streams arrived. */
@@ -60,7 +61,7 @@
       own.delete(replicaId)
       if (progressedAtMs.size > maxRememberedCount) progressedAtMs.clear()
     },
-    getOwnCount: replicaId => own.get(replicaId) ?? 0,
+    hasAny: () => own.size > 0 || [...peers.values()].some(peer => Object.keys(peer.report.streamCounts).length > 0),
     getCount (replicaId) {
       let count = own.get(replicaId) ?? 0
       for (const { report, arrivedAtMs } of peers.values()) {
--- a/src/coordination/ports/server-orders.ts
+++ b/src/coordination/ports/server-orders.ts
@@ -55,6 +55,8 @@
 export interface ServerReport {
   readonly orderSequence: number
   readonly group: GroupMembership | undefined
+  /** An order is in progress. */
+  readonly isBusy: boolean
   /** Above 1 the server is slower than usual. */
   readonly pace: number
 }
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -6,7 +6,7 @@
 import { isAccepted, OrderOutcome, ServerOrderKind, type ServerOrders } from '../ports/server-orders.js'
 import { createOrderSequences } from './order-sequences.js'
 import type { PlannerLease } from './planner-lease.js'
-import { createReplicaPlanner, type PlannedOrder, type ReplicaPlanner } from './replica-planner.js'
+import { createReplicaPlanner, type PlannedOrder, type PlannerInput, type ReplicaPlanner } from './replica-planner.js'
 
 interface PlannedService {
   readonly name: string
@@ -21,6 +21,8 @@
   readonly lease: PlannerLease
   readonly orders: ServerOrders
   readonly stallLimitMs: number
+  /** Whether callers' requests have arrived at any gateway. */
+  hasTraffic (): boolean
   listServices (): readonly PlannedService[]
 }
 
@@ -67,16 +69,20 @@
     if (generation === undefined) return
     for (const service of options.listServices()) {
       const planner = getPlanner(service.name, generation)
-      const planned = planner.plan({ nowMs: timers.nowMs(), serviceName: service.name, ...service })
+      const planned = planner.plan(toInput(service))
       for (const order of planned) void carryOut(planner, order, generation)
       logSummary(planner, service)
     }
   }
 
+  function toInput ({ name, engine, servers, replicas }: PlannedService): PlannerInput {
+    return { nowMs: timers.nowMs(), serviceName: name, engine, servers, replicas, hasTraffic: options.hasTraffic() }
+  }
+
   function logSummary (planner: ReplicaPlanner, service: PlannedService): void {
     const nowMs = timers.nowMs()
     if (nowMs - summarizedAtMs < summaryIntervalMs) return
-    const fields = { service: service.name, ...planner.summarize({ nowMs, serviceName: service.name, ...service }) }
+    const fields = { service: service.name, ...planner.summarize(toInput(service)) }
     const text = JSON.stringify(fields)
     if (text === lastSummary) return
     summarizedAtMs = nowMs
@@ -105,8 +111,12 @@
 
   async function refreshSequence (planner: ReplicaPlanner, server: BackendServer): Promise<void> {
     const report = await orders.readReport(server)
-    if (report.isOk) sequences.set(server, report.value.orderSequence)
-    else planner.noteUnreachable(server, timers.nowMs())
+    if (!report.isOk) {
+      planner.noteUnreachable(server, timers.nowMs())
+      return
+    }
+    sequences.set(server, report.value.orderSequence)
+    if (report.value.isBusy && server.group === undefined) planner.noteBusy(server, timers.nowMs())
   }
 
   async function checkMember (planner: ReplicaPlanner, member: BackendServer, replicaId: string): Promise<void> {
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -17,6 +17,8 @@
   readonly engine: EngineProfile
   readonly servers: readonly BackendServer[]
   readonly replicas: readonly Replica[]
+  /** Whether callers' requests have arrived. */
+  readonly hasTraffic: boolean
 }
 
 export interface PlannerSettings {
@@ -34,6 +36,8 @@
   /** A server did not answer; it joins no group until it is seen again. */
   noteUnreachable (server: BackendServer, nowMs: number): void
   noteReachable (server: BackendServer): void
+  /** The server reports an order of an earlier planner in progress. */
+  noteBusy (server: BackendServer, nowMs: number): void
   isUnreachable (server: BackendServer): boolean
   /** Counts for logs: groups by model and state, and the servers in none. */
   summarize (input: PlannerInput): PlannerSummary
@@ -78,6 +82,8 @@
 const formingSlackMs = 8000
 const retryMs = 300
 const settleMs = 400
+/** A load that is not seen to end within this time is taken to have failed. */
+const maxLoadMs = 60_000
 /** Mark of a server that did not answer, unless it registers anew. */
 const unreachableMs = 6000
 
@@ -92,11 +98,13 @@
   const busy = new Set<string>()
   const notBeforeMs = new Map<string, number>()
   const unreachable = new Map<string, { startedAtMs: number, untilMs: number }>()
-  /** Staging under way, which the list does not show before its end. */
-  const staging = new Map<string, { model: string, startedAtMs: number }>()
+  /** Loads in progress, which the list does not show before their end. */
+  const loading = new Map<string, { model: string | undefined, startedAtMs: number, beganAtMs: number }>()
   const domainCounts = new Map<string, { count: number, grownAtMs: number }>()
+  const settledDomains = new Set<string>()
   const pacer = createLoadPacer()
   let epochCount = 0
+  let hasTraffic = false
   let nowMs = 0
 
   function canOrder (server: BackendServer): boolean {
@@ -116,6 +124,24 @@
     return replica.isComplete && replica.members.every(member => isUsable(member) && member.group?.state !== MemberState.Broken)
   }
 
+  function noteLoad (server: BackendServer, model: string | undefined, beganAtMs: number): void {
+    if (model !== undefined && !needsLoad(server, model)) return
+    loading.set(server.id, { model, startedAtMs: server.startedAtMs, beganAtMs })
+  }
+
+  function forgetEndedLoads (servers: ReadonlyMap<string, BackendServer>): void {
+    for (const [id, mark] of loading) {
+      const server = servers.get(id)
+      const hasModel = server !== undefined && (mark.model === undefined ? server.stagedModels.length > 0 : !needsLoad(server, mark.model))
+      const isOver = server === undefined || server.startedAtMs !== mark.startedAtMs || hasModel || nowMs - mark.beganAtMs > maxLoadMs
+      if (isOver) loading.delete(id)
+    }
+  }
+
+  function tryLoad (engine: EngineProfile): boolean {
+    return pacer.tryTake({ nowMs, engine, hasTraffic, inProgressCount: loading.size })
+  }
+
   function orderOnce (orders: PlannedOrder[], server: BackendServer, order: ServerOrder): boolean {
     if (!canOrder(server)) return false
     busy.add(server.id)
@@ -222,7 +248,7 @@
         group.joinedIds.add(server.id)
         continue
       }
-      if (needsLoad(server, model.name) && !pacer.tryTake(nowMs, engine.loadsPerSecond)) return
+      if (needsLoad(addStaging(server), model.name) && !tryLoad(engine)) return
       orderOnce(orders, server, {
         kind: ServerOrderKind.Join, groupName, epoch, model: model.name, memberIds: group.members.map(member => member.id)
       })
@@ -246,8 +272,8 @@
   }
 
   function addStaging (server: BackendServer): BackendServer {
-    const mark = staging.get(server.id)
-    if (mark === undefined || mark.startedAtMs !== server.startedAtMs) return server
+    const mark = loading.get(server.id)
+    if (mark?.model === undefined) return server
     return { ...server, stagedModels: [...new Set([...server.stagedModels, mark.model])] }
   }
 
@@ -265,7 +291,7 @@
     const spares: BackendServer[] = []
     for (const [domain, members] of groupByDomain(free)) {
       let rest = members
-      while (isSettled(domain, input.servers)) {
+      while (settledDomains.has(domain)) {
         const next = chooseNewGroup({ models: input.engine.models, free: rest, serverCounts: countServers(input.replicas) })
         if (next === undefined) break
         const taken = new Set(next.members)
@@ -278,15 +304,14 @@
   }
 
   /** Servers of one domain register one after the other; groups wait until the list stands still. */
-  function isSettled (domain: string, servers: readonly BackendServer[]): boolean {
-    const count = servers.filter(server => server.domain === domain).length
-    const mark = domainCounts.get(domain)
-    if (mark === undefined || count > mark.count) {
-      domainCounts.set(domain, { count, grownAtMs: nowMs })
-      return false
+  function updateSettled (servers: readonly BackendServer[]): void {
+    settledDomains.clear()
+    for (const [domain, { length: count }] of groupByDomain(servers)) {
+      const mark = domainCounts.get(domain)
+      if (mark === undefined || count > mark.count) domainCounts.set(domain, { count, grownAtMs: nowMs })
+      else if (nowMs - mark.grownAtMs >= settleMs) settledDomains.add(domain)
+      if (mark !== undefined && count < mark.count) mark.count = count
     }
-    mark.count = count
-    return nowMs - mark.grownAtMs >= settleMs
   }
 
   function startForming (domain: string, model: ReplicatedModel, members: readonly BackendServer[]): void {
@@ -301,8 +326,8 @@
   function stageSpares (spares: readonly BackendServer[], engine: EngineProfile, orders: PlannedOrder[]): void {
     for (const server of spares) {
       const model = chooseStaging(server, spares.filter(other => other !== server), engine.models)
-      if (model === undefined || !canOrder(server)) continue
-      if (!pacer.tryTake(nowMs, engine.loadsPerSecond)) return
+      if (model === undefined || !canOrder(server) || loading.has(server.id)) continue
+      if (!tryLoad(engine)) return
       orderOnce(orders, server, { kind: ServerOrderKind.Stage, model })
       return
     }
@@ -311,16 +336,19 @@
   return {
     plan (input) {
       nowMs = input.nowMs
+      hasTraffic ||= input.hasTraffic
       const orders: PlannedOrder[] = []
       const servers = new Map(input.servers.map(server => [server.id, server]))
       releaseRestarted(servers)
+      forgetEndedLoads(servers)
+      updateSettled(input.servers)
       for (const replica of input.replicas) planReplica(replica, orders)
       const spares = formGroups(input, listFree(input.servers))
       // One domain after the other gets its groups and its spares, since loads are paced.
       const sparesByDomain = groupByDomain(spares)
       for (const domain of [...groupByDomain(input.servers).keys()].sort()) {
         planForming(domain, servers, input.engine, orders)
-        stageSpares(sparesByDomain.get(domain) ?? [], input.engine, orders)
+        if (settledDomains.has(domain)) stageSpares(sparesByDomain.get(domain) ?? [], input.engine, orders)
       }
       return orders
     },
@@ -328,10 +356,8 @@
       busy.delete(server.id)
       notBeforeMs.set(server.id, atMs + (isAccepted(outcome) ? 0 : retryMs))
       if (outcome === OrderOutcome.Unreachable) unreachable.set(server.id, { startedAtMs: server.startedAtMs, untilMs: atMs + unreachableMs })
-      if (order.kind === ServerOrderKind.Stage) {
-        if (isAccepted(outcome)) staging.set(server.id, { model: order.model, startedAtMs: server.startedAtMs })
-        return
-      }
+      if (isAccepted(outcome) && (order.kind === ServerOrderKind.Stage || order.kind === ServerOrderKind.Join)) noteLoad(server, order.model, atMs)
+      if (order.kind === ServerOrderKind.Stage) return
       const id = formatReplicaId(order.groupName, order.epoch)
       if (!isAccepted(outcome)) {
         if (order.kind === ServerOrderKind.Join && outcome === OrderOutcome.Fenced) {
@@ -367,6 +393,9 @@
     noteReachable (server) {
       unreachable.delete(server.id)
     },
+    noteBusy (server, atMs) {
+      if (!loading.has(server.id)) noteLoad(server, undefined, atMs)
+    },
     isUnreachable,
     summarize ({ replicas, servers }) {
       const open = replicas.filter(replica => replica.isOpen && isIntact(replica))
--- a/src/gateway/caller-server.ts
+++ b/src/gateway/caller-server.ts
@@ -13,6 +13,8 @@
   /** Refuses new connections and closes idle ones; resolves when no request is in progress. */
   stop (): Promise<void>
   countInProgress (): number
+  /** Whether a request has ever arrived. */
+  hasServed (): boolean
 }
 
 export interface CallerServerOptions {
@@ -33,9 +35,11 @@
 export function createCallerServer ({ address, maxHeaderBytes, handle }: CallerServerOptions): CallerServer {
   let inProgressCount = 0
   let isDraining = false
+  let hasServed = false
 
   const server = http.createServer({ maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true }, (request, response) => {
     inProgressCount += 1
+    hasServed = true
     response.sendDate = false
     if (isDraining) response.shouldKeepAlive = false
     response.once('close', () => { inProgressCount -= 1 })
@@ -60,7 +64,8 @@
       server.close(() => resolve())
       server.closeIdleConnections()
     }),
-    countInProgress: () => inProgressCount
+    countInProgress: () => inProgressCount,
+    hasServed: () => hasServed
   }
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -84,7 +84,7 @@
     canSeeStore: () => fleet.isStoreReachable() && fleet.getConfig() !== undefined
   })
   const planner = createPlannerTask({
-    timers, logger: createLogger('planner'), lease, orders: options.orders, stallLimitMs: settings.stallLimitMs, listServices: fleet.listReplicatedServices
+    timers, logger: createLogger('planner'), lease, orders: options.orders, stallLimitMs: settings.stallLimitMs, hasTraffic: () => callers.hasServed() || loads.hasAny(), listServices: fleet.listReplicatedServices
   })
   const retryShares = new Map<string, RetryShare>()
   const services: CallServices = {
