Treat an unframed answer whose connection was reset as lost; keep spares out of new groups

Ruled out: a reset that arrives alone (Node reports ECONNRESET). Change: at the end of a connection the descriptor is read once more, which still returns the error. Change: no loads in a domain with a group being dissolved; groups formed mostly by loads leave one spare a model. Watches gather changes for 400 ms on gateways that do not plan and wait 2 s.

--- a/src/coordination/replicas/domain-layout.ts
+++ b/src/coordination/replicas/domain-layout.ts
@@ -13,6 +13,10 @@
   readonly free: readonly BackendServer[]
   /** Servers in groups or about to be, of the whole service, by model. */
   readonly serverCounts: ReadonlyMap<string, number>
+  /** Whether a group may need the weight store. */
+  readonly mayLoad: boolean
+  /** Free servers that stay spares when a group would be formed mostly by loads. */
+  readonly spareCount: number
 }
 
 /** How soon a server could serve a model: less is sooner. */
@@ -31,14 +35,18 @@
  * load first, then the one whose part of the servers is farthest below its share of the work. A model
  * that is ahead of another one by more than a group of that one waits for servers that fit the other.
  */
-export function chooseNewGroup ({ models, free, serverCounts }: LayoutInput): NewGroup | undefined {
+export function chooseNewGroup ({ models, free, serverCounts, mayLoad, spareCount }: LayoutInput): NewGroup | undefined {
   const saturations = new Map(models.map(model => [model, (serverCounts.get(model.name) ?? 0) / getShare(model)]))
   const limit = Math.min(...models.map(model => (saturations.get(model) ?? 0) + model.groupSize / getShare(model)))
   const candidates = models.filter(model => free.length >= model.groupSize).map(model => {
     const members = pickMembers(free, model)
     const loadCount = members.filter(member => needsLoad(member, model.name)).length
     return { model, members, loadCount, saturation: saturations.get(model) ?? 0 }
-  }).filter(candidate => candidate.loadCount === 0 || candidate.saturation < limit)
+  }).filter(({ model, loadCount, saturation }) => {
+    if (loadCount === 0) return true
+    const isRepair = loadCount * 2 <= model.groupSize
+    return mayLoad && saturation < limit && (isRepair || free.length - spareCount >= model.groupSize)
+  })
   candidates.sort((left, right) => Math.sign(left.loadCount) - Math.sign(right.loadCount) ||
     left.saturation - right.saturation || right.model.groupSize - left.model.groupSize)
   const best = candidates[0]
--- /dev/null
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -0,0 +1,179 @@
+import { expect } from 'chai'
+
+import { createRandomSource } from '../../shared/random-source.js'
+import { createVirtualTimerService, type VirtualTimerService } from '../../shared/virtual-timer-service.js'
+import { ServerState } from '../../state/backend-server.js'
+import { listReplicas, type Replica } from '../../state/replica.js'
+import { createFakeGroupServers, type FakeGroupServers } from '../../testing/fake-group-servers.js'
+import { sampleEngine } from '../../testing/serving-samples.js'
+import type { PlannerLease } from './planner-lease.js'
+import { createPlannerTask, type PlannerTask } from './planner-task.js'
+
+const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
+
+/** Planners over fake servers; a new generation takes over from the one before. */
+function createWorld (seed: number) {
+  const timers: VirtualTimerService = createVirtualTimerService()
+  const random = createRandomSource(seed)
+  const servers: FakeGroupServers = createFakeGroupServers(timers, random, sampleEngine)
+  let task: PlannerTask | undefined
+  let held = { generation: 0 }
+  let hasTraffic = false
+
+  function listReplicasNow (): Replica[] {
+    return listReplicas(servers.list(), sampleEngine)
+  }
+
+  function takeOver (): void {
+    const mine = { generation: held.generation + 10 }
+    held = mine
+    task?.stop()
+    const lease: PlannerLease = {
+      getGeneration: () => held === mine ? mine.generation : undefined,
+      giveUp () {},
+      start () {},
+      stop: async () => {}
+    }
+    task = createPlannerTask({
+      timers,
+      logger: silentLogger,
+      lease,
+      orders: servers.orders,
+      stallLimitMs: 5000,
+      hasTraffic: () => hasTraffic,
+      listServices: () => [{ name: 'drafting', engine: sampleEngine, servers: servers.list(), replicas: listReplicasNow() }]
+    })
+    task.start()
+  }
+
+  return {
+    timers,
+    random,
+    servers,
+    takeOver,
+    beginTraffic: () => { hasTraffic = true },
+    check: (replicaId: string) => task?.checkReplica(replicaId),
+    listOpen: () => listReplicasNow().filter(replica => replica.isOpen && replica.isComplete),
+    listReplicas: listReplicasNow
+  }
+}
+
+function addDomains (servers: FakeGroupServers, domainCount: number, serverCount: number): void {
+  for (let domain = 0; domain < domainCount; domain += 1) {
+    for (let index = 0; index < serverCount; index += 1) servers.add(`d${domain}-s${String(index).padStart(2, '0')}`, `d${domain}`)
+  }
+}
+
+function countModels (replicas: readonly Replica[]): Record<string, number> {
+  const counts: Record<string, number> = {}
+  for (const replica of replicas) counts[replica.model?.name ?? ''] = (counts[replica.model?.name ?? ''] ?? 0) + 1
+  return counts
+}
+
+describe('replica planner', () => {
+  describe('at the start', () => {
+    it('gives each domain a group of each model and stages the rest for both', async () => {
+      const world = createWorld(1)
+      addDomains(world.servers, 2, 11)
+      world.takeOver()
+      await world.timers.advanceAsync(120_000)
+      expect(countModels(world.listOpen())).to.deep.equal({ large: 2, small: 2 })
+      const spares = world.servers.list().filter(server => server.group === undefined)
+      expect(spares.map(spare => spare.stagedModels[0]).sort()).to.deep.equal(['large', 'large', 'small', 'small'])
+      expect(world.servers.violations).to.deep.equal([])
+    })
+
+    it('waits for servers that register one after the other', async () => {
+      const world = createWorld(2)
+      world.takeOver()
+      for (let index = 0; index < 11; index += 1) {
+        world.servers.add(`s${String(index).padStart(2, '0')}`, 'd0')
+        await world.timers.advanceAsync(150)
+      }
+      await world.timers.advanceAsync(120_000)
+      expect(countModels(world.listOpen())).to.deep.equal({ large: 1, small: 1 })
+    })
+  })
+
+  describe('when a member dies', () => {
+    for (const memberRank of [0, 3]) {
+      it(`replaces it by the staged spare (rank ${memberRank})`, async () => {
+        const world = createWorld(3)
+        addDomains(world.servers, 1, 11)
+        world.takeOver()
+        await world.timers.advanceAsync(120_000)
+        world.beginTraffic()
+        const loadCount = world.servers.countLoads()
+        const large = world.listOpen().find(replica => replica.model?.name === 'large') as Replica
+        world.servers.kill(large.members[memberRank]?.id as string)
+        await world.timers.advanceAsync(500)
+        world.check(large.id)
+        await world.timers.advanceAsync(memberRank === 0 ? 9000 : 4000)
+        expect(countModels(world.listOpen())).to.deep.equal({ large: 1, small: 1 })
+        expect(world.servers.countLoads()).to.equal(loadCount)
+        expect(world.servers.violations).to.deep.equal([])
+      })
+    }
+
+    it('lets servers of a lost group wait for a newcomer rather than load the other model', async () => {
+      const world = createWorld(4)
+      addDomains(world.servers, 1, 9)
+      world.takeOver()
+      await world.timers.advanceAsync(120_000)
+      const large = world.listOpen().find(replica => replica.model?.name === 'large') as Replica
+      world.servers.kill(large.members[1]?.id as string)
+      await world.timers.advanceAsync(8000)
+      world.servers.add('newcomer', 'd0')
+      await world.timers.advanceAsync(30_000)
+      expect(countModels(world.listOpen())).to.deep.equal({ large: 1, small: 1 })
+    })
+  })
+
+  describe('when a member drains', () => {
+    it('closes the group in order and forms it again without that member', async () => {
+      const world = createWorld(5)
+      addDomains(world.servers, 1, 11)
+      world.takeOver()
+      await world.timers.advanceAsync(120_000)
+      const large = world.listOpen().find(replica => replica.model?.name === 'large') as Replica
+      const leavingId = large.members[2]?.id as string
+      world.servers.setState(leavingId, ServerState.Draining)
+      await world.timers.advanceAsync(8000)
+      const now = world.listOpen().find(replica => replica.model?.name === 'large')
+      expect(now?.members.map(member => member.id)).to.not.include(leavingId)
+      expect(world.servers.violations).to.deep.equal([])
+    })
+  })
+
+  describe('under deaths, late and lost orders and changes of the planner', () => {
+    for (let seed = 1; seed <= 12; seed += 1) {
+      it(`never opens an incomplete group nor takes a member from an open one, and recovers (seed ${seed})`, async () => {
+        const world = createWorld(seed)
+        addDomains(world.servers, 2, 11)
+        world.takeOver()
+        await world.timers.advanceAsync(60_000)
+        world.beginTraffic()
+        world.servers.faults.lateOrderPart = 0.2
+        world.servers.faults.lostAnswerPart = 0.2
+        for (let step = 0; step < 30; step += 1) {
+          const choice = world.random.nextInt(4)
+          const server = world.random.pick(world.servers.list())
+          if (choice === 0 && server !== undefined) world.servers.kill(server.id)
+          if (choice === 1) world.servers.add(`new-${step}`, `d${world.random.nextInt(2)}`)
+          if (choice === 2) world.takeOver()
+          for (const replica of world.listReplicas()) world.check(replica.id)
+          await world.timers.advanceAsync(500 + world.random.nextInt(2500))
+        }
+        world.servers.faults.lateOrderPart = 0
+        world.servers.faults.lostAnswerPart = 0
+        for (let index = 0; index < 6; index += 1) world.servers.add(`last-${index}`, 'd0')
+        for (let index = 0; index < 90; index += 1) {
+          for (const replica of world.listReplicas()) world.check(replica.id)
+          await world.timers.advanceAsync(2000)
+        }
+        expect(world.servers.violations).to.deep.equal([])
+        expect(world.listOpen().length).to.be.greaterThan(0)
+      })
+    }
+  })
+})
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -289,10 +289,18 @@
 
   function formGroups (input: PlannerInput, free: readonly BackendServer[]): BackendServer[] {
     const spares: BackendServer[] = []
+    // Members of a group that is being dissolved are free soon and need no load.
+    const dissolvingDomains = new Set(input.replicas.filter(replica => dissolving.has(replica.id)).map(replica => replica.domain))
     for (const [domain, members] of groupByDomain(free)) {
       let rest = members
       while (settledDomains.has(domain)) {
-        const next = chooseNewGroup({ models: input.engine.models, free: rest, serverCounts: countServers(input.replicas) })
+        const next = chooseNewGroup({
+          models: input.engine.models,
+          free: rest,
+          serverCounts: countServers(input.replicas),
+          mayLoad: !dissolvingDomains.has(domain),
+          spareCount: hasTraffic ? input.engine.models.length : 0
+        })
         if (next === undefined) break
         const taken = new Set(next.members)
         rest = rest.filter(server => !taken.has(server))
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -63,12 +63,16 @@
   readonly timers: TimerService
   readonly layout: StoreLayout
   readonly logger: Logger
+  /** Whether this gateway plans the groups, and needs changes sooner. */
+  isPlanner (): boolean
 }
 
-/** Bounds the age of the configuration while nothing changes; well below the shortest revocation bound. */
-const watchWaitMs = 1000
+/** Bounds the age of the configuration while nothing changes; half of the shortest revocation bound. */
+const watchWaitMs = 2000
 /** Gathers changes that follow each other into one watch, since every call has a price. */
-const gatherMs = 120
+const gatherMs = 400
+/** The planner acts on changes and gathers fewer. */
+const plannerGatherMs = 80
 const retryMs = 120
 /** A whole read repairs whatever a watch has missed. */
 const fullReadIntervalMs = 5000
@@ -76,7 +80,7 @@
 const lapseGraceMs = 2000
 
 /** Creates the view; it reads the store until it is stopped. */
-export function createFleetView ({ store, timers, layout, logger }: FleetViewOptions): FleetView {
+export function createFleetView ({ store, timers, layout, logger, isPlanner }: FleetViewOptions): FleetView {
   const events = createChannel<FleetEvent>()
   const servers = new Map<string, BackendServer>()
   const ownItems = new Map<string, OwnItem>()
@@ -213,7 +217,7 @@
     applyAll(answer.value.changes)
     lastRevision = answer.value.asOfRevision
     confirmedAtMs = Math.max(confirmedAtMs, askedAtMs)
-    if (answer.value.changes.length > 0) await delay(timers, gatherMs)
+    if (answer.value.changes.length > 0) await delay(timers, isPlanner() ? plannerGatherMs : gatherMs)
     return true
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -60,7 +60,7 @@
   const log = createLogger('gateway')
   const random = createRandomSource(createProcessSeed())
   const metrics = createMetrics({ hasProcessMetrics: false })
-  const fleet = createFleetView({ store, timers, layout, logger: createLogger('fleet') })
+  const fleet = createFleetView({ store, timers, layout, logger: createLogger('fleet'), isPlanner: () => lease.getGeneration() !== undefined })
   const loads = createReplicaLoads(timers)
   const presence = createPresence({
     store,
--- /dev/null
+++ b/src/testing/fake-revisioned-store.ts
@@ -0,0 +1,165 @@
+import {
+  StoreErrorKind,
+  type RevisionedStore,
+  type StoreChanges,
+  type StoreError,
+  type StoredChange,
+  type StoredItem
+} from '../coordination/ports/revisioned-store.js'
+import { failure, success, type Result } from '../shared/result.js'
+import { delay, type TimerService } from '../shared/timer-service.js'
+
+/** Faults of the store; all may change at any time. */
+export interface FakeRevisionedStoreFaults {
+  /** Refuses every call. */
+  isDown: boolean
+  /** Never answers; calls time out. */
+  isSilent: boolean
+  answerDelayMs: number
+  /** Coming writes that take effect and are not answered. */
+  lostAnswerCount: number
+  /** Coming writes that are not answered and take effect later, if their condition still holds. */
+  lateWriteCount: number
+  lateWriteDelayMs: number
+}
+
+/** An in-memory store with revisions, leases and watches, in virtual time. */
+export interface FakeRevisionedStore {
+  readonly faults: FakeRevisionedStoreFaults
+  readonly store: RevisionedStore
+  /** Writes as another party. */
+  put (key: string, value: string): void
+  remove (key: string): void
+  peek (key: string): StoredItem | undefined
+  /** Forgets the changes up to now, so that older watches fail. */
+  dropHistory (): void
+  countCalls (): number
+}
+
+interface Lease {
+  readonly durationMs: number
+  endsAtMs: number
+}
+
+const callTimeoutMs = 600
+const pollMs = 10
+
+/** Creates an empty store. */
+export function createFakeRevisionedStore (timers: TimerService): FakeRevisionedStore {
+  const items = new Map<string, StoredItem & { leaseId: number }>()
+  const leases = new Map<number, Lease>()
+  let history: StoredChange[] = []
+  let droppedRevision = 0
+  let revision = 10
+  let leaseCount = 0
+  let callCount = 0
+  const faults: FakeRevisionedStoreFaults = {
+    isDown: false, isSilent: false, answerDelayMs: 2, lostAnswerCount: 0, lateWriteCount: 0, lateWriteDelayMs: 2000
+  }
+
+  function set (key: string, value: string | undefined, leaseId = 0): number {
+    revision += 1
+    if (value === undefined) items.delete(key)
+    else items.set(key, { key, value, revision, leaseId })
+    history.push({ key, revision, value })
+    return revision
+  }
+
+  function expireLeases (): void {
+    for (const [id, lease] of leases) {
+      if (lease.endsAtMs <= timers.nowMs()) endLease(id)
+    }
+  }
+
+  function endLease (id: number): void {
+    leases.delete(id)
+    for (const item of [...items.values()]) {
+      if (item.leaseId === id) set(item.key, undefined)
+    }
+  }
+
+  async function answer<T> (makeAnswer: () => Result<T, StoreError>): Promise<Result<T, StoreError>> {
+    callCount += 1
+    expireLeases()
+    if (faults.isSilent) {
+      await delay(timers, callTimeoutMs)
+      return failure({ kind: StoreErrorKind.Ambiguous, reason: 'no answer' })
+    }
+    await delay(timers, faults.answerDelayMs)
+    if (faults.isDown) return failure({ kind: StoreErrorKind.Unavailable, reason: 'down' })
+    expireLeases()
+    return makeAnswer()
+  }
+
+  function writeNow (key: string, expectedRevision: number, value: string, leaseId: number): Result<number, StoreError> {
+    expireLeases()
+    if ((items.get(key)?.revision ?? 0) !== expectedRevision) return failure({ kind: StoreErrorKind.Conflict, reason: 'another revision' })
+    if (leaseId !== 0 && !leases.has(leaseId)) return failure({ kind: StoreErrorKind.LeaseEnded, reason: 'no such lease' })
+    return success(set(key, value, leaseId))
+  }
+
+  function listChanges (prefix: string, afterRevision: number): Result<StoreChanges, StoreError> {
+    if (afterRevision < droppedRevision) return failure({ kind: StoreErrorKind.HistoryDropped, reason: 'history was dropped' })
+    const changes = history.filter(change => change.revision > afterRevision && change.key.startsWith(prefix))
+    return success({ changes, asOfRevision: revision })
+  }
+
+  const store: RevisionedStore = {
+    read: prefix => answer(() => success({
+      items: [...items.values()].filter(item => item.key.startsWith(prefix)),
+      asOfRevision: revision
+    })),
+    async watch (prefix, afterRevision, waitMs) {
+      const endsAtMs = timers.nowMs() + waitMs
+      for (;;) {
+        const result = await answer(() => listChanges(prefix, afterRevision))
+        if (!result.isOk || result.value.changes.length > 0 || timers.nowMs() >= endsAtMs) return result
+        callCount -= 1
+        await delay(timers, pollMs)
+      }
+    },
+    async write ({ key, expectedRevision, value, leaseId }) {
+      if (faults.lateWriteCount > 0) {
+        faults.lateWriteCount -= 1
+        timers.subscribeOnce(faults.lateWriteDelayMs, () => writeNow(key, expectedRevision, value, leaseId))
+        await delay(timers, callTimeoutMs)
+        return failure({ kind: StoreErrorKind.Ambiguous, reason: 'no answer' })
+      }
+      const result = await answer(() => writeNow(key, expectedRevision, value, leaseId))
+      if (faults.lostAnswerCount === 0) return result
+      faults.lostAnswerCount -= 1
+      return failure({ kind: StoreErrorKind.Ambiguous, reason: 'no answer' })
+    },
+    grantLease: durationMs => answer(() => {
+      leaseCount += 1
+      leases.set(leaseCount, { durationMs, endsAtMs: timers.nowMs() + durationMs })
+      return success(leaseCount)
+    }),
+    keepLease: leaseId => answer(() => {
+      const lease = leases.get(leaseId)
+      if (lease === undefined) return failure({ kind: StoreErrorKind.LeaseEnded, reason: 'no such lease' })
+      lease.endsAtMs = timers.nowMs() + lease.durationMs
+      return success(undefined)
+    }),
+    endLease: leaseId => answer(() => {
+      endLease(leaseId)
+      return success(undefined)
+    })
+  }
+
+  return {
+    faults,
+    store,
+    put: (key, value) => { set(key, value) },
+    remove: key => { set(key, undefined) },
+    peek: key => {
+      expireLeases()
+      return items.get(key)
+    },
+    dropHistory () {
+      droppedRevision = revision
+      history = []
+    },
+    countCalls: () => callCount
+  }
+}
--- a/src/transport/server-exchange.ts
+++ b/src/transport/server-exchange.ts
@@ -1,3 +1,4 @@
+import { readSync } from 'node:fs'
 import http from 'node:http'
 import type { Socket } from 'node:net'
 
@@ -83,6 +84,31 @@
   }
 }
 
+const resetSockets = new WeakSet<Socket>()
+const watchedSockets = new WeakSet<Socket>()
+
+/**
+ * Remembers connections that were reset rather than ended. When data and a reset arrive together, libuv
+ * reports an end; only a read of the descriptor still returns the error.
+ */
+function watchForReset (socket: Socket): void {
+  if (watchedSockets.has(socket)) return
+  watchedSockets.add(socket)
+  socket.prependListener('end', () => {
+    const { fd } = (socket as Socket & { _handle?: { fd?: number } })._handle ?? {}
+    if (fd === undefined || fd < 0 || !isCleanEnd(fd)) resetSockets.add(socket)
+  })
+}
+
+function isCleanEnd (fd: number): boolean {
+  try {
+    return readSync(fd, Buffer.alloc(1)) === 0
+  } catch {
+    // Any error of the read means that the peer did not end the connection in order; the caller reports it.
+    return false
+  }
+}
+
 const guardedSockets = new WeakSet<Socket>()
 
 /** Bytes that arrive while no request is in progress belong to no request; the connection is closed. */
@@ -128,6 +154,7 @@
   }
 
   clientRequest.on('socket', socket => {
+    watchForReset(socket)
     if (!socket.connecting) isConnected = true
     else socket.once('connect', () => { isConnected = true })
   })
@@ -146,7 +173,7 @@
       if (!isFinished) listener.onData(chunk)
     })
     response.on('end', () => {
-      if (!response.complete) {
+      if (!response.complete || (isUnframed(response) && resetSockets.has(response.socket))) {
         fail('the answer ended early')
         return
       }
@@ -169,3 +196,8 @@
     }
   }
 }
+
+/** Whether the end of the connection is the end of the answer. */
+function isUnframed (response: http.IncomingMessage): boolean {
+  return response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined
+}
