--- /dev/null
+++ b/src/coordination/dispatch/replica-choice.test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai'
+
+import { createRandomSource } from '../../shared/random-source.js'
+import { createVirtualTimerService } from '../../shared/virtual-timer-service.js'
+import { MemberState, ServerState, type BackendServer } from '../../state/backend-server.js'
+import { listReplicas, type Replica } from '../../state/replica.js'
+import { sampleEngine } from '../../testing/serving-samples.js'
+import { chooseReplica, ReplicaChoiceKind } from './replica-choice.js'
+import { createReplicaLoads, type ReplicaLoads } from './replica-loads.js'
+
+function makeGroup (name: string, zone: string, state = MemberState.Open, memberCount = 3): BackendServer[] {
+  return Array.from({ length: memberCount }, (_, rank) => ({
+    id: `${name}-${rank}`,
+    serviceName: 'drafting',
+    host: '10.0.0.1',
+    port: 80,
+    zone,
+    state: ServerState.Ready,
+    slotCount: 18,
+    startedAtMs: 1,
+    domain: 'd0',
+    stagedModels: ['small'],
+    loadedModels: ['small'],
+    group: { groupName: `small.${name}`, epoch: 1, rank, state: rank === 0 ? state : MemberState.Ready }
+  }))
+}
+
+describe('choice of a group', () => {
+  let loads: ReplicaLoads
+  const timers = createVirtualTimerService()
+  const random = createRandomSource(7)
+
+  beforeEach(() => {
+    loads = createReplicaLoads(timers)
+  })
+
+  function choose (servers: readonly BackendServer[], excluded: readonly string[] = []) {
+    const replicas: Replica[] = listReplicas(servers, sampleEngine)
+    return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', excludedIds: new Set(excluded) }, loads, random)
+  }
+
+  it('takes no group that lacks a member or is not open', () => {
+    expect(choose(makeGroup('a', 'z1', MemberState.Open, 2)).kind).to.equal(ReplicaChoiceKind.Absent)
+    expect(choose(makeGroup('a', 'z1', MemberState.Ready)).kind).to.equal(ReplicaChoiceKind.Absent)
+  })
+
+  it('takes no group that stands still, until one of its streams goes on', () => {
+    const servers = makeGroup('a', 'z1')
+    loads.markStalled('small.a/1')
+    expect(choose(servers).kind).to.equal(ReplicaChoiceKind.Absent)
+    loads.noteProgress('small.a/1')
+    expect(choose(servers).kind).to.equal(ReplicaChoiceKind.Chosen)
+  })
+
+  it('prefers the near group, and the far one once that has fewer streams', () => {
+    const servers = [...makeGroup('near', 'z1'), ...makeGroup('far', 'z2')]
+    const getName = () => {
+      const choice = choose(servers)
+      return choice.kind === ReplicaChoiceKind.Chosen ? choice.replica.groupName : ''
+    }
+    expect(getName()).to.equal('small.near')
+    for (let index = 0; index < 4; index += 1) loads.begin('small.near/1')
+    expect(getName()).to.equal('small.far')
+  })
+
+  it('counts the streams of other gateways, and forgets them when they fall silent', () => {
+    const servers = makeGroup('a', 'z1')
+    loads.takeReport({ nodeId: 'other', sequence: 1, streamCounts: { 'small.a/1': 30 }, stalledIds: [] })
+    expect(choose(servers).kind).to.equal(ReplicaChoiceKind.Full)
+    timers.advance(3000)
+    expect(choose(servers).kind).to.equal(ReplicaChoiceKind.Chosen)
+  })
+
+  it('ignores a report that was overtaken by a newer one', () => {
+    loads.takeReport({ nodeId: 'other', sequence: 2, streamCounts: { 'small.a/1': 1 }, stalledIds: [] })
+    loads.takeReport({ nodeId: 'other', sequence: 1, streamCounts: { 'small.a/1': 30 }, stalledIds: [] })
+    expect(loads.getCount('small.a/1')).to.equal(1)
+  })
+})
--- /dev/null
+++ b/src/gateway/fleet-view.test.ts
@@ -0,0 +1,151 @@
+import { expect } from 'chai'
+
+import { failure, success } from '../shared/result.js'
+import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
+import { ServerState, type BackendServer } from '../state/backend-server.js'
+import { createFakeRevisionedStore } from '../testing/fake-revisioned-store.js'
+import { makeServingConfig } from '../testing/serving-samples.js'
+import { createFleetView } from './fleet-view.js'
+
+function makeServer (id: string, state: ServerState): BackendServer {
+  return {
+    id, serviceName: 'job-sheets', host: '10.0.0.1', port: 80, zone: 'z1', state, slotCount: 6, startedAtMs: 1, domain: undefined, stagedModels: [], loadedModels: [], group: undefined
+  }
+}
+
+function createWorld () {
+  const timers = createVirtualTimerService()
+  const fake = createFakeRevisionedStore(timers)
+  const warnings: string[] = []
+  const view = createFleetView({
+    store: fake.store,
+    timers,
+    isPlanner: () => false,
+    logger: { debug () {}, info () {}, warn: sentence => { warnings.push(sentence) }, error: sentence => { warnings.push(sentence) } },
+    layout: {
+      configKey: 'op/config',
+      serverPrefix: 'servers/',
+      ownPrefix: 'own/',
+      decodeConfig: text => Number(text) > 0 ? success(makeServingConfig({ version: Number(text) })) : failure('no number'),
+      decodeServer: (id, text) => text in { ready: 1, draining: 1 } ? success(makeServer(id, text as ServerState)) : failure('another shape')
+    }
+  })
+  return { timers, fake, view, warnings }
+}
+
+describe('fleet view', () => {
+  describe('configuration', () => {
+    it('is in force within a second of its write and never goes back', async () => {
+      const { timers, fake, view } = createWorld()
+      fake.put('op/config', '3')
+      view.start()
+      await timers.advanceAsync(500)
+      expect(view.getConfig()?.version).to.equal(3)
+      fake.put('op/config', '5')
+      await timers.advanceAsync(1000)
+      expect(view.getConfig()?.version).to.equal(5)
+      fake.put('op/config', '4')
+      await timers.advanceAsync(1000)
+      expect(view.getConfig()?.version).to.equal(5)
+    })
+
+    it('stays in force when a newer one cannot be read', async () => {
+      const { timers, fake, view, warnings } = createWorld()
+      fake.put('op/config', '3')
+      view.start()
+      await timers.advanceAsync(500)
+      fake.put('op/config', 'garbage')
+      await timers.advanceAsync(1000)
+      expect(view.getConfig()?.version).to.equal(3)
+      expect(warnings.length).to.equal(1)
+    })
+
+    it('ages while the store is down or silent, and is fresh again after', async () => {
+      const { timers, fake, view } = createWorld()
+      fake.put('op/config', '3')
+      view.start()
+      await timers.advanceAsync(10_000)
+      expect(view.getConfigAgeMs()).to.be.lessThan(3000)
+      fake.faults.isSilent = true
+      await timers.advanceAsync(6000)
+      expect(view.getConfigAgeMs()).to.be.greaterThan(5000)
+      fake.faults.isSilent = false
+      await timers.advanceAsync(1500)
+      expect(view.getConfigAgeMs()).to.be.lessThan(1600)
+    })
+
+    it('ages by the time that the process was suspended', async () => {
+      const timers = createVirtualTimerService()
+      const fake = createFakeRevisionedStore(timers)
+      let suspendedMs = 0
+      fake.put('op/config', '3')
+      const view = createFleetView({
+        store: fake.store,
+        timers: { ...timers, wallClockMs: () => timers.wallClockMs() + suspendedMs },
+        isPlanner: () => false,
+        logger: { debug () {}, info () {}, warn () {}, error () {} },
+        layout: {
+          configKey: 'op/config', serverPrefix: 'servers/', ownPrefix: 'own/', decodeConfig: () => success(makeServingConfig()), decodeServer: () => failure('none')
+        }
+      })
+      view.start()
+      await timers.advanceAsync(500)
+      suspendedMs = 6000
+      expect(view.getConfigAgeMs()).to.be.greaterThan(5900)
+    })
+
+    it('is read again when the history was dropped', async () => {
+      const { timers, fake, view } = createWorld()
+      fake.put('op/config', '3')
+      view.start()
+      await timers.advanceAsync(500)
+      fake.put('op/config', '8')
+      fake.dropHistory()
+      await timers.advanceAsync(2500)
+      expect(view.getConfig()?.version).to.equal(8)
+    })
+  })
+
+  describe('servers', () => {
+    it('of an unreadable entry are not used, and that is logged once', async () => {
+      const { timers, fake, view, warnings } = createWorld()
+      fake.put('op/config', '1')
+      fake.put('servers/a', 'ready')
+      fake.put('servers/b', '{"address": 7}')
+      view.start()
+      await timers.advanceAsync(12_000)
+      expect(view.getServers('job-sheets').map(server => server.id)).to.deep.equal(['a'])
+      expect(warnings.length).to.equal(1)
+    })
+
+    it('that drain or vanish are seen within a second', async () => {
+      const { timers, fake, view } = createWorld()
+      fake.put('servers/a', 'ready')
+      fake.put('servers/b', 'ready')
+      view.start()
+      await timers.advanceAsync(1000)
+      fake.put('servers/a', 'draining')
+      fake.remove('servers/b')
+      await timers.advanceAsync(1000)
+      expect(view.getServers('job-sheets').map(server => `${server.id} ${server.state}`)).to.deep.equal(['a draining'])
+    })
+
+    it('that lapsed in an outage are kept until they had time to return', async () => {
+      const { timers, fake, view } = createWorld()
+      fake.put('servers/a', 'ready')
+      fake.put('servers/b', 'ready')
+      view.start()
+      await timers.advanceAsync(1000)
+      fake.faults.isDown = true
+      await timers.advanceAsync(5000)
+      fake.remove('servers/a')
+      fake.remove('servers/b')
+      fake.faults.isDown = false
+      await timers.advanceAsync(1000)
+      expect(view.getServers('job-sheets').length).to.equal(2)
+      fake.put('servers/b', 'ready')
+      await timers.advanceAsync(4000)
+      expect(view.getServers('job-sheets').map(server => server.id)).to.deep.equal(['b'])
+    })
+  })
+})
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -67,8 +67,8 @@
   isPlanner (): boolean
 }
 
-/** Bounds the age of the configuration while nothing changes; half of the shortest revocation bound. */
-const watchWaitMs = 2000
+/** The age of the configuration reaches twice this wait, and must stay below the revocation bound (5 s) when one watch is lost. */
+const watchWaitMs = 1300
 /** Gathers changes that follow each other into one watch, since every call has a price. */
 const gatherMs = 400
 /** The planner acts on changes and gathers fewer. */
--- /dev/null
+++ b/src/protocol/event-framer.test.ts
@@ -0,0 +1,25 @@
+import { expect } from 'chai'
+
+import { createEventFramer } from './event-framer.js'
+
+describe('event framer', () => {
+  const stream = 'id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\n: comment\ndata: three\n\n'
+
+  for (const size of [1, 2, 3, 7, 1000]) {
+    it(`keeps every byte of whole events, in pieces of ${size}`, () => {
+      const framer = createEventFramer()
+      const bytes = Buffer.from(stream)
+      const events = []
+      for (let start = 0; start < bytes.length; start += size) events.push(...framer.push(bytes.subarray(start, start + size)))
+      expect(Buffer.concat(events.map(event => event.bytes)).toString()).to.equal(stream)
+      expect(events.map(event => event.id)).to.deep.equal(['1', '2', undefined])
+      expect(framer.hasPartialEvent()).to.equal(false)
+    })
+  }
+
+  it('holds back an unfinished event', () => {
+    const framer = createEventFramer()
+    expect(framer.push(Buffer.from('id: 1\ndata: on'))).to.deep.equal([])
+    expect(framer.hasPartialEvent()).to.equal(true)
+  })
+})
--- /dev/null
+++ b/src/state/lapsed-entries.test.ts
@@ -0,0 +1,28 @@
+import { expect } from 'chai'
+
+import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
+import { createLapsedEntries } from './lapsed-entries.js'
+
+describe('lapsed entries', () => {
+  it('are gone at once while the store answers', () => {
+    const lapsed = createLapsedEntries(createVirtualTimerService(), 2000)
+    lapsed.noteAnswer()
+    expect(lapsed.shouldKeep('a')).to.equal(false)
+  })
+
+  it('are kept for the grace time after an outage, then gone unless they returned', () => {
+    const timers = createVirtualTimerService()
+    const lapsed = createLapsedEntries(timers, 2000)
+    lapsed.noteFailure()
+    timers.advance(5000)
+    lapsed.noteAnswer()
+    expect(lapsed.shouldKeep('a')).to.equal(true)
+    expect(lapsed.shouldKeep('b')).to.equal(true)
+    lapsed.clear('b')
+    timers.advance(1999)
+    expect(lapsed.takeExpired()).to.deep.equal([])
+    timers.advance(1)
+    expect(lapsed.takeExpired()).to.deep.equal(['a'])
+    expect(lapsed.shouldKeep('a')).to.equal(false)
+  })
+})
