Close a group that may have been opened before its members go on; fence an inherited group before opening it

Ruled out: a close that was not carried out (the log holds none for the group). Change: a group that was sent an order to open is dissolved, leader first; an inherited group that is ready and not open is joined once more by all members under its epoch, which raises their fencing tokens, before it is opened. Streams move only to a group that has a free slot and gives events.

--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -21,7 +21,8 @@
 }
 
 export type ReplicaChoice =
-  | { readonly kind: ReplicaChoiceKind.Chosen, readonly replica: Replica, readonly streamCount: number }
+  /** A sound group has a free slot and gives events. */
+  | { readonly kind: ReplicaChoiceKind.Chosen, readonly replica: Replica, readonly streamCount: number, readonly isSound: boolean }
   | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number }
   | { readonly kind: ReplicaChoiceKind.Absent }
 
@@ -46,7 +47,8 @@
   rated.sort((left, right) => left.cost - right.cost)
   const best = rated.find(candidate => candidate.streamCount < limit)
   if (best === undefined) return { kind: ReplicaChoiceKind.Full, streamCount: rated[0]?.streamCount ?? 0 }
-  return { kind: ReplicaChoiceKind.Chosen, replica: best.replica, streamCount: best.streamCount }
+  const isSound = best.streamCount < input.slotCount && !loads.isQuiet(best.replica.id)
+  return { kind: ReplicaChoiceKind.Chosen, replica: best.replica, streamCount: best.streamCount, isSound }
 }
 
 function hasAllMembers (replica: Replica): boolean {
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -59,6 +59,10 @@
   readonly members: readonly BackendServer[]
   readonly joinedIds: Set<string>
   readonly startedAtMs: number
+  /** An order to open was sent, so that the leader may serve whatever the list shows. */
+  isOpening: boolean
+  /** Formed by an earlier planner, whose late orders the members refuse once they have one of this planner. */
+  readonly isAdopted: boolean
 }
 
 interface Dissolving {
@@ -158,19 +162,27 @@
       return
     }
     if (isIntact(replica)) {
-      openWhenReady(replica, orders)
+      adoptWhenReady(replica)
       return
     }
     const isYoung = nowMs - (firstSeenMs.get(replica.id) ?? nowMs) < inheritedFormingMs
     if (isYoung && !replica.isOpen && replica.members.every(member => member.group?.state !== MemberState.Broken)) return
-    dissolving.set(replica.id, { startedAtMs: nowMs, memberLostAtMs: undefined, isClosed: false })
+    startDissolving(replica.id)
     dissolve(replica, orders)
   }
 
-  function openWhenReady (replica: Replica, orders: PlannedOrder[]): void {
-    const { leader, groupName, epoch } = replica
-    if (leader === undefined || replica.members.some(member => member.group?.state !== MemberState.Ready)) return
-    orderOnce(orders, leader, { kind: ServerOrderKind.Open, groupName, epoch })
+  function startDissolving (replicaId: string): void {
+    dissolving.set(replicaId, { startedAtMs: nowMs, memberLostAtMs: undefined, isClosed: false })
+  }
+
+  /**
+   * Takes over a group that is ready and not open. An earlier planner may have sent members elsewhere by
+   * orders that arrive late, so that all members join once more before the group is opened.
+   */
+  function adoptWhenReady (replica: Replica): void {
+    const { model, groupName, epoch, domain, members } = replica
+    if (model === undefined || members.some(member => member.group?.state !== MemberState.Ready)) return
+    forming.set(replica.id, { domain, model, groupName, epoch, members, joinedIds: new Set(), startedAtMs: nowMs, isOpening: false, isAdopted: true })
   }
 
   function dissolve (replica: Replica, orders: PlannedOrder[]): void {
@@ -228,14 +240,16 @@
       const limitMs = group.model.loadMs * formingLoadTimes + formingSlackMs
       if (isLost || nowMs - group.startedAtMs > limitMs) {
         forming.delete(id)
-        release(id)
+        if (group.isOpening || group.isAdopted) startDissolving(id)
+        else release(id)
         continue
       }
       joinMembers(group, current as BackendServer[], engine, orders)
-      if (current.every(server => isReadyIn(server as BackendServer, group))) {
+      const haveJoined = group.joinedIds.size === group.members.length
+      if (haveJoined && current.every(server => isReadyIn(server as BackendServer, group))) {
         const leader = current[0] as BackendServer
         if (leader.group?.state === MemberState.Open) forming.delete(id)
-        else orderOnce(orders, leader, { kind: ServerOrderKind.Open, groupName: group.groupName, epoch: group.epoch })
+        else if (orderOnce(orders, leader, { kind: ServerOrderKind.Open, groupName: group.groupName, epoch: group.epoch })) group.isOpening = true
       }
     }
   }
@@ -244,7 +258,7 @@
     const { groupName, epoch, model } = group
     for (const server of servers) {
       if (group.joinedIds.has(server.id) || !canOrder(server)) continue
-      if (isMemberOf(server, group)) {
+      if (!group.isAdopted && isMemberOf(server, group)) {
         group.joinedIds.add(server.id)
         continue
       }
@@ -327,7 +341,7 @@
     const epoch = generation * epochsPerGeneration + epochCount
     const groupName = formatGroupName(model.name, String(epoch))
     forming.set(formatReplicaId(groupName, epoch), {
-      domain, model, groupName, epoch, members, joinedIds: new Set(), startedAtMs: nowMs
+      domain, model, groupName, epoch, members, joinedIds: new Set(), startedAtMs: nowMs, isOpening: false, isAdopted: false
     })
   }
 
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -93,6 +93,12 @@
     }, loads, services.random)
   }
 
+  /** Whether another group would take the stream at once; where all are overloaded, moving only adds work. */
+  function hasSoundGroup (): boolean {
+    const choice = choose()
+    return choice.kind === ReplicaChoiceKind.Chosen && choice.isSound
+  }
+
   function startAttempt (): void {
     const choice = choose()
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
@@ -262,7 +268,7 @@
     if (attempt === undefined || !mayRepeat) return
     const limitMs = attempt.hasEvents ? call.route.pauseObjectiveMs * pauseLimitObjectives : call.route.objectiveMs * firstEventLimitObjectives
     const waitedMs = nowMs - attempt.lastEventAtMs
-    if (!attempt.hasEvents && waitedMs >= quietWaitMs && loads.isQuiet(attempt.replica.id)) {
+    if (!attempt.hasEvents && waitedMs >= quietWaitMs && loads.isQuiet(attempt.replica.id) && hasSoundGroup()) {
       endAttempt(attempt, AttemptEnd.Lost, `no event for ${Math.round(waitedMs)} ms, nor for the group's other streams`)
       return
     }
@@ -270,6 +276,7 @@
     // A group that gives events to other streams is busy; another one would read the prompt again.
     if (loads.hasProgressed(attempt.replica.id, limitMs) && waitedMs < busyLimitMs) return
     services.reportStall(attempt.replica.id)
+    if (waitedMs < busyLimitMs && !hasSoundGroup()) return
     endAttempt(attempt, AttemptEnd.Lost, `no event for ${Math.round(waitedMs)} ms`)
   }
 
--- a/src/testing/fake-group-servers.ts
+++ b/src/testing/fake-group-servers.ts
@@ -11,6 +11,8 @@
   lateOrderPart: number
   /** Part of the orders whose answer is lost after they took effect. */
   lostAnswerPart: number
+  /** How long ago the state was that the list shows. */
+  listLagMs: number
 }
 
 /** Servers with groups in virtual time, which check the rules that must always hold. */
@@ -19,6 +21,8 @@
   readonly orders: ServerOrders
   /** Rules that orders have broken. */
   readonly violations: readonly string[]
+  /** Orders in the order in which they arrived. */
+  readonly sent: ReadonlyArray<{ readonly serverId: string, readonly order: ServerOrder }>
   /** Servers as the list shows them. */
   list (): BackendServer[]
   add (id: string, domain: string): void
@@ -30,6 +34,8 @@
 
 interface FakeServer {
   entry: BackendServer
+  /** Earlier entries with the time at which they were replaced. */
+  past: Array<{ readonly entry: BackendServer, readonly untilMs: number }>
   sequence: number
   fence: number
   highestEpoch: number
@@ -43,7 +49,7 @@
 const serviceName = 'drafting'
 const answerDelayMs = 3
 const timeoutMs = 400
-const listLagMs = 3600
+const lapseMs = 3600
 const quickJoinMs = 200
 const stallLimitMs = 5000
 const lateMinMs = 2000
@@ -53,11 +59,13 @@
 export function createFakeGroupServers (timers: TimerService, random: RandomSource, engine: EngineProfile): FakeGroupServers {
   const servers = new Map<string, FakeServer>()
   const violations: string[] = []
+  const sent: Array<{ serverId: string, order: ServerOrder }> = []
   const readyLists = new Map<string, Set<string>>()
-  const faults: FakeGroupServersFaults = { lateOrderPart: 0, lostAnswerPart: 0 }
+  const faults: FakeGroupServersFaults = { lateOrderPart: 0, lostAnswerPart: 0, listLagMs: 0 }
   let loadCount = 0
 
   function update (server: FakeServer, change: Partial<BackendServer>): void {
+    server.past.push({ entry: server.entry, untilMs: timers.nowMs() })
     server.entry = { ...server.entry, ...change }
   }
 
@@ -162,9 +170,11 @@
   return {
     faults,
     violations,
+    sent,
     orders: {
       async send (listed, order, guard) {
         await delay(timers, answerDelayMs)
+        sent.push({ serverId: listed.id, order })
         breakStalled()
         const server = servers.get(listed.id)
         if (server === undefined || !server.isAlive) {
@@ -196,8 +206,8 @@
     list () {
       breakStalled()
       return [...servers.values()]
-        .filter(server => server.isAlive || timers.nowMs() - server.diedAtMs < listLagMs)
-        .map(server => server.entry)
+        .filter(server => server.isAlive || timers.nowMs() - server.diedAtMs < lapseMs)
+        .map(server => server.past.find(past => past.untilMs > timers.nowMs() - faults.listLagMs)?.entry ?? server.entry)
     },
     add (id, domain) {
       servers.set(id, {
@@ -215,6 +225,7 @@
           loadedModels: [],
           group: undefined
         },
+        past: [],
         sequence: 0,
         fence: 0,
         highestEpoch: 0,
