Split the planner by job: loads, reach, settled domains, summary

Change: load-register, reach-marks, settled-domains, planner-summary and planner-types; two settings that nothing read are gone. No change of behaviour.

--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -6,7 +6,8 @@
 import { isAccepted, OrderOutcome, ServerOrderKind, type ServerOrders } from '../ports/server-orders.js'
 import { createOrderSequences } from './order-sequences.js'
 import type { PlannerLease } from './planner-lease.js'
-import { createReplicaPlanner, type PlannedOrder, type PlannerInput, type ReplicaPlanner } from './replica-planner.js'
+import type { PlannedOrder, PlannerInput, ReplicaPlanner } from './planner-types.js'
+import { createReplicaPlanner } from './replica-planner.js'
 
 interface PlannedService {
   readonly name: string
--- /dev/null
+++ b/src/coordination/replicas/planner-types.ts
@@ -0,0 +1,50 @@
+import type { BackendServer } from '../../state/backend-server.js'
+import type { Replica } from '../../state/replica.js'
+import type { EngineProfile } from '../../state/serving-config.js'
+import type { OrderOutcome, ServerOrder } from '../ports/server-orders.js'
+
+/** An order for one server. */
+export interface PlannedOrder {
+  readonly server: BackendServer
+  readonly order: ServerOrder
+}
+
+export interface PlannerInput {
+  readonly nowMs: number
+  readonly serviceName: string
+  readonly engine: EngineProfile
+  readonly servers: readonly BackendServer[]
+  readonly replicas: readonly Replica[]
+  /** Whether callers' requests have arrived. */
+  readonly hasTraffic: boolean
+}
+
+export interface PlannerSettings {
+  /** Fencing token of this planner's lease; a later planner has a higher one. */
+  readonly generation: number
+  /** Time after which a group that lost a member refuses requests by itself. */
+  readonly stallLimitMs: number
+}
+
+/** Forms groups of servers, replaces groups that lost a member, and stages models on spares. */
+export interface ReplicaPlanner {
+  /** Returns the orders to send now. No server gets a second order before the outcome of the first. */
+  plan (input: PlannerInput): PlannedOrder[]
+  noteOutcome (planned: PlannedOrder, outcome: OrderOutcome, nowMs: number): void
+  /** A server did not answer; it joins no group until it is seen again. */
+  noteUnreachable (server: BackendServer, nowMs: number): void
+  noteReachable (server: BackendServer): void
+  /** The server reports an order of an earlier planner in progress. */
+  noteBusy (server: BackendServer, nowMs: number): void
+  isUnreachable (server: BackendServer): boolean
+  /** Counts for logs: groups by model and state, and the servers in none. */
+  summarize (input: PlannerInput): PlannerSummary
+}
+
+export interface PlannerSummary {
+  readonly openGroups: string
+  readonly formingGroups: string
+  readonly dissolvingGroups: string
+  readonly freeServers: string
+  readonly unusableCount: number
+}
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -4,52 +4,11 @@
 import { isAccepted, OrderOutcome, ServerOrderKind, type ServerOrder } from '../ports/server-orders.js'
 import { chooseNewGroup, chooseStaging, needsLoad } from './domain-layout.js'
 import { createLoadPacer } from './load-pacer.js'
-
-/** An order for one server. */
-export interface PlannedOrder {
-  readonly server: BackendServer
-  readonly order: ServerOrder
-}
-
-export interface PlannerInput {
-  readonly nowMs: number
-  readonly serviceName: string
-  readonly engine: EngineProfile
-  readonly servers: readonly BackendServer[]
-  readonly replicas: readonly Replica[]
-  /** Whether callers' requests have arrived. */
-  readonly hasTraffic: boolean
-}
-
-export interface PlannerSettings {
-  /** Fencing token of this planner's lease; a later planner has a higher one. */
-  readonly generation: number
-  /** Time after which a group that lost a member refuses requests by itself. */
-  readonly stallLimitMs: number
-}
-
-/** Forms groups of servers, replaces groups that lost a member, and stages models on spares. */
-export interface ReplicaPlanner {
-  /** Returns the orders to send now. No server gets a second order before the outcome of the first. */
-  plan (input: PlannerInput): PlannedOrder[]
-  noteOutcome (planned: PlannedOrder, outcome: OrderOutcome, nowMs: number): void
-  /** A server did not answer; it joins no group until it is seen again. */
-  noteUnreachable (server: BackendServer, nowMs: number): void
-  noteReachable (server: BackendServer): void
-  /** The server reports an order of an earlier planner in progress. */
-  noteBusy (server: BackendServer, nowMs: number): void
-  isUnreachable (server: BackendServer): boolean
-  /** Counts for logs: groups by model and state, and the servers in none. */
-  summarize (input: PlannerInput): PlannerSummary
-}
-
-export interface PlannerSummary {
-  readonly openGroups: string
-  readonly formingGroups: string
-  readonly dissolvingGroups: string
-  readonly freeServers: string
-  readonly unusableCount: number
-}
+import { createLoadRegister } from './load-register.js'
+import { summarizePlan } from './planner-summary.js'
+import type { PlannedOrder, PlannerInput, PlannerSettings, ReplicaPlanner } from './planner-types.js'
+import { createReachMarks } from './reach-marks.js'
+import { createSettledDomains, groupByDomain } from './settled-domains.js'
 
 interface Forming {
   readonly domain: string
@@ -85,11 +44,8 @@
 const formingLoadTimes = 4
 const formingSlackMs = 8000
 const retryMs = 300
-const settleMs = 400
-/** A load that is not seen to end within this time is taken to have failed. */
-const maxLoadMs = 60_000
-/** Mark of a server that did not answer, unless it registers anew. */
-const unreachableMs = 6000
+/** Time in which the leader reports that it is open. */
+const openHoldMs = 1000
 
 /** Creates a planner that has seen nothing yet. */
 export function createReplicaPlanner ({ generation, stallLimitMs }: PlannerSettings): ReplicaPlanner {
@@ -101,11 +57,9 @@
   const leaders = new Map<string, { id: string, startedAtMs: number }>()
   const busy = new Set<string>()
   const notBeforeMs = new Map<string, number>()
-  const unreachable = new Map<string, { startedAtMs: number, untilMs: number }>()
-  /** Loads in progress, which the list does not show before their end. */
-  const loading = new Map<string, { model: string | undefined, startedAtMs: number, beganAtMs: number }>()
-  const domainCounts = new Map<string, { count: number, grownAtMs: number }>()
-  const settledDomains = new Set<string>()
+  const reach = createReachMarks()
+  const loads = createLoadRegister()
+  const settledDomains = createSettledDomains()
   const pacer = createLoadPacer()
   let epochCount = 0
   let hasTraffic = false
@@ -116,8 +70,7 @@
   }
 
   function isUnreachable (server: BackendServer): boolean {
-    const mark = unreachable.get(server.id)
-    return mark !== undefined && mark.startedAtMs === server.startedAtMs && mark.untilMs > nowMs
+    return reach.isUnreachable(server, nowMs)
   }
 
   function isUsable (server: BackendServer): boolean {
@@ -128,22 +81,8 @@
     return replica.isComplete && replica.members.every(member => isUsable(member) && member.group?.state !== MemberState.Broken)
   }
 
-  function noteLoad (server: BackendServer, model: string | undefined, beganAtMs: number): void {
-    if (model !== undefined && !needsLoad(server, model)) return
-    loading.set(server.id, { model, startedAtMs: server.startedAtMs, beganAtMs })
-  }
-
-  function forgetEndedLoads (servers: ReadonlyMap<string, BackendServer>): void {
-    for (const [id, mark] of loading) {
-      const server = servers.get(id)
-      const hasModel = server !== undefined && (mark.model === undefined ? server.stagedModels.length > 0 : !needsLoad(server, mark.model))
-      const isOver = server === undefined || server.startedAtMs !== mark.startedAtMs || hasModel || nowMs - mark.beganAtMs > maxLoadMs
-      if (isOver) loading.delete(id)
-    }
-  }
-
   function tryLoad (engine: EngineProfile): boolean {
-    return pacer.tryTake({ nowMs, engine, hasTraffic, inProgressCount: loading.size })
+    return pacer.tryTake({ nowMs, engine, hasTraffic, inProgressCount: loads.count() })
   }
 
   function orderOnce (orders: PlannedOrder[], server: BackendServer, order: ServerOrder): boolean {
@@ -262,7 +201,7 @@
         group.joinedIds.add(server.id)
         continue
       }
-      if (needsLoad(addStaging(server), model.name) && !tryLoad(engine)) return
+      if (needsLoad(loads.addLoading(server), model.name) && !tryLoad(engine)) return
       orderOnce(orders, server, {
         kind: ServerOrderKind.Join, groupName, epoch, model: model.name, memberIds: group.members.map(member => member.id)
       })
@@ -282,13 +221,7 @@
     return servers.filter(server => {
       if (!isUsable(server) || taken.has(server.id) || server.domain === undefined) return false
       return server.group === undefined || released.has(formatReplicaId(server.group.groupName, server.group.epoch))
-    }).map(addStaging)
-  }
-
-  function addStaging (server: BackendServer): BackendServer {
-    const mark = loading.get(server.id)
-    if (mark?.model === undefined) return server
-    return { ...server, stagedModels: [...new Set([...server.stagedModels, mark.model])] }
+    }).map(loads.addLoading)
   }
 
   function countServers (replicas: readonly Replica[]): Map<string, number> {
@@ -325,17 +258,6 @@
     return spares
   }
 
-  /** Servers of one domain register one after the other; groups wait until the list stands still. */
-  function updateSettled (servers: readonly BackendServer[]): void {
-    settledDomains.clear()
-    for (const [domain, { length: count }] of groupByDomain(servers)) {
-      const mark = domainCounts.get(domain)
-      if (mark === undefined || count > mark.count) domainCounts.set(domain, { count, grownAtMs: nowMs })
-      else if (nowMs - mark.grownAtMs >= settleMs) settledDomains.add(domain)
-      if (mark !== undefined && count < mark.count) mark.count = count
-    }
-  }
-
   function startForming (domain: string, model: ReplicatedModel, members: readonly BackendServer[]): void {
     epochCount += 1
     const epoch = generation * epochsPerGeneration + epochCount
@@ -348,7 +270,7 @@
   function stageSpares (spares: readonly BackendServer[], engine: EngineProfile, orders: PlannedOrder[]): void {
     for (const server of spares) {
       const model = chooseStaging(server, spares.filter(other => other !== server), engine.models)
-      if (model === undefined || !canOrder(server) || loading.has(server.id)) continue
+      if (model === undefined || !canOrder(server) || loads.has(server.id)) continue
       if (!tryLoad(engine)) return
       orderOnce(orders, server, { kind: ServerOrderKind.Stage, model })
       return
@@ -362,8 +284,8 @@
       const orders: PlannedOrder[] = []
       const servers = new Map(input.servers.map(server => [server.id, server]))
       releaseRestarted(servers)
-      forgetEndedLoads(servers)
-      updateSettled(input.servers)
+      loads.forgetEnded(servers, nowMs)
+      settledDomains.update(input.servers, nowMs)
       for (const replica of input.replicas) planReplica(replica, orders)
       const spares = formGroups(input, listFree(input.servers))
       // One domain after the other gets its groups and its spares, since loads are paced.
@@ -377,8 +299,8 @@
     noteOutcome ({ server, order }, outcome, atMs) {
       busy.delete(server.id)
       notBeforeMs.set(server.id, atMs + (isAccepted(outcome) ? 0 : retryMs))
-      if (outcome === OrderOutcome.Unreachable) unreachable.set(server.id, { startedAtMs: server.startedAtMs, untilMs: atMs + unreachableMs })
-      if (isAccepted(outcome) && (order.kind === ServerOrderKind.Stage || order.kind === ServerOrderKind.Join)) noteLoad(server, order.model, atMs)
+      if (outcome === OrderOutcome.Unreachable) reach.markUnreachable(server, atMs)
+      if (isAccepted(outcome) && (order.kind === ServerOrderKind.Stage || order.kind === ServerOrderKind.Join)) loads.note(server, order.model, atMs)
       if (order.kind === ServerOrderKind.Stage) return
       const id = formatReplicaId(order.groupName, order.epoch)
       if (!isAccepted(outcome)) {
@@ -409,46 +331,18 @@
         }
       }
     },
-    noteUnreachable (server, atMs) {
-      unreachable.set(server.id, { startedAtMs: server.startedAtMs, untilMs: atMs + unreachableMs })
-    },
-    noteReachable (server) {
-      unreachable.delete(server.id)
-    },
+    noteUnreachable: reach.markUnreachable,
+    noteReachable: reach.clear,
     noteBusy (server, atMs) {
-      if (!loading.has(server.id)) noteLoad(server, undefined, atMs)
+      if (!loads.has(server.id)) loads.note(server, undefined, atMs)
     },
     isUnreachable,
-    summarize ({ replicas, servers }) {
-      const open = replicas.filter(replica => replica.isOpen && isIntact(replica))
-      return {
-        openGroups: countNames(open.map(replica => replica.model?.name ?? '')),
-        formingGroups: [...forming.values()].map(group => `${group.groupName} ${group.joinedIds.size}/${group.members.length}`).join(', '),
-        dissolvingGroups: [...dissolving.keys()].join(', '),
-        freeServers: [...groupByDomain(listFree(servers))].map(([domain, free]) =>
-          `${domain}: ${free.map(server => server.stagedModels[0] ?? 'empty').join(' ')}`).join('; '),
-        unusableCount: servers.filter(server => !isUsable(server)).length
-      }
-    }
-  }
-}
-
-function countNames (names: readonly string[]): string {
-  const counts = new Map<string, number>()
-  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1)
-  return [...counts].sort().map(([name, count]) => `${name} ${count}`).join(', ')
-}
-
-/** Time in which the leader reports that it is open. */
-const openHoldMs = 1000
-
-function groupByDomain (servers: readonly BackendServer[]): Map<string, BackendServer[]> {
-  const domains = new Map<string, BackendServer[]>()
-  for (const server of servers) {
-    const key = server.domain ?? ''
-    const members = domains.get(key)
-    if (members === undefined) domains.set(key, [server])
-    else members.push(server)
+    summarize: ({ replicas, servers }) => summarizePlan({
+      intact: replicas.filter(replica => replica.isOpen && isIntact(replica)),
+      forming: [...forming.values()],
+      dissolvingIds: [...dissolving.keys()],
+      free: listFree(servers),
+      unusableCount: servers.filter(server => !isUsable(server)).length
+    })
   }
-  return domains
 }
--- /dev/null
+++ b/src/coordination/replicas/settled-domains.ts
@@ -0,0 +1,39 @@
+import type { BackendServer } from '../../state/backend-server.js'
+
+/** Fabric domains whose list of servers stands still; servers register one after the other. */
+export interface SettledDomains {
+  update (servers: readonly BackendServer[], nowMs: number): void
+  has (domain: string): boolean
+}
+
+const settleMs = 400
+
+/** Creates the record with no settled domain. */
+export function createSettledDomains (): SettledDomains {
+  const counts = new Map<string, { count: number, grownAtMs: number }>()
+  const settled = new Set<string>()
+  return {
+    update (servers, nowMs) {
+      settled.clear()
+      for (const [domain, { length: count }] of groupByDomain(servers)) {
+        const mark = counts.get(domain)
+        if (mark === undefined || count > mark.count) counts.set(domain, { count, grownAtMs: nowMs })
+        else if (nowMs - mark.grownAtMs >= settleMs) settled.add(domain)
+        if (mark !== undefined && count < mark.count) mark.count = count
+      }
+    },
+    has: domain => settled.has(domain)
+  }
+}
+
+/** Groups servers by their fabric domain. */
+export function groupByDomain (servers: readonly BackendServer[]): Map<string, BackendServer[]> {
+  const domains = new Map<string, BackendServer[]>()
+  for (const server of servers) {
+    const key = server.domain ?? ''
+    const members = domains.get(key)
+    if (members === undefined) domains.set(key, [server])
+    else members.push(server)
+  }
+  return domains
+}
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -11,8 +11,6 @@
   /** Where datagrams of other gateways arrive. */
   readonly peerAddress: NetworkAddress
   readonly metricsAddress: NetworkAddress
-  /** Time after which a server that leaves gets no new request. */
-  readonly drainLimitMs: number
   /** Time from SIGTERM until the process is killed. */
   readonly shutdownLimitMs: number
   /** Time after which a removed API key is refused everywhere; undefined where there is no bound. */
@@ -24,8 +22,6 @@
   readonly retryWindowMs: number
   /** Second attempts in a window on top of the ratio, of all gateways together. */
   readonly retrySlackCount: number
-  /** Window over which the weight store counts loads. */
-  readonly loadWindowMs: number
   /** The shortest lease that the store grants. */
   readonly minLeaseMs: number
 }
