--- a/src/testing/process-fleet.ts
+++ b/src/testing/process-fleet.ts
@@ -1,5 +1,4 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
@@ -9,6 +8,7 @@
 import type { ServiceCounts } from '../standin/service-standin.js'
 import { fleetConfigKey } from '../state/fleet-config.js'
 import { pollUntil, startProgram, type ChildProgram } from './child-program.js'
+import { findFreePorts } from './free-ports.js'
 import { createFleetConfig, fleetDeployment, fleetSecrets, fleetService, fleetZone } from './process-fleet-config.js'
 
 const domainCount = 2
@@ -18,12 +18,6 @@
 const startBoundMs = 30_000
 const requestBoundMs = 5000
 
-const firstPort = 20_000
-const portCount = 10_000
-
-/** Differs between test processes that run at the same time. */
-let nextPortOffset = (process.pid * 101) % portCount
-
 /** A program of the fleet that can be ended and started again on the same port. */
 export interface FleetProgram {
   readonly url: string
@@ -216,25 +210,3 @@
   const answer = await fetch(url, { method: 'POST', body: JSON.stringify(body) })
   if (!answer.ok) throw new Error(`${url} answered ${answer.status}: ${await answer.text()}`)
 }
-
-/**
- * Finds ports that are free for TCP now. They lie below the range from which the system takes the ports of
- * outgoing connections, so that no connection takes one before the program has bound it.
- */
-async function findFreePorts (count: number): Promise<number[]> {
-  const ports: number[] = []
-  while (ports.length < count) {
-    const port = firstPort + nextPortOffset
-    nextPortOffset = (nextPortOffset + 1) % portCount
-    if (await isPortFree(port)) ports.push(port)
-  }
-  return ports
-}
-
-function isPortFree (port: number): Promise<boolean> {
-  return new Promise(resolve => {
-    const server = createServer()
-    server.once('error', () => resolve(false))
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
-  })
-}
