Keep a stalled stream to the attempts of its route; leave an attempt only for one that may begin

Ruled out: servers that had ended (their groups were open all the while). Change: a run counts unless its group is gone from the list or closed; a stream moves only when another attempt is allowed, paid for and there is a group; else it waits for the one it has. Test: 'runs a stream on no more servers than its route allows while these still serve' failed before with 3 of 2.

--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -51,7 +51,8 @@
   return { kind: ReplicaChoiceKind.Chosen, replica: best.replica, streamCount: best.streamCount, isSound }
 }
 
-function hasAllMembers (replica: Replica): boolean {
+/** Whether no member has vanished and the leader stays. */
+export function hasAllMembers (replica: Replica): boolean {
   return replica.members.length === replica.model?.groupSize && replica.leader?.state === ServerState.Ready
 }
 
--- a/src/coordination/dispatch/retry-share.ts
+++ b/src/coordination/dispatch/retry-share.ts
@@ -11,6 +11,8 @@
 /** This gateway's part of the second attempts that a service may get. */
 export interface RetryShare {
   noteRequest (): void
+  /** Whether a second attempt is left. */
+  canTake (): boolean
   /** Takes one second attempt; false when none is left. */
   tryTake (): boolean
 }
@@ -37,6 +39,10 @@
     noteRequest () {
       savedCount += settings.ratio * usedPart
     },
+    canTake () {
+      fill()
+      return savedCount >= 1
+    },
     tryTake () {
       fill()
       if (savedCount < 1) return false
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -1,9 +1,10 @@
-import { ReplicaChoiceKind, chooseReplica, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
+import { chooseReplica, hasAllMembers, ReplicaChoiceKind, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
 import { DurationMetric } from '../observability/metrics.js'
 import { createEventFramer, type EventFramer, type FramedEvent } from '../protocol/event-framer.js'
 import type { Replica } from '../state/replica.js'
 import { ExchangeFailureKind, type AnswerHead, type ServerExchange } from '../transport/server-exchange.js'
 import { filterAnswerHeaders } from './answer-headers.js'
+import type { ReplicatedService } from './fleet-view.js'
 import { answerOwn, buildServerRequest, CallOutcome, getRemainingMs, recordOutcome, type Call, type CallServices } from './call-context.js'
 
 /** How an attempt at one group ended without the end of the stream. */
@@ -38,8 +39,8 @@
 const busyLimitMs = 1600
 /** Attempts that no server ran, on top of those that ran. */
 const maxNotRunCount = 3
-/** Attempts whose group was lost meanwhile do not count towards the route's limit. */
-const maxLostCount = 3
+/** Attempts that may have run, whatever has become of their groups. */
+const maxRunCount = 4
 const minRetryAfterMs = 250
 const retryAfterSpreadMs = 750
 const successStatus = 200
@@ -54,8 +55,8 @@
   let attempt: Attempt | undefined
   let lastEventId = call.facts.lastEventId
   let eventCount = 0
-  let ranCount = 0
-  let lostCount = 0
+  /** Groups that may have run the request. */
+  const ranIds: string[] = []
   let notRunCount = 0
   let isFinished = false
   share.noteRequest()
@@ -82,7 +83,7 @@
   }
 
   function choose (): ReplicaChoice {
-    const service = services.fleet.listReplicatedServices().find(candidate => candidate.name === call.serviceName)
+    const service = findService()
     if (service === undefined) return { kind: ReplicaChoiceKind.Absent }
     return chooseReplica({
       replicas: service.replicas,
@@ -93,12 +94,6 @@
     }, loads, services.random)
   }
 
-  /** Whether another group would take the stream at once; where all are overloaded, moving only adds work. */
-  function hasSoundGroup (): boolean {
-    const choice = choose()
-    return choice.kind === ReplicaChoiceKind.Chosen && choice.isSound
-  }
-
   function startAttempt (): void {
     const choice = choose()
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
@@ -209,20 +204,38 @@
     if (current !== attempt || isFinished) return
     dropAttempt()
     if (end === AttemptEnd.NotRun) notRunCount += 1
-    else ranCount += 1
-    if (end === AttemptEnd.Lost) lostCount += 1
+    else ranIds.push(current.replica.id)
     services.logger.info('An attempt ended.', {
       requestId: call.facts.requestId ?? '', group: current.replica.id, serverId: current.replica.leader?.id ?? '', end, reason, lastEventId: lastEventId ?? ''
     })
-    if (mayStartAnother(end) && share.tryTake()) startAttempt()
+    if (mayStartAnother(end, ranIds) && share.tryTake()) startAttempt()
     else conclude(current, end, reason)
   }
 
-  function mayStartAnother (end: AttemptEnd): boolean {
+  /** Runs of groups that are gone meanwhile do not count towards the route's limit. */
+  function mayStartAnother (end: AttemptEnd, ids: readonly string[]): boolean {
     if (getRemainingMs(services, call) <= 0) return false
     if (end === AttemptEnd.NotRun) return notRunCount <= maxNotRunCount
-    if (!mayRepeat) return false
-    return ranCount < call.route.maxAttempts || (lostCount === ranCount && lostCount < maxLostCount)
+    return mayRepeat && ids.length < maxRunCount && ids.filter(isServing).length < call.route.maxAttempts
+  }
+
+  function isServing (replicaId: string): boolean {
+    return listReplicas().some(replica => replica.id === replicaId && replica.isOpen && hasAllMembers(replica))
+  }
+
+  /** Whether an attempt that gives no events may be left for another one; else it goes on, since it may recover. */
+  function canMove (current: Attempt, isUrgent: boolean): boolean {
+    if (!mayStartAnother(AttemptEnd.Lost, [...ranIds, current.replica.id]) || !share.canTake()) return false
+    const choice = choose()
+    return choice.kind === ReplicaChoiceKind.Chosen && (isUrgent || choice.isSound)
+  }
+
+  function listReplicas (): readonly Replica[] {
+    return findService()?.replicas ?? []
+  }
+
+  function findService (): ReplicatedService | undefined {
+    return services.fleet.listReplicatedServices().find(candidate => candidate.name === call.serviceName)
   }
 
   function conclude (current: Attempt, end: AttemptEnd, reason: string): void {
@@ -245,7 +258,7 @@
       call.response.destroy()
       return
     }
-    if (ranCount === 0) {
+    if (ranIds.length === 0) {
       const retryAfterMs = Math.round(minRetryAfterMs + retryAfterSpreadMs * services.random.nextFloat())
       finish(CallOutcome.Refused, reason)
       answerOwn(services, call.response, call.facts.requestId, 503, retryAfterMs)
@@ -265,19 +278,19 @@
       else answerOwn(services, call.response, call.facts.requestId, 504)
       return
     }
-    if (attempt === undefined || !mayRepeat) return
-    const limitMs = attempt.hasEvents ? call.route.pauseObjectiveMs * pauseLimitObjectives : call.route.objectiveMs * firstEventLimitObjectives
-    const waitedMs = nowMs - attempt.lastEventAtMs
-    if (!attempt.hasEvents && waitedMs >= quietWaitMs && loads.isQuiet(attempt.replica.id) && hasSoundGroup()) {
-      endAttempt(attempt, AttemptEnd.Lost, `no event for ${Math.round(waitedMs)} ms, nor for the group's other streams`)
-      return
-    }
-    if (waitedMs < limitMs) return
+    if (attempt !== undefined && mayRepeat) checkProgress(attempt, nowMs)
+  }
+
+  function checkProgress (current: Attempt, nowMs: number): void {
+    const { replica, hasEvents, lastEventAtMs } = current
+    const waitedMs = nowMs - lastEventAtMs
+    const limitMs = hasEvents ? call.route.pauseObjectiveMs * pauseLimitObjectives : call.route.objectiveMs * firstEventLimitObjectives
+    const isUrgent = waitedMs >= busyLimitMs
     // A group that gives events to other streams is busy; another one would read the prompt again.
-    if (loads.hasProgressed(attempt.replica.id, limitMs) && waitedMs < busyLimitMs) return
-    services.reportStall(attempt.replica.id)
-    if (waitedMs < busyLimitMs && !hasSoundGroup()) return
-    endAttempt(attempt, AttemptEnd.Lost, `no event for ${Math.round(waitedMs)} ms`)
+    const isStalled = waitedMs >= limitMs && (isUrgent || !loads.hasProgressed(replica.id, limitMs))
+    const isLateStart = !hasEvents && waitedMs >= quietWaitMs && loads.isQuiet(replica.id)
+    if (isStalled) services.reportStall(replica.id)
+    if ((isStalled || isLateStart) && canMove(current, isUrgent)) endAttempt(current, AttemptEnd.Lost, `no event for ${Math.round(waitedMs)} ms`)
   }
 
   call.response.on('close', onCallerLeft)
