Keep one list of connection headers and one of the statuses that promise not run

Cause: both stood twice; isOwnStatus said the opposite of its name. Change: connection-headers.ts and promisesNotRun serve all places.

--- a/src/gateway/answer-headers.ts
+++ b/src/gateway/answer-headers.ts
@@ -1,6 +1,4 @@
-const connectionHeaders = new Set([
-  'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'te', 'trailer', 'transfer-encoding', 'upgrade'
-])
+import { connectionHeaders } from './connection-headers.js'
 
 /** Returns a server's headers without those that concern its connection, and without its framing unless it is kept. */
 export function filterAnswerHeaders (rawHeaders: readonly string[], keepsLength: boolean): string[] {
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -64,6 +64,13 @@
   response.end()
 }
 
+/** Whether the status tells a caller that its request has not run; a server's own does not prove it. */
+export function promisesNotRun (statusCode: number): boolean {
+  return notRunStatuses.includes(statusCode)
+}
+
+const notRunStatuses: readonly number[] = [408, 421, 429, 503]
+
 /** Time left until the final answer is due. */
 export function getRemainingMs (services: CallServices, call: Call): number {
   return call.endsAtMs - services.timers.nowMs()
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -2,7 +2,7 @@
 import { RouteKind } from '../state/serving-config.js'
 import { ExchangeFailureKind, type AnswerHead, type ExchangeFailure } from '../transport/server-exchange.js'
 import { filterAnswerHeaders } from './answer-headers.js'
-import { answerOwn, buildServerRequest, CallOutcome, getRemainingMs, recordOutcome, type Call, type CallServices } from './call-context.js'
+import { answerOwn, buildServerRequest, CallOutcome, getRemainingMs, promisesNotRun, recordOutcome, type Call, type CallServices } from './call-context.js'
 
 enum AttemptKind {
   Answered = 'answered',
@@ -176,7 +176,6 @@
   if (answer.isEncoded) return { kind: AttemptKind.Lost, reason: 'the answer has an encoding that was not asked for' }
   const isSuccess = head.statusCode >= 200 && head.statusCode < 300
   if (isSuccess && !answer.isStamped) return { kind: AttemptKind.Lost, reason: 'the answer has no stamp' }
-  const promisesNotRun = [408, 429, 503].includes(head.statusCode)
-  if (promisesNotRun) return { kind: AttemptKind.Lost, reason: `the server answered ${head.statusCode} and does not say whether it ran the request` }
+  if (promisesNotRun(head.statusCode)) return { kind: AttemptKind.Lost, reason: `the server answered ${head.statusCode} and does not say whether it ran the request` }
   return { kind: AttemptKind.Answered, head, body }
 }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -5,7 +5,7 @@
 import { ExchangeFailureKind, type AnswerHead, type ServerExchange } from '../transport/server-exchange.js'
 import { filterAnswerHeaders } from './answer-headers.js'
 import type { ReplicatedService } from './fleet-view.js'
-import { answerOwn, buildServerRequest, CallOutcome, getRemainingMs, recordOutcome, type Call, type CallServices } from './call-context.js'
+import { answerOwn, buildServerRequest, CallOutcome, getRemainingMs, promisesNotRun, recordOutcome, type Call, type CallServices } from './call-context.js'
 
 /** How an attempt at one group ended without the end of the stream. */
 enum AttemptEnd {
@@ -240,7 +240,7 @@
 
   function conclude (current: Attempt, end: AttemptEnd, reason: string): void {
     const { head } = current
-    const isPassedOn = end === AttemptEnd.ServerFailure && head !== undefined && !call.response.headersSent && isOwnStatus(head.statusCode)
+    const isPassedOn = end === AttemptEnd.ServerFailure && head !== undefined && !call.response.headersSent && !promisesNotRun(head.statusCode)
     if (!isPassedOn || head === undefined) {
       giveUp(reason)
       return
@@ -297,8 +297,3 @@
   const sweep = timers.subscribeEvery(sweepMs, checkTime)
   startAttempt()
 }
-
-/** Statuses that would promise the caller that its request has not run are the gateway's alone. */
-function isOwnStatus (statusCode: number): boolean {
-  return ![408, 421, 429, 503].includes(statusCode)
-}
