Remove what the gateway's code no longer uses

Cause: findServer, the planner's public isUnreachable and serviceName, and an attempt's start time have no reader. Change: they are gone; no behaviour changes. Conclusion: engine times and maxConnectionCount are decoded and not read yet; left for the estimate of first events and the connection cap.

--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -76,8 +76,8 @@
     }
   }
 
-  function toInput ({ name, engine, servers, replicas }: PlannedService): PlannerInput {
-    return { nowMs: timers.nowMs(), serviceName: name, engine, servers, replicas, hasTraffic: options.hasTraffic() }
+  function toInput ({ engine, servers, replicas }: PlannedService): PlannerInput {
+    return { nowMs: timers.nowMs(), engine, servers, replicas, hasTraffic: options.hasTraffic() }
   }
 
   function logSummary (planner: ReplicaPlanner, service: PlannedService): void {
--- a/src/coordination/replicas/planner-types.ts
+++ b/src/coordination/replicas/planner-types.ts
@@ -11,7 +11,6 @@
 
 export interface PlannerInput {
   readonly nowMs: number
-  readonly serviceName: string
   readonly engine: EngineProfile
   readonly servers: readonly BackendServer[]
   readonly replicas: readonly Replica[]
@@ -36,7 +35,6 @@
   noteReachable (server: BackendServer): void
   /** The server reports an order of an earlier planner in progress. */
   noteBusy (server: BackendServer, nowMs: number): void
-  isUnreachable (server: BackendServer): boolean
   /** Counts for logs: groups by model and state, and the servers in none. */
   summarize (input: PlannerInput): PlannerSummary
 }
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -336,7 +336,6 @@
     noteBusy (server, atMs) {
       if (!loads.has(server.id)) loads.note(server, undefined, atMs)
     },
-    isUnreachable,
     summarize: ({ replicas, servers }) => summarizePlan({
       intact: replicas.filter(replica => replica.isOpen && isIntact(replica)),
       forming: [...forming.values()],
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -50,7 +50,6 @@
   /** Time since the store last confirmed that the configuration is the newest. */
   getConfigAgeMs (): number
   getServers (serviceName: string): readonly BackendServer[]
-  findServer (id: string): BackendServer | undefined
   listReplicatedServices (): readonly ReplicatedService[]
   listOwnItems (): ReadonlyMap<string, OwnItem>
   isStoreReachable (): boolean
@@ -247,7 +246,6 @@
       return timers.nowMs() - confirmedAtMs
     },
     getServers: serviceName => serversByService.get(serviceName) ?? [],
-    findServer: id => servers.get(id),
     listReplicatedServices () {
       replicatedServices ??= (config?.services ?? []).flatMap(({ name, engine }) => {
         if (engine === undefined || engine.models.length === 0) return []
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -20,7 +20,6 @@
 interface Attempt {
   readonly replica: Replica
   readonly framer: EventFramer
-  readonly startedAtMs: number
   exchange: ServerExchange | undefined
   head: AnswerHead | undefined
   hasEvents: boolean
@@ -105,7 +104,7 @@
     if (leader === undefined) return
     const nowMs = timers.nowMs()
     const current: Attempt = {
-      replica, framer: createEventFramer(), startedAtMs: nowMs, exchange: undefined, head: undefined, hasEvents: false, lastEventAtMs: nowMs, failureBody: []
+      replica, framer: createEventFramer(), exchange: undefined, head: undefined, hasEvents: false, lastEventAtMs: nowMs, failureBody: []
     }
     attempt = current
     replicaIds.push(replica.id)
