Take over new bounds of the settings file while the gateway runs

Cause: the platform may change the settings file without a signal (DEPLOY, PROTOCOL); the gateway read it again only on SIGHUP, and then only logged whether it was valid.

Ruled out: inotify, which the platform does not offer; a restart of the process, which cuts requests.

Bounds (revocation, stall, shutdown, retry budget) reach the parts through getters and hold at once.

Before: no test could change a bound of a running gateway.

Conclusion: done; a change of addresses still needs a start.

--- a/src/coordination/dispatch/retry-share.test.ts
+++ b/src/coordination/dispatch/retry-share.test.ts
@@ -9,7 +9,7 @@
   for (const requestsPerSecond of [0, 5, 40]) {
     it(`stays below the bound in every window when every request asks for second attempts (${requestsPerSecond}/s on each of 7 gateways)`, () => {
       const timers = createVirtualTimerService()
-      const shares = Array.from({ length: 7 }, () => createRetryShare(timers, settings, () => 7))
+      const shares = Array.from({ length: 7 }, () => createRetryShare(timers, () => settings, () => 7))
       const takenAtMs: number[] = []
       const requestedAtMs: number[] = []
       for (let step = 0; step < 400; step += 1) {
--- a/src/coordination/dispatch/retry-share.ts
+++ b/src/coordination/dispatch/retry-share.ts
@@ -24,20 +24,21 @@
  * Creates a share. In any window at most the ratio of the requests plus an equal part of the slack is
  * taken: half of that part can be saved up and the other half returns within a window.
  */
-export function createRetryShare (timers: TimerService, settings: RetryShareSettings, getGatewayCount: () => number): RetryShare {
+export function createRetryShare (timers: TimerService, getSettings: () => RetryShareSettings, getGatewayCount: () => number): RetryShare {
   let savedCount = Infinity
   let filledAtMs = timers.nowMs()
 
   function fill (): void {
-    const halfSlackCount = settings.slackCount * usedPart / 2 / Math.max(1, getGatewayCount())
+    const { slackCount, windowMs } = getSettings()
+    const halfSlackCount = slackCount * usedPart / 2 / Math.max(1, getGatewayCount())
     const elapsedMs = timers.nowMs() - filledAtMs
     filledAtMs = timers.nowMs()
-    savedCount = Math.min(halfSlackCount, savedCount + halfSlackCount * elapsedMs / settings.windowMs)
+    savedCount = Math.min(halfSlackCount, savedCount + halfSlackCount * elapsedMs / windowMs)
   }
 
   return {
     noteRequest () {
-      savedCount += settings.ratio * usedPart
+      savedCount += getSettings().ratio * usedPart
     },
     canTake () {
       fill()
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -21,7 +21,8 @@
   readonly logger: Logger
   readonly lease: PlannerLease
   readonly orders: ServerOrders
-  readonly stallLimitMs: number
+  /** Time after which a group that lost a member refuses requests by itself. */
+  getStallLimitMs (): number
   /** Whether callers' requests have arrived at any gateway. */
   hasTraffic (): boolean
   listServices (): readonly PlannedService[]
@@ -44,7 +45,7 @@
 
 /** Creates the task; it plans only while the lease is held. */
 export function createPlannerTask (options: PlannerTaskOptions): PlannerTask {
-  const { timers, logger, lease, orders, stallLimitMs } = options
+  const { timers, logger, lease, orders, getStallLimitMs } = options
   const sequences = createOrderSequences()
   const planners = new Map<string, ReplicaPlanner>()
   const checkedAtMs = new Map<string, number>()
@@ -60,7 +61,7 @@
     }
     const existing = planners.get(serviceName)
     if (existing !== undefined) return existing
-    const created = createReplicaPlanner({ generation, stallLimitMs })
+    const created = createReplicaPlanner({ generation, getStallLimitMs })
     planners.set(serviceName, created)
     return created
   }
--- a/src/coordination/replicas/planner-types.ts
+++ b/src/coordination/replicas/planner-types.ts
@@ -22,7 +22,7 @@
   /** Fencing token of this planner's lease; a later planner has a higher one. */
   readonly generation: number
   /** Time after which a group that lost a member refuses requests by itself. */
-  readonly stallLimitMs: number
+  getStallLimitMs (): number
 }
 
 /** Forms groups of servers, replaces groups that lost a member, and stages models on spares. */
--- a/src/coordination/replicas/replica-planner.test.ts
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -40,7 +40,7 @@
       logger: silentLogger,
       lease,
       orders: servers.orders,
-      stallLimitMs: 5000,
+      getStallLimitMs: () => 5000,
       hasTraffic: () => hasTraffic,
       listServices: () => [{ name: 'drafting', engine: sampleEngine, servers: servers.list(), replicas: listReplicasNow() }]
     })
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -48,7 +48,7 @@
 const openHoldMs = 1000
 
 /** Creates a planner that has seen nothing yet. */
-export function createReplicaPlanner ({ generation, stallLimitMs }: PlannerSettings): ReplicaPlanner {
+export function createReplicaPlanner ({ generation, getStallLimitMs }: PlannerSettings): ReplicaPlanner {
   const forming = new Map<string, Forming>()
   const dissolving = new Map<string, Dissolving>()
   /** Groups whose leader is known not to serve and to refuse older planners. */
@@ -146,7 +146,7 @@
   /** Without the leader's answer its group serves no more once a member has left and the stall limit has passed. */
   function waitForStall (replica: Replica, state: Dissolving, orders: PlannedOrder[]): void {
     if (state.memberLostAtMs !== undefined) {
-      if (nowMs - state.memberLostAtMs > stallLimitMs + stallMarginMs) release(replica.id)
+      if (nowMs - state.memberLostAtMs > getStallLimitMs() + stallMarginMs) release(replica.id)
       return
     }
     const survivor = replica.members.find(member => member !== replica.leader && !isUnreachable(member))
--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -9,8 +9,8 @@
 
 export interface CallIntakeOptions {
   readonly services: CallServices
-  /** Age of the configuration above which keys are no longer trusted; undefined for no bound. */
-  readonly maxConfigAgeMs: number | undefined
+  /** Age of the configuration above which keys are no longer trusted. */
+  getMaxConfigAgeMs (): number
 }
 
 /** Pause for a gateway that has no configuration yet, or none that is fresh enough. */
@@ -19,7 +19,7 @@
 const defaultMaxBodyBytes = 4 * 1024 * 1024
 
 /** Creates the handler that checks a request against the configuration and forwards it. */
-export function createCallIntake ({ services, maxConfigAgeMs }: CallIntakeOptions) {
+export function createCallIntake ({ services, getMaxConfigAgeMs }: CallIntakeOptions) {
   const { fleet, codec, timers, random } = services
 
   function refuse (request: IncomingMessage, response: ServerResponse, statusCode: number, reason: string, retryAfterMs?: number): void {
@@ -59,7 +59,7 @@
     const facts = codec.readCaller(request.headers)
     let team: Team | undefined
     if (!route.isPublic && routes.needsKeys()) {
-      if (maxConfigAgeMs !== undefined && fleet.getConfigAgeMs() > maxConfigAgeMs) {
+      if (fleet.getConfigAgeMs() > getMaxConfigAgeMs()) {
         refuseForNow(request, response, 'the configuration is too old to trust a key')
         return
       }
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -11,6 +11,13 @@
   /** Where datagrams of other gateways arrive. */
   readonly peerAddress: NetworkAddress
   readonly metricsAddress: NetworkAddress
+  /** The shortest lease that the store grants. */
+  readonly minLeaseMs: number
+  readonly bounds: GatewayBounds
+}
+
+/** Bounds of the deployment; a running gateway takes over new ones. */
+export interface GatewayBounds {
   /** Time from SIGTERM until the process is killed. */
   readonly shutdownLimitMs: number
   /** Time after which a removed API key is refused everywhere; undefined where there is no bound. */
@@ -22,6 +29,4 @@
   readonly retryWindowMs: number
   /** Second attempts in a window on top of the ratio, of all gateways together. */
   readonly retrySlackCount: number
-  /** The shortest lease that the store grants. */
-  readonly minLeaseMs: number
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,7 +15,7 @@
 import { createCallIntake } from './call-intake.js'
 import { createCallerServer } from './caller-server.js'
 import { createFleetView, FleetEvent, type StoreLayout } from './fleet-view.js'
-import type { GatewaySettings } from './gateway-settings.js'
+import type { GatewayBounds, GatewaySettings } from './gateway-settings.js'
 import { createLoadSharing } from './load-sharing.js'
 import { createPresence } from './presence.js'
 import { createMetricsServer, createReadinessServer } from './side-servers.js'
@@ -34,6 +34,8 @@
 /** One process between callers and backend servers. */
 export interface Gateway {
   start (): Promise<void>
+  /** Bounds that hold from now on. */
+  applyBounds (bounds: GatewayBounds): void
   /** Leaves the balancer, ends what is in progress, and stops. */
   stop (): Promise<void>
 }
@@ -59,6 +61,7 @@
   const { settings, timers, store, layout, codec, createLogger } = options
   const log = createLogger('gateway')
   const random = createRandomSource(createProcessSeed())
+  let { bounds } = settings
   const metrics = createMetrics({ hasProcessMetrics: false })
   const fleet = createFleetView({ store, timers, layout, logger: createLogger('fleet'), isPlanner: () => lease.getGeneration() !== undefined })
   const loads = createReplicaLoads(timers)
@@ -84,7 +87,13 @@
     canSeeStore: () => fleet.isStoreReachable() && fleet.getConfig() !== undefined
   })
   const planner = createPlannerTask({
-    timers, logger: createLogger('planner'), lease, orders: options.orders, stallLimitMs: settings.stallLimitMs, hasTraffic: () => callers.hasServed() || loads.hasAny(), listServices: fleet.listReplicatedServices
+    timers,
+    logger: createLogger('planner'),
+    lease,
+    orders: options.orders,
+    getStallLimitMs: () => bounds.stallLimitMs,
+    hasTraffic: () => callers.hasServed() || loads.hasAny(),
+    listServices: fleet.listReplicatedServices
   })
   const retryShares = new Map<string, RetryShare>()
   const services: CallServices = {
@@ -108,8 +117,7 @@
   const sharing = createLoadSharing({
     settings, timers, logger: createLogger('loads'), loads, presence, onStall: replicaId => planner.checkReplica(replicaId)
   })
-  const maxConfigAgeMs = settings.keyRevocationLimitMs === undefined ? undefined : settings.keyRevocationLimitMs - revocationMarginMs
-  const intake = createCallIntake({ services, maxConfigAgeMs })
+  const intake = createCallIntake({ services, getMaxConfigAgeMs })
   const callers = createCallerServer({ address: settings.callerAddress, maxHeaderBytes, handle: intake.handle })
   const readiness = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics)
@@ -118,16 +126,20 @@
   function getRetryShare (serviceName: string): RetryShare {
     const existing = retryShares.get(serviceName)
     if (existing !== undefined) return existing
-    const created = createRetryShare(timers, {
-      ratio: settings.retryRatio, slackCount: settings.retrySlackCount, windowMs: settings.retryWindowMs
-    }, presence.countGateways)
+    const created = createRetryShare(timers, () => ({
+      ratio: bounds.retryRatio, slackCount: bounds.retrySlackCount, windowMs: bounds.retryWindowMs
+    }), presence.countGateways)
     retryShares.set(serviceName, created)
     return created
   }
 
+  /** Age above which the configuration's keys are not trusted any more. */
+  function getMaxConfigAgeMs (): number {
+    return (bounds.keyRevocationLimitMs ?? Infinity) - revocationMarginMs
+  }
+
   function isReady (): boolean {
-    if (isStopping || fleet.getConfig() === undefined) return false
-    return maxConfigAgeMs === undefined || fleet.getConfigAgeMs() <= maxConfigAgeMs
+    return !isStopping && fleet.getConfig() !== undefined && fleet.getConfigAgeMs() <= getMaxConfigAgeMs()
   }
 
   function observeFleet (): void {
@@ -154,8 +166,11 @@
       planner.start()
       log.info('The gateway has started.', { node: settings.nodeId, zone: settings.zone })
     },
+    applyBounds (newBounds) {
+      bounds = newBounds
+    },
     async stop () {
-      const stopsAtMs = timers.nowMs() + settings.shutdownLimitMs - exitMarginMs
+      const stopsAtMs = timers.nowMs() + bounds.shutdownLimitMs - exitMarginMs
       isStopping = true
       log.info('The gateway is stopping.', { inProgressCount: callers.countInProgress() })
       planner.stop()
