Let few gateways of a zone read the store for the others

Cause: on the grown sites 80 gateways each watch every key. 216 servers write their heartbeats every 1.2 s, so that every watch returns at once: about 2.3 calls a second and 180 decoded entries a second on each gateway, and no end of the growth with the number of gateways (docs/CAPACITY.md names it).

Ruled out: watching only the configuration (drains and groups would be seen late); one stored summary (each change costs a call of every gateway again); long watches (the age of the configuration must stay below the revocation bound).

Change: src/coordination/relay. Above 16 gateways, the two of a zone that were listed first (one for each 24) read the store; the others ask them and fall back to the store when no relay helps until their knowledge is 2.2 s old. The age travels with each answer and counts from when the question was asked, so that a relay can never make the configuration look fresher than it is. A mirror keeps what was read and drops changes of nothing but a heartbeat before they are decoded. Calls to a store that fails are repeated with growing pauses. A read of several pages counts as of its first page: what changed behind it was lost before until the next whole read.

--- /dev/null
+++ b/src/coordination/relay/relay-plan.test.ts
@@ -0,0 +1,35 @@
+import { expect } from 'chai'
+
+import { planRelays, type ListedGateway } from './relay-plan.js'
+
+function makeGateways (zoneCounts: Readonly<Record<string, number>>): ListedGateway[] {
+  return Object.entries(zoneCounts).flatMap(([zone, count]) =>
+    Array.from({ length: count }, (_, index) => ({ nodeId: `${zone}-${index}`, zone, address: `${zone}:${index}`, listedRevision: 100 + index })))
+}
+
+describe('relay plan', () => {
+  it('lets all gateways of a small deployment read the store', () => {
+    const gateways = makeGateways({ a: 3, b: 3, c: 2 })
+    expect(gateways.every(gateway => planRelays(gateways, gateway.nodeId).isRelay)).to.equal(true)
+  })
+
+  it('names few relays in each zone, the same ones for all, and spreads the others over them', () => {
+    const gateways = makeGateways({ a: 20, b: 20, c: 20, d: 20 })
+    const plans = gateways.map(gateway => planRelays(gateways, gateway.nodeId))
+    expect(plans.filter(plan => plan.isRelay)).to.have.length(8)
+    const preferred = plans.flatMap(plan => plan.relays[0]?.nodeId ?? [])
+    expect([...new Set(preferred)].sort()).to.deep.equal(['a-0', 'a-1', 'b-0', 'b-1', 'c-0', 'c-1', 'd-0', 'd-1'])
+    for (const id of new Set(preferred)) expect(preferred.filter(other => other === id)).to.have.length(9)
+  })
+
+  it('keeps the reads of a large deployment far below one a gateway', () => {
+    const zones = Object.fromEntries(Array.from({ length: 9 }, (_, index) => [`z${index}`, 245]))
+    const gateways = makeGateways(zones)
+    const relayCount = gateways.filter(gateway => planRelays(gateways, gateway.nodeId).isRelay).length
+    expect(relayCount).to.be.lessThan(gateways.length / 20)
+  })
+
+  it('lets a gateway that is not listed yet read the store', () => {
+    expect(planRelays(makeGateways({ a: 40 }), 'new').isRelay).to.equal(true)
+  })
+})
--- /dev/null
+++ b/src/coordination/relay/relay-plan.ts
@@ -0,0 +1,42 @@
+/** A gateway as the list of gateways shows it. */
+export interface ListedGateway {
+  readonly nodeId: string
+  readonly zone: string
+  readonly address: string
+  /** Revision at which it was listed; lower is longer ago. */
+  readonly listedRevision: number
+}
+
+export interface RelayPlan {
+  /** This gateway reads the store itself. */
+  readonly isRelay: boolean
+  /** Gateways to ask for what the store holds, the preferred one first; none for a relay. */
+  readonly relays: readonly ListedGateway[]
+}
+
+/** The plan of a gateway that reads the store whatever the others do. */
+export const directPlan: RelayPlan = { isRelay: true, relays: [] }
+
+/** Up to this many gateways all read the store; a relay would save few calls and add a hop. */
+const maxDirectCount = 16
+/** Gateways that one relay serves. */
+const gatewaysPerRelay = 24
+/** A zone keeps its source when one relay is lost. */
+const minRelayCount = 2
+
+/**
+ * Names the gateways of a zone that read the store for the others: those that were listed first, so that
+ * newcomers change nothing. Gateways with different lists disagree for a moment, which costs a second question.
+ */
+export function planRelays (gateways: readonly ListedGateway[], nodeId: string): RelayPlan {
+  const self = gateways.find(gateway => gateway.nodeId === nodeId)
+  if (self === undefined || gateways.length <= maxDirectCount) return directPlan
+  const inZone = gateways.filter(gateway => gateway.zone === self.zone)
+  inZone.sort((left, right) => left.listedRevision - right.listedRevision || (left.nodeId < right.nodeId ? -1 : 1))
+  const relayCount = Math.max(minRelayCount, Math.ceil(inZone.length / gatewaysPerRelay))
+  const rank = inZone.indexOf(self)
+  if (rank < relayCount) return directPlan
+  const relays = inZone.slice(0, relayCount)
+  const first = rank % relayCount
+  return { isRelay: false, relays: [...relays.slice(first), ...relays.slice(0, first)] }
+}
--- /dev/null
+++ b/src/coordination/relay/relayed-source.ts
@@ -0,0 +1,88 @@
+import { success } from '../../shared/result.js'
+import { delay, type TimerService } from '../../shared/timer-service.js'
+import type { FleetSource, SourceAge, SourceAnswer } from '../ports/fleet-source.js'
+import type { RelayLink } from '../ports/relay-link.js'
+import type { RevisionedStore } from '../ports/revisioned-store.js'
+import type { RelayPlan } from './relay-plan.js'
+
+export interface RelayedSourceOptions {
+  readonly store: RevisionedStore
+  readonly link: RelayLink
+  readonly timers: TimerService
+  getPlan (): RelayPlan
+  /** Age of what this gateway knows. */
+  getAgeMs (): number
+}
+
+interface Question {
+  /** Undefined asks for everything. */
+  readonly afterRevision: number | undefined
+  readonly knownRevision: number
+}
+
+/** The store, by way of relays where there are any. */
+export interface RelayedSource extends FleetSource {
+  /** Whether the last answer was the store's own, so that other gateways may rely on it. */
+  isDirect (): boolean
+}
+
+const fresh: SourceAge = { ageMs: 0, isStoreBack: false }
+/** Wait of a question to a relay; the age of an answer counts from when it was asked. */
+const relayWaitMs = 600
+/** Gateways turn to the store itself once no relay has helped until their knowledge has this age. */
+const directAgeMs = 2200
+/** A relay that did not help is passed over for this time. */
+const avoidMs = 4000
+/** Pause before the relays are asked again while the knowledge is young enough. */
+const relayRetryMs = 250
+
+/** Creates a source that reads the store directly until the plan names relays. */
+export function createRelayedSource ({ store, link, timers, getPlan, getAgeMs }: RelayedSourceOptions): RelayedSource {
+  const avoidedUntilMs = new Map<string, number>()
+  let isDirect = true
+
+  async function askRelays (question: Question): Promise<SourceAnswer | undefined> {
+    for (const { address } of getPlan().relays) {
+      if ((avoidedUntilMs.get(address) ?? 0) > timers.nowMs()) continue
+      const answer = await link.ask(address, question.afterRevision, relayWaitMs)
+      if (answer.isOk && !isBehind(answer.value, question.knownRevision)) return answer.value
+      avoidedUntilMs.set(address, timers.nowMs() + avoidMs)
+    }
+    return undefined
+  }
+
+  /** Returns undefined when the store is to be read directly. */
+  async function askUntilOld (question: Question): Promise<SourceAnswer | undefined> {
+    while (!getPlan().isRelay) {
+      const answer = await askRelays(question)
+      if (answer !== undefined || isDirect || getAgeMs() > directAgeMs) return answer
+      await delay(timers, relayRetryMs)
+    }
+    return undefined
+  }
+
+  return {
+    isDirect: () => isDirect,
+    async readAll (knownRevision) {
+      const relayed = await askUntilOld({ afterRevision: undefined, knownRevision })
+      isDirect = relayed === undefined
+      if (relayed !== undefined) return success(relayed)
+      const snapshot = await store.read('')
+      return snapshot.isOk ? success({ isWhole: true, snapshot: snapshot.value, age: fresh }) : snapshot
+    },
+    async watch (afterRevision, waitMs) {
+      const wasDirect = isDirect
+      const relayed = await askUntilOld({ afterRevision, knownRevision: afterRevision })
+      isDirect = relayed === undefined
+      if (relayed !== undefined) return success(relayed)
+      // What came by way of relays is old by now, so that the first answer must not wait for a change.
+      const changes = await store.watch('', afterRevision, wasDirect ? waitMs : 0)
+      return changes.isOk ? success({ isWhole: false, changes: changes.value, age: fresh }) : changes
+    }
+  }
+}
+
+/** A whole answer from before what is known would take back newer entries. */
+function isBehind (answer: SourceAnswer, knownRevision: number): boolean {
+  return answer.isWhole && answer.snapshot.asOfRevision < knownRevision
+}
--- a/src/gateway/fleet-view.test.ts
+++ b/src/gateway/fleet-view.test.ts
@@ -1,15 +1,22 @@
 import { expect } from 'chai'
 
+import { directPlan } from '../coordination/relay/relay-plan.js'
+import { createRelayedSource } from '../coordination/relay/relayed-source.js'
+import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { failure, success } from '../shared/result.js'
+import type { TimerService } from '../shared/timer-service.js'
 import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
-import { ServerState, type BackendServer } from '../state/backend-server.js'
-import { createFakeRevisionedStore } from '../testing/fake-revisioned-store.js'
-import { makeServingConfig } from '../testing/serving-samples.js'
+import type { ServerState } from '../state/backend-server.js'
+import { createFakeRevisionedStore, type FakeRevisionedStore } from '../testing/fake-revisioned-store.js'
+import { makeBackendServer, makeServingConfig } from '../testing/serving-samples.js'
 import { createFleetView } from './fleet-view.js'
 
-function makeServer (id: string, state: ServerState): BackendServer {
+function createDirectSource ({ store }: FakeRevisionedStore, timers: TimerService) {
   return {
-    id, serviceName: 'job-sheets', host: '10.0.0.1', port: 80, zone: 'z1', state, slotCount: 6, startedAtMs: 1, domain: undefined, stagedModels: [], loadedModels: [], group: undefined
+    source: createRelayedSource({
+      store, timers, link: { ask: async () => failure('no relay') }, getPlan: () => directPlan, getAgeMs: () => 0
+    }),
+    mirror: createStoreMirror({ toComparable: (_key, value) => value })
   }
 }
 
@@ -18,7 +25,7 @@
   const fake = createFakeRevisionedStore(timers)
   const warnings: string[] = []
   const view = createFleetView({
-    store: fake.store,
+    ...createDirectSource(fake, timers),
     timers,
     isPlanner: () => false,
     logger: { debug () {}, info () {}, warn: sentence => { warnings.push(sentence) }, error: sentence => { warnings.push(sentence) } },
@@ -27,7 +34,8 @@
       serverPrefix: 'servers/',
       ownPrefix: 'own/',
       decodeConfig: text => Number(text) > 0 ? success(makeServingConfig({ version: Number(text) })) : failure('no number'),
-      decodeServer: (id, text) => text in { ready: 1, draining: 1 } ? success(makeServer(id, text as ServerState)) : failure('another shape')
+      decodeServer: (id, text) => text in { ready: 1, draining: 1 } ? success(makeBackendServer({ id, state: text as ServerState })) : failure('another shape'),
+      toComparable: (_key, text) => text
     }
   })
   return { timers, fake, view, warnings }
@@ -80,12 +88,12 @@
       let suspendedMs = 0
       fake.put('op/config', '3')
       const view = createFleetView({
-        store: fake.store,
+        ...createDirectSource(fake, timers),
         timers: { ...timers, wallClockMs: () => timers.wallClockMs() + suspendedMs },
         isPlanner: () => false,
         logger: { debug () {}, info () {}, warn () {}, error () {} },
         layout: {
-          configKey: 'op/config', serverPrefix: 'servers/', ownPrefix: 'own/', decodeConfig: () => success(makeServingConfig()), decodeServer: () => failure('none')
+          configKey: 'op/config', serverPrefix: 'servers/', ownPrefix: 'own/', decodeConfig: () => success(makeServingConfig()), decodeServer: () => failure('none'), toComparable: (_key, text) => text
         }
       })
       view.start()
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -1,4 +1,6 @@
-import { StoreErrorKind, type RevisionedStore, type StoreError, type StoredChange } from '../coordination/ports/revisioned-store.js'
+import type { FleetSource, SourceAnswer } from '../coordination/ports/fleet-source.js'
+import { StoreErrorKind, type StoreError, type StoredChange } from '../coordination/ports/revisioned-store.js'
+import type { StoreMirror } from '../coordination/relay/store-mirror.js'
 import { createRouteTable, type RouteTable } from '../coordination/dispatch/route-table.js'
 import type { Logger } from '../observability/log.js'
 import { createChannel, type Channel } from '../shared/channel.js'
@@ -18,6 +20,8 @@
   readonly ownPrefix: string
   decodeConfig (text: string): Result<ServingConfig, string>
   decodeServer (id: string, text: string): Result<BackendServer, string>
+  /** Text of an entry that stays the same while only its heartbeat changes. */
+  toComparable (key: string, text: string): string
 }
 
 /** A key of the gateways, with the revision of its last write. */
@@ -53,12 +57,16 @@
   listReplicatedServices (): readonly ReplicatedService[]
   listOwnItems (): ReadonlyMap<string, OwnItem>
   isStoreReachable (): boolean
+  /** Whether the store failed so lately that entries may be missing that are about to return. */
+  isStoreBack (): boolean
   start (): void
   stop (): void
 }
 
 export interface FleetViewOptions {
-  readonly store: RevisionedStore
+  readonly source: FleetSource
+  /** What the source has told so far. */
+  readonly mirror: StoreMirror
   readonly timers: TimerService
   readonly layout: StoreLayout
   readonly logger: Logger
@@ -72,14 +80,16 @@
 const gatherMs = 400
 /** The planner acts on changes and gathers fewer. */
 const plannerGatherMs = 80
-const retryMs = 120
+const minRetryMs = 120
+const maxRetryMs = 800
+const retryGrowth = 1.5
 /** A whole read repairs whatever a watch has missed. */
 const fullReadIntervalMs = 5000
 /** Entries that lapsed while the store was away return within this time (platform). */
 const lapseGraceMs = 2000
 
 /** Creates the view; it reads the store until it is stopped. */
-export function createFleetView ({ store, timers, layout, logger, isPlanner }: FleetViewOptions): FleetView {
+export function createFleetView ({ source, mirror, timers, layout, logger, isPlanner }: FleetViewOptions): FleetView {
   const events = createChannel<FleetEvent>()
   const servers = new Map<string, BackendServer>()
   const ownItems = new Map<string, OwnItem>()
@@ -92,7 +102,7 @@
   let routes: RouteTable | undefined
   let configRevision = 0
   let confirmedAtMs = -Infinity
-  let lastRevision: number | undefined
+  let mustReadAll = true
   let fullReadAtMs = -Infinity
   const state = { isRunning: false }
   let isReachable = false
@@ -165,9 +175,7 @@
   function applyAll (changes: readonly StoredChange[]): void {
     if (changes.length === 0) return
     const changed = new Set<FleetEvent>()
-    // Of several values of one key in one answer only the newest counts.
-    const newest = new Map(changes.map(change => [change.key, change]))
-    for (const change of newest.values()) apply(change, changed)
+    for (const change of changes) apply(change, changed)
     if (changed.has(FleetEvent.Servers) || changed.has(FleetEvent.Config)) indexServers()
     for (const event of changed) events.send(event)
   }
@@ -182,42 +190,35 @@
     events.send(FleetEvent.StoreReach)
   }
 
-  async function readAll (): Promise<boolean> {
-    const askedAtMs = timers.nowMs()
-    const answer = await store.read('')
-    noteReach(answer.isOk, answer.isOk ? undefined : answer.error)
-    if (!answer.isOk) return false
-    const present = new Set(answer.value.items.map(item => item.key))
-    const changes: StoredChange[] = [...answer.value.items]
-    for (const id of servers.keys()) {
-      const key = layout.serverPrefix + id
-      if (!present.has(key)) changes.push({ key, revision: answer.value.asOfRevision, value: undefined })
-    }
-    for (const ownKey of ownItems.keys()) {
-      const key = layout.ownPrefix + ownKey
-      if (!present.has(key)) changes.push({ key, revision: answer.value.asOfRevision, value: undefined })
+  function take (answer: SourceAnswer, askedAtMs: number): void {
+    const { ageMs, isStoreBack } = answer.age
+    if (isStoreBack && !lapsed.isWaiting()) lapsed.noteFailure()
+    noteReach(true)
+    applyAll(answer.isWhole ? mirror.takeSnapshot(answer.snapshot) : mirror.takeChanges(answer.changes))
+    if (answer.isWhole) {
+      fullReadAtMs = askedAtMs
+      mustReadAll = false
     }
-    applyAll(changes)
-    lastRevision = answer.value.asOfRevision
-    confirmedAtMs = Math.max(confirmedAtMs, askedAtMs)
-    fullReadAtMs = askedAtMs
-    return true
+    // The stated age was true when the answer was made, which was after the question was asked.
+    confirmedAtMs = Math.max(confirmedAtMs, askedAtMs - ageMs)
   }
 
-  async function watchOnce (afterRevision: number): Promise<boolean> {
+  /** Asks the source once; returns whether it answered. */
+  async function ask (): Promise<boolean> {
     const askedAtMs = timers.nowMs()
-    const answer = await store.watch('', afterRevision, watchWaitMs)
-    const isDropped = !answer.isOk && answer.error.kind === StoreErrorKind.HistoryDropped
-    noteReach(answer.isOk || isDropped, answer.isOk ? undefined : answer.error)
-    if (!answer.isOk) {
-      lastRevision = undefined
-      return isDropped
+    const revision = mirror.getRevision()
+    const isFullReadDue = mustReadAll || revision === undefined || askedAtMs - fullReadAtMs > fullReadIntervalMs
+    const answer = isFullReadDue || revision === undefined ? await source.readAll(revision ?? 0) : await source.watch(revision, watchWaitMs)
+    if (answer.isOk) {
+      take(answer.value, askedAtMs)
+      const hasMore = !answer.value.isWhole && answer.value.changes.changes.length > 0
+      if (hasMore) await delay(timers, isPlanner() ? plannerGatherMs : gatherMs)
+      return true
     }
-    applyAll(answer.value.changes)
-    lastRevision = answer.value.asOfRevision
-    confirmedAtMs = Math.max(confirmedAtMs, askedAtMs)
-    if (answer.value.changes.length > 0) await delay(timers, isPlanner() ? plannerGatherMs : gatherMs)
-    return true
+    mustReadAll = true
+    const isDropped = answer.error.kind === StoreErrorKind.HistoryDropped
+    noteReach(isDropped, answer.error)
+    return isDropped
   }
 
   function sweepLapsed (): void {
@@ -229,11 +230,12 @@
   }
 
   async function run (): Promise<void> {
+    let retryMs = minRetryMs
     while (state.isRunning) {
       sweepLapsed()
-      const isFullReadDue = lastRevision === undefined || timers.nowMs() - fullReadAtMs > fullReadIntervalMs
-      const isAnswered = isFullReadDue || lastRevision === undefined ? await readAll() : await watchOnce(lastRevision)
+      const isAnswered = await ask()
       if (!isAnswered) await delay(timers, retryMs)
+      retryMs = isAnswered ? minRetryMs : Math.min(maxRetryMs, retryMs * retryGrowth)
     }
   }
 
@@ -256,6 +258,7 @@
     },
     listOwnItems: () => ownItems,
     isStoreReachable: () => isReachable,
+    isStoreBack: lapsed.isWaiting,
     start () {
       state.isRunning = true
       void run()
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,10 @@
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerOrders } from '../coordination/ports/server-orders.js'
+import type { RelayLink } from '../coordination/ports/relay-link.js'
+import { directPlan, planRelays } from '../coordination/relay/relay-plan.js'
+import { createRelayedSource } from '../coordination/relay/relayed-source.js'
+import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { createPlannerLease } from '../coordination/replicas/planner-lease.js'
 import { createPlannerTask } from '../coordination/replicas/planner-task.js'
 import { createBoundedLogger } from '../observability/bounded-logger.js'
@@ -18,13 +22,15 @@
 import type { GatewayBounds, GatewaySettings } from './gateway-settings.js'
 import { createLoadSharing } from './load-sharing.js'
 import { createPresence } from './presence.js'
-import { createMetricsServer, createReadinessServer } from './side-servers.js'
+import { createRelayAnswerer } from './relay-answerer.js'
+import { createMetricsServer, createReadinessServer, createRelayServer } from './side-servers.js'
 import type { WireCodec } from './wire-codec.js'
 
 export interface GatewayOptions {
   readonly settings: GatewaySettings
   readonly timers: TimerService
   readonly store: RevisionedStore
+  readonly relayLink: RelayLink
   readonly orders: ServerOrders
   readonly layout: StoreLayout
   readonly codec: WireCodec
@@ -63,7 +69,16 @@
   const random = createRandomSource(createProcessSeed())
   let { bounds } = settings
   const metrics = createMetrics({ hasProcessMetrics: false })
-  const fleet = createFleetView({ store, timers, layout, logger: createLogger('fleet'), isPlanner: () => lease.getGeneration() !== undefined })
+  const isPlanner = () => lease.getGeneration() !== undefined
+  const mirror = createStoreMirror({ toComparable: layout.toComparable })
+  const source = createRelayedSource({
+    store,
+    link: options.relayLink,
+    timers,
+    getPlan: () => isPlanner() ? directPlan : planRelays(presence.listGateways(), settings.nodeId),
+    getAgeMs: () => fleet.getConfigAgeMs()
+  })
+  const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isPlanner })
   const loads = createReplicaLoads(timers)
   const presence = createPresence({
     store,
@@ -71,6 +86,7 @@
     logger: createLogger('presence'),
     nodeId: settings.nodeId,
     address: settings.peerAddress,
+    zone: settings.zone,
     storePrefix: layout.ownPrefix + gatewayItemPrefix,
     itemPrefix: gatewayItemPrefix,
     listItems: fleet.listOwnItems
@@ -121,6 +137,7 @@
   const callers = createCallerServer({ address: settings.callerAddress, maxHeaderBytes, handle: intake.handle })
   const readiness = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics)
+  const relayServer = createRelayServer(settings.peerAddress, createRelayAnswerer({ timers, fleet, mirror, source }))
   let isStopping = false
 
   function getRetryShare (serviceName: string): RetryShare {
@@ -160,7 +177,7 @@
     async start () {
       observeFleet()
       fleet.start()
-      await Promise.all([callers.start(), readiness.start(), metricsServer.start(), sharing.start()])
+      await Promise.all([callers.start(), readiness.start(), metricsServer.start(), relayServer.start(), sharing.start()])
       presence.start()
       lease.start()
       planner.start()
--- a/src/gateway/presence.ts
+++ b/src/gateway/presence.ts
@@ -1,12 +1,18 @@
+import { z } from 'zod'
+
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
+import type { ListedGateway } from '../coordination/relay/relay-plan.js'
 import { StoreErrorKind } from '../coordination/ports/revisioned-store.js'
 import type { Logger } from '../observability/log.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
 import type { OwnItem } from './fleet-view.js'
 
+const itemSchema = z.object({ address: z.string(), zone: z.string() })
+
 /** Keeps this gateway in the list of gateways, and reads the others from it. */
 export interface Presence {
+  listGateways (): readonly ListedGateway[]
   listPeers (): readonly NetworkAddress[]
   /** Gateways in the list, at least one. */
   countGateways (): number
@@ -20,6 +26,7 @@
   readonly logger: Logger
   readonly nodeId: string
   readonly address: NetworkAddress
+  readonly zone: string
   /** Prefix of the store's keys of gateways, and the same prefix among the items of the view. */
   readonly storePrefix: string
   readonly itemPrefix: string
@@ -38,8 +45,9 @@
 
 /** Creates the presence; it is registered after `start`. */
 export function createPresence (options: PresenceOptions): Presence {
-  const { store, timers, logger, nodeId, address } = options
-  const ownAddress = `${address.host}:${address.port}`
+  const { store, timers, logger, nodeId, address, zone } = options
+  const ownValue = JSON.stringify({ address: `${address.host}:${address.port}`, zone })
+  const unreadable = new Set<string>()
   const startedAtMs = timers.nowMs()
   let leaseId: number | undefined
   let highestCount = 0
@@ -49,7 +57,7 @@
   /** The list may be empty for a while after an outage; the gateways are still there. */
   function countGateways (): number {
     const nowMs = timers.nowMs()
-    const count = listAddresses().length
+    const count = listGateways().length
     if (count >= highestCount || nowMs - highestAtMs > countMemoryMs) {
       highestCount = count
       highestAtMs = nowMs
@@ -58,8 +66,16 @@
     return Math.max(1, highestCount, isNew ? assumedCount : 0)
   }
 
-  function listAddresses (): string[] {
-    return [...options.listItems()].filter(([key]) => key.startsWith(options.itemPrefix)).map(([, item]) => item.value)
+  function listGateways (): ListedGateway[] {
+    return [...options.listItems()].flatMap(([key, item]) => key.startsWith(options.itemPrefix) ? readItem(key, item) : [])
+  }
+
+  function readItem (key: string, { value, revision }: OwnItem): ListedGateway[] {
+    const parsed = parseItem(value)
+    if (parsed !== undefined) return [{ ...parsed, nodeId: key.slice(options.itemPrefix.length), listedRevision: revision }]
+    if (!unreadable.has(key)) logger.warn('An item names no gateway.', { key, value })
+    unreadable.add(key)
+    return []
   }
 
   async function register (): Promise<boolean> {
@@ -67,7 +83,7 @@
     if (!granted.isOk) return false
     // A key of an earlier life of this process is replaced; its revision is known from the list.
     const expectedRevision = options.listItems().get(options.itemPrefix + nodeId)?.revision ?? 0
-    const written = await store.write({ key: options.storePrefix + nodeId, expectedRevision, value: ownAddress, leaseId: granted.value })
+    const written = await store.write({ key: options.storePrefix + nodeId, expectedRevision, value: ownValue, leaseId: granted.value })
     if (!written.isOk) {
       logger.warn('This gateway could not be listed.', { reason: written.error.reason })
       return false
@@ -90,9 +106,8 @@
   }
 
   return {
-    listPeers () {
-      return listAddresses().filter(text => text !== ownAddress).flatMap(text => parseAddress(text) ?? [])
-    },
+    listGateways,
+    listPeers: () => listGateways().filter(gateway => gateway.nodeId !== nodeId).flatMap(gateway => parseAddress(gateway.address) ?? []),
     countGateways,
     start () {
       state.isRunning = true
@@ -104,3 +119,12 @@
     }
   }
 }
+
+function parseItem (value: string): z.infer<typeof itemSchema> | undefined {
+  try {
+    return itemSchema.safeParse(JSON.parse(value)).data
+  } catch {
+    // Written by another program; the caller logs it.
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/gateway/relay.test.ts
@@ -0,0 +1,136 @@
+import { expect } from 'chai'
+
+import type { RelayLink } from '../coordination/ports/relay-link.js'
+import { directPlan, type RelayPlan } from '../coordination/relay/relay-plan.js'
+import { createRelayedSource } from '../coordination/relay/relayed-source.js'
+import { createStoreMirror } from '../coordination/relay/store-mirror.js'
+import { relayAnswerSchema, encodeRelayAnswer, toSourceAnswer } from '../protocol/relay-answer.js'
+import { failure, success } from '../shared/result.js'
+import { delay } from '../shared/timer-service.js'
+import { createVirtualTimerService, type VirtualTimerService } from '../shared/virtual-timer-service.js'
+import { createFakeRevisionedStore, type FakeRevisionedStore } from '../testing/fake-revisioned-store.js'
+import { makeBackendServer, makeServingConfig } from '../testing/serving-samples.js'
+import { createFleetView } from './fleet-view.js'
+import { createRelayAnswerer } from './relay-answerer.js'
+
+const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
+const relay = { nodeId: 'relay', zone: 'z', address: 'relay:1', listedRevision: 1 }
+const relayedPlan: RelayPlan = { isRelay: false, relays: [relay] }
+
+function createNode (timers: VirtualTimerService, { store }: FakeRevisionedStore, link: RelayLink, plan: RelayPlan) {
+  const mirror = createStoreMirror({ toComparable: (_key, text) => text.replace(/#\d+/, '') })
+  const source = createRelayedSource({ store, link, timers, getPlan: () => plan, getAgeMs: () => fleet.getConfigAgeMs() })
+  const fleet = createFleetView({
+    source,
+    mirror,
+    timers,
+    isPlanner: () => false,
+    logger: silentLogger,
+    layout: {
+      configKey: 'op/config',
+      serverPrefix: 'servers/',
+      ownPrefix: 'own/',
+      decodeConfig: text => success(makeServingConfig({ version: Number(text) })),
+      decodeServer: id => success(makeBackendServer({ id })),
+      toComparable: (_key, text) => text
+    }
+  })
+  fleet.start()
+  return { fleet, source, answerer: createRelayAnswerer({ timers, fleet, mirror, source }) }
+}
+
+/** A relay and a gateway that relies on it; the store can be taken from either alone. */
+async function createWorld () {
+  const timers = createVirtualTimerService()
+  const relayStore = createFakeRevisionedStore(timers)
+  const path = { isCut: false }
+  relayStore.put('op/config', '3')
+  relayStore.put('servers/a', 'ready#1')
+  const relayNode = createNode(timers, relayStore, { ask: async () => failure('no relay') }, directPlan)
+  const link: RelayLink = {
+    async ask (_address, afterRevision, waitMs) {
+      if (path.isCut) {
+        await delay(timers, waitMs)
+        return failure('no answer')
+      }
+      const answer = await relayNode.answerer.answer(afterRevision, waitMs)
+      return answer === undefined ? failure('not now') : success(toSourceAnswer(relayAnswerSchema.parse(JSON.parse(encodeRelayAnswer(answer)))))
+    }
+  }
+  const ownCalls = { count: 0, isRefused: false }
+  const { store } = relayStore
+  const ownStore = {
+    ...relayStore,
+    store: {
+      ...store,
+      async read (prefix: string) {
+        ownCalls.count += 1
+        return store.read(prefix)
+      },
+      async watch (prefix: string, afterRevision: number, waitMs: number) {
+        ownCalls.count += 1
+        return store.watch(prefix, afterRevision, waitMs)
+      }
+    }
+  }
+  const node = createNode(timers, ownStore, link, relayedPlan)
+  await timers.advanceAsync(8000)
+  return { timers, store: relayStore, path, ownCalls, node, relayNode }
+}
+
+describe('relay', () => {
+  it('tells changes within a second, and saves the calls of the gateway that relies on it', async () => {
+    const { timers, store, node, ownCalls } = await createWorld()
+    const callCount = ownCalls.count
+    store.put('op/config', '5')
+    store.put('servers/b', 'ready#1')
+    await timers.advanceAsync(1000)
+    expect(node.fleet.getConfig()?.version).to.equal(5)
+    expect(node.fleet.getServers('job-sheets')).to.have.length(2)
+    for (let count = 0; count < 40; count += 1) {
+      store.put('servers/a', `ready#${count}`)
+      await timers.advanceAsync(500)
+      expect(node.fleet.getConfigAgeMs()).to.be.lessThan(4000)
+    }
+    expect(ownCalls.count).to.equal(callCount)
+    expect(node.source.isDirect()).to.equal(false)
+  })
+
+  it('never makes the configuration look fresher than it is', async () => {
+    const { timers, store, node, relayNode } = await createWorld()
+    store.faults.isDown = true
+    for (let step = 0; step < 40; step += 1) {
+      await timers.advanceAsync(100)
+      expect(node.fleet.getConfigAgeMs()).to.be.at.least(relayNode.fleet.getConfigAgeMs() - 5)
+    }
+  })
+
+  it('is left for the store when it cannot be reached, before the configuration is too old', async () => {
+    const { timers, store, path, node, ownCalls } = await createWorld()
+    path.isCut = true
+    const callCount = ownCalls.count
+    for (let step = 0; step < 100; step += 1) {
+      await timers.advanceAsync(100)
+      expect(node.fleet.getConfigAgeMs()).to.be.lessThan(4500)
+    }
+    expect(ownCalls.count).to.be.greaterThan(callCount)
+    store.put('op/config', '7')
+    await timers.advanceAsync(1500)
+    expect(node.fleet.getConfig()?.version).to.equal(7)
+    path.isCut = false
+    await timers.advanceAsync(8000)
+    expect(node.source.isDirect()).to.equal(false)
+  })
+
+  it('lets entries that lapsed in an outage return for the gateways that rely on it', async () => {
+    const { timers, store, node } = await createWorld()
+    store.faults.isDown = true
+    await timers.advanceAsync(1500)
+    store.remove('servers/a')
+    store.faults.isDown = false
+    await timers.advanceAsync(1500)
+    expect(node.fleet.getServers('job-sheets')).to.have.length(1)
+    await timers.advanceAsync(5000)
+    expect(node.fleet.getServers('job-sheets')).to.have.length(0)
+  })
+})
--- a/src/gateway/side-servers.ts
+++ b/src/gateway/side-servers.ts
@@ -1,7 +1,9 @@
 import http from 'node:http'
 
 import type { Metrics } from '../observability/metrics.js'
+import { encodeRelayAnswer, relayPath } from '../protocol/relay-answer.js'
 import type { NetworkAddress } from '../shared/network-address.js'
+import type { RelayAnswerer } from './relay-answerer.js'
 
 const metricsPath = '/metrics'
 
@@ -24,6 +26,22 @@
   })
 }
 
+/** Creates the server that other gateways ask for what the store holds. */
+export function createRelayServer (address: NetworkAddress, answerer: RelayAnswerer) {
+  return createSmallServer(address, (request, response) => {
+    const { pathname, searchParams } = new URL(request.url ?? '', 'http://gateway')
+    if (pathname !== relayPath) {
+      response.writeHead(404).end()
+      return
+    }
+    const after = searchParams.get('after')
+    void answerer.answer(after === null ? undefined : Number(after), Number(searchParams.get('waitMs') ?? 0)).then(answer => {
+      if (answer === undefined) response.writeHead(503).end()
+      else response.writeHead(200, { 'Content-Type': 'application/json' }).end(encodeRelayAnswer(answer))
+    })
+  })
+}
+
 function createSmallServer (address: NetworkAddress, listener: http.RequestListener) {
   const server = http.createServer(listener)
   return {
--- a/src/state/lapsed-entries.ts
+++ b/src/state/lapsed-entries.ts
@@ -8,6 +8,8 @@
   shouldKeep (id: string): boolean
   /** The entry is there again. */
   clear (id: string): void
+  /** Whether entries that are missing now may still return. */
+  isWaiting (): boolean
   /** Returns the entries whose time to return is over. */
   takeExpired (): string[]
 }
@@ -34,6 +36,7 @@
       missing.add(id)
       return true
     },
+    isWaiting: () => isFailing || timers.nowMs() < graceEndMs,
     clear (id) {
       missing.delete(id)
     },
--- a/src/testing/serving-samples.ts
+++ b/src/testing/serving-samples.ts
@@ -1,3 +1,4 @@
+import { ServerState, type BackendServer } from '../state/backend-server.js'
 import type { EngineProfile, Route, ServingConfig } from '../state/serving-config.js'
 import { RouteKind } from '../state/serving-config.js'
 
@@ -48,3 +49,22 @@
     ...changes
   }
 }
+
+/** A plain server with the given changes. */
+export function makeBackendServer (changes: Partial<BackendServer> = {}): BackendServer {
+  return {
+    id: 'server',
+    serviceName: 'job-sheets',
+    host: '10.0.0.1',
+    port: 80,
+    zone: 'z1',
+    state: ServerState.Ready,
+    slotCount: 6,
+    startedAtMs: 1,
+    domain: undefined,
+    stagedModels: [],
+    loadedModels: [],
+    group: undefined,
+    ...changes
+  }
+}
