Keep spares loaded in groups of their own; tell the planner at once of a group that falls quiet

Cause: a group that lost a member was open again after about 2.9 s: 0.5 s until its streams counted as stalled, 0.3 s for the members' reports, 1.6 s for the spare to take its model from the host, 0.3 s to open. Every few seconds a member dies.

Ruled out: probing all members all the time (66 probes a second are priced); shorter report timeouts (a lost packet would take a sound server out of its group).

Change: a staged spare joins a group of one that is never opened. By the platform's page a server joins within 0.2 s when the model is that of its last group, so that the spare's later join takes 0.2 s in place of 1.6 s. Groups of spares are no replicas; their members are free.

--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -27,6 +27,8 @@
   endFlow (replicaId: string): void
   /** Whether the group's streams, here or at another gateway, give no events for longer than a working group's. */
   isQuiet (replicaId: string): boolean
+  /** Groups whose streams here give no events for longer than a working group's. */
+  listQuietHere (): string[]
   /** Whether one of the group's streams gave an event within this time. */
   hasProgressed (replicaId: string, withinMs: number): boolean
   /** Marks a group whose streams stand still; it gets no new ones for a while. */
@@ -108,6 +110,7 @@
       progressedAtMs.set(replicaId, timers.nowMs())
       stalledUntilMs.delete(replicaId)
     },
+    listQuietHere: () => [...flowCounts.keys()].filter(isQuietHere),
     hasProgressed,
     markStalled (replicaId) {
       stalledUntilMs.set(replicaId, timers.nowMs() + stalledMs)
--- a/src/coordination/replicas/domain-layout.ts
+++ b/src/coordination/replicas/domain-layout.ts
@@ -1,4 +1,5 @@
 import type { BackendServer } from '../../state/backend-server.js'
+import { isSpareGroup } from '../../state/replica.js'
 import type { ReplicatedModel } from '../../state/serving-config.js'
 
 /** A group to form next. */
@@ -66,6 +67,12 @@
     left.stagedModels.length - right.stagedModels.length || (left.id < right.id ? -1 : 1)).slice(0, model.groupSize)
 }
 
+/** The staged model that a spare does not have loaded, unless its group of one is about to load it. */
+export function findUnloadedModel (server: BackendServer, models: readonly ReplicatedModel[]): string | undefined {
+  if (server.group !== undefined && isSpareGroup(server.group.groupName)) return undefined
+  return models.find(model => rankPreparation(server, model.name) === 1 && server.loadedModels.length === 0)?.name
+}
+
 /** Chooses the model that a free server should stage, given those that the domain's other free servers have. */
 export function chooseStaging (server: BackendServer, others: readonly BackendServer[], models: readonly ReplicatedModel[]): string | undefined {
   if (server.stagedModels.length > 0) return undefined
--- a/src/coordination/replicas/planner-lease.ts
+++ b/src/coordination/replicas/planner-lease.ts
@@ -48,6 +48,14 @@
 /** Spreads the gateways that try to become planner at the same moment. */
 const maxStartDelayMs = 250
 
+/** Parts the node's name from the count that tells its attempts apart. */
+const attemptSeparator = ' '
+
+/** Returns the name of the gateway that a record names. */
+export function readPlannerNode (value: string): string {
+  return value.split(attemptSeparator)[0] ?? ''
+}
+
 /** Creates a lease that is not held. */
 export function createPlannerLease (options: PlannerLeaseOptions): PlannerLease {
   const { store, timers, random, logger, nodeId, key, leaseMs } = options
@@ -86,7 +94,7 @@
     const granted = await store.grantLease(leaseMs)
     if (!granted.isOk) return
     attemptCount += 1
-    const value = `${nodeId} ${attemptCount}`
+    const value = `${nodeId}${attemptSeparator}${attemptCount}`
     const written = await store.write({ key, expectedRevision: 0, value, leaseId: granted.value })
     if (!written.isOk) {
       if (written.error.kind === StoreErrorKind.Conflict) await store.endLease(granted.value)
--- a/src/coordination/replicas/replica-planner.test.ts
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -3,7 +3,7 @@
 import { createRandomSource } from '../../shared/random-source.js'
 import { createVirtualTimerService, type VirtualTimerService } from '../../shared/virtual-timer-service.js'
 import { ServerState } from '../../state/backend-server.js'
-import { listReplicas, type Replica } from '../../state/replica.js'
+import { isSpareGroup, listReplicas, type Replica } from '../../state/replica.js'
 import { createFakeGroupServers, type FakeGroupServers } from '../../testing/fake-group-servers.js'
 import { sampleEngine } from '../../testing/serving-samples.js'
 import type { PlannerLease } from './planner-lease.js'
@@ -73,14 +73,15 @@
 
 describe('replica planner', () => {
   describe('at the start', () => {
-    it('gives each domain a group of each model and stages the rest for both', async () => {
+    it('gives each domain a group of each model and makes the rest ready for both', async () => {
       const world = createWorld(1)
       addDomains(world.servers, 2, 11)
       world.takeOver()
       await world.timers.advanceAsync(120_000)
       expect(countModels(world.listOpen())).to.deep.equal({ large: 2, small: 2 })
-      const spares = world.servers.list().filter(server => server.group === undefined)
+      const spares = world.servers.list().filter(server => isSpareGroup(server.group?.groupName ?? ''))
       expect(spares.map(spare => spare.stagedModels[0]).sort()).to.deep.equal(['large', 'large', 'small', 'small'])
+      expect(spares.map(spare => spare.loadedModels[0]).sort()).to.deep.equal(['large', 'large', 'small', 'small'])
       expect(world.servers.violations).to.deep.equal([])
     })
 
@@ -116,6 +117,19 @@
       })
     }
 
+    it('opens the group again without the time that a model takes from the host', async () => {
+      const world = createWorld(3)
+      addDomains(world.servers, 1, 11)
+      world.takeOver()
+      await world.timers.advanceAsync(120_000)
+      const large = world.listOpen().find(replica => replica.model?.name === 'large') as Replica
+      world.servers.kill(large.members[3]?.id as string)
+      world.check(large.id)
+      const warmLoadMs = large.model?.warmLoadMs ?? 0
+      await world.timers.advanceAsync(warmLoadMs - 100)
+      expect(countModels(world.listOpen())).to.deep.equal({ large: 1, small: 1 })
+    })
+
     it('lets servers of a lost group wait for a newcomer rather than load the other model', async () => {
       const world = createWorld(4)
       addDomains(world.servers, 1, 9)
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -1,8 +1,8 @@
 import { MemberState, ServerState, type BackendServer } from '../../state/backend-server.js'
-import { formatGroupName, formatReplicaId, type Replica } from '../../state/replica.js'
+import { formatGroupName, formatReplicaId, formatSpareGroupName, isSpareGroup, type Replica } from '../../state/replica.js'
 import type { EngineProfile, ReplicatedModel } from '../../state/serving-config.js'
 import { isAccepted, OrderOutcome, ServerOrderKind, type ServerOrder } from '../ports/server-orders.js'
-import { chooseNewGroup, chooseStaging, needsLoad } from './domain-layout.js'
+import { chooseNewGroup, chooseStaging, findUnloadedModel, needsLoad } from './domain-layout.js'
 import { createLoadPacer } from './load-pacer.js'
 import { createLoadRegister } from './load-register.js'
 import { summarizePlan } from './planner-summary.js'
@@ -220,7 +220,8 @@
     const taken = new Set([...forming.values()].flatMap(group => group.members.map(member => member.id)))
     return servers.filter(server => {
       if (!isUsable(server) || taken.has(server.id) || server.domain === undefined) return false
-      return server.group === undefined || released.has(formatReplicaId(server.group.groupName, server.group.epoch))
+      return server.group === undefined || isSpareGroup(server.group.groupName) ||
+        released.has(formatReplicaId(server.group.groupName, server.group.epoch))
     }).map(loads.addLoading)
   }
 
@@ -258,9 +259,13 @@
     return spares
   }
 
-  function startForming (domain: string, model: ReplicatedModel, members: readonly BackendServer[]): void {
+  function takeEpoch (): number {
     epochCount += 1
-    const epoch = generation * epochsPerGeneration + epochCount
+    return generation * epochsPerGeneration + epochCount
+  }
+
+  function startForming (domain: string, model: ReplicatedModel, members: readonly BackendServer[]): void {
+    const epoch = takeEpoch()
     const groupName = formatGroupName(model.name, String(epoch))
     forming.set(formatReplicaId(groupName, epoch), {
       domain, model, groupName, epoch, members, joinedIds: new Set(), startedAtMs: nowMs, isOpening: false, isAdopted: false
@@ -277,6 +282,16 @@
     }
   }
 
+  /** A spare that has joined a group of its own joins another one eight times sooner than from the host's store. */
+  function loadSpares (spares: readonly BackendServer[], engine: EngineProfile, orders: PlannedOrder[]): void {
+    for (const server of spares) {
+      const model = findUnloadedModel(server, engine.models)
+      if (model === undefined || !canOrder(server) || loads.has(server.id)) continue
+      const epoch = takeEpoch()
+      orderOnce(orders, server, { kind: ServerOrderKind.Join, groupName: formatSpareGroupName(model, epoch), epoch, model, memberIds: [server.id] })
+    }
+  }
+
   return {
     plan (input) {
       nowMs = input.nowMs
@@ -292,7 +307,10 @@
       const sparesByDomain = groupByDomain(spares)
       for (const domain of [...groupByDomain(input.servers).keys()].sort()) {
         planForming(domain, servers, input.engine, orders)
-        if (settledDomains.has(domain)) stageSpares(sparesByDomain.get(domain) ?? [], input.engine, orders)
+        if (!settledDomains.has(domain)) continue
+        const domainSpares = sparesByDomain.get(domain) ?? []
+        stageSpares(domainSpares, input.engine, orders)
+        loadSpares(domainSpares, input.engine, orders)
       }
       return orders
     },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,7 +7,7 @@
 import { directPlan, planRelays } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
-import { createPlannerLease } from '../coordination/replicas/planner-lease.js'
+import { createPlannerLease, readPlannerNode } from '../coordination/replicas/planner-lease.js'
 import { createPlannerTask } from '../coordination/replicas/planner-task.js'
 import { createBoundedLogger } from '../observability/bounded-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
@@ -132,7 +132,13 @@
     }
   }
   const sharing = createLoadSharing({
-    settings, timers, logger: createLogger('loads'), loads, presence, onStall: replicaId => planner.checkReplica(replicaId)
+    settings,
+    timers,
+    logger: createLogger('loads'),
+    loads,
+    presence,
+    findPlanner: () => presence.findPeer(readPlannerNode(fleet.listOwnItems().get(plannerItem)?.value ?? '')),
+    onQuiet: replicaId => planner.checkReplica(replicaId)
   })
   const intake = createCallIntake({ services, getMaxConfigAgeMs })
   const callers = createCallerServer({ address: settings.callerAddress, maxHeaderBytes, handle: intake.handle })
--- a/src/gateway/presence.ts
+++ b/src/gateway/presence.ts
@@ -14,6 +14,8 @@
 export interface Presence {
   listGateways (): readonly ListedGateway[]
   listPeers (): readonly NetworkAddress[]
+  /** Undefined for this gateway itself and for one that is not in the list. */
+  findPeer (nodeId: string): NetworkAddress | undefined
   /** Gateways in the list, at least one. */
   countGateways (): number
   start (): void
@@ -108,6 +110,10 @@
   return {
     listGateways,
     listPeers: () => listGateways().filter(gateway => gateway.nodeId !== nodeId).flatMap(gateway => parseAddress(gateway.address) ?? []),
+    findPeer (peerId) {
+      const peer = peerId === nodeId ? undefined : listGateways().find(gateway => gateway.nodeId === peerId)
+      return peer === undefined ? undefined : parseAddress(peer.address)
+    },
     countGateways,
     start () {
       state.isRunning = true
--- a/src/state/replica.ts
+++ b/src/state/replica.ts
@@ -29,7 +29,7 @@
 export function listReplicas (servers: readonly BackendServer[], engine: EngineProfile): Replica[] {
   const membersById = new Map<string, BackendServer[]>()
   for (const server of servers) {
-    if (server.group === undefined) continue
+    if (server.group === undefined || isSpareGroup(server.group.groupName)) continue
     const id = formatReplicaId(server.group.groupName, server.group.epoch)
     const members = membersById.get(id)
     if (members === undefined) membersById.set(id, [server])
@@ -70,6 +70,17 @@
   return `${model}.${sequence}`
 }
 
+const sparePart = '.spare-'
+
+/** Names the group of one that a spare joins so that it has its model at hand; it is never opened. */
+export function formatSpareGroupName (model: string, epoch: number): string {
+  return `${model}${sparePart}${epoch}`
+}
+
+export function isSpareGroup (groupName: string): boolean {
+  return groupName.includes(sparePart)
+}
+
 function findModel (groupName: string, members: readonly BackendServer[], engine: EngineProfile): ReplicatedModel | undefined {
   const nameEnd = groupName.lastIndexOf('.')
   const named = engine.models.find(model => model.name === groupName.slice(0, nameEnd))
