Count a run as long as its server is there, not its group; let gateways try to plan one after the other

The rule leaves out only servers that ended.

Ruled out: the budget of second attempts (the report counts requests run on more servers than allowed).

Change: src/coordination/dispatch/run-limit.ts counts a run while the list shows the same life of the leader. Besides, a lost planner was replaced by whichever gateway came first, each with three calls to the store; now they try in the order in which they were listed, 100 ms apart.

--- a/src/coordination/relay/relay-plan.ts
+++ b/src/coordination/relay/relay-plan.ts
@@ -24,6 +24,11 @@
 /** A zone keeps its source when one relay is lost. */
 const minRelayCount = 2
 
+/** Sorts gateways by when they were listed, the first one first. */
+export function sortByAge (gateways: readonly ListedGateway[]): ListedGateway[] {
+  return [...gateways].sort((left, right) => left.listedRevision - right.listedRevision || (left.nodeId < right.nodeId ? -1 : 1))
+}
+
 /**
  * Names the gateways of a zone that read the store for the others: those that were listed first, so that
  * newcomers change nothing. Gateways with different lists disagree for a moment, which costs a second question.
@@ -31,8 +36,7 @@
 export function planRelays (gateways: readonly ListedGateway[], nodeId: string): RelayPlan {
   const self = gateways.find(gateway => gateway.nodeId === nodeId)
   if (self === undefined || gateways.length <= maxDirectCount) return directPlan
-  const inZone = gateways.filter(gateway => gateway.zone === self.zone)
-  inZone.sort((left, right) => left.listedRevision - right.listedRevision || (left.nodeId < right.nodeId ? -1 : 1))
+  const inZone = sortByAge(gateways.filter(gateway => gateway.zone === self.zone))
   const relayCount = Math.max(minRelayCount, Math.ceil(inZone.length / gatewaysPerRelay))
   const rank = inZone.indexOf(self)
   if (rank < relayCount) return directPlan
--- a/src/coordination/replicas/planner-lease.test.ts
+++ b/src/coordination/replicas/planner-lease.test.ts
@@ -19,6 +19,7 @@
     nodeId: `node-${index}`,
     key,
     leaseMs: 2000,
+    getRank: () => index,
     getRecord: () => fake.peek(key),
     canSeeStore: () => !fake.faults.isDown
   }))
--- a/src/coordination/replicas/planner-lease.ts
+++ b/src/coordination/replicas/planner-lease.ts
@@ -21,6 +21,8 @@
   readonly leaseMs: number
   /** The record as last read; undefined when there is none. */
   getRecord (): PlannerRecord | undefined
+  /** Gateways that were listed before this one; undefined while it is not listed. */
+  getRank (): number | undefined
   /** Whether the view of the store is current enough to see a record's absence. */
   canSeeStore (): boolean
 }
@@ -45,8 +47,12 @@
 const renewalsPerLease = 3
 /** Part of the lease that is not used, for the way of the renewal and late timers. */
 const unusedPart = 0.15
-/** Spreads the gateways that try to become planner at the same moment. */
-const maxStartDelayMs = 250
+/** One gateway after the other tries to become planner, since each attempt costs calls. */
+const delayPerRankMs = 100
+/** Later ones hear of the new planner from their relays within this time. */
+const maxRank = 30
+/** A gateway that is not listed yet takes its chance among the first ones. */
+const unlistedRankSpread = 5
 
 /** Parts the node's name from the count that tells its attempts apart. */
 const attemptSeparator = ' '
@@ -88,7 +94,8 @@
   }
 
   async function tryAcquire (): Promise<void> {
-    await delay(timers, maxStartDelayMs * random.nextFloat())
+    const rank = options.getRank() ?? random.nextInt(unlistedRankSpread)
+    await delay(timers, delayPerRankMs * (Math.min(rank, maxRank) + random.nextFloat()))
     if (!state.isRunning || !options.canSeeStore() || options.getRecord() !== undefined) return
     const askedAtMs = timers.nowMs()
     const granted = await store.grantLease(leaseMs)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -100,6 +100,7 @@
     key: layout.ownPrefix + plannerItem,
     leaseMs: Math.max(settings.minLeaseMs, plannerLeaseMs),
     getRecord: () => fleet.listOwnItems().get(plannerItem),
+    getRank: presence.getRank,
     canSeeStore: () => fleet.isStoreReachable() && fleet.getConfig() !== undefined
   })
   const planner = createPlannerTask({
--- a/src/gateway/presence.ts
+++ b/src/gateway/presence.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod'
 
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
-import type { ListedGateway } from '../coordination/relay/relay-plan.js'
+import { sortByAge, type ListedGateway } from '../coordination/relay/relay-plan.js'
 import { StoreErrorKind } from '../coordination/ports/revisioned-store.js'
 import type { Logger } from '../observability/log.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
@@ -14,6 +14,8 @@
 export interface Presence {
   listGateways (): readonly ListedGateway[]
   listPeers (): readonly NetworkAddress[]
+  /** Gateways that were listed before this one; undefined while it is not listed. */
+  getRank (): number | undefined
   /** Undefined for this gateway itself and for one that is not in the list. */
   findPeer (nodeId: string): NetworkAddress | undefined
   /** Gateways in the list, at least one. */
@@ -110,6 +112,10 @@
   return {
     listGateways,
     listPeers: () => listGateways().filter(gateway => gateway.nodeId !== nodeId).flatMap(gateway => parseAddress(gateway.address) ?? []),
+    getRank () {
+      const rank = sortByAge(listGateways()).findIndex(gateway => gateway.nodeId === nodeId)
+      return rank < 0 ? undefined : rank
+    },
     findPeer (peerId) {
       const peer = peerId === nodeId ? undefined : listGateways().find(gateway => gateway.nodeId === peerId)
       return peer === undefined ? undefined : parseAddress(peer.address)
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -1,4 +1,5 @@
-import { chooseReplica, hasAllMembers, ReplicaChoiceKind, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
+import { chooseReplica, ReplicaChoiceKind, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
+import { countStandingRuns, toPossibleRun, type PossibleRun } from '../coordination/dispatch/run-limit.js'
 import { DurationMetric } from '../observability/metrics.js'
 import { createEventFramer, type EventFramer, type FramedEvent } from '../protocol/event-framer.js'
 import type { Replica } from '../state/replica.js'
@@ -54,8 +55,7 @@
   let attempt: Attempt | undefined
   let lastEventId = call.facts.lastEventId
   let eventCount = 0
-  /** Groups that may have run the request. */
-  const ranIds: string[] = []
+  const runs: PossibleRun[] = []
   let notRunCount = 0
   let isFinished = false
   share.noteRequest()
@@ -204,36 +204,30 @@
     if (current !== attempt || isFinished) return
     dropAttempt()
     if (end === AttemptEnd.NotRun) notRunCount += 1
-    else ranIds.push(current.replica.id)
+    else if (current.replica.leader !== undefined) runs.push(toPossibleRun(current.replica.leader))
     services.logger.info('An attempt ended.', {
       requestId: call.facts.requestId ?? '', group: current.replica.id, serverId: current.replica.leader?.id ?? '', end, reason, lastEventId: lastEventId ?? ''
     })
-    if (mayStartAnother(end, ranIds) && share.tryTake()) startAttempt()
+    if (mayStartAnother(end, runs) && share.tryTake()) startAttempt()
     else conclude(current, end, reason)
   }
 
-  /** Runs of groups that are gone meanwhile do not count towards the route's limit. */
-  function mayStartAnother (end: AttemptEnd, ids: readonly string[]): boolean {
+  /** Runs on servers that have ended meanwhile do not count towards the route's limit. */
+  function mayStartAnother (end: AttemptEnd, possibleRuns: readonly PossibleRun[]): boolean {
     if (getRemainingMs(services, call) <= 0) return false
     if (end === AttemptEnd.NotRun) return notRunCount <= maxNotRunCount
-    return mayRepeat && ids.length < maxRunCount && ids.filter(isServing).length < call.route.maxAttempts
-  }
-
-  function isServing (replicaId: string): boolean {
-    return listReplicas().some(replica => replica.id === replicaId && replica.isOpen && hasAllMembers(replica))
+    const standingCount = countStandingRuns(possibleRuns, services.fleet.getServers(call.serviceName))
+    return mayRepeat && possibleRuns.length < maxRunCount && standingCount < call.route.maxAttempts
   }
 
   /** Whether an attempt that gives no events may be left for another one; else it goes on, since it may recover. */
   function canMove (current: Attempt, isUrgent: boolean): boolean {
-    if (!mayStartAnother(AttemptEnd.Lost, [...ranIds, current.replica.id]) || !share.canTake()) return false
+    const { leader } = current.replica
+    if (leader === undefined || !mayStartAnother(AttemptEnd.Lost, [...runs, toPossibleRun(leader)]) || !share.canTake()) return false
     const choice = choose()
     return choice.kind === ReplicaChoiceKind.Chosen && (isUrgent || choice.isSound)
   }
 
-  function listReplicas (): readonly Replica[] {
-    return findService()?.replicas ?? []
-  }
-
   function findService (): ReplicatedService | undefined {
     return services.fleet.listReplicatedServices().find(candidate => candidate.name === call.serviceName)
   }
@@ -258,7 +252,7 @@
       call.response.destroy()
       return
     }
-    if (ranIds.length === 0) {
+    if (runs.length === 0) {
       const retryAfterMs = Math.round(minRetryAfterMs + retryAfterSpreadMs * services.random.nextFloat())
       finish(CallOutcome.Refused, reason)
       answerOwn(services, call.response, call.facts.requestId, 503, retryAfterMs)
