Carry load reports with the questions to relays

Cause: every gateway sent its load report to every other one: 79 datagrams each 1.2 s, so that a fleet of 80 handled 5,300 a second, and the reports were 1.2 s old.

Ruled out: reports to the own zone only (a gateway that spills over would take far groups for empty).

Change: a gateway that relies on a relay sends its streams along with each question, and gets the streams of all others with the answer, at most 0.6 s apart. Relays tell each other by datagram what they and their gateways have. Small deployments, where all gateways read the store, are unchanged. Datagrams and questions share one schema.

--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -1,6 +1,6 @@
 import type { TimerService } from '../../shared/timer-service.js'
 
-/** One gateway's streams in progress by group, and the groups that it sees stalled. */
+/** Streams in progress by group, and the groups that are seen stalled: of one gateway, or of several by way of one. */
 export interface LoadReport {
   readonly nodeId: string
   readonly sequence: number
@@ -34,8 +34,15 @@
   /** Marks a group whose streams stand still; it gets no new ones for a while. */
   markStalled (replicaId: string): void
   isStalled (replicaId: string): boolean
+  /** This gateway's own part, for the relay that it asks. */
+  createOwnReport (nodeId: string): LoadReport
+  /** This gateway's part and that of the gateways that rely on it, for the others. */
   createReport (nodeId: string): LoadReport
+  /** All that is known but the part of the gateway that asks. */
+  createTotal (askingNodeId: string): LoadReport
   takeReport (report: LoadReport): void
+  /** Takes the report of a gateway that relies on this one. */
+  takeDependentReport (report: LoadReport): void
 }
 
 /** A gateway that was not heard of for this long has no streams in the sum. */
@@ -50,10 +57,19 @@
 /** A stalled group is tried again after this time unless it was replaced. */
 const stalledMs = 5500
 
+interface ArrivedReport {
+  readonly report: LoadReport
+  readonly arrivedAtMs: number
+}
+
+/** Name under which a relay's total is kept; the next relay's takes its place. */
+export const totalNodeId = 'total'
+
 /** Creates an empty record. */
 export function createReplicaLoads (timers: TimerService): ReplicaLoads {
   const own = new Map<string, number>()
-  const peers = new Map<string, { report: LoadReport, arrivedAtMs: number }>()
+  const peers = new Map<string, ArrivedReport>()
+  const dependents = new Map<string, ArrivedReport>()
   const stalledUntilMs = new Map<string, number>()
   const progressedAtMs = new Map<string, number>()
   const flowCounts = new Map<string, number>()
@@ -71,19 +87,53 @@
     return flowCounts.has(replicaId) && !hasProgressed(replicaId, quietMs)
   }
 
+  function listQuietHere (): string[] {
+    return [...flowCounts.keys()].filter(isQuietHere)
+  }
+
+  function listStalled (): string[] {
+    for (const id of [...stalledUntilMs.keys()]) {
+      if (!isStalled(id)) stalledUntilMs.delete(id)
+    }
+    return [...stalledUntilMs.keys()]
+  }
+
   function addFlow (replicaId: string, change: number): void {
     const count = (flowCounts.get(replicaId) ?? 0) + change
     if (count > 0) flowCounts.set(replicaId, count)
     else flowCounts.delete(replicaId)
   }
 
+  function listRecent (reports: ReadonlyMap<string, ArrivedReport>, maxAgeMs: number): LoadReport[] {
+    return [...reports.values()].filter(({ arrivedAtMs }) => timers.nowMs() - arrivedAtMs <= maxAgeMs).map(({ report }) => report)
+  }
+
+  function createOwnReport (nodeId: string): LoadReport {
+    sequence += 1
+    return { nodeId, sequence, streamCounts: Object.fromEntries(own), stalledIds: listStalled(), quietIds: listQuietHere() }
+  }
+
+  /** Adds the counts of the reports, and the quiet groups of those that are recent enough. */
+  function addReports (base: LoadReport, reports: readonly LoadReport[], recent: readonly LoadReport[]): LoadReport {
+    const streamCounts: Record<string, number> = { ...base.streamCounts }
+    for (const report of reports) {
+      for (const [id, count] of Object.entries(report.streamCounts)) streamCounts[id] = (streamCounts[id] ?? 0) + count
+    }
+    return { ...base, streamCounts, quietIds: [...new Set([...base.quietIds, ...recent.flatMap(report => report.quietIds)])] }
+  }
+
+  function take (reports: Map<string, ArrivedReport>, report: LoadReport): void {
+    const last = reports.get(report.nodeId)
+    const isOld = last !== undefined && report.sequence <= last.report.sequence && timers.nowMs() - last.arrivedAtMs < reportMaxAgeMs
+    if (!isOld) reports.set(report.nodeId, { report, arrivedAtMs: timers.nowMs() })
+  }
+
   return {
     beginFlow: replicaId => addFlow(replicaId, 1),
     endFlow: replicaId => addFlow(replicaId, -1),
     isQuiet (replicaId) {
       if (flowCounts.has(replicaId)) return isQuietHere(replicaId)
-      return [...peers.values()].some(({ report, arrivedAtMs }) =>
-        timers.nowMs() - arrivedAtMs <= quietReportMaxAgeMs && report.quietIds.includes(replicaId))
+      return [peers, dependents].some(reports => listRecent(reports, quietReportMaxAgeMs).some(report => report.quietIds.includes(replicaId)))
     },
     begin (replicaId) {
       own.set(replicaId, (own.get(replicaId) ?? 0) + 1)
@@ -97,36 +147,31 @@
       own.delete(replicaId)
       if (progressedAtMs.size > maxRememberedCount) progressedAtMs.clear()
     },
-    hasAny: () => own.size > 0 || [...peers.values()].some(peer => Object.keys(peer.report.streamCounts).length > 0),
+    hasAny: () => own.size > 0 || [peers, dependents].some(reports => [...reports.values()].some(({ report }) => Object.keys(report.streamCounts).length > 0)),
     getOwnCount: replicaId => own.get(replicaId) ?? 0,
     getCount (replicaId) {
-      let count = own.get(replicaId) ?? 0
-      for (const { report, arrivedAtMs } of peers.values()) {
-        if (timers.nowMs() - arrivedAtMs <= reportMaxAgeMs) count += report.streamCounts[replicaId] ?? 0
-      }
-      return count
+      const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(dependents, reportMaxAgeMs)]
+      return reports.reduce((sum, report) => sum + (report.streamCounts[replicaId] ?? 0), own.get(replicaId) ?? 0)
     },
     noteProgress (replicaId) {
       progressedAtMs.set(replicaId, timers.nowMs())
       stalledUntilMs.delete(replicaId)
     },
-    listQuietHere: () => [...flowCounts.keys()].filter(isQuietHere),
+    listQuietHere,
     hasProgressed,
     markStalled (replicaId) {
       stalledUntilMs.set(replicaId, timers.nowMs() + stalledMs)
     },
     isStalled,
-    createReport (nodeId) {
-      sequence += 1
-      for (const id of [...stalledUntilMs.keys()]) {
-        if (!isStalled(id)) stalledUntilMs.delete(id)
-      }
-      return { nodeId, sequence, streamCounts: Object.fromEntries(own), stalledIds: [...stalledUntilMs.keys()], quietIds: [...flowCounts.keys()].filter(isQuietHere) }
+    createOwnReport,
+    createReport: nodeId =>
+      addReports(createOwnReport(nodeId), listRecent(dependents, reportMaxAgeMs), listRecent(dependents, quietReportMaxAgeMs)),
+    createTotal (askingNodeId) {
+      const isOther = (report: LoadReport) => report.nodeId !== askingNodeId
+      const list = (maxAgeMs: number) => [...listRecent(peers, maxAgeMs), ...listRecent(dependents, maxAgeMs)].filter(isOther)
+      return addReports(createOwnReport(totalNodeId), list(reportMaxAgeMs), list(quietReportMaxAgeMs))
     },
-    takeReport (report) {
-      const last = peers.get(report.nodeId)
-      const isOld = last !== undefined && report.sequence <= last.report.sequence && timers.nowMs() - last.arrivedAtMs < reportMaxAgeMs
-      if (!isOld) peers.set(report.nodeId, { report, arrivedAtMs: timers.nowMs() })
-    }
+    takeReport: report => take(peers, report),
+    takeDependentReport: report => take(dependents, report)
   }
 }
--- a/src/coordination/ports/relay-link.ts
+++ b/src/coordination/ports/relay-link.ts
@@ -1,11 +1,27 @@
 import type { Result } from '../../shared/result.js'
+import type { LoadReport } from '../dispatch/replica-loads.js'
 import type { SourceAnswer } from './fleet-source.js'
 
+export interface RelayQuestion {
+  /** Undefined asks for everything. */
+  readonly afterRevision: number | undefined
+  /** Longest wait for a change. */
+  readonly waitMs: number
+  /** Streams of the gateway that asks. */
+  readonly loads: LoadReport
+}
+
+export interface RelayAnswer {
+  readonly source: SourceAnswer
+  /** Streams of all other gateways. */
+  readonly loads: LoadReport
+}
+
 /** Questions to another gateway that reads the store itself. */
 export interface RelayLink {
   /**
-   * Waits for changes after the revision; undefined asks for everything. Fails when the gateway cannot be
-   * reached, does not read the store itself, or has had no answer from it lately.
+   * Waits for changes after the revision. Fails when the gateway cannot be reached, does not read the store
+   * itself, or has had no answer from it lately.
    */
-  ask (address: string, afterRevision: number | undefined, waitMs: number): Promise<Result<SourceAnswer, string>>
+  ask (address: string, question: RelayQuestion): Promise<Result<RelayAnswer, string>>
 }
--- a/src/coordination/relay/relay-plan.ts
+++ b/src/coordination/relay/relay-plan.ts
@@ -29,6 +29,20 @@
   return [...gateways].sort((left, right) => left.listedRevision - right.listedRevision || (left.nodeId < right.nodeId ? -1 : 1))
 }
 
+/** Lists the gateways of all zones that read the store themselves. */
+export function listRelays (gateways: readonly ListedGateway[]): ListedGateway[] {
+  if (gateways.length <= maxDirectCount) return [...gateways]
+  const zones = new Set(gateways.map(gateway => gateway.zone))
+  return [...zones].flatMap(zone => {
+    const inZone = sortByAge(gateways.filter(gateway => gateway.zone === zone))
+    return inZone.slice(0, countRelays(inZone.length))
+  })
+}
+
+function countRelays (gatewayCount: number): number {
+  return Math.max(minRelayCount, Math.ceil(gatewayCount / gatewaysPerRelay))
+}
+
 /**
  * Names the gateways of a zone that read the store for the others: those that were listed first, so that
  * newcomers change nothing. Gateways with different lists disagree for a moment, which costs a second question.
@@ -37,10 +51,9 @@
   const self = gateways.find(gateway => gateway.nodeId === nodeId)
   if (self === undefined || gateways.length <= maxDirectCount) return directPlan
   const inZone = sortByAge(gateways.filter(gateway => gateway.zone === self.zone))
-  const relayCount = Math.max(minRelayCount, Math.ceil(inZone.length / gatewaysPerRelay))
+  const relays = inZone.slice(0, countRelays(inZone.length))
   const rank = inZone.indexOf(self)
-  if (rank < relayCount) return directPlan
-  const relays = inZone.slice(0, relayCount)
-  const first = rank % relayCount
+  if (rank < relays.length) return directPlan
+  const first = rank % relays.length
   return { isRelay: false, relays: [...relays.slice(first), ...relays.slice(0, first)] }
 }
--- a/src/coordination/relay/relayed-source.ts
+++ b/src/coordination/relay/relayed-source.ts
@@ -1,5 +1,6 @@
 import { success } from '../../shared/result.js'
 import { delay, type TimerService } from '../../shared/timer-service.js'
+import type { LoadReport } from '../dispatch/replica-loads.js'
 import type { FleetSource, SourceAge, SourceAnswer } from '../ports/fleet-source.js'
 import type { RelayLink } from '../ports/relay-link.js'
 import type { RevisionedStore } from '../ports/revisioned-store.js'
@@ -10,6 +11,10 @@
   readonly link: RelayLink
   readonly timers: TimerService
   getPlan (): RelayPlan
+  /** The own streams, for the relay that is asked. */
+  createLoadReport (): LoadReport
+  /** Takes the streams of all other gateways, as a relay tells them. */
+  takeLoads (loads: LoadReport): void
   /** Age of what this gateway knows. */
   getAgeMs (): number
 }
@@ -37,15 +42,18 @@
 const relayRetryMs = 250
 
 /** Creates a source that reads the store directly until the plan names relays. */
-export function createRelayedSource ({ store, link, timers, getPlan, getAgeMs }: RelayedSourceOptions): RelayedSource {
+export function createRelayedSource ({ store, link, timers, getPlan, createLoadReport, takeLoads, getAgeMs }: RelayedSourceOptions): RelayedSource {
   const avoidedUntilMs = new Map<string, number>()
   let isDirect = true
 
   async function askRelays (question: Question): Promise<SourceAnswer | undefined> {
     for (const { address } of getPlan().relays) {
       if ((avoidedUntilMs.get(address) ?? 0) > timers.nowMs()) continue
-      const answer = await link.ask(address, question.afterRevision, relayWaitMs)
-      if (answer.isOk && !isBehind(answer.value, question.knownRevision)) return answer.value
+      const answer = await link.ask(address, { afterRevision: question.afterRevision, waitMs: relayWaitMs, loads: createLoadReport() })
+      if (answer.isOk && !isBehind(answer.value.source, question.knownRevision)) {
+        takeLoads(answer.value.loads)
+        return answer.value.source
+      }
       avoidedUntilMs.set(address, timers.nowMs() + avoidMs)
     }
     return undefined
--- a/src/gateway/fleet-view.test.ts
+++ b/src/gateway/fleet-view.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 
+import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import { directPlan } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
@@ -14,7 +15,7 @@
 function createDirectSource ({ store }: FakeRevisionedStore, timers: TimerService) {
   return {
     source: createRelayedSource({
-      store, timers, link: { ask: async () => failure('no relay') }, getPlan: () => directPlan, getAgeMs: () => 0
+      store, timers, link: { ask: async () => failure('no relay') }, getPlan: () => directPlan, createLoadReport: () => createReplicaLoads(timers).createOwnReport('n'), takeLoads () {}, getAgeMs: () => 0
     }),
     mirror: createStoreMirror({ toComparable: (_key, value) => value })
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,10 +1,10 @@
-import { aliveMs, createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import { aliveMs, createReplicaLoads, totalNodeId, type LoadReport } from '../coordination/dispatch/replica-loads.js'
 import { createRetryShare, type RetryShare } from '../coordination/dispatch/retry-share.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerOrders } from '../coordination/ports/server-orders.js'
 import type { RelayLink } from '../coordination/ports/relay-link.js'
-import { directPlan, planRelays } from '../coordination/relay/relay-plan.js'
+import { directPlan, listRelays, planRelays } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { createPlannerLease, readPlannerNode } from '../coordination/replicas/planner-lease.js'
@@ -12,6 +12,7 @@
 import { createBoundedLogger } from '../observability/bounded-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
 import { createMetrics } from '../observability/metrics.js'
+import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
 import { createServerConnections } from '../transport/server-exchange.js'
@@ -68,6 +69,7 @@
   const log = createLogger('gateway')
   const random = createRandomSource(createProcessSeed())
   let { bounds } = settings
+  let totalCount = 0
   const metrics = createMetrics({ hasProcessMetrics: false })
   const isPlanner = () => lease.getGeneration() !== undefined
   const mirror = createStoreMirror({ toComparable: layout.toComparable })
@@ -76,6 +78,8 @@
     link: options.relayLink,
     timers,
     getPlan: () => isPlanner() ? directPlan : planRelays(presence.listGateways(), settings.nodeId),
+    createLoadReport: () => loads.createOwnReport(settings.nodeId),
+    takeLoads: takeTotal,
     getAgeMs: () => fleet.getConfigAgeMs()
   })
   const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isPlanner })
@@ -137,7 +141,7 @@
     timers,
     logger: createLogger('loads'),
     loads,
-    presence,
+    listPeers: listRelayPeers,
     findPlanner: () => presence.findPeer(readPlannerNode(fleet.listOwnItems().get(plannerItem)?.value ?? '')),
     onQuiet: replicaId => planner.checkReplica(replicaId)
   })
@@ -145,9 +149,22 @@
   const callers = createCallerServer({ address: settings.callerAddress, maxHeaderBytes, handle: intake.handle })
   const readiness = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics)
-  const relayServer = createRelayServer(settings.peerAddress, createRelayAnswerer({ timers, fleet, mirror, source }))
+  const relayServer = createRelayServer(settings.peerAddress, createRelayAnswerer({ timers, fleet, mirror, source, loads }), log)
   let isStopping = false
 
+  /** Takes the streams of all other gateways; the relay counts its own answers. */
+  function takeTotal (total: LoadReport): void {
+    totalCount += 1
+    loads.takeReport({ ...total, nodeId: totalNodeId, sequence: totalCount })
+  }
+
+  /** Gateways that rely on relays report with their questions, and the relays tell each other. */
+  function listRelayPeers (): NetworkAddress[] {
+    const gateways = presence.listGateways()
+    if (!planRelays(gateways, settings.nodeId).isRelay) return []
+    return listRelays(gateways).filter(gateway => gateway.nodeId !== settings.nodeId).flatMap(gateway => parseAddress(gateway.address) ?? [])
+  }
+
   function getRetryShare (serviceName: string): RetryShare {
     const existing = retryShares.get(serviceName)
     if (existing !== undefined) return existing
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -4,22 +4,22 @@
 import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
 import { createLoadDatagrams } from '../transport/load-datagrams.js'
 import type { GatewaySettings } from './gateway-settings.js'
-import type { Presence } from './presence.js'
 
 export interface LoadSharingOptions {
   readonly settings: GatewaySettings
   readonly timers: TimerService
   readonly logger: Logger
   readonly loads: ReplicaLoads
-  readonly presence: Presence
+  /** Gateways that get this one's reports by datagram. */
+  listPeers (): readonly NetworkAddress[]
   /** The gateway that plans the groups; undefined when it is this one or none is known. */
   findPlanner (): NetworkAddress | undefined
   /** The streams of a group give no events, here or at another gateway. */
   onQuiet (replicaId: string): void
 }
 
-/** Time between two reports to the same peers for each gateway in the list, so that traffic stays linear in it. */
-const intervalPerGatewayMs = 15
+/** Time between two reports for each gateway that gets them, so that traffic stays linear in their number. */
+const intervalPerPeerMs = 15
 const minIntervalMs = 100
 /** How often the own streams are looked at; a group that falls quiet is told to the planner at once. */
 const quietCheckIntervalMs = 60
@@ -27,7 +27,7 @@
 const repeatIntervalMs = 1000
 
 /** Creates the exchange of load reports with the other gateways. */
-export function createLoadSharing ({ settings, timers, logger, loads, presence, findPlanner, onQuiet }: LoadSharingOptions) {
+export function createLoadSharing ({ settings, timers, logger, loads, listPeers, findPlanner, onQuiet }: LoadSharingOptions) {
   let timer: TimerSubscription | undefined
   let quietTimer: TimerSubscription | undefined
   let toldQuiet = new Set<string>()
@@ -48,15 +48,17 @@
   })
 
   function send (): void {
+    schedule()
+    const peers = listPeers()
+    if (peers.length === 0) return
     const report = loads.createReport(settings.nodeId)
     const content = JSON.stringify([report.streamCounts, report.stalledIds, report.quietIds])
     const nowMs = timers.nowMs()
     if (content !== lastContent || nowMs - lastSentAtMs >= repeatIntervalMs) {
       lastContent = content
       lastSentAtMs = nowMs
-      datagrams.send(report, presence.listPeers())
+      datagrams.send(report, peers)
     }
-    schedule()
   }
 
   function checkQuiet (): void {
@@ -65,11 +67,12 @@
     toldQuiet = new Set(quietIds)
     quietIds.forEach(onQuiet)
     const planner = isNew ? findPlanner() : undefined
-    if (planner !== undefined) datagrams.send(loads.createReport(settings.nodeId), [planner])
+    // The counts reach the planner on their usual way.
+    if (planner !== undefined) datagrams.send({ ...loads.createOwnReport(settings.nodeId), streamCounts: {} }, [planner])
   }
 
   function schedule (): void {
-    timer = timers.subscribeOnce(Math.max(minIntervalMs, presence.countGateways() * intervalPerGatewayMs), send)
+    timer = timers.subscribeOnce(Math.max(minIntervalMs, listPeers().length * intervalPerPeerMs), send)
   }
 
   return {
--- a/src/gateway/presence.ts
+++ b/src/gateway/presence.ts
@@ -13,7 +13,6 @@
 /** Keeps this gateway in the list of gateways, and reads the others from it. */
 export interface Presence {
   listGateways (): readonly ListedGateway[]
-  listPeers (): readonly NetworkAddress[]
   /** Gateways that were listed before this one; undefined while it is not listed. */
   getRank (): number | undefined
   /** Undefined for this gateway itself and for one that is not in the list. */
@@ -111,7 +110,6 @@
 
   return {
     listGateways,
-    listPeers: () => listGateways().filter(gateway => gateway.nodeId !== nodeId).flatMap(gateway => parseAddress(gateway.address) ?? []),
     getRank () {
       const rank = sortByAge(listGateways()).findIndex(gateway => gateway.nodeId === nodeId)
       return rank < 0 ? undefined : rank
--- a/src/gateway/relay-answerer.ts
+++ b/src/gateway/relay-answerer.ts
@@ -1,4 +1,5 @@
-import type { SourceAnswer } from '../coordination/ports/fleet-source.js'
+import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import type { RelayAnswer, RelayQuestion } from '../coordination/ports/relay-link.js'
 import type { RelayedSource } from '../coordination/relay/relayed-source.js'
 import type { StoreMirror } from '../coordination/relay/store-mirror.js'
 import type { TimerService } from '../shared/timer-service.js'
@@ -9,15 +10,16 @@
   readonly fleet: FleetView
   readonly mirror: StoreMirror
   readonly source: RelayedSource
+  readonly loads: ReplicaLoads
 }
 
 /** Answers other gateways of the zone that ask what the store holds. */
 export interface RelayAnswerer {
   /**
-   * Waits for changes after the revision; undefined asks for everything. Resolves with undefined when this
-   * gateway does not read the store itself or has had no answer from it lately.
+   * Waits for changes after the revision. Resolves with undefined when this gateway does not read the store
+   * itself or has had no answer from it lately.
    */
-  answer (afterRevision: number | undefined, waitMs: number): Promise<SourceAnswer | undefined>
+  answer (question: RelayQuestion): Promise<RelayAnswer | undefined>
 }
 
 /** An older answer would leave the gateways that rely on it too little time to turn to another source. */
@@ -25,7 +27,7 @@
 const maxWaitMs = 2000
 
 /** Creates the answerer of a gateway. */
-export function createRelayAnswerer ({ timers, fleet, mirror, source }: RelayAnswererOptions): RelayAnswerer {
+export function createRelayAnswerer ({ timers, fleet, mirror, source, loads }: RelayAnswererOptions): RelayAnswerer {
   const waiting = new Set<() => void>()
   void fleet.events.messages.observe(() => {
     for (const wake of [...waiting]) wake()
@@ -52,15 +54,19 @@
   }
 
   return {
-    async answer (afterRevision, waitMs) {
+    async answer ({ afterRevision, waitMs, loads: askingLoads }) {
+      loads.takeDependentReport(askingLoads)
       if (listChanges(afterRevision)?.length === 0) await waitForChange(waitMs)
       const asOfRevision = mirror.getRevision()
       if (asOfRevision === undefined || !canServe()) return undefined
       const age = { ageMs: Math.max(0, Math.ceil(fleet.getConfigAgeMs())), isStoreBack: fleet.isStoreBack() }
       const changes = listChanges(afterRevision)
-      return changes === undefined
-        ? { isWhole: true, snapshot: { items: mirror.listItems(), asOfRevision }, age }
-        : { isWhole: false, changes: { changes, asOfRevision }, age }
+      return {
+        loads: loads.createTotal(askingLoads.nodeId),
+        source: changes === undefined
+          ? { isWhole: true, snapshot: { items: mirror.listItems(), asOfRevision }, age }
+          : { isWhole: false, changes: { changes, asOfRevision }, age }
+      }
     }
   }
 }
--- a/src/gateway/relay.test.ts
+++ b/src/gateway/relay.test.ts
@@ -1,10 +1,11 @@
 import { expect } from 'chai'
 
+import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { RelayLink } from '../coordination/ports/relay-link.js'
 import { directPlan, type RelayPlan } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
-import { relayAnswerSchema, encodeRelayAnswer, toSourceAnswer } from '../protocol/relay-answer.js'
+import { encodeRelayAnswer, relayAnswerSchema, toRelayAnswer } from '../protocol/relay-messages.js'
 import { failure, success } from '../shared/result.js'
 import { delay } from '../shared/timer-service.js'
 import { createVirtualTimerService, type VirtualTimerService } from '../shared/virtual-timer-service.js'
@@ -17,9 +18,18 @@
 const relay = { nodeId: 'relay', zone: 'z', address: 'relay:1', listedRevision: 1 }
 const relayedPlan: RelayPlan = { isRelay: false, relays: [relay] }
 
-function createNode (timers: VirtualTimerService, { store }: FakeRevisionedStore, link: RelayLink, plan: RelayPlan) {
+function createNode (nodeId: string, timers: VirtualTimerService, { store }: FakeRevisionedStore, link: RelayLink, plan: RelayPlan) {
   const mirror = createStoreMirror({ toComparable: (_key, text) => text.replace(/#\d+/, '') })
-  const source = createRelayedSource({ store, link, timers, getPlan: () => plan, getAgeMs: () => fleet.getConfigAgeMs() })
+  const loads = createReplicaLoads(timers)
+  const source = createRelayedSource({
+    store,
+    link,
+    timers,
+    getPlan: () => plan,
+    createLoadReport: () => loads.createOwnReport(nodeId),
+    takeLoads: loads.takeReport,
+    getAgeMs: () => fleet.getConfigAgeMs()
+  })
   const fleet = createFleetView({
     source,
     mirror,
@@ -36,7 +46,7 @@
     }
   })
   fleet.start()
-  return { fleet, source, answerer: createRelayAnswerer({ timers, fleet, mirror, source }) }
+  return { fleet, source, loads, answerer: createRelayAnswerer({ timers, fleet, mirror, source, loads }) }
 }
 
 /** A relay and a gateway that relies on it; the store can be taken from either alone. */
@@ -46,15 +56,15 @@
   const path = { isCut: false }
   relayStore.put('op/config', '3')
   relayStore.put('servers/a', 'ready#1')
-  const relayNode = createNode(timers, relayStore, { ask: async () => failure('no relay') }, directPlan)
+  const relayNode = createNode('relay', timers, relayStore, { ask: async () => failure('no relay') }, directPlan)
   const link: RelayLink = {
-    async ask (_address, afterRevision, waitMs) {
+    async ask (_address, question) {
       if (path.isCut) {
-        await delay(timers, waitMs)
+        await delay(timers, question.waitMs)
         return failure('no answer')
       }
-      const answer = await relayNode.answerer.answer(afterRevision, waitMs)
-      return answer === undefined ? failure('not now') : success(toSourceAnswer(relayAnswerSchema.parse(JSON.parse(encodeRelayAnswer(answer)))))
+      const answer = await relayNode.answerer.answer(question)
+      return answer === undefined ? failure('not now') : success(toRelayAnswer(relayAnswerSchema.parse(JSON.parse(encodeRelayAnswer(answer)))))
     }
   }
   const ownCalls = { count: 0, isRefused: false }
@@ -73,7 +83,7 @@
       }
     }
   }
-  const node = createNode(timers, ownStore, link, relayedPlan)
+  const node = createNode('node', timers, ownStore, link, relayedPlan)
   await timers.advanceAsync(8000)
   return { timers, store: relayStore, path, ownCalls, node, relayNode }
 }
@@ -105,6 +115,17 @@
     }
   })
 
+  it('tells each side the streams of the other, and a gateway none of its own', async () => {
+    const { timers, node, relayNode } = await createWorld()
+    node.loads.begin('g/1')
+    relayNode.loads.begin('g/1')
+    relayNode.loads.takeReport({ nodeId: 'far', sequence: 1, streamCounts: { 'g/1': 5 }, stalledIds: [], quietIds: [] })
+    await timers.advanceAsync(1500)
+    expect(node.loads.getCount('g/1')).to.equal(7)
+    expect(relayNode.loads.getCount('g/1')).to.equal(7)
+    expect(relayNode.loads.createReport('relay').streamCounts).to.deep.equal({ 'g/1': 2 })
+  })
+
   it('is left for the store when it cannot be reached, before the configuration is too old', async () => {
     const { timers, store, path, node, ownCalls } = await createWorld()
     path.isCut = true
--- a/src/gateway/side-servers.ts
+++ b/src/gateway/side-servers.ts
@@ -1,11 +1,15 @@
 import http from 'node:http'
 
+import type { Logger } from '../observability/log.js'
 import type { Metrics } from '../observability/metrics.js'
-import { encodeRelayAnswer, relayPath } from '../protocol/relay-answer.js'
+import { decodeRelayQuestion, encodeRelayAnswer, relayPath } from '../protocol/relay-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import type { RelayAnswerer } from './relay-answerer.js'
+import { BodyResultKind, readRequestBody } from './request-body.js'
 
 const metricsPath = '/metrics'
+/** A load report names some dozen groups. */
+const maxQuestionBytes = 256 * 1024
 
 /** Creates the server that tells the balancer whether this gateway takes connections. */
 export function createReadinessServer (address: NetworkAddress, isReady: () => boolean) {
@@ -27,17 +31,23 @@
 }
 
 /** Creates the server that other gateways ask for what the store holds. */
-export function createRelayServer (address: NetworkAddress, answerer: RelayAnswerer) {
-  return createSmallServer(address, (request, response) => {
-    const { pathname, searchParams } = new URL(request.url ?? '', 'http://gateway')
-    if (pathname !== relayPath) {
-      response.writeHead(404).end()
+export function createRelayServer (address: NetworkAddress, answerer: RelayAnswerer, logger: Logger) {
+  async function answer (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const body = await readRequestBody(request, maxQuestionBytes)
+    const question = body.kind === BodyResultKind.Whole ? decodeRelayQuestion(body.body?.toString('utf8') ?? '') : undefined
+    if (request.url !== relayPath || question === undefined) {
+      response.writeHead(400).end()
       return
     }
-    const after = searchParams.get('after')
-    void answerer.answer(after === null ? undefined : Number(after), Number(searchParams.get('waitMs') ?? 0)).then(answer => {
-      if (answer === undefined) response.writeHead(503).end()
-      else response.writeHead(200, { 'Content-Type': 'application/json' }).end(encodeRelayAnswer(answer))
+    const told = await answerer.answer(question)
+    if (told === undefined) response.writeHead(503).end()
+    else response.writeHead(200, { 'Content-Type': 'application/json' }).end(encodeRelayAnswer(told))
+  }
+
+  return createSmallServer(address, (request, response) => {
+    answer(request, response).catch((error: Error) => {
+      logger.warn('A question of another gateway could not be answered.', { reason: error.message })
+      response.destroy()
     })
   })
 }
--- a/src/transport/load-datagrams.ts
+++ b/src/transport/load-datagrams.ts
@@ -1,18 +1,9 @@
 import { createSocket, type Socket } from 'node:dgram'
 
-import { z } from 'zod'
-
 import type { LoadReport } from '../coordination/dispatch/replica-loads.js'
+import { decodeLoadReport, encodeLoadReport } from '../protocol/relay-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 
-const reportSchema = z.object({
-  n: z.string(),
-  q: z.number(),
-  s: z.record(z.string(), z.number()),
-  x: z.array(z.string()),
-  y: z.array(z.string())
-})
-
 /** Datagrams with load reports between gateways; any may be lost. */
 export interface LoadDatagrams {
   start (): Promise<void>
@@ -31,7 +22,7 @@
   let socket: Socket | undefined
 
   function receive (bytes: Buffer): void {
-    const report = decode(bytes)
+    const report = decodeLoadReport(bytes.toString('utf8'))
     if (report === undefined) onError('a datagram is no load report')
     else onReport(report)
   }
@@ -49,7 +40,7 @@
       })
     }),
     send (report, peers) {
-      const bytes = Buffer.from(JSON.stringify({ n: report.nodeId, q: report.sequence, s: report.streamCounts, x: report.stalledIds, y: report.quietIds }))
+      const bytes = Buffer.from(encodeLoadReport(report))
       for (const peer of peers) {
         socket?.send(bytes, peer.port, peer.host, error => {
           if (error !== null) onError(error.message)
@@ -62,15 +53,3 @@
     }
   }
 }
-
-function decode (bytes: Buffer): LoadReport | undefined {
-  try {
-    const parsed = reportSchema.safeParse(JSON.parse(bytes.toString('utf8')))
-    if (!parsed.success) return undefined
-    const { n, q, s, x, y } = parsed.data
-    return { nodeId: n, sequence: q, streamCounts: s, stalledIds: x, quietIds: y }
-  } catch {
-    // Bytes of another program; the caller logs them.
-    return undefined
-  }
-}
--- a/src/transport/relay-client.ts
+++ b/src/transport/relay-client.ts
@@ -1,5 +1,5 @@
 import type { RelayLink } from '../coordination/ports/relay-link.js'
-import { relayAnswerSchema, relayPath, toSourceAnswer } from '../protocol/relay-answer.js'
+import { encodeRelayQuestion, relayAnswerSchema, relayPath, toRelayAnswer } from '../protocol/relay-messages.js'
 import { failure, success } from '../shared/result.js'
 import type { HttpExchange } from './http-exchange.js'
 import { readJsonReply } from './json-reply.js'
@@ -10,13 +10,19 @@
 /** Creates the client that asks other gateways for what the store holds. */
 export function createRelayClient (exchange: HttpExchange): RelayLink {
   return {
-    async ask (address, afterRevision, waitMs) {
-      const query = new URLSearchParams({ waitMs: String(waitMs), ...(afterRevision === undefined ? {} : { after: String(afterRevision) }) })
-      const reply = await exchange.send({ origin: `http://${address}`, method: 'GET', path: `${relayPath}?${query}`, timeoutMs: waitMs + answerSlackMs })
+    async ask (address, question) {
+      const reply = await exchange.send({
+        origin: `http://${address}`,
+        method: 'POST',
+        path: relayPath,
+        headers: { 'content-type': 'application/json' },
+        body: encodeRelayQuestion(question),
+        timeoutMs: question.waitMs + answerSlackMs
+      })
       if (!reply.isOk) return failure(reply.error.reason)
       if (reply.value.statusCode !== 200) return failure(`the gateway at ${address} answered ${reply.value.statusCode}`)
       const answer = readJsonReply(reply.value, relayAnswerSchema)
-      return answer.isOk ? success(toSourceAnswer(answer.value)) : failure(answer.error.reason)
+      return answer.isOk ? success(toRelayAnswer(answer.value)) : failure(answer.error.reason)
     }
   }
 }
