--- a/src/coordination/replicas/domain-layout.ts
+++ b/src/coordination/replicas/domain-layout.ts
@@ -18,8 +18,19 @@
   readonly mayLoad: boolean
   /** Free servers that stay spares when a group would be formed mostly by loads. */
   readonly spareCount: number
+  readonly domain: DomainSituation
 }
 
+/** A fabric domain as a whole. */
+export interface DomainSituation {
+  /** Servers of a whole domain; all are taken to be of one size. */
+  readonly capacity: number
+  /** Models of the groups in it. */
+  readonly models: ReadonlySet<string>
+}
+
+const minGroupsOfRoomyDomain = 2
+
 /** How soon a server could serve a model: less is sooner. */
 export function rankPreparation (server: BackendServer, model: string): number {
   if (server.loadedModels.includes(model)) return 0
@@ -33,12 +44,16 @@
 
 /**
  * Chooses the group to form from a domain's free servers: of the models that fit, one that needs no
- * load first, then the one whose part of the servers is farthest below its share of the work. A model
- * that is ahead of another one by more than a group of that one waits for servers that fit the other.
+ * load first, then the domain's own where it keeps to one, then the one whose part of the servers is
+ * farthest below its share of the work. A model that is ahead of another one by more than a group of
+ * that one, or by more than a domain of its own, waits for servers that fit the other.
  */
-export function chooseNewGroup ({ models, free, serverCounts, mayLoad, spareCount }: LayoutInput): NewGroup | undefined {
+export function chooseNewGroup ({ models, free, serverCounts, mayLoad, spareCount, domain }: LayoutInput): NewGroup | undefined {
   const saturations = new Map(models.map(model => [model, (serverCounts.get(model.name) ?? 0) / getShare(model)]))
-  const limit = Math.min(...models.map(model => (saturations.get(model) ?? 0) + model.groupSize / getShare(model)))
+  const groupLimit = Math.min(...models.map(model => (saturations.get(model) ?? 0) + model.groupSize / getShare(model)))
+  const ownModel = findOwnModel(domain, models)
+  const getLimit = (model: ReplicatedModel) =>
+    model === ownModel ? Math.min(...saturations.values()) + domain.capacity / getShare(model) : groupLimit
   const candidates = models.filter(model => free.length >= model.groupSize).map(model => {
     const members = pickMembers(free, model)
     const loadCount = members.filter(member => needsLoad(member, model.name)).length
@@ -46,14 +61,24 @@
   }).filter(({ model, loadCount, saturation }) => {
     if (loadCount === 0) return true
     const isRepair = loadCount * 2 <= model.groupSize
-    return mayLoad && saturation < limit && (isRepair || free.length - spareCount >= model.groupSize)
+    return mayLoad && saturation < getLimit(model) && (isRepair || free.length - spareCount >= model.groupSize)
   })
   candidates.sort((left, right) => Math.sign(left.loadCount) - Math.sign(right.loadCount) ||
+    Number(right.model === ownModel) - Number(left.model === ownModel) ||
     left.saturation - right.saturation || right.model.groupSize - left.model.groupSize)
   const best = candidates[0]
   return best === undefined ? undefined : { model: best.model, members: best.members }
 }
 
+/**
+ * The one model of a domain that has room for several groups of each model. There the members of lost groups
+ * replace those of others, so that only as many servers are idle as are too few for a group.
+ */
+function findOwnModel ({ capacity, models: present }: DomainSituation, models: readonly ReplicatedModel[]): ReplicatedModel | undefined {
+  const isRoomy = models.every(model => capacity >= model.groupSize * minGroupsOfRoomyDomain)
+  return isRoomy && present.size === 1 ? models.find(model => present.has(model.name)) : undefined
+}
+
 function getShare (model: ReplicatedModel): number {
   return Math.max(model.share, 0.01)
 }
@@ -73,9 +98,19 @@
   return models.find(model => rankPreparation(server, model.name) === 1 && server.loadedModels.length === 0)?.name
 }
 
+export interface StagingInput {
+  readonly server: BackendServer
+  /** The domain's other free servers. */
+  readonly others: readonly BackendServer[]
+  readonly models: readonly ReplicatedModel[]
+  readonly domain: DomainSituation
+}
+
 /** Chooses the model that a free server should stage, given those that the domain's other free servers have. */
-export function chooseStaging (server: BackendServer, others: readonly BackendServer[], models: readonly ReplicatedModel[]): string | undefined {
+export function chooseStaging ({ server, others, models, domain }: StagingInput): string | undefined {
   if (server.stagedModels.length > 0) return undefined
+  const ownModel = findOwnModel(domain, models)
+  if (ownModel !== undefined) return ownModel.name
   const counts = models.map(model => ({
     model,
     stagedCount: others.filter(other => other.stagedModels.includes(model.name)).length
--- a/src/coordination/replicas/replica-planner.test.ts
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -5,6 +5,7 @@
 import { ServerState } from '../../state/backend-server.js'
 import { isSpareGroup, listReplicas, type Replica } from '../../state/replica.js'
 import { createFakeGroupServers, type FakeGroupServers } from '../../testing/fake-group-servers.js'
+import type { EngineProfile } from '../../state/serving-config.js'
 import { sampleEngine } from '../../testing/serving-samples.js'
 import type { PlannerLease } from './planner-lease.js'
 import { ServerOrderKind } from '../ports/server-orders.js'
@@ -13,16 +14,16 @@
 const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
 
 /** Planners over fake servers; a new generation takes over from the one before. */
-function createWorld (seed: number) {
+function createWorld (seed: number, engine: EngineProfile = sampleEngine) {
   const timers: VirtualTimerService = createVirtualTimerService()
   const random = createRandomSource(seed)
-  const servers: FakeGroupServers = createFakeGroupServers(timers, random, sampleEngine)
+  const servers: FakeGroupServers = createFakeGroupServers(timers, random, engine)
   let task: PlannerTask | undefined
   let held = { generation: 0 }
   let hasTraffic = false
 
   function listReplicasNow (): Replica[] {
-    return listReplicas(servers.list(), sampleEngine)
+    return listReplicas(servers.list(), engine)
   }
 
   function takeOver (): void {
@@ -42,7 +43,7 @@
       orders: servers.orders,
       getStallLimitMs: () => 5000,
       hasTraffic: () => hasTraffic,
-      listServices: () => [{ name: 'drafting', engine: sampleEngine, servers: servers.list(), replicas: listReplicasNow() }]
+      listServices: () => [{ name: 'drafting', engine, servers: servers.list(), replicas: listReplicasNow() }]
     })
     task.start()
   }
@@ -97,6 +98,48 @@
     })
   })
 
+  describe('in domains with room for several groups of each model', () => {
+    const engine: EngineProfile = {
+      ...sampleEngine,
+      loadsPerSecond: 18,
+      maxConcurrentLoads: 27,
+      models: [
+        { name: 'large', groupSize: 12, pace: 1, share: 0.5, loadMs: 16_000, warmLoadMs: 1600 },
+        { name: 'small', groupSize: 6, pace: 0.6, share: 0.5, loadMs: 12_000, warmLoadMs: 1100 }
+      ]
+    }
+
+    it('keeps each domain to one model, and the models to their shares', async () => {
+      const world = createWorld(7, engine)
+      addDomains(world.servers, 4, 27)
+      world.takeOver()
+      await world.timers.advanceAsync(120_000)
+      expect(countModels(world.listOpen())).to.deep.equal({ large: 4, small: 8 })
+      const modelsByDomain = new Map(world.listOpen().map(replica => [replica.domain, new Set<string>()]))
+      for (const replica of world.listOpen()) modelsByDomain.get(replica.domain)?.add(replica.model?.name ?? '')
+      expect([...modelsByDomain.values()].every(models => models.size === 1)).to.equal(true)
+    })
+
+    it('replaces the dead of each group by the members of a lost one', async () => {
+      const world = createWorld(8, engine)
+      addDomains(world.servers, 4, 27)
+      world.takeOver()
+      await world.timers.advanceAsync(120_000)
+      world.beginTraffic()
+      const loadCount = world.servers.countLoads()
+      const domain = world.listOpen().find(replica => replica.model?.name === 'large')?.domain
+      for (let death = 0; death < 8; death += 1) {
+        const victim = world.listOpen().find(replica => replica.domain === domain)?.members[3]
+        world.servers.kill(victim?.id as string)
+        for (const replica of world.listReplicas()) world.check(replica.id)
+        await world.timers.advanceAsync(4000)
+        expect(world.listOpen().filter(replica => replica.domain === domain)).to.have.length(death < 3 ? 2 : 1)
+      }
+      expect(world.servers.countLoads()).to.equal(loadCount)
+      expect(world.servers.violations).to.deep.equal([])
+    })
+  })
+
   describe('when a member dies', () => {
     for (const memberRank of [0, 3]) {
       it(`replaces it by the staged spare (rank ${memberRank})`, async () => {
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -2,7 +2,7 @@
 import { formatGroupName, formatReplicaId, formatSpareGroupName, isSpareGroup, type Replica } from '../../state/replica.js'
 import type { EngineProfile, ReplicatedModel } from '../../state/serving-config.js'
 import { isAccepted, OrderOutcome, ServerOrderKind, type ServerOrder } from '../ports/server-orders.js'
-import { chooseNewGroup, chooseStaging, findUnloadedModel, needsLoad } from './domain-layout.js'
+import { chooseNewGroup, chooseStaging, findUnloadedModel, needsLoad, type DomainSituation } from './domain-layout.js'
 import { createLoadPacer } from './load-pacer.js'
 import { createLoadRegister } from './load-register.js'
 import { summarizePlan } from './planner-summary.js'
@@ -247,7 +247,8 @@
           free: rest,
           serverCounts: countServers(input.replicas),
           mayLoad: !dissolvingDomains.has(domain),
-          spareCount: hasTraffic ? input.engine.models.length : 0
+          spareCount: hasTraffic ? input.engine.models.length : 0,
+          domain: describeDomain(domain, input.replicas)
         })
         if (next === undefined) break
         const taken = new Set(next.members)
@@ -259,6 +260,14 @@
     return spares
   }
 
+  function describeDomain (domain: string, replicas: readonly Replica[]): DomainSituation {
+    const models = [
+      ...replicas.filter(replica => replica.domain === domain && !released.has(replica.id)).flatMap(replica => replica.model?.name ?? []),
+      ...[...forming.values()].filter(group => group.domain === domain).map(group => group.model.name)
+    ]
+    return { capacity: settledDomains.getHighestCount(), models: new Set(models) }
+  }
+
   function takeEpoch (): number {
     epochCount += 1
     return generation * epochsPerGeneration + epochCount
@@ -272,9 +281,9 @@
     })
   }
 
-  function stageSpares (spares: readonly BackendServer[], engine: EngineProfile, orders: PlannedOrder[]): void {
+  function stageSpares (spares: readonly BackendServer[], engine: EngineProfile, domain: DomainSituation, orders: PlannedOrder[]): void {
     for (const server of spares) {
-      const model = chooseStaging(server, spares.filter(other => other !== server), engine.models)
+      const model = chooseStaging({ server, others: spares.filter(other => other !== server), models: engine.models, domain })
       if (model === undefined || !canOrder(server) || loads.has(server.id)) continue
       if (!tryLoad(engine)) return
       orderOnce(orders, server, { kind: ServerOrderKind.Stage, model })
@@ -309,7 +318,7 @@
         planForming(domain, servers, input.engine, orders)
         if (!settledDomains.has(domain)) continue
         const domainSpares = sparesByDomain.get(domain) ?? []
-        stageSpares(domainSpares, input.engine, orders)
+        stageSpares(domainSpares, input.engine, describeDomain(domain, input.replicas), orders)
         loadSpares(domainSpares, input.engine, orders)
       }
       return orders
--- a/src/coordination/replicas/settled-domains.ts
+++ b/src/coordination/replicas/settled-domains.ts
@@ -4,6 +4,8 @@
 export interface SettledDomains {
   update (servers: readonly BackendServer[], nowMs: number): void
   has (domain: string): boolean
+  /** Most servers that any domain has had. */
+  getHighestCount (): number
 }
 
 const settleMs = 400
@@ -11,18 +13,21 @@
 /** Creates the record with no settled domain. */
 export function createSettledDomains (): SettledDomains {
   const counts = new Map<string, { count: number, grownAtMs: number }>()
+  let highestCount = 0
   const settled = new Set<string>()
   return {
     update (servers, nowMs) {
       settled.clear()
       for (const [domain, { length: count }] of groupByDomain(servers)) {
+        highestCount = Math.max(highestCount, count)
         const mark = counts.get(domain)
         if (mark === undefined || count > mark.count) counts.set(domain, { count, grownAtMs: nowMs })
         else if (nowMs - mark.grownAtMs >= settleMs) settled.add(domain)
         if (mark !== undefined && count < mark.count) mark.count = count
       }
     },
-    has: domain => settled.has(domain)
+    has: domain => settled.has(domain),
+    getHighestCount: () => highestCount
   }
 }
 
