--- a/src/coordination/relay/relay-plan.ts
+++ b/src/coordination/relay/relay-plan.ts
@@ -10,7 +10,7 @@
 export interface RelayPlan {
   /** This gateway reads the store itself. */
   readonly isRelay: boolean
-  /** Gateways to ask for what the store holds, the preferred one first; none for a relay. */
+  /** Gateways to ask for what the store holds, the preferred one first and those of other zones last; none for a relay. */
   readonly relays: readonly ListedGateway[]
 }
 
@@ -21,8 +21,8 @@
 const maxDirectCount = 16
 /** Gateways that one relay serves. */
 const gatewaysPerRelay = 24
-/** A zone keeps its source when one relay is lost. */
-const minRelayCount = 2
+/** With fewer relays in all, the loss of one would send too many gateways to the store at once. */
+const minRelayCount = 3
 
 /** Sorts gateways by when they were listed, the first one first. */
 export function sortByAge (gateways: readonly ListedGateway[]): ListedGateway[] {
@@ -33,16 +33,13 @@
 export function listRelays (gateways: readonly ListedGateway[]): ListedGateway[] {
   if (gateways.length <= maxDirectCount) return [...gateways]
   const zones = new Set(gateways.map(gateway => gateway.zone))
+  const minPerZone = Math.ceil(minRelayCount / zones.size)
   return [...zones].flatMap(zone => {
     const inZone = sortByAge(gateways.filter(gateway => gateway.zone === zone))
-    return inZone.slice(0, countRelays(inZone.length))
+    return inZone.slice(0, Math.max(minPerZone, Math.ceil(inZone.length / gatewaysPerRelay)))
   })
 }
 
-function countRelays (gatewayCount: number): number {
-  return Math.max(minRelayCount, Math.ceil(gatewayCount / gatewaysPerRelay))
-}
-
 /**
  * Names the gateways of a zone that read the store for the others: those that were listed first, so that
  * newcomers change nothing. Gateways with different lists disagree for a moment, which costs a second question.
@@ -50,10 +47,16 @@
 export function planRelays (gateways: readonly ListedGateway[], nodeId: string): RelayPlan {
   const self = gateways.find(gateway => gateway.nodeId === nodeId)
   if (self === undefined || gateways.length <= maxDirectCount) return directPlan
-  const inZone = sortByAge(gateways.filter(gateway => gateway.zone === self.zone))
-  const relays = inZone.slice(0, countRelays(inZone.length))
-  const rank = inZone.indexOf(self)
-  if (rank < relays.length) return directPlan
-  const first = rank % relays.length
-  return { isRelay: false, relays: [...relays.slice(first), ...relays.slice(0, first)] }
+  const relays = listRelays(gateways)
+  if (relays.includes(self)) return directPlan
+  const rank = sortByAge(gateways).indexOf(self)
+  const near = relays.filter(relay => relay.zone === self.zone)
+  const far = relays.filter(relay => relay.zone !== self.zone)
+  return { isRelay: false, relays: [...rotate(near, rank), ...rotate(far, rank)] }
+}
+
+/** Begins the list elsewhere for each gateway, so that they spread over it. */
+function rotate<T> (items: readonly T[], count: number): T[] {
+  const first = items.length === 0 ? 0 : count % items.length
+  return [...items.slice(first), ...items.slice(0, first)]
 }
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -34,6 +34,8 @@
   wake (): void
   /** A group gives no events; its members are asked, and those that do not answer are replaced. */
   checkReplica (replicaId: string): void
+  /** Whether this gateway is the planner and groups are being formed or closed. */
+  isHurried (): boolean
   start (): void
   stop (): void
 }
@@ -146,6 +148,7 @@
         for (const member of replica.members) void checkMember(planner, member, replicaId)
       }
     },
+    isHurried: () => lease.getGeneration() !== undefined && [...planners.values()].some(planner => planner.isHurried()),
     start () {
       ticker = timers.subscribeEvery(tickMs, wake)
     },
--- a/src/coordination/replicas/planner-types.ts
+++ b/src/coordination/replicas/planner-types.ts
@@ -35,6 +35,8 @@
   noteReachable (server: BackendServer): void
   /** The server reports an order of an earlier planner in progress. */
   noteBusy (server: BackendServer, nowMs: number): void
+  /** Whether groups are being formed or closed, so that the servers' reports are awaited. */
+  isHurried (): boolean
   /** Counts for logs: groups by model and state, and the servers in none. */
   summarize (input: PlannerInput): PlannerSummary
 }
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -44,6 +44,8 @@
 const formingLoadTimes = 4
 const formingSlackMs = 8000
 const retryMs = 300
+/** A group without loads is open within this time; one that loads is not waited for in haste. */
+const hurriedMs = 4000
 /** Time in which the leader reports that it is open. */
 const openHoldMs = 1000
 
@@ -358,6 +360,7 @@
         }
       }
     },
+    isHurried: () => dissolving.size > 0 || busy.size > 0 || [...forming.values()].some(group => nowMs - group.startedAtMs < hurriedMs),
     noteUnreachable: reach.markUnreachable,
     noteReachable: reach.clear,
     noteBusy (server, atMs) {
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -70,16 +70,16 @@
   readonly timers: TimerService
   readonly layout: StoreLayout
   readonly logger: Logger
-  /** Whether this gateway plans the groups, and needs changes sooner. */
-  isPlanner (): boolean
+  /** Whether this gateway waits for servers to carry out its orders, and needs changes sooner. */
+  isHurried (): boolean
 }
 
 /** The age of the configuration reaches twice this wait, and must stay below the revocation bound (5 s) when one watch is lost. */
 const watchWaitMs = 1300
 /** Gathers changes that follow each other into one watch, since every call has a price. */
 const gatherMs = 400
-/** The planner acts on changes and gathers fewer. */
-const plannerGatherMs = 80
+/** While groups are formed or closed, each step waits for a server's report. */
+const hurriedGatherMs = 80
 const minRetryMs = 120
 const maxRetryMs = 800
 const retryGrowth = 1.5
@@ -89,7 +89,7 @@
 const lapseGraceMs = 2000
 
 /** Creates the view; it reads the store until it is stopped. */
-export function createFleetView ({ source, mirror, timers, layout, logger, isPlanner }: FleetViewOptions): FleetView {
+export function createFleetView ({ source, mirror, timers, layout, logger, isHurried }: FleetViewOptions): FleetView {
   const events = createChannel<FleetEvent>()
   const servers = new Map<string, BackendServer>()
   const ownItems = new Map<string, OwnItem>()
@@ -212,7 +212,7 @@
     if (answer.isOk) {
       take(answer.value, askedAtMs)
       const hasMore = !answer.value.isWhole && answer.value.changes.changes.length > 0
-      if (hasMore) await delay(timers, isPlanner() ? plannerGatherMs : gatherMs)
+      if (hasMore) await delay(timers, isHurried() ? hurriedGatherMs : gatherMs)
       return true
     }
     mustReadAll = true
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -82,7 +82,7 @@
     takeLoads: takeTotal,
     getAgeMs: () => fleet.getConfigAgeMs()
   })
-  const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isPlanner })
+  const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isHurried: () => planner.isHurried() })
   const loads = createReplicaLoads(timers)
   const presence = createPresence({
     store,
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -55,6 +55,9 @@
   let attempt: Attempt | undefined
   let lastEventId = call.facts.lastEventId
   let eventCount = 0
+  let firstEventMs: number | undefined
+  let longestPauseMs = 0
+  let eventAtMs = 0
   const runs: PossibleRun[] = []
   let notRunCount = 0
   let isFinished = false
@@ -66,7 +69,14 @@
     sweep.cancel()
     call.response.off('close', onCallerLeft)
     dropAttempt()
-    recordOutcome(services, call, outcome, { model: call.facts.model ?? '', groups: replicaIds.join(' '), eventCount, reason })
+    recordOutcome(services, call, outcome, {
+      model: call.facts.model ?? '',
+      groups: replicaIds.join(' '),
+      eventCount,
+      firstEventMs: firstEventMs === undefined ? 'none' : Math.round(firstEventMs),
+      longestPauseMs: Math.round(longestPauseMs),
+      reason
+    })
   }
 
   function dropAttempt (): void {
@@ -163,10 +173,15 @@
     if (!current.hasEvents) {
       current.hasEvents = true
       loads.beginFlow(current.replica.id)
-      services.metrics.recordDuration(DurationMetric.FirstToken, nowMs - call.arrivedAtMs)
+    }
+    if (firstEventMs === undefined) {
+      firstEventMs = nowMs - call.arrivedAtMs
+      services.metrics.recordDuration(DurationMetric.FirstToken, firstEventMs)
     } else {
-      services.metrics.recordDuration(DurationMetric.BetweenTokens, nowMs - current.lastEventAtMs)
+      longestPauseMs = Math.max(longestPauseMs, nowMs - eventAtMs)
+      services.metrics.recordDuration(DurationMetric.BetweenTokens, nowMs - eventAtMs)
     }
+    eventAtMs = nowMs
     current.lastEventAtMs = nowMs
     loads.noteProgress(current.replica.id)
   }
