Give servers that come and go by turns no orders until they are steady

Each return made the server a spare again, and each loss ended the group that it had joined.

Ruled out: avoiding a server after its first loss, since a domain that was dark comes back once and is needed.

Change: src/coordination/replicas/loss-record.ts counts new lives and times without an answer in the last ten seconds; three keep a server out of groups and staging. Test 'gives it no orders until it has been steady' fails without the check.

--- a/src/coordination/replicas/replica-planner.test.ts
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -187,6 +187,28 @@
     })
   })
 
+  describe('when a server comes and goes by turns', () => {
+    it('gives it no orders until it has been steady', async () => {
+      const world = createWorld(9)
+      addDomains(world.servers, 1, 11)
+      world.takeOver()
+      await world.timers.advanceAsync(120_000)
+      const id = world.listOpen().find(replica => replica.model?.name === 'small')?.members[1]?.id as string
+      for (let turn = 0; turn < 3; turn += 1) {
+        world.servers.kill(id)
+        for (const replica of world.listReplicas()) world.check(replica.id)
+        await world.timers.advanceAsync(1400)
+        world.servers.add(id, 'd0')
+        await world.timers.advanceAsync(1400)
+      }
+      const sentCount = world.servers.sent.length
+      await world.timers.advanceAsync(4000)
+      expect(world.servers.sent.slice(sentCount).filter(sent => sent.serverId === id)).to.deep.equal([])
+      await world.timers.advanceAsync(12_000)
+      expect(world.servers.sent.slice(sentCount).some(sent => sent.serverId === id)).to.equal(true)
+    })
+  })
+
   describe('when a member drains', () => {
     it('closes the group in order and forms it again without that member', async () => {
       const world = createWorld(5)
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -5,6 +5,7 @@
 import { chooseNewGroup, chooseStaging, findUnloadedModel, needsLoad, type DomainSituation } from './domain-layout.js'
 import { createLoadPacer } from './load-pacer.js'
 import { createLoadRegister } from './load-register.js'
+import { createLossRecord } from './loss-record.js'
 import { summarizePlan } from './planner-summary.js'
 import type { PlannedOrder, PlannerInput, PlannerSettings, ReplicaPlanner } from './planner-types.js'
 import { createReachMarks } from './reach-marks.js'
@@ -44,6 +45,8 @@
 const formingLoadTimes = 4
 const formingSlackMs = 8000
 const retryMs = 300
+/** A server that was lost so often lately joins no group; each loss ends one. */
+const flappingLossCount = 3
 /** A group without loads is open within this time; one that loads is not waited for in haste. */
 const hurriedMs = 4000
 /** Time in which the leader reports that it is open. */
@@ -61,6 +64,7 @@
   const notBeforeMs = new Map<string, number>()
   const reach = createReachMarks()
   const loads = createLoadRegister()
+  const losses = createLossRecord()
   const settledDomains = createSettledDomains()
   const pacer = createLoadPacer()
   let epochCount = 0
@@ -75,6 +79,11 @@
     return reach.isUnreachable(server, nowMs)
   }
 
+  function noteUnreachable (server: BackendServer, atMs: number): void {
+    if (!reach.isUnreachable(server, atMs)) losses.noteLoss(server.id, atMs)
+    reach.markUnreachable(server, atMs)
+  }
+
   function isUsable (server: BackendServer): boolean {
     return server.state === ServerState.Ready && !isUnreachable(server)
   }
@@ -222,6 +231,7 @@
     const taken = new Set([...forming.values()].flatMap(group => group.members.map(member => member.id)))
     return servers.filter(server => {
       if (!isUsable(server) || taken.has(server.id) || server.domain === undefined) return false
+      if (losses.countRecent(server.id, nowMs) >= flappingLossCount) return false
       return server.group === undefined || isSpareGroup(server.group.groupName) ||
         released.has(formatReplicaId(server.group.groupName, server.group.epoch))
     }).map(loads.addLoading)
@@ -311,6 +321,7 @@
       const servers = new Map(input.servers.map(server => [server.id, server]))
       releaseRestarted(servers)
       loads.forgetEnded(servers, nowMs)
+      losses.update(input.servers, nowMs)
       settledDomains.update(input.servers, nowMs)
       for (const replica of input.replicas) planReplica(replica, orders)
       const spares = formGroups(input, listFree(input.servers))
@@ -328,7 +339,7 @@
     noteOutcome ({ server, order }, outcome, atMs) {
       busy.delete(server.id)
       notBeforeMs.set(server.id, atMs + (isAccepted(outcome) ? 0 : retryMs))
-      if (outcome === OrderOutcome.Unreachable) reach.markUnreachable(server, atMs)
+      if (outcome === OrderOutcome.Unreachable) noteUnreachable(server, atMs)
       if (isAccepted(outcome) && (order.kind === ServerOrderKind.Stage || order.kind === ServerOrderKind.Join)) loads.note(server, order.model, atMs)
       if (order.kind === ServerOrderKind.Stage) return
       const id = formatReplicaId(order.groupName, order.epoch)
@@ -361,7 +372,7 @@
       }
     },
     isHurried: () => dissolving.size > 0 || busy.size > 0 || [...forming.values()].some(group => nowMs - group.startedAtMs < hurriedMs),
-    noteUnreachable: reach.markUnreachable,
+    noteUnreachable,
     noteReachable: reach.clear,
     noteBusy (server, atMs) {
       if (!loads.has(server.id)) loads.note(server, undefined, atMs)
