Bound a gateway's requests at a server by what the server accepts from all

Cause: the servers' published number of connections was decoded and not read; each gateway opened up to 48 to a server, or any number for requests that must not repeat. Above its number a server resets connections, which loses such requests.

Ruled out: a bound inside the connection pool, where requests would wait without being refused.

The pool keeps eight idle connections a server.

--- a/src/coordination/dispatch/replica-choice.test.ts
+++ b/src/coordination/dispatch/replica-choice.test.ts
@@ -34,9 +34,9 @@
     loads = createReplicaLoads(timers)
   })
 
-  function choose (servers: readonly BackendServer[], excluded: readonly string[] = []) {
+  function choose (servers: readonly BackendServer[], excluded: readonly string[] = [], maxOwnStreamCount = 50) {
     const replicas: Replica[] = listReplicas(servers, sampleEngine)
-    return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, excludedIds: new Set(excluded) }, loads, random)
+    return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, maxOwnStreamCount, excludedIds: new Set(excluded) }, loads, random)
   }
 
   it('takes no group that lacks a member or is not open', () => {
@@ -79,6 +79,13 @@
     expect(getName()).to.equal('small.quiet')
   })
 
+  it('takes no group where this gateway has as many streams as the server accepts from it', () => {
+    const servers = makeGroup('a', 'z1')
+    for (let index = 0; index < 3; index += 1) loads.begin('small.a/1')
+    expect(choose(servers, [], 4).kind).to.equal(ReplicaChoiceKind.Chosen)
+    expect(choose(servers, [], 3).kind).to.equal(ReplicaChoiceKind.Full)
+  })
+
   it('counts the streams of other gateways, and forgets them when they fall silent', () => {
     const servers = makeGroup('a', 'z1')
     loads.takeReport({ nodeId: 'other', sequence: 1, streamCounts: { 'small.a/1': 30 }, stalledIds: [], quietIds: [] })
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -10,6 +10,8 @@
   readonly zone: string
   /** Gateways that choose among the same groups. */
   readonly gatewayCount: number
+  /** Streams that this gateway may have on one group. */
+  readonly maxOwnStreamCount: number
   /** Groups that this request was on already. */
   readonly excludedIds: ReadonlySet<string>
 }
@@ -59,7 +61,8 @@
     !input.excludedIds.has(replica.id) && !loads.isStalled(replica.id) && hasAllMembers(replica))
   if (usable.length === 0) return { kind: ReplicaChoiceKind.Absent }
   const rated = usable.map(replica => rate(replica, input.zone, loads, random))
-  const free = rated.filter(candidate => candidate.streamCount < input.slotCount * (1 + overfillPart))
+  const free = rated.filter(candidate => candidate.streamCount < input.slotCount * (1 + overfillPart) &&
+    loads.getOwnCount(candidate.replica.id) < input.maxOwnStreamCount)
   if (free.length === 0) return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)) }
   const calm = free.filter(candidate => candidate.isCalm && candidate.streamCount < input.slotCount)
   const near = calm.filter(candidate => candidate.isNear && candidate.streamCount < input.slotCount * nearFillPart)
--- a/src/coordination/dispatch/server-scores.ts
+++ b/src/coordination/dispatch/server-scores.ts
@@ -5,6 +5,8 @@
   begin (serverId: string): void
   /** `latencyMs` is undefined for an attempt that ended without an answer. */
   end (serverId: string, latencyMs: number | undefined, isFailure: boolean): void
+  /** Requests in progress there. */
+  countInFlight (serverId: string): number
   /** Expected cost of sending the next request there; less is better. */
   getCost (serverId: string): number
 }
@@ -53,6 +55,7 @@
       if (latencyMs !== undefined) score.latencyMs += (latencyMs - score.latencyMs) * smoothing
       score.failureRate += ((isFailure ? 1 : 0) - score.failureRate) * smoothing
     },
+    countInFlight: serverId => scores.get(serverId)?.inFlightCount ?? 0,
     getCost (serverId) {
       const score = get(serverId)
       return (score.inFlightCount + 1) * score.latencyMs * (1 + failureCost * score.failureRate)
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -26,6 +26,8 @@
   readonly metrics: Metrics
   readonly logger: Logger
   countGateways (): number
+  /** Requests that this gateway may have at one server of the service. */
+  getConnectionLimit (serviceName: string): number
   getRetryShare (serviceName: string): RetryShare
   /** A group's streams stand still. */
   reportStall (replicaId: string): void
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,4 +1,5 @@
 import { aliveMs, createReplicaLoads, totalNodeId, type LoadReport } from '../coordination/dispatch/replica-loads.js'
+import { limitConnections } from '../coordination/dispatch/connection-limit.js'
 import { createRetryShare, type RetryShare } from '../coordination/dispatch/retry-share.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
@@ -58,8 +59,8 @@
 const drainPollMs = 50
 /** Kept from the revocation bound for the way of a request to its server. */
 const revocationMarginMs = 300
-/** One server's connections from one process; small against what servers accept from all. */
-const maxConnectionsPerServer = 48
+/** Idle connections that are kept for one server; requests are bounded by what the server accepts from all gateways. */
+const maxIdleConnectionsPerServer = 8
 const maxHeaderBytes = 16_384
 const requestLinesPerSecond = 60
 
@@ -123,12 +124,13 @@
     random,
     fleet,
     codec,
-    connections: createServerConnections({ timers, maxConnectionsPerServer }),
+    connections: createServerConnections({ timers, maxIdleConnectionsPerServer }),
     scores: createServerScores(timers),
     loads,
     metrics,
     logger: createBoundedLogger(createLogger('calls'), timers, requestLinesPerSecond),
     countGateways: presence.countGateways,
+    getConnectionLimit,
     getRetryShare,
     reportStall (replicaId) {
       if (loads.hasProgressed(replicaId, aliveMs)) return
@@ -152,6 +154,11 @@
   const relayServer = createRelayServer(settings.peerAddress, createRelayAnswerer({ timers, fleet, mirror, source, loads }), log)
   let isStopping = false
 
+  function getConnectionLimit (serviceName: string): number {
+    const service = fleet.getConfig()?.services.find(candidate => candidate.name === serviceName)
+    return service === undefined ? Infinity : limitConnections(service.maxConnectionCount, presence.countGateways())
+  }
+
   /** Takes the streams of all other gateways; the relay counts its own answers. */
   function takeTotal (total: LoadReport): void {
     totalCount += 1
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -101,8 +101,10 @@
 function chooseServer (services: CallServices, call: Call, triedIds: ReadonlySet<string>): BackendServer | undefined {
   let best: BackendServer | undefined
   let bestCost = Infinity
+  const maxInFlightCount = services.getConnectionLimit(call.serviceName)
   for (const server of services.fleet.getServers(call.serviceName)) {
     if (server.state !== ServerState.Ready || triedIds.has(server.id)) continue
+    if (services.scores.countInFlight(server.id) >= maxInFlightCount) continue
     const cost = services.scores.getCost(server.id) + (server.zone === services.zone ? 0 : crossZoneCostMs) + services.random.nextFloat()
     if (cost >= bestCost) continue
     best = server
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -100,6 +100,7 @@
       slotCount: service.engine.slotCount,
       zone: services.zone,
       gatewayCount: services.countGateways(),
+      maxOwnStreamCount: services.getConnectionLimit(call.serviceName),
       excludedIds
     }, loads, services.random)
   }
--- a/src/transport/server-exchange.test.ts
+++ b/src/transport/server-exchange.test.ts
@@ -26,7 +26,7 @@
   let connectionCount = 0
 
   beforeEach(async () => {
-    connections = createServerConnections({ timers: createSystemTimerService(), maxConnectionsPerServer: 4 })
+    connections = createServerConnections({ timers: createSystemTimerService(), maxIdleConnectionsPerServer: 4 })
     connectionCount = 0
     server = net.createServer(socket => {
       connectionCount += 1
--- a/src/transport/server-exchange.ts
+++ b/src/transport/server-exchange.ts
@@ -60,8 +60,7 @@
 
 export interface ServerConnectionsOptions {
   readonly timers: TimerService
-  /** Connections that one server gets from this process. */
-  readonly maxConnectionsPerServer: number
+  readonly maxIdleConnectionsPerServer: number
 }
 
 /** A server in reach accepts a connection within a few milliseconds. */
@@ -70,8 +69,8 @@
 const idleTimeoutMs = 4000
 
 /** Creates the connections of this process to backend servers. */
-export function createServerConnections ({ timers, maxConnectionsPerServer }: ServerConnectionsOptions): ServerConnections {
-  const pooled = new http.Agent({ keepAlive: true, maxSockets: maxConnectionsPerServer, timeout: idleTimeoutMs })
+export function createServerConnections ({ timers, maxIdleConnectionsPerServer }: ServerConnectionsOptions): ServerConnections {
+  const pooled = new http.Agent({ keepAlive: true, maxFreeSockets: maxIdleConnectionsPerServer, timeout: idleTimeoutMs })
   const dedicated = new http.Agent({ keepAlive: false, maxSockets: Infinity })
   pooled.on('free', guardIdleSocket)
 
