Split the planner: order gate, progress of groups, orders for spares

Change: order-gate.ts lets each server have one order in progress, group-progress.ts holds what is known of groups being formed or dissolved and counts them, spare-orders.ts lists what prepares a domain's spares. Behaviour is the same.

--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -1,37 +1,18 @@
 import { MemberState, ServerState, type BackendServer } from '../../state/backend-server.js'
-import { formatGroupName, formatReplicaId, formatSpareGroupName, isSpareGroup, type Replica } from '../../state/replica.js'
+import { formatGroupName, formatReplicaId, isSpareGroup, type Replica } from '../../state/replica.js'
 import type { EngineProfile, ReplicatedModel } from '../../state/serving-config.js'
 import { isAccepted, OrderOutcome, ServerOrderKind, type ServerOrder } from '../ports/server-orders.js'
-import { chooseNewGroup, chooseStaging, findUnloadedModel, needsLoad, type DomainSituation } from './domain-layout.js'
+import { chooseNewGroup, needsLoad, type DomainSituation } from './domain-layout.js'
+import { countServers, listModels, type Dissolving, type Forming } from './group-progress.js'
 import { createLoadPacer } from './load-pacer.js'
 import { createLoadRegister } from './load-register.js'
 import { createLossRecord } from './loss-record.js'
+import { createOrderGate } from './order-gate.js'
 import { summarizePlan } from './planner-summary.js'
 import type { PlannedOrder, PlannerInput, PlannerSettings, ReplicaPlanner } from './planner-types.js'
 import { createReachMarks } from './reach-marks.js'
 import { createSettledDomains, groupByDomain } from './settled-domains.js'
-
-interface Forming {
-  readonly domain: string
-  readonly model: ReplicatedModel
-  readonly groupName: string
-  readonly epoch: number
-  readonly members: readonly BackendServer[]
-  readonly joinedIds: Set<string>
-  readonly startedAtMs: number
-  /** An order to open was sent, so that the leader may serve whatever the list shows. */
-  isOpening: boolean
-  /** Formed by an earlier planner, whose late orders the members refuse once they have one of this planner. */
-  readonly isAdopted: boolean
-}
-
-interface Dissolving {
-  readonly startedAtMs: number
-  /** When a member is known to have left; from then on the leader stands still. */
-  memberLostAtMs: number | undefined
-  /** The leader has accepted to stop serving, and refuses older planners. */
-  isClosed: boolean
-}
+import { listSpareOrders } from './spare-orders.js'
 
 /** Epochs of one planner; a later planner begins above them. */
 const epochsPerGeneration = 10_000
@@ -52,6 +33,13 @@
 /** Time in which the leader reports that it is open. */
 const openHoldMs = 1000
 
+/** Time for which a server gets no further order, until its report shows what became of this one. */
+function getPauseMs (order: ServerOrder, outcome: OrderOutcome): number {
+  if (!isAccepted(outcome)) return retryMs
+  if (order.kind === ServerOrderKind.Open) return openHoldMs
+  return order.kind === ServerOrderKind.Close ? retryMs : 0
+}
+
 /** Creates a planner that has seen nothing yet. */
 export function createReplicaPlanner ({ generation, getStallLimitMs }: PlannerSettings): ReplicaPlanner {
   const forming = new Map<string, Forming>()
@@ -60,8 +48,7 @@
   const released = new Set<string>()
   const firstSeenMs = new Map<string, number>()
   const leaders = new Map<string, { id: string, startedAtMs: number }>()
-  const busy = new Set<string>()
-  const notBeforeMs = new Map<string, number>()
+  const gate = createOrderGate()
   const reach = createReachMarks()
   const loads = createLoadRegister()
   const losses = createLossRecord()
@@ -72,7 +59,7 @@
   let nowMs = 0
 
   function canOrder (server: BackendServer): boolean {
-    return !busy.has(server.id) && (notBeforeMs.get(server.id) ?? 0) <= nowMs
+    return gate.isOpen(server, nowMs)
   }
 
   function isUnreachable (server: BackendServer): boolean {
@@ -98,7 +85,7 @@
 
   function orderOnce (orders: PlannedOrder[], server: BackendServer, order: ServerOrder): boolean {
     if (!canOrder(server)) return false
-    busy.add(server.id)
+    gate.close(server)
     orders.push({ server, order })
     return true
   }
@@ -237,14 +224,9 @@
     }).map(loads.addLoading)
   }
 
-  function countServers (replicas: readonly Replica[]): Map<string, number> {
-    const counts = new Map<string, number>()
-    const add = (model: string, count: number) => counts.set(model, (counts.get(model) ?? 0) + count)
-    for (const replica of replicas) {
-      if (replica.model !== undefined && !released.has(replica.id) && !forming.has(replica.id)) add(replica.model.name, replica.model.groupSize)
-    }
-    for (const group of forming.values()) add(group.model.name, group.model.groupSize)
-    return counts
+  /** Groups that exist and are not being formed by this planner. */
+  function listStanding (replicas: readonly Replica[]): Replica[] {
+    return replicas.filter(replica => !released.has(replica.id) && !forming.has(replica.id))
   }
 
   function formGroups (input: PlannerInput, free: readonly BackendServer[]): BackendServer[] {
@@ -257,7 +239,7 @@
         const next = chooseNewGroup({
           models: input.engine.models,
           free: rest,
-          serverCounts: countServers(input.replicas),
+          serverCounts: countServers(listStanding(input.replicas), [...forming.values()]),
           mayLoad: !dissolvingDomains.has(domain),
           spareCount: hasTraffic ? input.engine.models.length : 0,
           domain: describeDomain(domain, input.replicas)
@@ -273,11 +255,7 @@
   }
 
   function describeDomain (domain: string, replicas: readonly Replica[]): DomainSituation {
-    const models = [
-      ...replicas.filter(replica => replica.domain === domain && !released.has(replica.id)).flatMap(replica => replica.model?.name ?? []),
-      ...[...forming.values()].filter(group => group.domain === domain).map(group => group.model.name)
-    ]
-    return { capacity: settledDomains.getHighestCount(), models: new Set(models) }
+    return { capacity: settledDomains.getHighestCount(), models: listModels(domain, listStanding(replicas), [...forming.values()]) }
   }
 
   function takeEpoch (): number {
@@ -293,24 +271,16 @@
     })
   }
 
-  function stageSpares (spares: readonly BackendServer[], engine: EngineProfile, domain: DomainSituation, orders: PlannedOrder[]): void {
-    for (const server of spares) {
-      const model = chooseStaging({ server, others: spares.filter(other => other !== server), models: engine.models, domain })
-      if (model === undefined || !canOrder(server) || loads.has(server.id)) continue
-      if (!tryLoad(engine)) return
-      orderOnce(orders, server, { kind: ServerOrderKind.Stage, model })
-      return
-    }
-  }
-
-  /** A spare that has joined a group of its own joins another one eight times sooner than from the host's store. */
-  function loadSpares (spares: readonly BackendServer[], engine: EngineProfile, orders: PlannedOrder[]): void {
-    for (const server of spares) {
-      const model = findUnloadedModel(server, engine.models)
-      if (model === undefined || !canOrder(server) || loads.has(server.id)) continue
-      const epoch = takeEpoch()
-      orderOnce(orders, server, { kind: ServerOrderKind.Join, groupName: formatSpareGroupName(model, epoch), epoch, model, memberIds: [server.id] })
-    }
+  function planSpares (domain: string, spares: readonly BackendServer[], { engine, replicas }: PlannerInput, orders: PlannedOrder[]): void {
+    const planned = listSpareOrders({
+      spares,
+      models: engine.models,
+      domain: describeDomain(domain, replicas),
+      isAvailable: server => canOrder(server) && !loads.has(server.id),
+      tryLoad: () => tryLoad(engine),
+      takeEpoch
+    })
+    for (const { server, order } of planned) orderOnce(orders, server, order)
   }
 
   return {
@@ -329,16 +299,12 @@
       const sparesByDomain = groupByDomain(spares)
       for (const domain of [...groupByDomain(input.servers).keys()].sort()) {
         planForming(domain, servers, input.engine, orders)
-        if (!settledDomains.has(domain)) continue
-        const domainSpares = sparesByDomain.get(domain) ?? []
-        stageSpares(domainSpares, input.engine, describeDomain(domain, input.replicas), orders)
-        loadSpares(domainSpares, input.engine, orders)
+        if (settledDomains.has(domain)) planSpares(domain, sparesByDomain.get(domain) ?? [], input, orders)
       }
       return orders
     },
     noteOutcome ({ server, order }, outcome, atMs) {
-      busy.delete(server.id)
-      notBeforeMs.set(server.id, atMs + (isAccepted(outcome) ? 0 : retryMs))
+      gate.reopen(server, atMs + getPauseMs(order, outcome))
       if (outcome === OrderOutcome.Unreachable) noteUnreachable(server, atMs)
       if (isAccepted(outcome) && (order.kind === ServerOrderKind.Stage || order.kind === ServerOrderKind.Join)) loads.note(server, order.model, atMs)
       if (order.kind === ServerOrderKind.Stage) return
@@ -354,13 +320,9 @@
         case ServerOrderKind.Join:
           forming.get(id)?.joinedIds.add(server.id)
           break
-        case ServerOrderKind.Open:
-          notBeforeMs.set(server.id, atMs + openHoldMs)
-          break
         case ServerOrderKind.Close: {
           const state = dissolving.get(id)
           if (state !== undefined) state.isClosed = true
-          notBeforeMs.set(server.id, atMs + retryMs)
           break
         }
         case ServerOrderKind.Leave: {
@@ -371,7 +333,7 @@
         }
       }
     },
-    isHurried: () => dissolving.size > 0 || busy.size > 0 || [...forming.values()].some(group => nowMs - group.startedAtMs < hurriedMs),
+    isHurried: () => dissolving.size > 0 || gate.countClosed() > 0 || [...forming.values()].some(group => nowMs - group.startedAtMs < hurriedMs),
     noteUnreachable,
     noteReachable: reach.clear,
     noteBusy (server, atMs) {
