Tell refused callers of streams to come back once a lost group can be open again

Ruled out: holding the request (not accepted, and worse for its caller); no wait named.

The emulator plays an outage of 1.2 s with callers that come back once; the test compares it with the former times.

--- a/src/bench/placing/placing-run.ts
+++ b/src/bench/placing/placing-run.ts
@@ -39,12 +39,15 @@
   readonly reportIntervalMs: number
   /** One group in each zone runs this many times slower. */
   readonly slowdown: number
+  /** No group serves from `fromMs` for `forMs`; callers that are refused come back once, after the shortest wait or up to so much later. */
+  readonly outage?: { readonly fromMs: number, readonly forMs: number, readonly retryAfterMs: number, readonly retrySpreadMs: number }
 }
 
 export interface PlacingResult {
   readonly requestCount: number
   /** First event within the objective and no pause above its own. */
   readonly inTimeCount: number
+  /** Refused, and once more at their return. */
   readonly refusedCount: number
   readonly crossZoneCount: number
   readonly firstEventP95Ms: number
@@ -78,14 +81,25 @@
   const outcomes: Outcome[] = []
   let crossZoneCount = 0
 
+  function isOut (): boolean {
+    const { outage } = placingCase
+    return outage !== undefined && timers.nowMs() >= outage.fromMs && timers.nowMs() < outage.fromMs + outage.forMs
+  }
+
   function start (): void {
-    const node = random.pick(nodes) as Node
     const outcome = { isLate: true, isRefused: false }
     const isMeasured = timers.nowMs() >= warmUpMs
     if (isMeasured) outcomes.push(outcome)
-    const replica = choose(policy, { node, nodes, replicas, model, engine, random })
+    attempt(outcome, isMeasured, placingCase.outage === undefined ? 0 : 1)
+  }
+
+  function attempt (outcome: Outcome, isMeasured: boolean, returnCount: number): void {
+    const node = random.pick(nodes) as Node
+    const replica = isOut() ? undefined : choose(policy, { node, nodes, replicas, model, engine, random })
     if (replica === undefined) {
-      outcome.isRefused = true
+      const { retryAfterMs = 0, retrySpreadMs = 0 } = placingCase.outage ?? {}
+      if (returnCount === 0) outcome.isRefused = true
+      else timers.subscribeOnce(retryAfterMs + retrySpreadMs * random.nextFloat(), () => attempt(outcome, isMeasured, returnCount - 1))
       return
     }
     const isFar = replica.leader?.zone !== node.zone
--- a/src/bench/placing/placing.test.ts
+++ b/src/bench/placing/placing.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 
+import { minRetryAfterMs, retryAfterSpreadMs } from '../../coordination/dispatch/return-times.js'
 import { placingCases } from './placing-cases.js'
 import { PlacingPolicy, runPlacing, type PlacingCase, type PlacingResult } from './placing-run.js'
 
@@ -25,6 +26,18 @@
     })
   }
 
+  describe('callers that are refused while the groups are replaced', () => {
+    it('are served at their return when they are told to wait as long as that takes', async () => {
+      const placingCase = findCase('seven gateways, short drafts')
+      const outage = { fromMs: 10_000, forMs: 1200 }
+      const soon = await runPlacing({ ...placingCase, outage: { ...outage, retryAfterMs: 250, retrySpreadMs: 750 } }, PlacingPolicy.Product, 1)
+      const told = await runPlacing({ ...placingCase, outage: { ...outage, retryAfterMs: minRetryAfterMs, retrySpreadMs: retryAfterSpreadMs } }, PlacingPolicy.Product, 1)
+      expect(soon.refusedCount).to.be.greaterThan(20)
+      expect(told.refusedCount).to.be.lessThan(soon.refusedCount / 4)
+      expect(getInTimePart(told)).to.be.at.least(getInTimePart(soon) - tolerance)
+    })
+  })
+
   describe('eighty gateways with reports older than the choices of the others', () => {
     it('does not send all gateways to the group that the reports show as the emptiest', async () => {
       const placingCase = findCase('eighty gateways, short drafts')
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -1,4 +1,5 @@
 import { chooseReplica, ReplicaChoiceKind, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
+import { chooseReturnTime } from '../coordination/dispatch/return-times.js'
 import { countStandingRuns, toPossibleRun, type PossibleRun } from '../coordination/dispatch/run-limit.js'
 import { DurationMetric } from '../observability/metrics.js'
 import { createEventFramer, type EventFramer, type FramedEvent } from '../protocol/event-framer.js'
@@ -41,8 +42,6 @@
 const maxNotRunCount = 3
 /** Attempts that may have run, whatever has become of their groups. */
 const maxRunCount = 4
-const minRetryAfterMs = 250
-const retryAfterSpreadMs = 750
 const successStatus = 200
 
 /** Forwards a stream event by event; when its group fails, the stream goes on at another one. */
@@ -269,9 +268,8 @@
       return
     }
     if (runs.length === 0) {
-      const retryAfterMs = Math.round(minRetryAfterMs + retryAfterSpreadMs * services.random.nextFloat())
       finish(CallOutcome.Refused, reason)
-      answerOwn(services, call.response, call.facts.requestId, 503, retryAfterMs)
+      answerOwn(services, call.response, call.facts.requestId, 503, chooseReturnTime(services.random))
       return
     }
     finish(CallOutcome.Broken, reason)
