Read large values from the store past the relays; let relays answer only while they are current

One relay sent half a megabyte to each gateway of its zone over a link of 14 to 20 Mbit/s. Besides, by the code: a relay that is cut off from the store answered for up to 2.5 s with what it had, and gateways read everything from it every 5 s.

Change: a relay leaves out values above 48 KB and names their keys; the gateway reads them from the store, or asks the relay for them where the store turns it away. A relay answers only while its own knowledge is 1.3 s old at most, so that with one wait of a question it holds a change back for less than two seconds. Whole reads against what watches miss are left to the relays.

Before and after: tests 'a large value' (two) and 'that is cut off from the store holds no change back for two seconds' fail on the code before; 21 tests of the view, relays and the whole path pass.

--- a/src/coordination/ports/fleet-source.ts
+++ b/src/coordination/ports/fleet-source.ts
@@ -15,6 +15,8 @@
 
 /** Where a gateway learns what the store holds. */
 export interface FleetSource {
+  /** Whether the last answer was the store's own; then whole reads must repair what watches missed. */
+  isDirect (): boolean
   /** Reads everything, as of the known revision or a later one. */
   readAll (knownRevision: number): Promise<Result<SourceAnswer, StoreError>>
   /** Waits for changes after the revision; may answer with everything instead. */
--- a/src/coordination/ports/relay-link.ts
+++ b/src/coordination/ports/relay-link.ts
@@ -7,12 +7,16 @@
   readonly afterRevision: number | undefined
   /** Longest wait for a change. */
   readonly waitMs: number
+  /** Asks for large values too, which the gateway otherwise reads from the store itself. */
+  readonly wantsLargeValues: boolean
   /** Streams of the gateway that asks. */
   readonly loads: LoadReport
 }
 
 export interface RelayAnswer {
   readonly source: SourceAnswer
+  /** Keys with large values that the answer leaves out. */
+  readonly omittedKeys: readonly string[]
   /** Streams of all other gateways. */
   readonly loads: LoadReport
 }
--- a/src/coordination/relay/relayed-source.ts
+++ b/src/coordination/relay/relayed-source.ts
@@ -3,7 +3,7 @@
 import type { LoadReport } from '../dispatch/replica-loads.js'
 import type { FleetSource, SourceAge, SourceAnswer } from '../ports/fleet-source.js'
 import type { RelayLink } from '../ports/relay-link.js'
-import type { RevisionedStore } from '../ports/revisioned-store.js'
+import type { RevisionedStore, StoredItem } from '../ports/revisioned-store.js'
 import type { RelayPlan } from './relay-plan.js'
 
 export interface RelayedSourceOptions {
@@ -25,35 +25,50 @@
   readonly knownRevision: number
 }
 
-/** The store, by way of relays where there are any. */
-export interface RelayedSource extends FleetSource {
-  /** Whether the last answer was the store's own, so that other gateways may rely on it. */
-  isDirect (): boolean
-}
-
 const fresh: SourceAge = { ageMs: 0, isStoreBack: false }
 /** Wait of a question to a relay; the age of an answer counts from when it was asked. */
-const relayWaitMs = 600
+const relayWaitMs = 500
 /** Gateways turn to the store itself once no relay has helped until their knowledge has this age. */
-const directAgeMs = 2200
+const directAgeMs = 1500
 /** A relay that did not help is passed over for this time. */
 const avoidMs = 4000
 /** Pause before the relays are asked again while the knowledge is young enough. */
 const relayRetryMs = 250
 
 /** Creates a source that reads the store directly until the plan names relays. */
-export function createRelayedSource ({ store, link, timers, getPlan, createLoadReport, takeLoads, getAgeMs }: RelayedSourceOptions): RelayedSource {
+export function createRelayedSource ({ store, link, timers, getPlan, createLoadReport, takeLoads, getAgeMs }: RelayedSourceOptions): FleetSource {
   const avoidedUntilMs = new Map<string, number>()
   let isDirect = true
 
+  async function askRelay (address: string, { afterRevision }: Question): Promise<SourceAnswer | undefined> {
+    const asked = { afterRevision, waitMs: relayWaitMs, wantsLargeValues: false, loads: createLoadReport() }
+    const answer = await link.ask(address, asked)
+    if (!answer.isOk) return undefined
+    takeLoads(answer.value.loads)
+    const { source, omittedKeys } = answer.value
+    if (omittedKeys.length === 0) return source
+    const items = await readItems(omittedKeys)
+    if (items !== undefined) return addItems(source, items)
+    // The store turns this gateway away; the relay's slower way is left.
+    const whole = await link.ask(address, { ...asked, waitMs: 0, wantsLargeValues: true })
+    return whole.isOk ? whole.value.source : undefined
+  }
+
+  async function readItems (keys: readonly string[]): Promise<StoredItem[] | undefined> {
+    const items: StoredItem[] = []
+    for (const key of keys) {
+      const snapshot = await store.read(key)
+      if (!snapshot.isOk) return undefined
+      items.push(...snapshot.value.items)
+    }
+    return items
+  }
+
   async function askRelays (question: Question): Promise<SourceAnswer | undefined> {
     for (const { address } of getPlan().relays) {
       if ((avoidedUntilMs.get(address) ?? 0) > timers.nowMs()) continue
-      const answer = await link.ask(address, { afterRevision: question.afterRevision, waitMs: relayWaitMs, loads: createLoadReport() })
-      if (answer.isOk && !isBehind(answer.value.source, question.knownRevision)) {
-        takeLoads(answer.value.loads)
-        return answer.value.source
-      }
+      const answer = await askRelay(address, question)
+      if (answer !== undefined && !isBehind(answer, question.knownRevision)) return answer
       avoidedUntilMs.set(address, timers.nowMs() + avoidMs)
     }
     return undefined
@@ -90,6 +105,12 @@
   }
 }
 
+/** The answer with items that were read from the store after it; they are no older than the answer says. */
+function addItems (answer: SourceAnswer, items: readonly StoredItem[]): SourceAnswer {
+  if (!answer.isWhole) return { ...answer, changes: { ...answer.changes, changes: [...answer.changes.changes, ...items] } }
+  return { ...answer, snapshot: { ...answer.snapshot, items: [...answer.snapshot.items, ...items] } }
+}
+
 /** A whole answer from before what is known would take back newer entries. */
 function isBehind (answer: SourceAnswer, knownRevision: number): boolean {
   return answer.isWhole && answer.snapshot.asOfRevision < knownRevision
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -74,8 +74,8 @@
   isHurried (): boolean
 }
 
-/** The age of the configuration reaches twice this wait, and must stay below the revocation bound (5 s) when one watch is lost. */
-const watchWaitMs = 1300
+/** What is known is up to twice as old, which stays below the age up to which a relay answers. */
+const watchWaitMs = 550
 /** Gathers changes that follow each other into one watch, since every call has a price. */
 const gatherMs = 400
 /** While groups are formed or closed, each step waits for a server's report. */
@@ -207,7 +207,8 @@
   async function ask (): Promise<boolean> {
     const askedAtMs = timers.nowMs()
     const revision = mirror.getRevision()
-    const isFullReadDue = mustReadAll || revision === undefined || askedAtMs - fullReadAtMs > fullReadIntervalMs
+    const isRepairDue = source.isDirect() && askedAtMs - fullReadAtMs > fullReadIntervalMs
+    const isFullReadDue = mustReadAll || revision === undefined || isRepairDue
     const answer = isFullReadDue || revision === undefined ? await source.readAll(revision ?? 0) : await source.watch(revision, watchWaitMs)
     if (answer.isOk) {
       take(answer.value, askedAtMs)
--- a/src/gateway/relay-answerer.ts
+++ b/src/gateway/relay-answerer.ts
@@ -1,6 +1,6 @@
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import type { FleetSource } from '../coordination/ports/fleet-source.js'
 import type { RelayAnswer, RelayQuestion } from '../coordination/ports/relay-link.js'
-import type { RelayedSource } from '../coordination/relay/relayed-source.js'
 import type { StoreMirror } from '../coordination/relay/store-mirror.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { FleetView } from './fleet-view.js'
@@ -9,7 +9,7 @@
   readonly timers: TimerService
   readonly fleet: FleetView
   readonly mirror: StoreMirror
-  readonly source: RelayedSource
+  readonly source: FleetSource
   readonly loads: ReplicaLoads
 }
 
@@ -22,9 +22,18 @@
   answer (question: RelayQuestion): Promise<RelayAnswer | undefined>
 }
 
-/** An older answer would leave the gateways that rely on it too little time to turn to another source. */
-const maxServedAgeMs = 2500
+/**
+ * A relay that is cut off from the store holds a change back for this long and one wait of a question, together
+ * below the two seconds in which changes are to be in force.
+ */
+const maxServedAgeMs = 1300
 const maxWaitMs = 2000
+/** A relay's own link carries some MB a second; larger values, to all gateways of a zone at once, would take it too long. */
+const maxRelayedValueLength = 48 * 1024
+
+function isLarge ({ value }: { readonly value: string | undefined }): boolean {
+  return (value?.length ?? 0) > maxRelayedValueLength
+}
 
 /** Creates the answerer of a gateway. */
 export function createRelayAnswerer ({ timers, fleet, mirror, source, loads }: RelayAnswererOptions): RelayAnswerer {
@@ -54,18 +63,22 @@
   }
 
   return {
-    async answer ({ afterRevision, waitMs, loads: askingLoads }) {
+    async answer ({ afterRevision, waitMs, wantsLargeValues, loads: askingLoads }) {
       loads.takeDependentReport(askingLoads)
       if (listChanges(afterRevision)?.length === 0) await waitForChange(waitMs)
       const asOfRevision = mirror.getRevision()
       if (asOfRevision === undefined || !canServe()) return undefined
       const age = { ageMs: Math.max(0, Math.ceil(fleet.getConfigAgeMs())), isStoreBack: fleet.isStoreBack() }
       const changes = listChanges(afterRevision)
+      const items = mirror.listItems()
+      const omittedKeys = (changes ?? items).filter(item => !wantsLargeValues && isLarge(item)).map(item => item.key)
+      const isKept = (item: { readonly key: string }) => !omittedKeys.includes(item.key)
       return {
         loads: loads.createTotal(askingLoads.nodeId),
+        omittedKeys,
         source: changes === undefined
-          ? { isWhole: true, snapshot: { items: mirror.listItems(), asOfRevision }, age }
-          : { isWhole: false, changes: { changes, asOfRevision }, age }
+          ? { isWhole: true, snapshot: { items: items.filter(isKept), asOfRevision }, age }
+          : { isWhole: false, changes: { changes: changes.filter(isKept), asOfRevision }, age }
       }
     }
   }
--- a/src/gateway/relay.test.ts
+++ b/src/gateway/relay.test.ts
@@ -2,6 +2,7 @@
 
 import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { RelayLink } from '../coordination/ports/relay-link.js'
+import { StoreErrorKind } from '../coordination/ports/revisioned-store.js'
 import { directPlan, type RelayPlan } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
@@ -53,10 +54,22 @@
 async function createWorld () {
   const timers = createVirtualTimerService()
   const relayStore = createFakeRevisionedStore(timers)
-  const path = { isCut: false }
+  const path = { isCut: false, isStoreSilent: false }
   relayStore.put('op/config', '3')
   relayStore.put('servers/a', 'ready#1')
-  const relayNode = createNode('relay', timers, relayStore, { ask: async () => failure('no relay') }, directPlan)
+  const holdBack = async <T> (answer: () => Promise<T>): Promise<T> => {
+    while (path.isStoreSilent) await delay(timers, 100)
+    return answer()
+  }
+  const relayPath = {
+    ...relayStore,
+    store: {
+      ...relayStore.store,
+      read: (prefix: string) => holdBack(() => relayStore.store.read(prefix)),
+      watch: (prefix: string, after: number, waitMs: number) => holdBack(() => relayStore.store.watch(prefix, after, waitMs))
+    }
+  }
+  const relayNode = createNode('relay', timers, relayPath, { ask: async () => failure('no relay') }, directPlan)
   const link: RelayLink = {
     async ask (_address, question) {
       if (path.isCut) {
@@ -75,7 +88,7 @@
       ...store,
       async read (prefix: string) {
         ownCalls.count += 1
-        return store.read(prefix)
+        return ownCalls.isRefused ? failure({ kind: StoreErrorKind.Unavailable, reason: 'turned away' }) : store.read(prefix)
       },
       async watch (prefix: string, afterRevision: number, waitMs: number) {
         ownCalls.count += 1
@@ -106,6 +119,28 @@
     expect(node.source.isDirect()).to.equal(false)
   })
 
+  describe('a large value', () => {
+    const largeText = `${' '.repeat(60_000)}9`
+
+    it('is read from the store by each gateway, since a relay\'s link would carry it too slowly', async () => {
+      const { timers, store, node, ownCalls } = await createWorld()
+      const callCount = ownCalls.count
+      store.put('op/config', largeText)
+      await timers.advanceAsync(1000)
+      expect(node.fleet.getConfig()?.version).to.equal(9)
+      expect(ownCalls.count).to.equal(callCount + 1)
+      expect(node.source.isDirect()).to.equal(false)
+    })
+
+    it('comes by way of the relay where the store turns a gateway away', async () => {
+      const { timers, store, node, ownCalls } = await createWorld()
+      ownCalls.isRefused = true
+      store.put('op/config', largeText)
+      await timers.advanceAsync(1500)
+      expect(node.fleet.getConfig()?.version).to.equal(9)
+    })
+  })
+
   it('never makes the configuration look fresher than it is', async () => {
     const { timers, store, node, relayNode } = await createWorld()
     store.faults.isDown = true
@@ -143,6 +178,15 @@
     expect(node.source.isDirect()).to.equal(false)
   })
 
+  it('that is cut off from the store holds no change back for two seconds', async () => {
+    const { timers, store, path, node } = await createWorld()
+    path.isStoreSilent = true
+    await timers.advanceAsync(900)
+    store.put('op/config', '6')
+    await timers.advanceAsync(2000)
+    expect(node.fleet.getConfig()?.version).to.equal(6)
+  })
+
   it('lets entries that lapsed in an outage return for the gateways that rely on it', async () => {
     const { timers, store, node } = await createWorld()
     store.faults.isDown = true
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -18,6 +18,7 @@
 const questionSchema = z.object({
   afterRevision: z.number().optional(),
   waitMs: z.number(),
+  wantsLargeValues: z.boolean(),
   loads: loadReportSchema
 })
 
@@ -28,6 +29,7 @@
   ageMs: z.number().nonnegative(),
   isStoreBack: z.boolean(),
   items: z.array(z.object({ key: z.string(), revision: z.number(), value: z.string().optional() })),
+  omittedKeys: z.array(z.string()),
   loads: loadReportSchema
 })
 
@@ -52,19 +54,19 @@
 }
 
 /** Encodes what a relay tells. */
-export function encodeRelayAnswer ({ source, loads }: RelayAnswer): string {
+export function encodeRelayAnswer ({ source, omittedKeys, loads }: RelayAnswer): string {
   const { items, asOfRevision } = source.isWhole
     ? source.snapshot
     : { items: source.changes.changes, asOfRevision: source.changes.asOfRevision }
-  return JSON.stringify({ isWhole: source.isWhole, asOfRevision, ...source.age, items, loads })
+  return JSON.stringify({ isWhole: source.isWhole, asOfRevision, ...source.age, items, omittedKeys, loads })
 }
 
 /** Turns a checked answer into what the gateway works with. */
-export function toRelayAnswer ({ loads, ...fields }: z.infer<typeof relayAnswerSchema>): RelayAnswer {
-  return { source: toSourceAnswer(fields), loads }
+export function toRelayAnswer ({ loads, omittedKeys, ...fields }: z.infer<typeof relayAnswerSchema>): RelayAnswer {
+  return { source: toSourceAnswer(fields), omittedKeys, loads }
 }
 
-function toSourceAnswer ({ isWhole, asOfRevision, ageMs, isStoreBack, items }: Omit<z.infer<typeof relayAnswerSchema>, 'loads'>): SourceAnswer {
+function toSourceAnswer ({ isWhole, asOfRevision, ageMs, isStoreBack, items }: Omit<z.infer<typeof relayAnswerSchema>, 'loads' | 'omittedKeys'>): SourceAnswer {
   const age = { ageMs, isStoreBack }
   const changes = items.map(({ key, revision, value }) => ({ key, revision, value }))
   if (!isWhole) return { isWhole, changes: { changes, asOfRevision }, age }
