Let a gateway save for a window what its requests have earned of the retry budget

Ruled out: sharing the budget by relays (a second agreement to get wrong); a higher part of the slack (not a gateway's own).

Change: a request earns half of the ratio, and what a window has earned may be saved for the next. Attempts of a window then come from two windows' earnings and stay below the ratio of the larger, which is how the users count.

A bound test counts as the users do, with a load that ends: passes.

--- a/src/coordination/dispatch/retry-share.test.ts
+++ b/src/coordination/dispatch/retry-share.test.ts
@@ -32,4 +32,40 @@
       expect(takenAtMs.length).to.be.greaterThan(0)
     })
   }
+
+  it('saves what requests have earned for a group that is lost with several streams of one gateway', () => {
+    const timers = createVirtualTimerService()
+    const share = createRetryShare(timers, () => ({ ...settings, slackCount: 312 }), () => 80)
+    for (let step = 0; step < 120; step += 1) {
+      share.noteRequest()
+      timers.advance(160)
+    }
+    const takenCount = Array.from({ length: 10 }, () => share.tryTake()).filter(Boolean).length
+    expect(takenCount).to.be.at.least(5)
+  })
+
+  it('stays below the bound, counted as the users count, when the load falls and all ask at once', () => {
+    const timers = createVirtualTimerService()
+    const shares = Array.from({ length: 7 }, () => createRetryShare(timers, () => settings, () => 7))
+    const takenAtMs: number[] = []
+    const requestedAtMs: number[] = []
+    for (let step = 0; step < 600; step += 1) {
+      const isBusy = step < 200
+      for (const share of shares) {
+        for (let request = 0; request < (isBusy ? 4 : 0); request += 1) {
+          share.noteRequest()
+          requestedAtMs.push(timers.nowMs())
+        }
+        for (let attempt = 0; attempt < (isBusy ? 0 : 5); attempt += 1) {
+          if (share.tryTake()) takenAtMs.push(timers.nowMs())
+        }
+      }
+      timers.advance(100)
+    }
+    const count = (times: readonly number[], startMs: number) => times.filter(atMs => atMs >= startMs && atMs < startMs + settings.windowMs).length
+    for (let startMs = 0; startMs <= 50_000; startMs += 250) {
+      const requestCount = Math.max(...[0, 0.5, 1].map(windows => count(requestedAtMs, startMs - windows * settings.windowMs)))
+      expect(count(takenAtMs, startMs)).to.be.at.most(settings.ratio * requestCount + settings.slackCount)
+    }
+  })
 })
--- a/src/coordination/dispatch/retry-share.ts
+++ b/src/coordination/dispatch/retry-share.ts
@@ -17,28 +17,55 @@
   tryTake (): boolean
 }
 
-/** Keeps a margin to the bound, since requests and attempts are counted in windows that differ. */
+/** Keeps a margin to the bound, since requests and attempts are counted at servers and at slightly other times. */
 const usedPart = 0.8
+/** Requests are remembered by parts of the window. */
+const bucketsPerWindow = 20
+
+interface RequestBucket {
+  readonly startMs: number
+  count: number
+}
 
 /**
- * Creates a share. In any window at most the ratio of the requests plus an equal part of the slack is
- * taken: half of that part can be saved up and the other half returns within a window.
+ * Creates a share. What a window's requests earn may be saved for one window, and so may half of an equal part of
+ * the slack, whose other half returns within a window. Each request earns half of the ratio: attempts in a window
+ * come from what that window and the one before have earned, and stay below the ratio of the larger of both.
  */
 export function createRetryShare (timers: TimerService, getSettings: () => RetryShareSettings, getGatewayCount: () => number): RetryShare {
   let savedCount = Infinity
   let filledAtMs = timers.nowMs()
+  let buckets: RequestBucket[] = []
+
+  function getEarned (requestCount: number): number {
+    return requestCount * getSettings().ratio * usedPart / 2
+  }
+
+  function getHalfSlack (): number {
+    return getSettings().slackCount * usedPart / 2 / Math.max(1, getGatewayCount())
+  }
+
+  function countRecentRequests (): number {
+    buckets = buckets.filter(bucket => timers.nowMs() - bucket.startMs < getSettings().windowMs)
+    return buckets.reduce((sum, bucket) => sum + bucket.count, 0)
+  }
 
   function fill (): void {
-    const { slackCount, windowMs } = getSettings()
-    const halfSlackCount = slackCount * usedPart / 2 / Math.max(1, getGatewayCount())
     const elapsedMs = timers.nowMs() - filledAtMs
     filledAtMs = timers.nowMs()
-    savedCount = Math.min(halfSlackCount, savedCount + halfSlackCount * elapsedMs / windowMs)
+    const halfSlackCount = getHalfSlack()
+    const limit = halfSlackCount + getEarned(countRecentRequests())
+    savedCount = Math.min(limit, savedCount + halfSlackCount * elapsedMs / getSettings().windowMs)
   }
 
   return {
     noteRequest () {
-      savedCount += getSettings().ratio * usedPart
+      fill()
+      const last = buckets.at(-1)
+      const bucketMs = getSettings().windowMs / bucketsPerWindow
+      if (last !== undefined && timers.nowMs() - last.startMs < bucketMs) last.count += 1
+      else buckets.push({ startMs: timers.nowMs(), count: 1 })
+      savedCount += getEarned(1)
     },
     canTake () {
       fill()
