Survive a signal to read the settings again while the program is loading

Ruled out: a handler in the entry module, which runs after the modules that it imports.

Change: the launcher, the first line that runs, takes the signal.

--- a/scripts/launch-gateway.cjs
+++ b/scripts/launch-gateway.cjs
@@ -4,6 +4,9 @@
 const path = require('node:path')
 const vm = require('node:vm')
 
+// A signal that the settings have changed must not end a process that is still loading; it reads them anyway.
+process.on('SIGHUP', () => {})
+
 const bundlePath = path.join(__dirname, 'gateway-bundle.cjs')
 const cachePath = path.join(__dirname, 'gateway-bundle.cache')
 const cachedData = fs.existsSync(cachePath) ? fs.readFileSync(cachePath) : undefined
