--- a/src/coordination/replicas/replica-planner.test.ts
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -66,6 +66,15 @@
   }
 }
 
+/** A world whose groups have formed and whose spares are ready. */
+async function createFormedWorld (seed: number, { domainCount = 1, serverCount = 11, engine = sampleEngine } = {}) {
+  const world = createWorld(seed, engine)
+  addDomains(world.servers, domainCount, serverCount)
+  world.takeOver()
+  await world.timers.advanceAsync(120_000)
+  return world
+}
+
 function countModels (replicas: readonly Replica[]): Record<string, number> {
   const counts: Record<string, number> = {}
   for (const replica of replicas) counts[replica.model?.name ?? ''] = (counts[replica.model?.name ?? ''] ?? 0) + 1
@@ -75,10 +84,7 @@
 describe('replica planner', () => {
   describe('at the start', () => {
     it('gives each domain a group of each model and makes the rest ready for both', async () => {
-      const world = createWorld(1)
-      addDomains(world.servers, 2, 11)
-      world.takeOver()
-      await world.timers.advanceAsync(120_000)
+      const world = await createFormedWorld(1, { domainCount: 2 })
       expect(countModels(world.listOpen())).to.deep.equal({ large: 2, small: 2 })
       const spares = world.servers.list().filter(server => isSpareGroup(server.group?.groupName ?? ''))
       expect(spares.map(spare => spare.stagedModels[0]).sort()).to.deep.equal(['large', 'large', 'small', 'small'])
@@ -110,10 +116,7 @@
     }
 
     it('keeps each domain to one model, and the models to their shares', async () => {
-      const world = createWorld(7, engine)
-      addDomains(world.servers, 4, 27)
-      world.takeOver()
-      await world.timers.advanceAsync(120_000)
+      const world = await createFormedWorld(7, { domainCount: 4, serverCount: 27, engine })
       expect(countModels(world.listOpen())).to.deep.equal({ large: 4, small: 8 })
       const modelsByDomain = new Map(world.listOpen().map(replica => [replica.domain, new Set<string>()]))
       for (const replica of world.listOpen()) modelsByDomain.get(replica.domain)?.add(replica.model?.name ?? '')
@@ -121,10 +124,7 @@
     })
 
     it('replaces the dead of each group by the members of a lost one', async () => {
-      const world = createWorld(8, engine)
-      addDomains(world.servers, 4, 27)
-      world.takeOver()
-      await world.timers.advanceAsync(120_000)
+      const world = await createFormedWorld(8, { domainCount: 4, serverCount: 27, engine })
       world.beginTraffic()
       const loadCount = world.servers.countLoads()
       const domain = world.listOpen().find(replica => replica.model?.name === 'large')?.domain
@@ -143,10 +143,7 @@
   describe('when a member dies', () => {
     for (const memberRank of [0, 3]) {
       it(`replaces it by the staged spare (rank ${memberRank})`, async () => {
-        const world = createWorld(3)
-        addDomains(world.servers, 1, 11)
-        world.takeOver()
-        await world.timers.advanceAsync(120_000)
+        const world = await createFormedWorld(3)
         world.beginTraffic()
         const loadCount = world.servers.countLoads()
         const large = world.listOpen().find(replica => replica.model?.name === 'large') as Replica
@@ -161,10 +158,7 @@
     }
 
     it('opens the group again without the time that a model takes from the host', async () => {
-      const world = createWorld(3)
-      addDomains(world.servers, 1, 11)
-      world.takeOver()
-      await world.timers.advanceAsync(120_000)
+      const world = await createFormedWorld(3)
       const large = world.listOpen().find(replica => replica.model?.name === 'large') as Replica
       world.servers.kill(large.members[3]?.id as string)
       world.check(large.id)
@@ -174,10 +168,7 @@
     })
 
     it('lets servers of a lost group wait for a newcomer rather than load the other model', async () => {
-      const world = createWorld(4)
-      addDomains(world.servers, 1, 9)
-      world.takeOver()
-      await world.timers.advanceAsync(120_000)
+      const world = await createFormedWorld(4, { serverCount: 9 })
       const large = world.listOpen().find(replica => replica.model?.name === 'large') as Replica
       world.servers.kill(large.members[1]?.id as string)
       await world.timers.advanceAsync(8000)
@@ -189,10 +180,7 @@
 
   describe('when a server comes and goes by turns', () => {
     it('gives it no orders until it has been steady', async () => {
-      const world = createWorld(9)
-      addDomains(world.servers, 1, 11)
-      world.takeOver()
-      await world.timers.advanceAsync(120_000)
+      const world = await createFormedWorld(9)
       const id = world.listOpen().find(replica => replica.model?.name === 'small')?.members[1]?.id as string
       for (let turn = 0; turn < 3; turn += 1) {
         world.servers.kill(id)
@@ -212,10 +200,7 @@
 
   describe('when a member drains', () => {
     it('closes the group in order and forms it again without that member', async () => {
-      const world = createWorld(5)
-      addDomains(world.servers, 1, 11)
-      world.takeOver()
-      await world.timers.advanceAsync(120_000)
+      const world = await createFormedWorld(5)
       const large = world.listOpen().find(replica => replica.model?.name === 'large') as Replica
       const leavingId = large.members[2]?.id as string
       world.servers.setState(leavingId, ServerState.Draining)
