Read the list of gateways only when it has changed

Cause: every request counts the gateways three times or more (retry share, connection limit, size of the sample), and each count parsed and checked the items of all of them; with 80 gateways that is some hundred checks a request.

Change: the view replaces its map of the gateways' items with each change, and presence keeps what it read from the same map.

--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -55,6 +55,7 @@
   getConfigAgeMs (): number
   getServers (serviceName: string): readonly BackendServer[]
   listReplicatedServices (): readonly ReplicatedService[]
+  /** The same map as long as nothing has changed. */
   listOwnItems (): ReadonlyMap<string, OwnItem>
   isStoreReachable (): boolean
   /** Whether the store failed so lately that entries may be missing that are about to return. */
@@ -92,7 +93,8 @@
 export function createFleetView ({ source, mirror, timers, layout, logger, isHurried }: FleetViewOptions): FleetView {
   const events = createChannel<FleetEvent>()
   const servers = new Map<string, BackendServer>()
-  const ownItems = new Map<string, OwnItem>()
+  // Replaced and never changed, so that readers can tell by it whether what they derived still holds.
+  let ownItems: ReadonlyMap<string, OwnItem> = new Map()
   const unreadable = new Set<string>()
   const lapsed = createLapsedEntries(timers, lapseGraceMs)
   const clockGap = createClockGap(timers)
@@ -166,8 +168,8 @@
       changed.add(FleetEvent.Servers)
     } else if (key.startsWith(layout.ownPrefix)) {
       const ownKey = key.slice(layout.ownPrefix.length)
-      if (value === undefined) ownItems.delete(ownKey)
-      else ownItems.set(ownKey, { value, revision })
+      const others = [...ownItems].filter(([key]) => key !== ownKey)
+      ownItems = new Map(value === undefined ? others : [...others, [ownKey, { value, revision }]])
       changed.add(FleetEvent.Own)
     }
   }
--- a/src/gateway/presence.ts
+++ b/src/gateway/presence.ts
@@ -51,6 +51,8 @@
   const { store, timers, logger, nodeId, address, zone } = options
   const ownValue = JSON.stringify({ address: `${address.host}:${address.port}`, zone })
   const unreadable = new Set<string>()
+  let readItems: ReadonlyMap<string, OwnItem> | undefined
+  let gateways: readonly ListedGateway[] = []
   const startedAtMs = timers.nowMs()
   let leaseId: number | undefined
   let highestCount = 0
@@ -69,8 +71,13 @@
     return Math.max(1, highestCount, isNew ? assumedCount : 0)
   }
 
-  function listGateways (): ListedGateway[] {
-    return [...options.listItems()].flatMap(([key, item]) => key.startsWith(options.itemPrefix) ? readItem(key, item) : [])
+  function listGateways (): readonly ListedGateway[] {
+    const items = options.listItems()
+    if (items !== readItems) {
+      readItems = items
+      gateways = [...items].flatMap(([key, item]) => key.startsWith(options.itemPrefix) ? readItem(key, item) : [])
+    }
+    return gateways
   }
 
   function readItem (key: string, { value, revision }: OwnItem): ListedGateway[] {
