--- a/src/bin/bench.ts
+++ b/src/bin/bench.ts
@@ -2,8 +2,10 @@
 import { Command } from 'commander'
 
 import { benchmarks } from '../bench/index.js'
+import { getPackageVersion } from '../shared/package-version.js'
 
 const program = new Command('egretpaddle-bench')
+  .version(getPackageVersion())
   .description('Prints measurements against baselines in the same run.')
   .argument('<name>', `one of: ${Object.keys(benchmarks).join(', ')}`)
   .option('--seed <number>', 'seed of the run', '1')
--- a/src/bin/fuzz.ts
+++ b/src/bin/fuzz.ts
@@ -2,8 +2,10 @@
 import { Command } from 'commander'
 
 import { fuzzAreas } from '../fuzz/index.js'
+import { getPackageVersion } from '../shared/package-version.js'
 
 const program = new Command('egretpaddle-fuzz')
+  .version(getPackageVersion())
   .description('Runs random histories of commands and faults against the oracle of an area.')
   .argument('<area>', `one of: ${Object.keys(fuzzAreas).join(', ')}`)
   .option('--runs <count>', 'number of histories', '200')
