--- a/src/coordination/dispatch/return-times.ts
+++ b/src/coordination/dispatch/return-times.ts
@@ -1,6 +1,6 @@
 import type { RandomSource } from '../../shared/random-source.js'
 
-/** A group that lost a member is open again after 1.2 s, and most callers come back only once. */
+/** A group that lost a member is open again after about 1.6 s, and most callers come back only once. */
 export const minRetryAfterMs = 1000
 /** Spreads the callers that were refused together. */
 export const retryAfterSpreadMs = 1000
