Fuzz relays and the retry share against oracles

The share is checked with random loads of seven gateways, counted as the users count; a doubled slack and requests that earn eight times as much are caught (twice as much is not: the loads do not reach that corner; the fixed case of a load that ends covers it in part).

Tests only; no code of the gateway changed.

--- a/src/coordination/dispatch/retry-share.test.ts
+++ b/src/coordination/dispatch/retry-share.test.ts
@@ -1,10 +1,44 @@
 import { expect } from 'chai'
+import fc from 'fast-check'
 
 import { createVirtualTimerService } from '../../shared/virtual-timer-service.js'
-import { createRetryShare } from './retry-share.js'
+import { createRetryShare, type RetryShare, type RetryShareSettings } from './retry-share.js'
 
+const gatewayCount = 7
+const stepOfGateway = fc.record({
+  gateway: fc.nat({ max: gatewayCount - 1 }),
+  requestCount: fc.nat({ max: 20 }),
+  attemptCount: fc.nat({ max: 20 }),
+  pauseMs: fc.nat({ max: 800 })
+})
 const settings = { ratio: 0.2, slackCount: 132, windowMs: 10_000 }
 
+/** Checks the bound of `settings`, as the users count it, on gateways that use other settings. */
+function assertBound (used: RetryShareSettings): void {
+  fc.assert(fc.property(fc.array(stepOfGateway, { maxLength: 300 }), steps => {
+    const timers = createVirtualTimerService()
+    const shares = Array.from({ length: gatewayCount }, () => createRetryShare(timers, () => used, () => gatewayCount))
+    const takenAtMs: number[] = []
+    const requestedAtMs: number[] = []
+    for (const { gateway, requestCount, attemptCount, pauseMs } of steps) {
+      const share = shares[gateway] as RetryShare
+      for (let request = 0; request < requestCount; request += 1) {
+        share.noteRequest()
+        requestedAtMs.push(timers.nowMs())
+      }
+      for (let attempt = 0; attempt < attemptCount; attempt += 1) {
+        if (share.tryTake()) takenAtMs.push(timers.nowMs())
+      }
+      timers.advance(pauseMs)
+    }
+    const count = (times: readonly number[], startMs: number) => times.filter(atMs => atMs >= startMs && atMs < startMs + settings.windowMs).length
+    for (const startMs of takenAtMs) {
+      const requestCount = Math.max(...[0, 0.5, 1].map(windows => count(requestedAtMs, startMs - windows * settings.windowMs)))
+      expect(count(takenAtMs, startMs)).to.be.at.most(settings.ratio * requestCount + settings.slackCount)
+    }
+  }), { seed: 1, numRuns: 100 })
+}
+
 describe('retry share', () => {
   for (const requestsPerSecond of [0, 5, 40]) {
     it(`stays below the bound in every window when every request asks for second attempts (${requestsPerSecond}/s on each of 7 gateways)`, () => {
@@ -44,6 +78,15 @@
     expect(takenCount).to.be.at.least(5)
   })
 
+  it('stays below the bound, counted as the users count, whatever gateways get and ask for', () => {
+    assertBound(settings)
+  })
+
+  it('is caught by that check when the slack gives twice, or requests earn eight times as much', () => {
+    expect(() => assertBound({ ...settings, slackCount: 2 * settings.slackCount })).to.throw()
+    expect(() => assertBound({ ...settings, ratio: 8 * settings.ratio })).to.throw()
+  })
+
   it('stays below the bound, counted as the users count, when the load falls and all ask at once', () => {
     const timers = createVirtualTimerService()
     const shares = Array.from({ length: 7 }, () => createRetryShare(timers, () => settings, () => 7))
--- a/src/fuzz/index.ts
+++ b/src/fuzz/index.ts
@@ -4,6 +4,7 @@
 import { runGroupsFuzz } from './groups-area.js'
 import { runMembershipFuzz } from './membership-fuzz.js'
 import { runOrdersFuzz } from './orders-fuzz.js'
+import { runRelayHistories } from './relay-fuzz.js'
 import { runStreamsFuzz } from './streams-area.js'
 import { runTransportFuzz } from './transport-fuzz.js'
 
@@ -13,6 +14,7 @@
   groups: options => runGroupsFuzz(options),
   membership: runMembershipFuzz,
   orders: runOrdersFuzz,
+  relay: runRelayHistories,
   streams: options => runStreamsFuzz(options),
   transport: runTransportFuzz,
   admission: options => fuzzAdmission(options)
--- a/src/gateway/relay.test.ts
+++ b/src/gateway/relay.test.ts
@@ -1,55 +1,17 @@
 import { expect } from 'chai'
 
-import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { RelayLink } from '../coordination/ports/relay-link.js'
 import { StoreErrorKind } from '../coordination/ports/revisioned-store.js'
 import { directPlan, type RelayPlan } from '../coordination/relay/relay-plan.js'
-import { createRelayedSource } from '../coordination/relay/relayed-source.js'
-import { createStoreMirror } from '../coordination/relay/store-mirror.js'
-import { encodeRelayAnswer, relayAnswerSchema, toRelayAnswer } from '../protocol/relay-messages.js'
-import { failure, success } from '../shared/result.js'
+import { failure } from '../shared/result.js'
 import { delay } from '../shared/timer-service.js'
-import { createVirtualTimerService, type VirtualTimerService } from '../shared/virtual-timer-service.js'
-import { createFakeRevisionedStore, type FakeRevisionedStore } from '../testing/fake-revisioned-store.js'
-import { makeBackendServer, makeServingConfig } from '../testing/serving-samples.js'
-import { createFleetView } from './fleet-view.js'
-import { createRelayAnswerer } from './relay-answerer.js'
+import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
+import { createFakeRevisionedStore } from '../testing/fake-revisioned-store.js'
+import { askOverWire, createRelayNode } from '../testing/relay-nodes.js'
 
-const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
 const relay = { nodeId: 'relay', zone: 'z', address: 'relay:1', listedRevision: 1 }
 const relayedPlan: RelayPlan = { isRelay: false, relays: [relay] }
 
-function createNode (nodeId: string, timers: VirtualTimerService, { store }: FakeRevisionedStore, link: RelayLink, plan: RelayPlan) {
-  const mirror = createStoreMirror({ toComparable: (_key, text) => text.replace(/#\d+/, '') })
-  const loads = createReplicaLoads(timers)
-  const source = createRelayedSource({
-    store,
-    link,
-    timers,
-    getPlan: () => plan,
-    createLoadReport: () => loads.createOwnReport(nodeId),
-    takeLoads: loads.takeReport,
-    getAgeMs: () => fleet.getConfigAgeMs()
-  })
-  const fleet = createFleetView({
-    source,
-    mirror,
-    timers,
-    isHurried: () => false,
-    logger: silentLogger,
-    layout: {
-      configKey: 'op/config',
-      serverPrefix: 'servers/',
-      ownPrefix: 'own/',
-      decodeConfig: text => success(makeServingConfig({ version: Number(text) })),
-      decodeServer: id => success(makeBackendServer({ id })),
-      toComparable: (_key, text) => text
-    }
-  })
-  fleet.start()
-  return { fleet, source, loads, answerer: createRelayAnswerer({ timers, fleet, mirror, source, loads }) }
-}
-
 /** A relay and a gateway that relies on it; the store can be taken from either alone. */
 async function createWorld () {
   const timers = createVirtualTimerService()
@@ -62,41 +24,34 @@
     return answer()
   }
   const relayPath = {
-    ...relayStore,
-    store: {
-      ...relayStore.store,
-      read: (prefix: string) => holdBack(() => relayStore.store.read(prefix)),
-      watch: (prefix: string, after: number, waitMs: number) => holdBack(() => relayStore.store.watch(prefix, after, waitMs))
-    }
+    ...relayStore.store,
+    read: (prefix: string) => holdBack(() => relayStore.store.read(prefix)),
+    watch: (prefix: string, after: number, waitMs: number) => holdBack(() => relayStore.store.watch(prefix, after, waitMs))
   }
-  const relayNode = createNode('relay', timers, relayPath, { ask: async () => failure('no relay') }, directPlan)
+  const relayNode = createRelayNode({ nodeId: 'relay', timers, store: relayPath, link: { ask: async () => failure('no relay') }, plan: directPlan })
   const link: RelayLink = {
     async ask (_address, question) {
       if (path.isCut) {
         await delay(timers, question.waitMs)
         return failure('no answer')
       }
-      const answer = await relayNode.answerer.answer(question)
-      return answer === undefined ? failure('not now') : success(toRelayAnswer(relayAnswerSchema.parse(JSON.parse(encodeRelayAnswer(answer)))))
+      return askOverWire(relayNode.answerer, question)
     }
   }
   const ownCalls = { count: 0, isRefused: false }
   const { store } = relayStore
   const ownStore = {
-    ...relayStore,
-    store: {
-      ...store,
-      async read (prefix: string) {
-        ownCalls.count += 1
-        return ownCalls.isRefused ? failure({ kind: StoreErrorKind.Unavailable, reason: 'turned away' }) : store.read(prefix)
-      },
-      async watch (prefix: string, afterRevision: number, waitMs: number) {
-        ownCalls.count += 1
-        return store.watch(prefix, afterRevision, waitMs)
-      }
+    ...store,
+    async read (prefix: string) {
+      ownCalls.count += 1
+      return ownCalls.isRefused ? failure({ kind: StoreErrorKind.Unavailable, reason: 'turned away' }) : store.read(prefix)
+    },
+    async watch (prefix: string, afterRevision: number, waitMs: number) {
+      ownCalls.count += 1
+      return store.watch(prefix, afterRevision, waitMs)
     }
   }
-  const node = createNode('node', timers, ownStore, link, relayedPlan)
+  const node = createRelayNode({ nodeId: 'node', timers, store: ownStore, link, plan: relayedPlan })
   await timers.advanceAsync(8000)
   return { timers, store: relayStore, path, ownCalls, node, relayNode }
 }
--- /dev/null
+++ b/src/testing/relay-nodes.ts
@@ -0,0 +1,62 @@
+import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import type { RelayLink, RelayQuestion } from '../coordination/ports/relay-link.js'
+import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
+import type { RelayPlan } from '../coordination/relay/relay-plan.js'
+import { createRelayedSource } from '../coordination/relay/relayed-source.js'
+import { createStoreMirror } from '../coordination/relay/store-mirror.js'
+import { createFleetView } from '../gateway/fleet-view.js'
+import { createRelayAnswerer, type RelayAnswerer } from '../gateway/relay-answerer.js'
+import { encodeRelayAnswer, relayAnswerSchema, toRelayAnswer } from '../protocol/relay-messages.js'
+import { failure, success } from '../shared/result.js'
+import type { TimerService } from '../shared/timer-service.js'
+import { makeBackendServer, makeServingConfig } from './serving-samples.js'
+
+const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
+
+export interface RelayNodeOptions {
+  readonly nodeId: string
+  readonly timers: TimerService
+  readonly store: RevisionedStore
+  readonly link: RelayLink
+  readonly plan: RelayPlan
+}
+
+export type RelayNode = ReturnType<typeof createRelayNode>
+
+/** Starts the part of a gateway that learns what the store holds. The configuration's text is its version. */
+export function createRelayNode ({ nodeId, timers, store, link, plan }: RelayNodeOptions) {
+  const mirror = createStoreMirror({ toComparable: (_key, text) => text.replace(/#\d+/, '') })
+  const loads = createReplicaLoads(timers)
+  const source = createRelayedSource({
+    store,
+    link,
+    timers,
+    getPlan: () => plan,
+    createLoadReport: () => loads.createOwnReport(nodeId),
+    takeLoads: loads.takeReport,
+    getAgeMs: () => fleet.getConfigAgeMs()
+  })
+  const fleet = createFleetView({
+    source,
+    mirror,
+    timers,
+    isHurried: () => false,
+    logger: silentLogger,
+    layout: {
+      configKey: 'op/config',
+      serverPrefix: 'servers/',
+      ownPrefix: 'own/',
+      decodeConfig: text => success(makeServingConfig({ version: Number(text) })),
+      decodeServer: id => success(makeBackendServer({ id })),
+      toComparable: (_key, text) => text
+    }
+  })
+  fleet.start()
+  return { nodeId, fleet, source, loads, answerer: createRelayAnswerer({ timers, fleet, mirror, source, loads }) }
+}
+
+/** Asks a relay as over the wire. */
+export async function askOverWire (answerer: RelayAnswerer, question: RelayQuestion): ReturnType<RelayLink['ask']> {
+  const answer = await answerer.answer(question)
+  return answer === undefined ? failure('not now') : success(toRelayAnswer(relayAnswerSchema.parse(JSON.parse(encodeRelayAnswer(answer)))))
+}
