--- a/src/fuzz/membership-fuzz.test.ts
+++ b/src/fuzz/membership-fuzz.test.ts
@@ -3,7 +3,7 @@
 import type { MembershipSettings } from '../coordination/membership/membership-settings.js'
 import { runCommandFuzz } from './command-fuzz.js'
 import { createMembershipFuzzArea, runMembershipFuzz } from './membership-fuzz.js'
-import type { MembershipMutator } from './membership-world.js'
+import { createMembershipWorld, type MembershipMutator } from './membership-world.js'
 
 function replaceSettings (changed: Partial<MembershipSettings>): MembershipMutator {
   return options => ({ ...options, settings: { ...options.settings, ...changed } })
@@ -41,6 +41,17 @@
   }
 
   describe('oracle', () => {
+    it('still checks death reports after the loss of messages was set to zero', async () => {
+      const world = createMembershipWorld(1, replaceSettings({ indirectProbeCount: 0 }))
+      for (const index of [0, 1, 2]) world.start(index)
+      await world.timers.advanceAsync(10_000)
+      world.setLoss(0)
+      world.cut(0, 1)
+      world.cut(1, 0)
+      await world.timers.advanceAsync(60_000)
+      expect(world.violations.join()).to.match(/as dead although no fault explains it/)
+    })
+
     for (const { name, seed, mutateOptions, expectedViolation } of brokenVariants) {
       it(`catches a node that ${name}`, async () => {
         const report = await runCommandFuzz(createMembershipFuzzArea(mutateOptions), { seed, runCount: 200, maxCommandCount: 30, shouldShrink: false })
--- a/src/fuzz/membership-world.ts
+++ b/src/fuzz/membership-world.ts
@@ -216,7 +216,8 @@
       }
     },
     setLoss (lossRatio) {
-      wasDisturbed = true
+      // A loss of zero excuses nothing that happens after it.
+      if (lossRatio > 0) wasDisturbed = true
       network.lossRatio = lossRatio
     },
     assertHolds,
