Follow what servers say of themselves: that they leave, and for how long they want no requests

A gateway sent requests to a server whose responses said Server-Leaving for as long as the list called it ready, and sent again at once to one that had refused with 503 and Retry-After.

Change: `state/leaving-servers.ts` keeps the announcements by process (id and start time), over what the list says, until a restart; the view lists such a server as draining, so that placing, replicas and planner follow without cases of their own. Other gateways' announcements reach the planner by datagram, five times in 1.5 s. Responses to reports and commands count too. `dispatch/server-holds.ts` keeps the held times, bounded to ten minutes; placing leaves such servers out, a refusal's Retry-After is not shorter than the first hold, and the planner asks a held server for no report. A value that is no number of seconds is logged with the server and ignored.

--- a/src/coordination/dispatch/replica-choice.test.ts
+++ b/src/coordination/dispatch/replica-choice.test.ts
@@ -27,16 +27,27 @@
 
 describe('replica choice', () => {
   let loads: ReplicaLoads
+  let holdsMs: Map<string, number>
   const timers = createVirtualTimerService()
   const random = createRandomSource(7)
 
   beforeEach(() => {
     loads = createReplicaLoads(timers)
+    holdsMs = new Map()
+  })
+
+  it('skips a replica whose leader wants no requests, and states the shortest time when all do', () => {
+    const servers = [...makeReplicaServers('a', 'z1'), ...makeReplicaServers('b', 'z1')]
+    holdsMs.set('a-0', 700)
+    const choice = choose(servers)
+    expect(choice.kind === ReplicaChoiceKind.Chosen ? choice.replica.groupName : choice.kind).to.equal('small.b')
+    holdsMs.set('b-0', 400)
+    expect(choose(servers)).to.deep.equal({ kind: ReplicaChoiceKind.Held, holdMs: 400 })
   })
 
   function choose (servers: readonly BackendServer[], excluded: readonly string[] = [], maxOwnStreamCount = 50) {
     const replicas: Replica[] = listReplicas(servers, sampleEngine)
-    return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, maxLocalStreamCount: maxOwnStreamCount, excludedIds: new Set(excluded) }, loads, random)
+    return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, maxLocalStreamCount: maxOwnStreamCount, excludedIds: new Set(excluded), getHoldMs: server => holdsMs.get(server.id) ?? 0 }, loads, random)
   }
 
   it('skips a replica that lacks a member or is not open', () => {
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -1,5 +1,5 @@
 import type { RandomSource } from '../../shared/random-source.js'
-import { ServerState } from '../../state/backend-server.js'
+import { ServerState, type BackendServer } from '../../state/backend-server.js'
 import type { Replica } from '../../state/replica.js'
 import type { ReplicaLoads } from './replica-loads.js'
 
@@ -15,6 +15,8 @@
   readonly maxLocalStreamCount: number
   /** Replicas on which this request was attempted already. */
   readonly excludedIds: ReadonlySet<string>
+  /** Time for which the server wants no requests, in milliseconds; 0 when it takes them. */
+  getHoldMs (server: BackendServer): number
 }
 
 /** Result of the choice. */
@@ -22,6 +24,8 @@
   Chosen = 'chosen',
   /** Every replica of the model has reached its stream limit. */
   Full = 'full',
+  /** Every replica that could serve the model wants no requests for some time. */
+  Held = 'held',
   /** No usable replica serves the model. */
   Absent = 'absent'
 }
@@ -31,6 +35,8 @@
   /** `isHealthy`: the replica has a free slot and is not quiet. */
   | { readonly kind: ReplicaChoiceKind.Chosen, readonly replica: Replica, readonly streamCount: number, readonly isHealthy: boolean }
   | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number }
+  /** `holdMs`: the time after which the first of them takes requests. */
+  | { readonly kind: ReplicaChoiceKind.Held, readonly holdMs: number }
   | { readonly kind: ReplicaChoiceKind.Absent }
 
 /** Streams that may queue in a replica's engine beyond its slots, as a fraction of the slots. */
@@ -60,9 +66,12 @@
  * fill it before the load reports show it. The more gateways there are, the smaller the sample of each.
  */
 export function chooseReplica (input: ReplicaChoiceInput, loads: ReplicaLoads, random: RandomSource): ReplicaChoice {
-  const usable = input.replicas.filter(replica => replica.model?.name === input.model && replica.isOpen &&
+  const candidates = input.replicas.filter(replica => replica.model?.name === input.model && replica.isOpen &&
     !input.excludedIds.has(replica.id) && !loads.isStalled(replica.id) && hasAllMembersAndReadyLeader(replica))
-  if (usable.length === 0) return { kind: ReplicaChoiceKind.Absent }
+  if (candidates.length === 0) return { kind: ReplicaChoiceKind.Absent }
+  const getHoldMs = ({ leader }: Replica) => leader === undefined ? 0 : input.getHoldMs(leader)
+  const usable = candidates.filter(replica => getHoldMs(replica) === 0)
+  if (usable.length === 0) return { kind: ReplicaChoiceKind.Held, holdMs: Math.min(...candidates.map(getHoldMs)) }
   const rated = usable.map(replica => rate(replica, input.zone, loads, random))
   const free = rated.filter(candidate => candidate.streamCount < input.slotCount * (1 + maxQueuedFraction) &&
     loads.getLocalStreamCount(candidate.replica.id) < input.maxLocalStreamCount)
--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -11,6 +11,11 @@
   readonly stalledIds: readonly string[]
   /** Replicas whose streams have paused for longer than a working replica, at any of the gateways. */
   readonly quietIds: readonly string[]
+  /**
+   * Servers that announced at the reporting gateway that they are leaving: the start times of their processes by server
+   * ID. Sent to the planner only.
+   */
+  readonly leavingServers?: Readonly<Record<string, number>> | undefined
 }
 
 /**
--- a/src/coordination/dispatch/retry-after.ts
+++ b/src/coordination/dispatch/retry-after.ts
@@ -8,7 +8,10 @@
 /** Jitter that spreads clients that were refused at the same time. */
 export const retryAfterSpreadMs = 1000
 
-/** Returns the time in ms after which a client should retry when no replica had a free slot. */
-export function chooseRetryAfterMs (random: RandomSource): number {
-  return Math.round(minRetryAfterMs + retryAfterSpreadMs * random.nextFloat())
+/**
+ * Returns the time in ms after which a client should retry when no replica took its request. `unavailableMs` is the time
+ * for which it is known that none will.
+ */
+export function chooseRetryAfterMs (random: RandomSource, unavailableMs = 0): number {
+  return Math.round(Math.max(minRetryAfterMs, unavailableMs) + retryAfterSpreadMs * random.nextFloat())
 }
--- a/src/coordination/ports/server-control.ts
+++ b/src/coordination/ports/server-control.ts
@@ -1,3 +1,4 @@
+import type { Channel } from '../../shared/channel.js'
 import type { BackendServer, GroupMembership } from '../../state/backend-server.js'
 import type { Result } from '../../shared/result.js'
 
@@ -69,6 +70,8 @@
 
 /** Control calls to backend servers. */
 export interface ServerControl {
+  /** Servers that announced in a response that they are leaving; each response sends one. */
+  readonly leavingServers: Channel<BackendServer>
   sendCommand (server: BackendServer, command: ServerCommand, precondition: CommandPrecondition): Promise<CommandOutcome>
   readReport (server: BackendServer): Promise<Result<ServerReport, string>>
 }
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -24,6 +24,8 @@
   readonly serverControl: ServerControl
   /** Time after which a replica that lost a member refuses requests on its own. */
   getStallLimitMs (): number
+  /** Whether the server wants no requests for some time; it gets no health checks then, and counts as reachable. */
+  isHeld (server: BackendServer): boolean
   /** Whether client requests have arrived at any gateway. */
   hasTraffic (): boolean
   /** Returns the services with replicas. */
@@ -127,6 +129,7 @@
   }
 
   async function checkMember (planner: ReplicaPlanner, member: BackendServer, replicaId: string): Promise<void> {
+    if (options.isHeld(member)) return
     const report = await serverControl.readReport(member)
     if (report.isOk) {
       planner.recordReachable(member)
--- a/src/coordination/replicas/replica-planner.test.ts
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -37,6 +37,7 @@
       stop: async () => {}
     }
     task = createPlannerTask({
+      isHeld: () => false,
       timers,
       logger: silentLogger,
       lease,
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -1,18 +1,19 @@
 /** The context of one client request, with the helpers that both kinds of forwarding use. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
+import type { ServerHolds } from '../coordination/dispatch/server-holds.js'
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import type { LogFields, Logger } from '../observability/log.js'
-import type { Metrics } from '../observability/metrics.js'
+import { MetricEvent, type Metrics } from '../observability/metrics.js'
 import type { RandomSource } from '../shared/random-source.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { Route, Team } from '../state/serving-config.js'
 import type { BackendServer } from '../state/backend-server.js'
-import type { BackendConnectionPool, BackendRequest } from '../transport/backend-connection-pool.js'
+import type { BackendConnectionPool, BackendRequest, ResponseHead } from '../transport/backend-connection-pool.js'
 import type { FleetView } from './fleet-view.js'
-import type { ClientRequestInfo, WireCodec } from './wire-codec.js'
+import type { ClientRequestInfo, ServerResponseInfo, WireCodec } from './wire-codec.js'
 
 /** The dependencies that all calls of a gateway share. */
 export interface CallDependencies {
@@ -23,10 +24,13 @@
   readonly codec: WireCodec
   readonly connections: BackendConnectionPool
   readonly scores: ServerScores
+  readonly holds: ServerHolds
   readonly loads: ReplicaLoads
   readonly metrics: Metrics
   readonly logger: Logger
   countGateways (): number
+  /** Records that a server announced in a response that it is leaving, and lets the planner know. */
+  noteLeaving (server: BackendServer): void
   /** Requests that this gateway may have in flight at one server of the service. */
   getConnectionLimit (serviceName: string): number
   /** The retry budget that all calls of the service share in this gateway. */
@@ -82,6 +86,9 @@
 
 const notExecutedStatuses: readonly number[] = [408, 421, 429, 503]
 
+/** Limit on the further attempts of a call after attempts that no server executed, for streams and plain calls alike. */
+export const maxNotExecutedRetryCount = 3
+
 /** Time left until the final response is due. */
 export function getRemainingMs (dependencies: CallDependencies, call: Call): number {
   return call.deadlineAtMs - dependencies.timers.nowMs()
@@ -116,6 +123,24 @@
   }
 }
 
+/**
+ * Reads the headers of a server's response, and records what the server says of itself there: that it is leaving, or
+ * that it wants no requests for some time.
+ */
+export function readServerHead (dependencies: CallDependencies, server: BackendServer, head: ResponseHead): ServerResponseInfo {
+  const response = dependencies.codec.readServerResponse(head.statusCode, head.headers)
+  if (response.isLeaving) dependencies.noteLeaving(server)
+  if (response.holdMs !== undefined) {
+    dependencies.holds.record(server, response.holdMs)
+    dependencies.metrics.countEvent(MetricEvent.ServerHold)
+    dependencies.logger.info('A server wants no requests for some time.', { serverId: server.id, holdMs: response.holdMs })
+  }
+  if (response.invalidHold !== undefined) {
+    dependencies.logger.warn('A server stated a time without requests that is not a number of seconds; it is ignored.', { serverId: server.id, value: response.invalidHold })
+  }
+  return response
+}
+
 /** Logs how a call ended, in one line, and counts it. */
 export function recordOutcome (dependencies: CallDependencies, call: Call, outcome: CallOutcome, fields: LogFields): void {
   dependencies.metrics.countRequest(call.route.kind, outcome)
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -8,7 +8,8 @@
 import { createSuspensionDetector } from '../shared/suspension-detector.js'
 import type { Result } from '../shared/result.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
-import type { BackendServer } from '../state/backend-server.js'
+import { ServerState, type BackendServer } from '../state/backend-server.js'
+import { createLeavingServers } from '../state/leaving-servers.js'
 import { createMissingEntryTracker } from '../state/missing-entry-tracker.js'
 import { listReplicas, type Replica } from '../state/replica.js'
 import type { EngineProfile, ServingConfig } from '../state/serving-config.js'
@@ -56,6 +57,13 @@
   getConfigAgeMs (): number
   getServers (serviceName: string): readonly BackendServer[]
   listReplicatedServices (): readonly ReplicatedService[]
+  /**
+   * Records that a process of a server announced in a response that it is leaving. It counts as draining from now on,
+   * whatever its entry in the store says, until the server restarts. Returns false if that was known.
+   */
+  markLeaving (serverId: string, startedAtMs: number): boolean
+  /** Start times of the processes whose leaving was recorded within this time, by server ID. */
+  listRecentlyLeaving (withinMs: number): Record<string, number>
   /** The gateways' own entries, by key without the prefix. Returns the same map until one of them changes. */
   listGatewayEntries (): ReadonlyMap<string, GatewayEntry>
   isStoreReachable (): boolean
@@ -101,6 +109,7 @@
   let gatewayEntries: ReadonlyMap<string, GatewayEntry> = new Map()
   const warnedServerIds = new Set<string>()
   const missingEntries = createMissingEntryTracker(timers, missingEntryGraceMs)
+  const leavingServers = createLeavingServers(timers)
   const suspensionDetector = createSuspensionDetector(timers)
   let serversByService = new Map<string, BackendServer[]>()
   let replicatedServices: ReplicatedService[] | undefined
@@ -133,7 +142,7 @@
   function applyServerEntry (id: string, text: string): void {
     const decoded = layout.decodeServer(id, text)
     if (decoded.isOk) {
-      servers.set(id, decoded.value)
+      servers.set(id, withOwnState(decoded.value))
       return
     }
     servers.delete(id)
@@ -142,6 +151,11 @@
     logger.warn('A server entry is invalid; the server is not used.', { serverId: id, reason: decoded.error })
   }
 
+  /** A server that announced its leaving in a response may still be listed as ready. */
+  function withOwnState (server: BackendServer): BackendServer {
+    return leavingServers.has(server) ? { ...server, state: ServerState.Draining } : server
+  }
+
   function removeServer (id: string): void {
     if (!servers.has(id)) return
     if (missingEntries.shouldKeep(id)) return
@@ -267,6 +281,17 @@
       })
       return replicatedServices
     },
+    markLeaving (serverId, startedAtMs) {
+      if (!leavingServers.record(serverId, startedAtMs)) return false
+      logger.info('A server is leaving; it gets no new requests.', { serverId, startedAtMs })
+      const server = servers.get(serverId)
+      if (server === undefined) return true
+      servers.set(serverId, withOwnState(server))
+      indexServers()
+      events.send(FleetEvent.Servers)
+      return true
+    },
+    listRecentlyLeaving: leavingServers.listRecent,
     listGatewayEntries: () => gatewayEntries,
     isStoreReachable: () => isReachable,
     hasRecentStoreFailure: missingEntries.isGracePeriodActive,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,7 @@
 import { recentEventMs, createReplicaLoads, totalNodeId, type LoadReport } from '../coordination/dispatch/replica-loads.js'
 import { computeConnectionLimit } from '../coordination/dispatch/connection-limit.js'
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
+import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerControl } from '../coordination/ports/server-control.js'
@@ -13,10 +14,11 @@
 import { createPlannerTask } from '../coordination/replicas/planner-task.js'
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
-import { createMetrics } from '../observability/metrics.js'
+import { createMetrics, MetricEvent, MetricGauge } from '../observability/metrics.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
+import type { BackendServer } from '../state/backend-server.js'
 import { createBackendConnectionPool } from '../transport/backend-connection-pool.js'
 import type { CallDependencies } from './call-context.js'
 import { createCallIntake } from './call-intake.js'
@@ -119,6 +121,7 @@
     lease: plannerLease,
     serverControl: options.serverControl,
     getStallLimitMs: () => bounds.stallLimitMs,
+    isHeld: server => dependencies.holds.getRemainingMs(server) > 0,
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
     listServices: fleet.listReplicatedServices
   })
@@ -131,12 +134,14 @@
     codec,
     connections: createBackendConnectionPool({ timers, maxIdleConnectionsPerServer }),
     scores: createServerScores(timers),
+    holds: createServerHolds(timers),
     loads,
     metrics,
     logger: createRateLimitedLogger(createLogger('calls'), timers, requestLogLinesPerSecond),
     countGateways: presence.countGateways,
     getConnectionLimit,
     getRetryBudget,
+    noteLeaving,
     reportStall (replicaId) {
       if (loads.hasRecentEvent(replicaId, recentEventMs)) return
       loads.markStalled(replicaId)
@@ -150,15 +155,33 @@
     loads,
     listPeers: listRelayPeers,
     findPlannerAddress: () => presence.findPeer(readPlannerNode(fleet.listGatewayEntries().get(plannerKey)?.value ?? '')),
+    listRecentlyLeaving: fleet.listRecentlyLeaving,
+    onLeavingServer: (serverId, startedAtMs) => { fleet.markLeaving(serverId, startedAtMs) },
     onSuspectReplica: replicaId => planner.checkReplica(replicaId)
   })
   const callIntake = createCallIntake({ dependencies, getMaxConfigAgeMs })
   const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes, handle: callIntake.handle })
   const readinessServer = createReadinessServer(settings.readinessAddress, isReady)
-  const metricsServer = createMetricsServer(settings.metricsAddress, metrics)
+  const metricsServer = createMetricsServer(settings.metricsAddress, metrics, refreshGauges)
   const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), log)
   let isStopping = false
 
+  function noteLeaving (server: BackendServer): void {
+    if (fleet.markLeaving(server.id, server.startedAtMs)) metrics.countEvent(MetricEvent.ServerLeaving)
+  }
+
+  function refreshGauges (): void {
+    metrics.setGauge(MetricGauge.IsReady, Number(isReady()))
+    metrics.setGauge(MetricGauge.ConfigVersion, fleet.getConfig()?.version ?? 0)
+    metrics.setGauge(MetricGauge.LiveNodeCount, presence.listGateways().length)
+    metrics.setGauge(MetricGauge.CompleteGroupCount, countServingReplicas())
+    metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
+  }
+
+  function countServingReplicas (): number {
+    return fleet.listReplicatedServices().flatMap(service => service.replicas).filter(replica => replica.isOpen && replica.isComplete).length
+  }
+
   function getConnectionLimit (serviceName: string): number {
     const service = fleet.getConfig()?.services.find(candidate => candidate.name === serviceName)
     return service === undefined ? Infinity : computeConnectionLimit(service.maxConnectionCount, presence.countGateways())
@@ -200,6 +223,7 @@
   }
 
   function observeFleet (): void {
+    void options.serverControl.leavingServers.messages.observe(noteLeaving)
     void fleet.events.messages.observe(event => {
       if (event === FleetEvent.Config) {
         const limits = fleet.getConfig()?.limits
--- a/src/gateway/internal-servers.ts
+++ b/src/gateway/internal-servers.ts
@@ -20,13 +20,14 @@
   })
 }
 
-/** Creates the server of the metrics in the Prometheus text format. */
-export function createMetricsServer (address: NetworkAddress, metrics: Metrics) {
+/** Creates the server of the metrics in the Prometheus text format; `refreshGauges` is called before each response. */
+export function createMetricsServer (address: NetworkAddress, metrics: Metrics, refreshGauges: () => void) {
   return createInternalServer(address, (request, response) => {
     if (request.url !== metricsPath) {
       response.writeHead(404).end()
       return
     }
+    refreshGauges()
     metrics.render().then(text => response.end(text), (error: Error) => response.writeHead(500).end(error.message))
   })
 }
@@ -37,6 +38,7 @@
     const body = await readRequestBody(request, maxRelayRequestBytes)
     const relayRequest = body.kind === BodyResultKind.Whole ? decodeRelayRequest(body.body?.toString('utf8') ?? '') : undefined
     if (request.url !== relayPath || relayRequest === undefined) {
+      logger.warn('A relay request is invalid; it was refused with status 400.', { path: request.url ?? '', from: request.socket.remoteAddress ?? '' })
       response.writeHead(400).end()
       return
     }
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -1,5 +1,5 @@
 /** Exchanges load reports with other gateways by UDP: streams per replica, and the replicas that are quiet or stalled. */
-import { recentEventMs, type ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import { recentEventMs, type LoadReport, type ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { Logger } from '../observability/log.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
@@ -15,6 +15,10 @@
   listPeers (): readonly NetworkAddress[]
   /** Address of the planner; undefined when it is this gateway or unknown. */
   findPlannerAddress (): NetworkAddress | undefined
+  /** Servers that announced to this gateway within the time that they are leaving: start times of their processes by ID. */
+  listRecentlyLeaving (withinMs: number): Record<string, number>
+  /** Called when another gateway reports a server that is leaving. */
+  onLeavingServer (serverId: string, startedAtMs: number): void
   /** Called when a replica is quiet here, or when another gateway reports it as quiet or stalled. */
   onSuspectReplica (replicaId: string): void
 }
@@ -26,11 +30,15 @@
 const quietCheckIntervalMs = 60
 /** A report with the same content as the last one is sent only this often. */
 const repeatIntervalMs = 1000
+/** Each server that is leaving is reported to the planner several times, since datagrams are lost occasionally. */
+const leavingReportIntervalMs = 300
+const leavingReportTimeMs = 1500
 
 /** Creates the exchange of load reports with the other gateways. */
-export function createLoadSharing ({ settings, timers, logger, loads, listPeers, findPlannerAddress, onSuspectReplica }: LoadSharingOptions) {
+export function createLoadSharing ({ settings, timers, logger, loads, listPeers, findPlannerAddress, listRecentlyLeaving, onLeavingServer, onSuspectReplica }: LoadSharingOptions) {
   let timer: TimerSubscription | undefined
   let quietTimer: TimerSubscription | undefined
+  let leavingTimer: TimerSubscription | undefined
   let reportedQuietIds = new Set<string>()
   let lastContent = ''
   let lastSentAtMs = -Infinity
@@ -44,6 +52,7 @@
         onSuspectReplica(replicaId)
       }
       report.quietIds.forEach(onSuspectReplica)
+      for (const [serverId, startedAtMs] of Object.entries(report.leavingServers ?? {})) onLeavingServer(serverId, startedAtMs)
     },
     onError: reason => logger.debug('A load report could not be sent or decoded.', { reason })
   })
@@ -70,7 +79,17 @@
     const planner = hasNewQuiet ? findPlannerAddress() : undefined
     // The planner needs only this gateway's quiet and stalled replicas; it gets stream counts with the regular reports, which
     // include the gateways that depend on this one.
-    if (planner !== undefined) reportSocket.send({ ...loads.createOwnReport(settings.nodeId), streamCounts: {} }, [planner])
+    if (planner !== undefined) sendToPlanner(planner, {})
+  }
+
+  function reportLeaving (): void {
+    const leavingServers = listRecentlyLeaving(leavingReportTimeMs)
+    const planner = Object.keys(leavingServers).length > 0 ? findPlannerAddress() : undefined
+    if (planner !== undefined) sendToPlanner(planner, { leavingServers })
+  }
+
+  function sendToPlanner (planner: NetworkAddress, extra: Pick<LoadReport, 'leavingServers'>): void {
+    reportSocket.send({ ...loads.createOwnReport(settings.nodeId), streamCounts: {}, ...extra }, [planner])
   }
 
   function schedule (): void {
@@ -82,10 +101,12 @@
       await reportSocket.start()
       schedule()
       quietTimer = timers.subscribeEvery(quietCheckIntervalMs, checkQuiet)
+      leavingTimer = timers.subscribeEvery(leavingReportIntervalMs, reportLeaving)
     },
     stop (): void {
       timer?.cancel()
       quietTimer?.cancel()
+      leavingTimer?.cancel()
       reportSocket.stop()
     }
   }
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -3,7 +3,10 @@
 import { RouteKind } from '../state/serving-config.js'
 import { ExchangeFailureKind, type ResponseHead, type ExchangeFailure } from '../transport/backend-connection-pool.js'
 import { filterResponseHeaders } from './response-headers.js'
-import { sendGatewayResponse, buildBackendRequest, CallOutcome, getRemainingMs, promisesNotExecuted, recordOutcome, type Call, type CallDependencies } from './call-context.js'
+import {
+  sendGatewayResponse, buildBackendRequest, CallOutcome, getRemainingMs, maxNotExecutedRetryCount, promisesNotExecuted, readServerHead, recordOutcome, type Call, type CallDependencies
+} from './call-context.js'
+import type { ServerResponseInfo } from './wire-codec.js'
 
 enum AttemptKind {
   /** The server sent a response that can be forwarded, possibly with an error status. */
@@ -22,8 +25,6 @@
 
 /** A larger response is not buffered; the attempt counts as lost. */
 const maxResponseBytes = 8 * 1024 * 1024
-/** Limit on the attempts in which no server executed the request. */
-const maxNotExecutedCount = 3
 /** A retryable attempt times out after this many times the route's latency objective. */
 const attemptTimeoutObjectiveFactor = 1.5
 /** Lower bound on the timeout of a retryable attempt, for routes with a short objective. */
@@ -58,7 +59,7 @@
     }
     if (attempt.kind === AttemptKind.NotExecuted) {
       notExecutedCount += 1
-      if (notExecutedCount >= maxNotExecutedCount) break
+      if (notExecutedCount > maxNotExecutedRetryCount) break
       continue
     }
     possibleExecutionCount += 1
@@ -81,7 +82,8 @@
     return
   }
   if (possibleExecutionCount === 0) {
-    const retryAfterMs = Math.round(minPlainRetryAfterMs + plainRetryAfterSpreadMs * dependencies.random.nextFloat())
+    const minRetryAfterMs = Math.max(minPlainRetryAfterMs, getShortestHoldMs(dependencies, call.serviceName))
+    const retryAfterMs = Math.round(minRetryAfterMs + plainRetryAfterSpreadMs * dependencies.random.nextFloat())
     recordOutcome(dependencies, call, CallOutcome.Refused, { ...fields, retryAfterMs })
     sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, retryAfterMs)
     return
@@ -102,13 +104,19 @@
   call.response.end(body)
 }
 
+/** Time until the first of the service's servers takes requests; 0 if one does now, or if there is none. */
+function getShortestHoldMs (dependencies: CallDependencies, serviceName: string): number {
+  const holdsMs = dependencies.fleet.getServers(serviceName).filter(server => server.state === ServerState.Ready).map(dependencies.holds.getRemainingMs)
+  return holdsMs.length === 0 ? 0 : Math.min(...holdsMs)
+}
+
 function chooseServer (dependencies: CallDependencies, call: Call, triedServerIds: ReadonlySet<string>): BackendServer | undefined {
   let best: BackendServer | undefined
   let bestCost = Infinity
   const maxInFlightCount = dependencies.getConnectionLimit(call.serviceName)
   for (const server of dependencies.fleet.getServers(call.serviceName)) {
     if (server.state !== ServerState.Ready || triedServerIds.has(server.id)) continue
-    if (dependencies.scores.countInFlight(server.id) >= maxInFlightCount) continue
+    if (dependencies.scores.countInFlight(server.id) >= maxInFlightCount || dependencies.holds.getRemainingMs(server) > 0) continue
     // The random part, below 1 ms, breaks ties.
     const cost = dependencies.scores.getCost(server.id) + (server.zone === dependencies.zone ? 0 : crossZoneCostMs) + dependencies.random.nextFloat()
     if (cost >= bestCost) continue
@@ -125,6 +133,7 @@
     const chunks: Buffer[] = []
     let size = 0
     let head: ResponseHead | undefined
+    let info: ServerResponseInfo | undefined
     let isSettled = false
 
     function settle (attempt: Attempt): void {
@@ -158,6 +167,7 @@
     const exchange = dependencies.connections.open(buildBackendRequest(dependencies, call, server, { isDedicated, lastEventId: call.clientInfo.lastEventId }), {
       onHead (received) {
         head = received
+        info = readServerHead(dependencies, server, received)
       },
       onData (chunk) {
         size += chunk.length
@@ -165,7 +175,7 @@
         if (size > maxResponseBytes) abandon({ kind: AttemptKind.Lost, reason: `the response is larger than ${maxResponseBytes} bytes` })
       },
       onEnd () {
-        settle(head === undefined ? { kind: AttemptKind.Lost, reason: 'no response' } : classifyResponse(dependencies, call, head, Buffer.concat(chunks)))
+        settle(head === undefined || info === undefined ? { kind: AttemptKind.Lost, reason: 'no response' } : classifyResponse(call, head, info, Buffer.concat(chunks)))
       },
       onFailure (failure: ExchangeFailure) {
         const kind = failure.kind === ExchangeFailureKind.NotSent ? AttemptKind.NotExecuted : AttemptKind.Lost
@@ -176,8 +186,7 @@
 }
 
 /** Decides whether a response can be forwarded: it must be the server's own response to this request. */
-function classifyResponse (dependencies: CallDependencies, call: Call, head: ResponseHead, body: Buffer): Attempt {
-  const response = dependencies.codec.readServerResponse(head.statusCode, head.headers)
+function classifyResponse (call: Call, head: ResponseHead, response: ServerResponseInfo, body: Buffer): Attempt {
   if (response.isNotExecuted) return { kind: AttemptKind.NotExecuted, reason: `the server refused the request with status ${head.statusCode}` }
   if (response.requestId !== call.clientInfo.requestId) return { kind: AttemptKind.Lost, reason: 'the response belongs to another request' }
   if (response.isEncoded) return { kind: AttemptKind.Lost, reason: 'the response has a content encoding that was not requested' }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -4,11 +4,15 @@
 import { countLiveExecutions, toPossibleExecution, type PossibleExecution } from '../coordination/dispatch/possible-executions.js'
 import { DurationMetric } from '../observability/metrics.js'
 import { createSseFramer, type SseFramer, type FramedSseEvent } from '../protocol/sse-framer.js'
+import type { BackendServer } from '../state/backend-server.js'
 import type { Replica } from '../state/replica.js'
 import { ExchangeFailureKind, type ResponseHead, type BackendExchange } from '../transport/backend-connection-pool.js'
 import { filterResponseHeaders } from './response-headers.js'
 import type { ReplicatedService } from './fleet-view.js'
-import { sendGatewayResponse, buildBackendRequest, CallOutcome, getRemainingMs, promisesNotExecuted, recordOutcome, type Call, type CallDependencies } from './call-context.js'
+import {
+  sendGatewayResponse, buildBackendRequest, CallOutcome, getRemainingMs, maxNotExecutedRetryCount, promisesNotExecuted, readServerHead, recordOutcome, type Call, type CallDependencies
+} from './call-context.js'
+import type { ServerResponseInfo } from './wire-codec.js'
 
 /** Why an attempt at one replica ended before the end of the stream. The values are logged. */
 enum AttemptFailure {
@@ -25,6 +29,8 @@
   readonly framer: SseFramer
   exchange: BackendExchange | undefined
   head: ResponseHead | undefined
+  /** What the head says. */
+  info: ServerResponseInfo | undefined
   hasEvents: boolean
   lastEventAtMs: number
   errorBody: Buffer[]
@@ -42,12 +48,18 @@
  * not healthy, and away from one that still delivers events to other streams.
  */
 const urgentWaitMs = 1600
-/** Limit on the retries after attempts in which no server executed the request. */
-const maxNotExecutedRetryCount = 3
 /** Limit on possible executions in total, while the route's `maxAttempts` limits those on servers that are still alive. */
 const maxPossibleExecutionCount = 4
 const successStatus = 200
 
+function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>): string {
+  switch (choice.kind) {
+    case ReplicaChoiceKind.Full: return `all replicas are full; the least loaded has ${choice.streamCount} streams`
+    case ReplicaChoiceKind.Held: return `all replicas want no requests; the first for ${Math.round(choice.holdMs)} ms more`
+    case ReplicaChoiceKind.Absent: return 'no replica of the service serves the model'
+  }
+}
+
 /** Forwards a stream event by event. When its replica fails, it is resumed at another one after the last event. */
 export function forwardStream (dependencies: CallDependencies, call: Call): void {
   const { timers, loads } = dependencies
@@ -104,14 +116,15 @@
       zone: dependencies.zone,
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
-      excludedIds: excludedReplicaIds
+      excludedIds: excludedReplicaIds,
+      getHoldMs: dependencies.holds.getRemainingMs
     }, loads, dependencies.random)
   }
 
   function startAttempt (): void {
     const choice = chooseNextReplica()
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
-      finishIncomplete(choice.kind === ReplicaChoiceKind.Full ? `all replicas are full; the least loaded has ${choice.streamCount} streams` : 'no replica of the service serves the model')
+      finishIncomplete(describeRefusal(choice), choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0)
       return
     }
     const { replica } = choice
@@ -119,14 +132,14 @@
     if (leader === undefined) return
     const nowMs = timers.nowMs()
     const current: Attempt = {
-      replica, framer: createSseFramer(), exchange: undefined, head: undefined, hasEvents: false, lastEventAtMs: nowMs, errorBody: []
+      replica, framer: createSseFramer(), exchange: undefined, head: undefined, info: undefined, hasEvents: false, lastEventAtMs: nowMs, errorBody: []
     }
     attempt = current
     triedReplicaIds.push(replica.id)
     excludedReplicaIds.add(replica.id)
     loads.beginStream(replica.id)
     current.exchange = dependencies.connections.open(buildBackendRequest(dependencies, call, leader, { isDedicated: !mayRepeat, lastEventId }), {
-      onHead: head => handleHead(current, head),
+      onHead: head => handleHead(current, leader, head),
       onData: chunk => handleData(current, chunk),
       onEnd: () => handleEnd(current),
       onFailure (failure) {
@@ -135,10 +148,11 @@
     })
   }
 
-  function handleHead (current: Attempt, head: ResponseHead): void {
+  function handleHead (current: Attempt, leader: BackendServer, head: ResponseHead): void {
+    const response = readServerHead(dependencies, leader, head)
     current.head = head
+    current.info = response
     if (head.statusCode !== successStatus) return
-    const response = dependencies.codec.readServerResponse(head.statusCode, head.headers)
     if (response.requestId !== call.clientInfo.requestId || !response.isStamped || response.isEncoded) {
       endAttempt(current, AttemptFailure.Lost, 'the response is not a valid response to this request')
     }
@@ -210,10 +224,9 @@
 
   function handleErrorResponse (current: Attempt): void {
     const head = current.head as ResponseHead
-    const response = dependencies.codec.readServerResponse(head.statusCode, head.headers)
-    if (response.isNotExecuted) {
+    if (current.info?.isNotExecuted === true) {
       // The response names a server at fault, so the replica may have lost a member.
-      if (response.faultyServerId !== undefined) dependencies.reportStall(current.replica.id)
+      if (current.info.faultyServerId !== undefined) dependencies.reportStall(current.replica.id)
       endAttempt(current, AttemptFailure.NotExecuted, `the server refused the request with status ${head.statusCode}`)
       return
     }
@@ -265,8 +278,8 @@
     finish(CallOutcome.ServerFailure, reason)
   }
 
-  /** Ends the call without a complete stream. */
-  function finishIncomplete (reason: string): void {
+  /** Ends the call without a complete stream. No replica is expected to take it within `unavailableMs`. */
+  function finishIncomplete (reason: string, unavailableMs = 0): void {
     if (call.response.headersSent) {
       finish(CallOutcome.Broken, reason)
       call.response.destroy()
@@ -274,7 +287,7 @@
     }
     if (possibleExecutions.length === 0) {
       finish(CallOutcome.Refused, reason)
-      sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random))
+      sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs))
       return
     }
     finish(CallOutcome.Broken, reason)
--- a/src/gateway/wire-codec.ts
+++ b/src/gateway/wire-codec.ts
@@ -37,6 +37,12 @@
   readonly isEncoded: boolean
   /** The server that the response names as the reason why the request was not executed. */
   readonly faultyServerId: string | undefined
+  /** The server announces that it is leaving. */
+  readonly isLeaving: boolean
+  /** Time for which the server wants no further requests; undefined when it states none, or none that can be read. */
+  readonly holdMs: number | undefined
+  /** The server's statement of that time when it can't be read. */
+  readonly invalidHold: string | undefined
 }
 
 /** Reads and writes the headers of the deployment's protocol. */
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -19,11 +19,22 @@
 export interface Metrics {
   recordDuration (metric: DurationMetric, durationMs: number): void
   countRequest (kind: string, outcome: string): void
+  countEvent (event: MetricEvent): void
   setGauge (name: MetricGauge, value: number): void
   /** Renders all metrics in the Prometheus text format. */
   render (): Promise<string>
 }
 
+/** Events that are counted; the values are labels of one counter. */
+export enum MetricEvent {
+  /** A server asked for no requests for some time. */
+  ServerHold = 'server_hold',
+  /** A server announced that it is leaving. */
+  ServerLeaving = 'server_leaving',
+  /** The store came back from an older copy. */
+  StoreEraChange = 'store_era_change'
+}
+
 /** Gauges; the values are parts of metric names. */
 export enum MetricGauge {
   IsReady = 'is_ready',
@@ -49,6 +60,13 @@
     labelNames: ['kind', 'outcome'],
     registers: [registry]
   })
+  const eventCounter = new Counter({
+    name: 'egretpaddle_events_total',
+    help: 'Events by kind.',
+    labelNames: ['event'],
+    registers: [registry]
+  })
+  for (const event of Object.values(MetricEvent)) eventCounter.inc({ event }, 0)
   const gauges = new Map<MetricGauge, Gauge>()
   for (const name of Object.values(MetricGauge)) {
     gauges.set(name, new Gauge({ name: `egretpaddle_${name}`, help: `Current value of ${name}.`, registers: [registry] }))
@@ -65,6 +83,7 @@
       histograms.get(metric)?.recordValue(Math.min(Math.max(microseconds, 0), highestTrackableMicroseconds))
     },
     countRequest: (kind, outcome) => requestCounter.inc({ kind, outcome }),
+    countEvent: event => eventCounter.inc({ event }),
     setGauge: (name, value) => gauges.get(name)?.set(value),
     render: () => registry.metrics()
   }
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -12,7 +12,8 @@
   sequence: z.number(),
   streamCounts: z.record(z.string(), z.number()),
   stalledIds: z.array(z.string()),
-  quietIds: z.array(z.string())
+  quietIds: z.array(z.string()),
+  leavingServers: z.record(z.string(), z.number()).optional()
 })
 
 const relayRequestSchema = z.object({
--- a/src/testing/fake-group-servers.ts
+++ b/src/testing/fake-group-servers.ts
@@ -1,5 +1,6 @@
 import { CommandOutcome, ServerCommandKind, type CommandPrecondition, type ServerCommand, type ServerControl, type ServerReport } from '../coordination/ports/server-control.js'
 import type { RandomSource } from '../shared/random-source.js'
+import { createChannel } from '../shared/channel.js'
 import { failure, success, type Result } from '../shared/result.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
 import { MemberState, ServerState, type BackendServer, type GroupMembership } from '../state/backend-server.js'
@@ -179,6 +180,7 @@
     violations,
     sent,
     serverControl: {
+      leavingServers: createChannel(),
       async sendCommand (listed, command, precondition) {
         await delay(timers, responseDelayMs)
         sent.push({ serverId: listed.id, command })
