--- a/src/coordination/ports/revisioned-store.ts
+++ b/src/coordination/ports/revisioned-store.ts
@@ -1,5 +1,15 @@
 import type { Result } from '../../shared/result.js'
 
+/**
+ * A state of the store's content. The store may come back from an older copy: what it acknowledged since is gone then, and
+ * its era has risen by one. Revisions are comparable only within one era, since later eras give them out again.
+ */
+export interface StorePosition {
+  /** 0 for a store that states no era. */
+  readonly era: number
+  readonly revision: number
+}
+
 /** One stored value with the revision of its last write. */
 export interface StoredItem {
   readonly key: string
@@ -16,6 +26,7 @@
 
 /** All items with a prefix, at one revision. */
 export interface StoreSnapshot {
+  readonly era: number
   readonly items: readonly StoredItem[]
   /** Revision of the store; changes above it are not in the snapshot. */
   readonly asOfRevision: number
@@ -23,6 +34,7 @@
 
 /** The changes with a prefix after one revision, up to `asOfRevision`. */
 export interface StoreChanges {
+  readonly era: number
   readonly changes: readonly StoredChange[]
   readonly asOfRevision: number
 }
@@ -56,17 +68,25 @@
   readonly leaseId: number
 }
 
+/** A lease. Leases of an earlier era are gone, and the store may give their IDs to others. */
+export interface StoreLease {
+  readonly era: number
+  readonly leaseId: number
+}
+
 /** The key-value service that the gateways use; it has one revision counter for all keys. */
 export interface RevisionedStore {
   /** Reads the items whose key begins with the prefix. */
   read (prefix: string): Promise<Result<StoreSnapshot, StoreError>>
   /** Waits until a key with the prefix changes after the revision, or until the wait ends. */
   watch (prefix: string, afterRevision: number, waitMs: number): Promise<Result<StoreChanges, StoreError>>
-  /** Writes one key if it has the expected revision, and returns the new revision. */
-  write (request: WriteRequest): Promise<Result<number, StoreError>>
-  grantLease (durationMs: number): Promise<Result<number, StoreError>>
-  /** Extends a lease by its full duration. */
-  renewLease (leaseId: number): Promise<Result<undefined, StoreError>>
+  /** Writes one key if it has the expected revision, and returns its new position. */
+  write (request: WriteRequest): Promise<Result<StorePosition, StoreError>>
+  /** Removes one key if it has the expected revision. */
+  remove (key: string, expectedRevision: number): Promise<Result<undefined, StoreError>>
+  grantLease (durationMs: number): Promise<Result<StoreLease, StoreError>>
+  /** Extends a lease by its full duration, and returns the era in which that happened: in a later one the ID names another lease. */
+  renewLease (leaseId: number): Promise<Result<number, StoreError>>
   /** Ends a lease and removes its keys. */
   revokeLease (leaseId: number): Promise<Result<undefined, StoreError>>
 }
--- a/src/coordination/relay/store-mirror.ts
+++ b/src/coordination/relay/store-mirror.ts
@@ -1,16 +1,23 @@
-import type { StoreChanges, StoredChange, StoredItem, StoreSnapshot } from '../ports/revisioned-store.js'
+import type { StoreChanges, StoredChange, StoredItem, StorePosition, StoreSnapshot } from '../ports/revisioned-store.js'
 
 /** A copy of the store's items as last read, with a log of recent changes. */
 export interface StoreMirror {
-  /** Applies a snapshot of the whole store. Returns the removals and the changes of a comparable value; see `toComparable`. */
-  applySnapshot (snapshot: StoreSnapshot): StoredChange[]
-  /** Applies changes after the mirror's revision. Returns the removals and the changes of a comparable value. */
+  /**
+   * Applies a snapshot of the whole store. Returns the removals and the changes of a comparable value; see `toComparable`.
+   * A snapshot of another era replaces everything, and all its items are returned. `carriedOverKeys` names those of its
+   * items that were not written in that era; without it all of them count as such when the era changes.
+   */
+  applySnapshot (snapshot: StoreSnapshot, carriedOverKeys?: readonly string[]): StoredChange[]
+  /** Applies changes of the mirror's era after its revision. Returns the removals and the changes of a comparable value. */
   applyChanges (changes: StoreChanges): StoredChange[]
-  /** Store revision up to which all changes are applied; undefined before the first read. */
-  getRevision (): number | undefined
-  /** Changes that the mirror learned after the revision; undefined when its log does not reach back that far. */
-  listChangesSince (revision: number): StoredChange[] | undefined
+  /** Position up to which all changes are applied; undefined before the first read. */
+  getPosition (): StorePosition | undefined
+  /** Changes that the mirror learned after the position; undefined when its log does not reach back that far. */
+  listChangesSince (position: StorePosition): StoredChange[] | undefined
   listItems (): StoredItem[]
+  /** Whether the item comes from the copy with which the mirror's era began, and has not been written since. */
+  isCarriedOver (key: string): boolean
+  listCarriedOverKeys (): string[]
 }
 
 export interface StoreMirrorOptions {
@@ -30,18 +37,39 @@
 /** Creates an empty mirror. */
 export function createStoreMirror ({ toComparable }: StoreMirrorOptions): StoreMirror {
   const items = new Map<string, StoredItem & { readonly comparable: string }>()
+  const carriedOverKeys = new Set<string>()
+  let era = 0
   let log: LogEntry[] = []
   let logStartRevision: number | undefined
   let revision: number | undefined
 
-  /** Applies a change and returns whether it removes the item or changes its comparable value. */
+  /**
+   * Applies a change and returns whether it removes the item or changes its comparable value. The first write of an item
+   * that was carried over counts as a change, since it confirms the item.
+   */
   function apply ({ key, value, revision: changedRevision }: StoredChange): boolean {
     const current = items.get(key)
-    if (value === undefined) return items.delete(key)
-    if (current !== undefined && current.revision > changedRevision) return false
+    if (value === undefined) {
+      carriedOverKeys.delete(key)
+      return items.delete(key)
+    }
+    if (current !== undefined && current.revision >= changedRevision) return false
     const comparable = toComparable(key, value)
+    const isConfirmed = carriedOverKeys.delete(key)
     items.set(key, { key, value, revision: changedRevision, comparable })
-    return current?.comparable !== comparable
+    return isConfirmed || current?.comparable !== comparable
+  }
+
+  /** Forgets everything of the era before, and returns the keys that were known. */
+  function beginEra (nextEra: number): string[] {
+    const keys = [...items.keys()]
+    era = nextEra
+    items.clear()
+    carriedOverKeys.clear()
+    log = []
+    logStartRevision = undefined
+    revision = undefined
+    return keys
   }
 
   function appendToLog (changes: readonly StoredChange[], learnedRevision: number): void {
@@ -61,21 +89,32 @@
   }
 
   return {
-    applySnapshot (snapshot) {
+    applySnapshot (snapshot, statedKeys) {
       const present = new Set(snapshot.items.map(item => item.key))
-      const removed = [...items.keys()].filter(key => !present.has(key)).map(key => ({ key, revision: snapshot.asOfRevision, value: undefined }))
-      return applyAll([...snapshot.items, ...removed], snapshot.asOfRevision)
+      const isNewEra = revision === undefined || snapshot.era !== era
+      const wasEmpty = revision === undefined
+      // Items that were read after the snapshot are newer than it.
+      const knownKeys = isNewEra ? beginEra(snapshot.era) : [...items.values()].filter(item => item.revision <= snapshot.asOfRevision).map(item => item.key)
+      const removed = knownKeys.filter(key => !present.has(key)).map(key => ({ key, revision: snapshot.asOfRevision, value: undefined }))
+      const changes = applyAll(snapshot.items, snapshot.asOfRevision)
+      if (isNewEra) {
+        for (const key of statedKeys ?? (wasEmpty ? [] : present)) carriedOverKeys.add(key)
+        return [...changes, ...removed]
+      }
+      return [...changes, ...applyAll(removed, snapshot.asOfRevision)]
     },
     applyChanges ({ changes, asOfRevision }) {
       // If a response has several changes of one key, only the last one is applied.
       const newest = new Map(changes.map(change => [change.key, change]))
       return applyAll([...newest.values()], asOfRevision)
     },
-    getRevision: () => revision,
+    getPosition: () => revision === undefined ? undefined : { era, revision },
     listChangesSince (after) {
-      if (logStartRevision === undefined || after < logStartRevision) return undefined
-      return log.filter(entry => entry.learnedRevision > after).map(entry => entry.change)
+      if (after.era !== era || logStartRevision === undefined || after.revision < logStartRevision) return undefined
+      return log.filter(entry => entry.learnedRevision > after.revision).map(entry => entry.change)
     },
+    isCarriedOver: key => carriedOverKeys.has(key),
+    listCarriedOverKeys: () => [...carriedOverKeys],
     listItems: () => [...items.values()].map(({ key, value, revision: itemRevision }) => ({ key, value, revision: itemRevision }))
   }
 }
--- a/src/coordination/replicas/planner-lease.test.ts
+++ b/src/coordination/replicas/planner-lease.test.ts
@@ -21,7 +21,8 @@
     leaseMs: 2000,
     getRank: () => index,
     getRecord: () => fake.peek(key),
-    isStoreViewCurrent: () => !fake.faults.isDown
+    isStoreViewCurrent: () => !fake.faults.isDown,
+    getStoreEra: fake.getEra
   }))
   return { timers, fake, leases, listHolders: () => leases.filter(lease => lease.getFencingToken() !== undefined) }
 }
@@ -72,4 +73,59 @@
     }
     expect(listHolders().length).to.equal(1)
   })
+
+  describe('when the store comes back from a copy', () => {
+    it('is given up at once, and the next fencing token is higher although revisions are given out again', async () => {
+      const { timers, fake, leases, listHolders } = createFixture(3)
+      const copy = fake.saveCopy()
+      for (const lease of leases) lease.start()
+      await timers.advanceAsync(1000)
+      const before = listHolders()[0]?.getFencingToken() ?? Infinity
+      fake.restore(copy)
+      expect(listHolders()).to.deep.equal([])
+      await timers.advanceAsync(3000)
+      expect(listHolders().length).to.equal(1)
+      expect(listHolders()[0]?.getFencingToken()).to.be.greaterThan(before)
+    })
+
+    it('has at most one holder at any time', async () => {
+      const { timers, fake, leases, listHolders } = createFixture(5)
+      for (const lease of leases) lease.start()
+      await timers.advanceAsync(1000)
+      for (let step = 0; step < 200; step += 1) {
+        const copy = fake.saveCopy()
+        await timers.advanceAsync(70 + step % 9 * 60)
+        expect(listHolders().length).to.be.at.most(1)
+        if (step % 4 === 0) fake.restore(copy)
+      }
+      await timers.advanceAsync(5000)
+      expect(listHolders().length).to.equal(1)
+    })
+
+    it('is not kept alive by the id of a lease that now belongs to another gateway', async () => {
+      const { timers, fake, leases, listHolders } = createFixture(1)
+      const copy = fake.saveCopy()
+      leases[0]?.start()
+      await timers.advanceAsync(1000)
+      fake.restore(copy)
+      // The same id as the planner's lease had in the era before.
+      const foreign = await Promise.race([fake.store.grantLease(60_000), timers.advanceAsync(10).then(() => undefined)])
+      expect(foreign?.isOk).to.equal(true)
+      await timers.advanceAsync(100)
+      expect(listHolders()).to.deep.equal([])
+    })
+
+    it('removes a record that names it but hangs on the lease of another gateway', async () => {
+      const { timers, fake, leases, listHolders } = createFixture(1)
+      void fake.store.grantLease(60_000).then(granted => {
+        if (granted.isOk) void fake.store.write({ key, expectedRevision: 0, value: 'node-0 1', leaseId: granted.value.leaseId })
+      })
+      await timers.advanceAsync(100)
+      leases[0]?.start()
+      await timers.advanceAsync(3000)
+      expect(listHolders()).to.deep.equal([])
+      await timers.advanceAsync(4000)
+      expect(listHolders().length).to.equal(1)
+    })
+  })
 })
--- a/src/coordination/replicas/planner-lease.ts
+++ b/src/coordination/replicas/planner-lease.ts
@@ -2,7 +2,7 @@
 import { createSuspensionDetector } from '../../shared/suspension-detector.js'
 import type { RandomSource } from '../../shared/random-source.js'
 import { delay, type TimerService } from '../../shared/timer-service.js'
-import { StoreErrorKind, type RevisionedStore } from '../ports/revisioned-store.js'
+import { StoreErrorKind, type RevisionedStore, type StoreLease, type StorePosition } from '../ports/revisioned-store.js'
 
 /** The stored record that names the gateway that is the planner. */
 export interface PlannerRecord {
@@ -27,6 +27,8 @@
   getRank (): number | undefined
   /** Whether the view of the store is current enough to conclude from a missing record that there is no planner. */
   isStoreViewCurrent (): boolean
+  /** The store's era in that view; undefined before the first read. */
+  getStoreEra (): number | undefined
 }
 
 /** Planner election: at most one gateway is the planner, by a record in the store that is removed when its lease ends. */
@@ -39,8 +41,7 @@
   stop (): Promise<void>
 }
 
-interface HeldLease {
-  readonly leaseId: number
+interface HeldLease extends StoreLease {
   readonly fencingToken: number
   renewedAtMs: number
 }
@@ -57,6 +58,11 @@
 /** A gateway that is not listed yet uses a random rank below this. */
 const unlistedRankCount = 5
 
+/** Fencing tokens of an era are above those of all eras before, although revisions are given out again. */
+const revisionsPerEra = 2 ** 32
+/** A record that names this gateway, though it is not the planner, is removed after this many lease durations. */
+const orphanLeaseCount = 2
+
 /** Separates the node ID from the attempt number in the record's value. */
 const attemptSeparator = ' '
 
@@ -65,6 +71,11 @@
   return value.split(attemptSeparator)[0] ?? ''
 }
 
+/** Returns the fencing token of a planner whose record was written at this position. */
+export function toFencingToken ({ era, revision }: StorePosition): number {
+  return era * revisionsPerEra + revision
+}
+
 /** Creates the lease; this gateway does not hold it yet. */
 export function createPlannerLease (options: PlannerLeaseOptions): PlannerLease {
   const { store, timers, random, logger, nodeId, key, leaseMs } = options
@@ -72,6 +83,7 @@
   let held: HeldLease | undefined
   const state = { isRunning: false }
   let attemptCount = 0
+  let orphan: { readonly revision: number, readonly seenAtMs: number } | undefined
 
   /** Time for which the process was suspended counts against the lease. */
   function isValid (candidate: HeldLease): boolean {
@@ -86,6 +98,10 @@
   }
 
   async function renew (current: HeldLease): Promise<void> {
+    if (current.era !== options.getStoreEra()) {
+      stopHolding('the store came back from a copy')
+      return
+    }
     if (!isValid(current)) {
       stopHolding('the lease was not renewed in time')
       return
@@ -93,7 +109,8 @@
     if (timers.nowMs() - current.renewedAtMs < leaseMs / renewalsPerLease) return
     const requestedAtMs = timers.nowMs()
     const response = await store.renewLease(current.leaseId)
-    if (response.isOk) current.renewedAtMs = Math.max(current.renewedAtMs, requestedAtMs)
+    if (response.isOk && response.value !== current.era) stopHolding('the store came back from a copy')
+    else if (response.isOk) current.renewedAtMs = Math.max(current.renewedAtMs, requestedAtMs)
     else if (response.error.kind === StoreErrorKind.LeaseEnded) stopHolding('the lease has ended')
   }
 
@@ -106,27 +123,50 @@
     if (!granted.isOk) return
     attemptCount += 1
     const value = `${nodeId}${attemptSeparator}${attemptCount}`
-    const written = await store.write({ key, expectedRevision: 0, value, leaseId: granted.value })
+    const { era, leaseId } = granted.value
+    // The view is of an era before the lease: whatever it shows is outdated.
+    if (era !== options.getStoreEra()) return
+    const written = await store.write({ key, expectedRevision: 0, value, leaseId })
     if (!written.isOk) {
-      if (written.error.kind === StoreErrorKind.Conflict) await store.revokeLease(granted.value)
+      if (written.error.kind === StoreErrorKind.Conflict) await store.revokeLease(leaseId)
       // After a lost response the record may exist. It is removed when its lease, which is not renewed, ends.
       return
     }
+    // The store came back from a copy in between: the record may hang on another gateway's lease, see `removeOrphan`.
+    if (written.value.era !== era) return
     suspensionDetector.takeSuspendedMs()
-    held = { leaseId: granted.value, fencingToken: written.value, renewedAtMs: requestedAtMs }
-    logger.info('This gateway is the planner.', { generation: written.value })
+    const fencingToken = toFencingToken(written.value)
+    held = { era, leaseId, fencingToken, renewedAtMs: requestedAtMs }
+    logger.info('This gateway is the planner.', { generation: fencingToken, era, revision: written.value.revision })
+  }
+
+  /** Removes a record that names this gateway and does not lapse, since another gateway renews the lease that it hangs on. */
+  async function removeOrphan (): Promise<void> {
+    const record = options.getRecord()
+    if (record === undefined || readPlannerNode(record.value) !== nodeId) {
+      orphan = undefined
+      return
+    }
+    if (orphan?.revision !== record.revision) orphan = { revision: record.revision, seenAtMs: timers.nowMs() }
+    if (timers.nowMs() - orphan.seenAtMs < leaseMs * orphanLeaseCount) return
+    logger.warn('The record of the planner names this gateway, which is not the planner; it is removed.', { revision: record.revision })
+    orphan = undefined
+    await store.remove(key, record.revision)
   }
 
   async function run (): Promise<void> {
     while (state.isRunning) {
       if (held !== undefined) await renew(held)
-      else if (options.isStoreViewCurrent() && options.getRecord() === undefined) await tryAcquire()
+      else if (options.isStoreViewCurrent()) {
+        if (options.getRecord() === undefined) await tryAcquire()
+        else await removeOrphan()
+      }
       await delay(timers, recordCheckIntervalMs)
     }
   }
 
   return {
-    getFencingToken: () => held !== undefined && isValid(held) ? held.fencingToken : undefined,
+    getFencingToken: () => held !== undefined && held.era === options.getStoreEra() && isValid(held) ? held.fencingToken : undefined,
     relinquish: () => stopHolding('a server has seen a later planner'),
     start () {
       state.isRunning = true
@@ -136,7 +176,8 @@
       state.isRunning = false
       const current = held
       held = undefined
-      if (current !== undefined) await store.revokeLease(current.leaseId)
+      // A lease of an earlier era is gone, and its ID may name another gateway's.
+      if (current !== undefined && current.era === options.getStoreEra()) await store.revokeLease(current.leaseId)
     }
   }
 }
--- a/src/fuzz/relay-fuzz.ts
+++ b/src/fuzz/relay-fuzz.ts
@@ -5,9 +5,10 @@
 import { failure } from '../shared/result.js'
 import { delay } from '../shared/timer-service.js'
 import { createVirtualTimerService, type VirtualTimerService } from '../shared/virtual-timer-service.js'
-import { createFakeRevisionedStore, type FakeRevisionedStore } from '../testing/fake-revisioned-store.js'
+import { createFakeRevisionedStore, type FakeRevisionedStore, type StoreCopy } from '../testing/fake-revisioned-store.js'
 import { fetchOverWire, createRelayNode, type RelayNode } from '../testing/relay-nodes.js'
 import type { FuzzOptions, FuzzReport } from './command-fuzz.js'
+import { createRegisteredServers, type RegisteredServers } from './registered-servers.js'
 
 /** Options of one history of random faults. */
 export interface RelayHistoryOptions {
@@ -15,6 +16,8 @@
   readonly stepCount: number
   /** Wraps the link to relays, to change their responses. A test may pass a faulty one. */
   wrapLink? (link: RelayLink): RelayLink
+  /** Wraps the store of each node. A test may pass a faulty one. */
+  wrapStore? (store: RevisionedStore): RevisionedStore
 }
 
 /** Links that are cut at present. */
@@ -33,15 +36,20 @@
 const startupMs = 6000
 /** All nodes must have the newest version this long after the faults have ended. */
 const convergenceBoundMs = 8000
+/** How old a copy of the store is at most when the store comes back from it. */
+const maxCopyAgeMs = 4000
+/** The operators write again what a copy lacks within this time, as the platform states. */
+const maxRewriteDelayMs = 1500
 const maxReportedViolationCount = 5
 /** Allowance for responses in flight while the version changes. */
 const toleranceMs = 5
 
 /**
  * Applies random faults to relays and the gateways that depend on them, and returns the violations: a version that
- * goes back, a configuration whose stated age is too low, or a node that does not learn the newest version.
+ * goes back, a configuration whose stated age is too low, a server that is used again after it was seen to leave, or a
+ * node that does not learn the newest version.
  */
-export async function runRelayHistory ({ seed, stepCount, wrapLink = link => link }: RelayHistoryOptions): Promise<string[]> {
+export async function runRelayHistory ({ seed, stepCount, wrapLink = link => link, wrapStore = store => store }: RelayHistoryOptions): Promise<string[]> {
   const timers = createVirtualTimerService()
   const random = createRandomSource(seed)
   const store = createFakeRevisionedStore(timers)
@@ -57,8 +65,29 @@
     history.push({ atMs: timers.nowMs(), version })
   }
 
+  const copies: Array<{ readonly atMs: number, readonly copy: StoreCopy }> = []
+
+  function saveCopy (): void {
+    copies.push({ atMs: timers.nowMs(), copy: store.saveCopy() })
+    while (timers.nowMs() - (copies[0]?.atMs ?? Infinity) > maxCopyAgeMs) copies.shift()
+  }
+
+  /** Lets the store come back from a copy. The operators and servers write again what they had written since. */
+  function restoreCopy (): void {
+    const saved = random.pick(copies)
+    if (saved === undefined) return
+    store.restore(saved.copy)
+    copies.length = 0
+    servers.expireDeparted()
+    timers.subscribeOnce(random.nextInt(maxRewriteDelayMs), () => {
+      const newest = history.at(-1)?.version ?? 0
+      if (Number(store.peek('op/config')?.value) !== newest) store.put('op/config', String(newest))
+    })
+  }
+
   writeVersion()
-  const nodes = createNodes(timers, store, linkFaults, wrapLink)
+  const servers = createRegisteredServers(timers, random, store)
+  const nodes = createNodes(timers, { ...store, store: wrapStore(store.store) }, linkFaults, wrapLink)
 
   function check (): void {
     for (const { nodeId, fleet } of nodes) {
@@ -67,6 +96,7 @@
       highestVersionByNode.set(nodeId, version)
       const confirmedAtMs = timers.nowMs() - fleet.getConfigAgeMs() - toleranceMs
       const newestThen = history.findLast(entry => entry.atMs <= confirmedAtMs)?.version ?? 0
+      violations.push(...servers.check(nodeId, fleet.getServers('job-sheets')))
       if (version > 0 && version < newestThen) violations.push(`${nodeId} has version ${version}, but version ${newestThen} was already stored at the time that its stated age refers to`)
     }
   }
@@ -74,13 +104,14 @@
   async function advance (spanMs: number): Promise<void> {
     for (let passedMs = 0; passedMs < spanMs; passedMs += checkIntervalMs) {
       await timers.advanceAsync(checkIntervalMs)
+      saveCopy()
       check()
     }
   }
 
   await advance(startupMs)
   for (let step = 0; step < stepCount; step += 1) {
-    applyRandomFault(random, store, linkFaults, writeVersion)
+    applyRandomFault(random, store, linkFaults, { writeVersion, restoreCopy, drainServer: servers.drainOne })
     await advance(random.nextInt(1500))
   }
   linkFaults.nodesCutFromStore.clear()
@@ -146,11 +177,18 @@
   return failure({ kind: StoreErrorKind.Ambiguous, reason: 'no response' })
 }
 
-function applyRandomFault (random: RandomSource, store: FakeRevisionedStore, linkFaults: LinkFaults, writeVersion: () => void): void {
+/** Changes that the history makes besides faults of links and of the store. */
+interface HistoryChanges {
+  writeVersion (): void
+  restoreCopy (): void
+  drainServer: RegisteredServers['drainOne']
+}
+
+function applyRandomFault (random: RandomSource, store: FakeRevisionedStore, linkFaults: LinkFaults, changes: HistoryChanges): void {
   const toggle = (set: Set<string>, id: string) => {
     if (!set.delete(id)) set.add(id)
   }
-  switch (random.nextInt(8)) {
+  switch (random.nextInt(11)) {
     case 0:
       toggle(linkFaults.nodesCutFromStore, random.pick([...relayIds, ...dependentIds]) as string)
       break
@@ -169,8 +207,15 @@
     case 5:
       store.dropHistory()
       break
+    case 6:
+      changes.restoreCopy()
+      break
+    case 7:
+    case 8:
+      changes.drainServer()
+      break
     default:
       // Operators write directly to the store, which the faults do not affect.
-      writeVersion()
+      changes.writeVersion()
   }
 }
--- a/src/gateway/fleet-view.test.ts
+++ b/src/gateway/fleet-view.test.ts
@@ -157,4 +157,110 @@
       expect(view.getServers('job-sheets').map(server => server.id)).to.deep.equal(['b'])
     })
   })
+
+  describe('when the store comes back from a copy', () => {
+    /** Starts a view of two servers and a configuration, and returns it with a copy from before the later writes. */
+    async function createWithCopy () {
+      const fixture = createFixture()
+      const { fake, timers, view } = fixture
+      fake.put('op/config', '3')
+      fake.put('servers/a', 'ready')
+      fake.put('servers/b', 'ready')
+      view.start()
+      await timers.advanceAsync(1000)
+      return { ...fixture, copy: fake.saveCopy() }
+    }
+
+    const listStates = (view: ReturnType<typeof createFixture>['view']) =>
+      Object.fromEntries(view.getServers('job-sheets').map(server => [server.id, server.state]))
+
+    it('never returns to an older configuration, and takes a newer one although its revision is lower', async () => {
+      const { fake, timers, view, copy } = await createWithCopy()
+      for (const version of ['4', '5', '6', '7']) fake.put('op/config', version)
+      await timers.advanceAsync(1000)
+      fake.restore(copy)
+      await timers.advanceAsync(1000)
+      expect(view.getConfig()?.version).to.equal(7)
+      fake.put('op/config', '8')
+      await timers.advanceAsync(1000)
+      expect(view.getConfig()?.version).to.equal(8)
+    })
+
+    it('does not confirm a configuration that is newer than the stored one', async () => {
+      const { fake, timers, view, copy } = await createWithCopy()
+      fake.put('op/config', '4')
+      await timers.advanceAsync(1000)
+      fake.restore(copy)
+      await timers.advanceAsync(6000)
+      expect(view.getConfigAgeMs()).to.be.greaterThan(5500)
+      expect(view.getViewAgeMs()).to.be.lessThan(1500)
+      fake.put('op/config', '4')
+      await timers.advanceAsync(1500)
+      expect(view.getConfigAgeMs()).to.be.lessThan(1500)
+    })
+
+    it('does not confirm the configuration before lost changes had time to be written again', async () => {
+      const { fake, timers, view, copy } = await createWithCopy()
+      fake.restore(copy)
+      await timers.advanceAsync(1900)
+      expect(view.isEraSettled()).to.equal(false)
+      expect(view.getConfigAgeMs()).to.be.greaterThan(1400)
+      await timers.advanceAsync(2000)
+      expect(view.isEraSettled()).to.equal(true)
+      expect(view.getConfigAgeMs()).to.be.lessThan(1500)
+    })
+
+    it('keeps a server that drains as draining until the server writes its entry again', async () => {
+      const { fake, timers, view, copy } = await createWithCopy()
+      fake.put('servers/a', 'draining')
+      await timers.advanceAsync(1000)
+      fake.restore(copy)
+      await timers.advanceAsync(6000)
+      expect(listStates(view).a).to.equal('draining')
+      fake.put('servers/a', 'ready')
+      await timers.advanceAsync(1000)
+      expect(listStates(view).a).to.equal('ready')
+    })
+
+    it('does not bring back a server that was removed', async () => {
+      const { fake, timers, view, copy } = await createWithCopy()
+      fake.remove('servers/a')
+      await timers.advanceAsync(1000)
+      fake.restore(copy)
+      await timers.advanceAsync(6000)
+      expect(listStates(view)).to.deep.equal({ b: 'ready' })
+      fake.put('servers/a', 'ready')
+      await timers.advanceAsync(1000)
+      expect(listStates(view)).to.deep.equal({ a: 'ready', b: 'ready' })
+    })
+
+    it('keeps a server that registered after the copy for two seconds, and then drops it', async () => {
+      const { fake, timers, view, copy } = await createWithCopy()
+      fake.put('servers/c', 'ready')
+      await timers.advanceAsync(1000)
+      fake.restore(copy)
+      await timers.advanceAsync(1500)
+      expect(listStates(view).c).to.equal('ready')
+      await timers.advanceAsync(2500)
+      expect(listStates(view).c).to.equal(undefined)
+    })
+
+    it('notices it also when the revisions have passed the last known one', async () => {
+      const { fake, timers, view, copy } = await createWithCopy()
+      fake.put('servers/a', 'draining')
+      await timers.advanceAsync(1000)
+      fake.restore(copy)
+      for (let count = 0; count < 20; count += 1) fake.put('servers/b', 'ready')
+      await timers.advanceAsync(1500)
+      expect(view.getEra()).to.equal(2)
+      expect(listStates(view)).to.deep.equal({ a: 'draining', b: 'ready' })
+    })
+
+    it('logs the change of era once', async () => {
+      const { fake, timers, copy, warnings } = await createWithCopy()
+      fake.restore(copy)
+      await timers.advanceAsync(8000)
+      expect(warnings.filter(message => message.includes('came back from a copy'))).to.have.length(1)
+    })
+  })
 })
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -11,6 +11,7 @@
 import { ServerState, type BackendServer } from '../state/backend-server.js'
 import { createLeavingServers } from '../state/leaving-servers.js'
 import { createMissingEntryTracker } from '../state/missing-entry-tracker.js'
+import { createRemovedServers } from '../state/removed-servers.js'
 import { listReplicas, type Replica } from '../state/replica.js'
 import type { EngineProfile, ServingConfig } from '../state/serving-config.js'
 
@@ -44,6 +45,8 @@
   Config = 'config',
   Servers = 'servers',
   Gateways = 'own',
+  /** The store came back from an older copy. */
+  Era = 'era',
   /** The store became reachable or unreachable. */
   StoreReachability = 'storeReach'
 }
@@ -55,6 +58,15 @@
   getRoutes (): RouteTable | undefined
   /** Time since the store last confirmed that the configuration is the newest, in milliseconds. */
   getConfigAgeMs (): number
+  /** Time since the store last confirmed this view, in milliseconds. While an era settles, the configuration is older. */
+  getViewAgeMs (): number
+  /** The store's era in this view; undefined before the first read. */
+  getEra (): number | undefined
+  /**
+   * Whether the operators and servers have had time to write again what the store lost when its era began. Until then the
+   * store does not confirm the configuration, and no gateway becomes the planner.
+   */
+  isEraSettled (): boolean
   getServers (serviceName: string): readonly BackendServer[]
   listReplicatedServices (): readonly ReplicatedService[]
   /**
@@ -110,13 +122,19 @@
   const warnedServerIds = new Set<string>()
   const missingEntries = createMissingEntryTracker(timers, missingEntryGraceMs)
   const leavingServers = createLeavingServers(timers)
+  const removedServers = createRemovedServers(timers)
   const suspensionDetector = createSuspensionDetector(timers)
   let serversByService = new Map<string, BackendServer[]>()
   let replicatedServices: ReplicatedService[] | undefined
   let config: ServingConfig | undefined
   let routes: RouteTable | undefined
   let configRevision = 0
-  let confirmedAtMs = -Infinity
+  let viewConfirmedAtMs = -Infinity
+  let configConfirmedAtMs = -Infinity
+  let eraBeganAtMs = -Infinity
+  let hasUnusedEntries = false
+  /** The configuration in the store is older than the one in force, since the store came back from a copy. */
+  let isStoredConfigOlder = false
   let needsFullRead = true
   let lastFullReadAtMs = -Infinity
   const state = { isRunning: false }
@@ -131,7 +149,11 @@
     }
     configRevision = revision
     // A later write with a lower version is ignored: a configuration never returns to an older version.
-    if (config !== undefined && decoded.value.version < config.version) return false
+    if (config !== undefined && decoded.value.version < config.version) {
+      logger.warn('The stored configuration is older than the one in force, which stays.', { storedVersion: decoded.value.version, version: config.version, revision })
+      return false
+    }
+    isStoredConfigOlder = false
     config = decoded.value
     routes = createRouteTable(config)
     replicatedServices = undefined
@@ -160,6 +182,7 @@
     if (!servers.has(id)) return
     if (missingEntries.shouldKeep(id)) return
     servers.delete(id)
+    removedServers.record(id)
     logger.info('A server was removed: its entry is no longer in the store.', { serverId: id })
   }
 
@@ -180,8 +203,10 @@
     } else if (key.startsWith(layout.serverPrefix)) {
       const id = key.slice(layout.serverPrefix.length)
       if (value === undefined) removeServer(id)
+      else if (mirror.isCarriedOver(key)) hasUnusedEntries = true
       else {
         missingEntries.markPresent(id)
+        removedServers.forget(id)
         applyServerEntry(id, value)
       }
       changed.add(FleetEvent.Servers)
@@ -211,28 +236,90 @@
     events.send(FleetEvent.StoreReachability)
   }
 
+  /**
+   * Begins an era: revisions start anew, and what was written last before it may be missing from the store or may have an
+   * older value there. The configuration and the servers stay as they were until they are written again.
+   */
+  function beginEra (era: number, formerEra: number): void {
+    logger.warn('The store came back from a copy; entries are used once they are written again.', { era, formerEra, configVersion: config?.version ?? 0 })
+    eraBeganAtMs = timers.nowMs()
+    configRevision = 0
+    isStoredConfigOlder = config !== undefined
+    // Servers that are missing from the copy get the time to register again that they get after an outage.
+    missingEntries.recordStoreFailure()
+    missingEntries.recordStoreResponse()
+    events.send(FleetEvent.Era)
+  }
+
+  function isEraSettled (): boolean {
+    return timers.nowMs() - eraBeganAtMs >= missingEntryGraceMs
+  }
+
+  /**
+   * Uses the entries of the copy whose servers were not known before, once the era has settled. Those of servers that are
+   * known, or were removed lately, count only once they are written again.
+   */
+  function useUnknownEntries (): void {
+    if (!hasUnusedEntries || !isEraSettled()) return
+    hasUnusedEntries = false
+    const unknown = mirror.listItems().filter(({ key }) => {
+      const id = key.slice(layout.serverPrefix.length)
+      return key.startsWith(layout.serverPrefix) && mirror.isCarriedOver(key) && !servers.has(id) && !removedServers.has(id)
+    })
+    if (unknown.length === 0) return
+    for (const { key, value } of unknown) applyServerEntry(key.slice(layout.serverPrefix.length), value)
+    indexServers()
+    events.send(FleetEvent.Servers)
+  }
+
+  function applyContent (response: SourceResponse): void {
+    if (!response.isWhole) {
+      applyChanges(mirror.applyChanges(response.changes))
+      return
+    }
+    const formerEra = mirror.getPosition()?.era
+    if (formerEra !== undefined && formerEra !== response.snapshot.era) beginEra(response.snapshot.era, formerEra)
+    // The relay has seen the era begin, a moment ago: entries of servers that live are confirmed within seconds.
+    if (formerEra === undefined && response.carriedOverKeys?.some(key => key.startsWith(layout.serverPrefix)) === true) eraBeganAtMs = timers.nowMs()
+    applyChanges(mirror.applySnapshot(response.snapshot, response.carriedOverKeys))
+  }
+
   function applyResponse (response: SourceResponse, requestedAtMs: number): void {
     const { ageMs, isStoreBack } = response.age
     // The relay has seen a store failure that this gateway has not: start the same grace period here.
     if (isStoreBack && !missingEntries.isGracePeriodActive()) missingEntries.recordStoreFailure()
     recordReachability(true)
-    applyChanges(response.isWhole ? mirror.applySnapshot(response.snapshot) : mirror.applyChanges(response.changes))
+    applyContent(response)
     if (response.isWhole) {
       lastFullReadAtMs = requestedAtMs
       needsFullRead = false
     }
     // The stated age held when the response was made, which was after the request was sent.
-    confirmedAtMs = Math.max(confirmedAtMs, requestedAtMs - ageMs)
+    viewConfirmedAtMs = Math.max(viewConfirmedAtMs, requestedAtMs - ageMs)
+    if (isEraSettled() && !isStoredConfigOlder) configConfirmedAtMs = Math.max(configConfirmedAtMs, requestedAtMs - ageMs)
+  }
+
+  /** The monotonic clock stands still while the process is suspended, so that time is added to the ages here. */
+  function addSuspendedTime (): void {
+    const suspendedMs = suspensionDetector.takeSuspendedMs()
+    viewConfirmedAtMs -= suspendedMs
+    configConfirmedAtMs -= suspendedMs
   }
 
   /** Reads or watches the source once. Returns whether the store was reachable, as it is when it reports a dropped history. */
   async function fetchOnce (): Promise<boolean> {
     const requestedAtMs = timers.nowMs()
-    const revision = mirror.getRevision()
+    const position = mirror.getPosition()
     // Only a direct reader repeats full reads; a relay repairs its own view.
     const isRepairDue = source.isDirect() && requestedAtMs - lastFullReadAtMs > fullReadIntervalMs
-    const isFullReadDue = needsFullRead || revision === undefined || isRepairDue
-    const response = isFullReadDue || revision === undefined ? await source.readAll(revision ?? 0) : await source.watch(revision, watchWaitMs)
+    const isFullReadDue = needsFullRead || position === undefined || isRepairDue
+    const response = isFullReadDue || position === undefined ? await source.readAll(position) : await source.watch(position, watchWaitMs)
+    if (response.isOk && !response.value.isWhole && response.value.changes.era !== position?.era) {
+      // Changes of another era tell nothing of what was lost before them.
+      needsFullRead = true
+      recordReachability(true)
+      return true
+    }
     if (response.isOk) {
       applyResponse(response.value, requestedAtMs)
       const hasChanges = !response.value.isWhole && response.value.changes.changes.length > 0
@@ -257,6 +344,7 @@
     let retryMs = minRetryMs
     while (state.isRunning) {
       removeExpired()
+      useUnknownEntries()
       const hasResponse = await fetchOnce()
       if (!hasResponse) await delay(timers, retryMs)
       retryMs = hasResponse ? minRetryMs : Math.min(maxRetryMs, retryMs * retryBackoffFactor)
@@ -268,10 +356,15 @@
     getConfig: () => config,
     getRoutes: () => routes,
     getConfigAgeMs () {
-      // The monotonic clock stands still while the process is suspended, so that time is added to the age here.
-      confirmedAtMs -= suspensionDetector.takeSuspendedMs()
-      return timers.nowMs() - confirmedAtMs
+      addSuspendedTime()
+      return timers.nowMs() - configConfirmedAtMs
+    },
+    getViewAgeMs () {
+      addSuspendedTime()
+      return timers.nowMs() - viewConfirmedAtMs
     },
+    getEra: () => mirror.getPosition()?.era,
+    isEraSettled,
     getServers: serviceName => serversByService.get(serviceName) ?? [],
     listReplicatedServices () {
       replicatedServices ??= (config?.services ?? []).flatMap(({ name, engine }) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -88,7 +88,7 @@
     getPlan: () => isPlanner() ? directPlan : planRelays(presence.listGateways(), settings.nodeId),
     createLoadReport: () => loads.createOwnReport(settings.nodeId),
     applyLoads: applyTotalReport,
-    getStoreViewAgeMs: () => fleet.getConfigAgeMs()
+    getStoreViewAgeMs: () => fleet.getViewAgeMs()
   })
   const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring() })
   const loads = createReplicaLoads(timers)
@@ -101,7 +101,8 @@
     zone: settings.zone,
     storePrefix: layout.gatewayPrefix + gatewayKeyPrefix,
     entryPrefix: gatewayKeyPrefix,
-    listEntries: fleet.listGatewayEntries
+    listEntries: fleet.listGatewayEntries,
+    getStoreEra: fleet.getEra
   })
   const plannerLease = createPlannerLease({
     store,
@@ -113,7 +114,8 @@
     leaseMs: Math.max(settings.minLeaseMs, plannerLeaseMs),
     getRecord: () => fleet.listGatewayEntries().get(plannerKey),
     getRank: presence.getRank,
-    isStoreViewCurrent: () => fleet.isStoreReachable() && fleet.getConfig() !== undefined
+    isStoreViewCurrent: () => fleet.isStoreReachable() && fleet.isEraSettled() && fleet.getConfig() !== undefined,
+    getStoreEra: fleet.getEra
   })
   const planner = createPlannerTask({
     timers,
@@ -229,6 +231,7 @@
         const limits = fleet.getConfig()?.limits
         if (limits !== undefined) clientServer.applyLimits(limits)
       }
+      if (event === FleetEvent.Era) metrics.countEvent(MetricEvent.StoreEraChange)
       planner.planNow()
     })
   }
--- a/src/gateway/presence.ts
+++ b/src/gateway/presence.ts
@@ -1,7 +1,7 @@
 /** Registers this gateway in the store under a lease, and lists the registered gateways. */
 import { z } from 'zod'
 
-import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
+import type { RevisionedStore, StoreLease } from '../coordination/ports/revisioned-store.js'
 import { sortByListedRevision, type ListedGateway } from '../coordination/relay/relay-plan.js'
 import { StoreErrorKind } from '../coordination/ports/revisioned-store.js'
 import type { Logger } from '../observability/log.js'
@@ -36,6 +36,8 @@
   /** The same prefix within `listEntries`, without the store's prefix for all gateway keys. */
   readonly entryPrefix: string
   listEntries (): ReadonlyMap<string, GatewayEntry>
+  /** The store's era as this gateway last saw it; undefined before the first read. */
+  getStoreEra (): number | undefined
 }
 
 /** The entry of a gateway that was lost expires after this time. */
@@ -58,7 +60,7 @@
   let parsedEntries: ReadonlyMap<string, GatewayEntry> | undefined
   let gateways: readonly ListedGateway[] = []
   const startedAtMs = timers.nowMs()
-  let leaseId: number | undefined
+  let lease: StoreLease | undefined
   let highestCount = 0
   let highestAtMs = -Infinity
   const state = { isRunning: false }
@@ -97,24 +99,43 @@
     if (!granted.isOk) return false
     // An entry left by an earlier run of this process is replaced; the list has its revision.
     const expectedRevision = options.listEntries().get(options.entryPrefix + nodeId)?.revision ?? 0
-    const written = await store.write({ key: options.storePrefix + nodeId, expectedRevision, value: ownEntry, leaseId: granted.value })
+    const written = await store.write({ key: options.storePrefix + nodeId, expectedRevision, value: ownEntry, leaseId: granted.value.leaseId })
     if (!written.isOk) {
       logger.warn('This gateway could not register itself.', { reason: written.error.reason })
       return false
     }
-    leaseId = granted.value
+    // The store came back from a copy in between, so that the lease is gone and its ID may name another gateway's.
+    if (written.value.era !== granted.value.era) return false
+    lease = granted.value
+    if (!state.isRunning) await revoke()
     return true
   }
 
-  async function renew (currentLeaseId: number): Promise<boolean> {
-    const renewed = await store.renewLease(currentLeaseId)
-    if (!renewed.isOk && renewed.error.kind === StoreErrorKind.LeaseEnded) leaseId = undefined
-    return renewed.isOk
+  async function renew (current: StoreLease): Promise<boolean> {
+    if (!isOfCurrentEra(current)) {
+      lease = undefined
+      return await register()
+    }
+    const renewed = await store.renewLease(current.leaseId)
+    const isLost = renewed.isOk ? renewed.value !== current.era : renewed.error.kind === StoreErrorKind.LeaseEnded
+    if (isLost) lease = undefined
+    return renewed.isOk && !isLost
+  }
+
+  function isOfCurrentEra ({ era }: StoreLease): boolean {
+    return era === (options.getStoreEra() ?? era)
+  }
+
+  async function revoke (): Promise<void> {
+    const current = lease
+    lease = undefined
+    // A lease of an earlier era is gone, and its ID may name another gateway's.
+    if (current !== undefined && isOfCurrentEra(current)) await store.revokeLease(current.leaseId)
   }
 
   async function run (): Promise<void> {
     while (state.isRunning) {
-      const hasSucceeded = leaseId === undefined ? await register() : await renew(leaseId)
+      const hasSucceeded = lease === undefined ? await register() : await renew(lease)
       await delay(timers, hasSucceeded ? renewIntervalMs : retryMs)
     }
   }
@@ -136,7 +157,7 @@
     },
     async stop () {
       state.isRunning = false
-      if (leaseId !== undefined) await store.revokeLease(leaseId)
+      await revoke()
     }
   }
 }
--- a/src/gateway/relay-handler.ts
+++ b/src/gateway/relay-handler.ts
@@ -1,6 +1,7 @@
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { FleetSource } from '../coordination/ports/fleet-source.js'
 import type { RelayResponse, RelayRequest } from '../coordination/ports/relay-link.js'
+import type { StorePosition } from '../coordination/ports/revisioned-store.js'
 import type { StoreMirror } from '../coordination/relay/store-mirror.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { FleetView } from './fleet-view.js'
@@ -16,8 +17,8 @@
 /** Serves the store's content to gateways that don't read the store themselves. */
 export interface RelayHandler {
   /**
-   * Records the requester's load report, then returns the changes after the revision; waits for one if there is none
-   * yet. Returns the full content if no revision is given or its changes are no longer kept. Large values are left out
+   * Records the requester's load report, then returns the changes after the position; waits for one if there is none
+   * yet. Returns the full content if no position is given, or one of another era, or its changes are no longer kept. Large values are left out
    * unless the requester wants them. Resolves with undefined when this gateway doesn't read the store itself, or when its
    * view is too old.
    */
@@ -58,22 +59,23 @@
   }
 
   function canServe (): boolean {
-    return source.isDirect() && fleet.getConfigAgeMs() <= maxServedAgeMs
+    return source.isDirect() && fleet.getViewAgeMs() <= maxServedAgeMs
   }
 
-  /** Returns undefined when the full content must be sent: no revision was given, or its changes are no longer kept. */
-  function listChanges (afterRevision: number | undefined) {
-    return afterRevision === undefined ? undefined : mirror.listChangesSince(afterRevision)
+  /** Returns undefined when the full content must be sent: no position was given, or its changes are not kept. */
+  function listChanges (after: StorePosition | undefined) {
+    return after === undefined ? undefined : mirror.listChangesSince(after)
   }
 
   return {
-    async handle ({ afterRevision, waitMs, wantsLargeValues, loads: requesterLoads }) {
+    async handle ({ after, waitMs, wantsLargeValues, loads: requesterLoads }) {
       loads.applyDependentReport(requesterLoads)
-      if (listChanges(afterRevision)?.length === 0) await waitForChange(waitMs)
-      const asOfRevision = mirror.getRevision()
-      if (asOfRevision === undefined || !canServe()) return undefined
-      const age = { ageMs: Math.max(0, Math.ceil(fleet.getConfigAgeMs())), isStoreBack: fleet.hasRecentStoreFailure() }
-      const changes = listChanges(afterRevision)
+      if (listChanges(after)?.length === 0) await waitForChange(waitMs)
+      const position = mirror.getPosition()
+      if (position === undefined || !canServe()) return undefined
+      const { era, revision: asOfRevision } = position
+      const age = { ageMs: Math.max(0, Math.ceil(fleet.getViewAgeMs())), isStoreBack: fleet.hasRecentStoreFailure() }
+      const changes = listChanges(after)
       const items = mirror.listItems()
       const omittedKeys = (changes ?? items).filter(item => !wantsLargeValues && isLarge(item)).map(item => item.key)
       const isIncluded = (item: { readonly key: string }) => !omittedKeys.includes(item.key)
@@ -81,8 +83,8 @@
         loads: loads.createTotalReport(requesterLoads.nodeId),
         omittedKeys,
         source: changes === undefined
-          ? { isWhole: true, snapshot: { items: items.filter(isIncluded), asOfRevision }, age }
-          : { isWhole: false, changes: { changes: changes.filter(isIncluded), asOfRevision }, age }
+          ? { isWhole: true, snapshot: { era, items: items.filter(isIncluded), asOfRevision }, carriedOverKeys: mirror.listCarriedOverKeys(), age }
+          : { isWhole: false, changes: { era, changes: changes.filter(isIncluded), asOfRevision }, age }
       }
     }
   }
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -17,7 +17,7 @@
 })
 
 const relayRequestSchema = z.object({
-  afterRevision: z.number().optional(),
+  after: z.object({ era: z.number(), revision: z.number() }).optional(),
   /** Longest time that the relay may wait for a change. */
   waitMs: z.number(),
   /** Asks also for the values that a relay otherwise leaves out, see `omittedKeys`. */
@@ -31,6 +31,7 @@
  */
 export const relayResponseSchema = z.object({
   isWhole: z.boolean(),
+  era: z.number(),
   asOfRevision: z.number(),
   ageMs: z.number().nonnegative(),
   /** The store recently came back, so that entries may be missing that are about to return. */
@@ -38,6 +39,8 @@
   items: z.array(z.object({ key: z.string(), revision: z.number(), value: z.string().optional() })),
   /** Keys whose values are left out because they are large; gateways read them from the store. */
   omittedKeys: z.array(z.string()),
+  /** Keys of a whole content that nobody has written since the store came back from a copy. */
+  carriedOverKeys: z.array(z.string()),
   loads: loadReportSchema
 })
 
@@ -60,15 +63,14 @@
 export function decodeRelayRequest (text: string): RelayRequest | undefined {
   const request = decode(text, relayRequestSchema)
   // The schema's optional field becomes a required one that may be undefined, as the type asks.
-  return request === undefined ? undefined : { ...request, afterRevision: request.afterRevision }
+  return request === undefined ? undefined : { ...request, after: request.after }
 }
 
 /** Encodes a relay response as JSON in the shape of `relayResponseSchema`. */
 export function encodeRelayResponse ({ source, omittedKeys, loads }: RelayResponse): string {
-  const { items, asOfRevision } = source.isWhole
-    ? source.snapshot
-    : { items: source.changes.changes, asOfRevision: source.changes.asOfRevision }
-  return JSON.stringify({ isWhole: source.isWhole, asOfRevision, ...source.age, items, omittedKeys, loads })
+  const { items, era, asOfRevision } = source.isWhole ? source.snapshot : { ...source.changes, items: source.changes.changes }
+  const carriedOverKeys = source.isWhole ? source.carriedOverKeys ?? [] : []
+  return JSON.stringify({ isWhole: source.isWhole, era, asOfRevision, ...source.age, items, omittedKeys, carriedOverKeys, loads })
 }
 
 /** Converts a parsed and checked response to the type that gateways use. */
@@ -76,12 +78,12 @@
   return { source: toSourceResponse(fields), omittedKeys, loads }
 }
 
-function toSourceResponse ({ isWhole, asOfRevision, ageMs, isStoreBack, items }: Omit<z.infer<typeof relayResponseSchema>, 'loads' | 'omittedKeys'>): SourceResponse {
+function toSourceResponse ({ isWhole, era, asOfRevision, ageMs, isStoreBack, items, carriedOverKeys }: Omit<z.infer<typeof relayResponseSchema>, 'loads' | 'omittedKeys'>): SourceResponse {
   const age = { ageMs, isStoreBack }
   const changes = items.map(({ key, revision, value }) => ({ key, revision, value }))
-  if (!isWhole) return { isWhole, changes: { changes, asOfRevision }, age }
+  if (!isWhole) return { isWhole, changes: { era, changes, asOfRevision }, age }
   const present = changes.flatMap(({ key, revision, value }) => value === undefined ? [] : [{ key, revision, value }])
-  return { isWhole, snapshot: { items: present, asOfRevision }, age }
+  return { isWhole, snapshot: { era, items: present, asOfRevision }, carriedOverKeys, age }
 }
 
 function decode<T> (text: string, schema: z.ZodType<T>): T | undefined {
--- a/src/testing/fake-revisioned-store.ts
+++ b/src/testing/fake-revisioned-store.ts
@@ -4,7 +4,8 @@
   type StoreChanges,
   type StoreError,
   type StoredChange,
-  type StoredItem
+  type StoredItem,
+  type StorePosition
 } from '../coordination/ports/revisioned-store.js'
 import { failure, success, type Result } from '../shared/result.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
@@ -33,10 +34,23 @@
   peek (key: string): StoredItem | undefined
   /** Drops the history so far; watches after an older revision fail. */
   dropHistory (): void
+  /** Returns a copy of the content for `restore`. */
+  saveCopy (): StoreCopy
+  /** Comes back from a copy in the next era: what was acknowledged since is gone, leases and revisions too. */
+  restore (copy: StoreCopy): void
+  getEra (): number
   /** Returns the number of calls; a watch counts once, a late write not at all. */
   countCalls (): number
 }
 
+/** The content of the store at one time. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, StoredItem & { readonly leaseId: number }>
+  readonly leases: ReadonlyMap<number, Lease>
+  readonly revision: number
+  readonly leaseCount: number
+}
+
 interface Lease {
   readonly durationMs: number
   endsAtMs: number
@@ -47,8 +61,9 @@
 
 /** Creates an empty store. */
 export function createFakeRevisionedStore (timers: TimerService): FakeRevisionedStore {
-  const items = new Map<string, StoredItem & { leaseId: number }>()
-  const leases = new Map<number, Lease>()
+  let items = new Map<string, StoredItem & { leaseId: number }>()
+  let leases = new Map<number, Lease>()
+  let era = 1
   let history: StoredChange[] = []
   let droppedRevision = 0
   let revision = 10
@@ -92,21 +107,22 @@
     return getResult()
   }
 
-  function applyWrite (key: string, expectedRevision: number, value: string, leaseId: number): Result<number, StoreError> {
+  function applyWrite (key: string, expectedRevision: number, value: string, leaseId: number): Result<StorePosition, StoreError> {
     expireLeases()
     if ((items.get(key)?.revision ?? 0) !== expectedRevision) return failure({ kind: StoreErrorKind.Conflict, reason: 'the key has another revision' })
     if (leaseId !== 0 && !leases.has(leaseId)) return failure({ kind: StoreErrorKind.LeaseEnded, reason: 'the lease does not exist' })
-    return success(set(key, value, leaseId))
+    return success({ era, revision: set(key, value, leaseId) })
   }
 
   function listChanges (prefix: string, afterRevision: number): Result<StoreChanges, StoreError> {
-    if (afterRevision < droppedRevision) return failure({ kind: StoreErrorKind.HistoryDropped, reason: 'the history was dropped' })
+    if (afterRevision < droppedRevision || afterRevision > revision) return failure({ kind: StoreErrorKind.HistoryDropped, reason: 'the history was dropped' })
     const changes = history.filter(change => change.revision > afterRevision && change.key.startsWith(prefix))
-    return success({ changes, asOfRevision: revision })
+    return success({ era, changes, asOfRevision: revision })
   }
 
   const store: RevisionedStore = {
     read: prefix => respond(() => success({
+      era,
       items: [...items.values()].filter(item => item.key.startsWith(prefix)),
       asOfRevision: revision
     })),
@@ -131,16 +147,21 @@
       faults.lostResponseCount -= 1
       return failure({ kind: StoreErrorKind.Ambiguous, reason: 'no response' })
     },
+    remove: (key, expectedRevision) => respond(() => {
+      if ((items.get(key)?.revision ?? 0) !== expectedRevision) return failure({ kind: StoreErrorKind.Conflict, reason: 'the key has another revision' })
+      set(key, undefined)
+      return success(undefined)
+    }),
     grantLease: durationMs => respond(() => {
       leaseCount += 1
       leases.set(leaseCount, { durationMs, endsAtMs: timers.nowMs() + durationMs })
-      return success(leaseCount)
+      return success({ era, leaseId: leaseCount })
     }),
     renewLease: leaseId => respond(() => {
       const lease = leases.get(leaseId)
       if (lease === undefined) return failure({ kind: StoreErrorKind.LeaseEnded, reason: 'the lease does not exist' })
       lease.endsAtMs = timers.nowMs() + lease.durationMs
-      return success(undefined)
+      return success(era)
     }),
     revokeLease: leaseId => respond(() => {
       endLease(leaseId)
@@ -161,6 +182,17 @@
       droppedRevision = revision
       history = []
     },
+    saveCopy: () => ({ items: new Map(items), leases: new Map([...leases].map(([id, lease]) => [id, { ...lease }])), revision, leaseCount }),
+    restore (copy) {
+      era += 1
+      items = new Map(copy.items)
+      // The time that leases of the copy have left counts from the return.
+      leases = new Map([...copy.leases].map(([id, { durationMs }]) => [id, { durationMs, endsAtMs: timers.nowMs() + durationMs }]))
+      ;({ revision, leaseCount } = copy)
+      history = []
+      droppedRevision = revision
+    },
+    getEra: () => era,
     countCalls: () => callCount
   }
 }
--- a/src/testing/relay-nodes.ts
+++ b/src/testing/relay-nodes.ts
@@ -9,6 +9,7 @@
 import { encodeRelayResponse, relayResponseSchema, toRelayResponse } from '../protocol/relay-messages.js'
 import { failure, success } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
+import { ServerState } from '../state/backend-server.js'
 import { makeBackendServer, makeServingConfig } from './serving-samples.js'
 
 const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
@@ -23,7 +24,10 @@
 
 export type RelayNode = ReturnType<typeof createRelayNode>
 
-/** Starts the part of a gateway that follows the store, directly or through a relay. The configuration's text is its version. */
+/**
+ * Starts the part of a gateway that follows the store, directly or through a relay. The configuration's text is its version,
+ * that of a server starts with its state.
+ */
 export function createRelayNode ({ nodeId, timers, store, link, plan }: RelayNodeOptions) {
   // Values that differ only in `#number` compare as equal.
   const mirror = createStoreMirror({ toComparable: (_key, text) => text.replace(/#\d+/, '') })
@@ -35,7 +39,7 @@
     getPlan: () => plan,
     createLoadReport: () => loads.createOwnReport(nodeId),
     applyLoads: loads.applyReport,
-    getStoreViewAgeMs: () => fleet.getConfigAgeMs()
+    getStoreViewAgeMs: () => fleet.getViewAgeMs()
   })
   const fleet = createFleetView({
     source,
@@ -48,7 +52,7 @@
       serverPrefix: 'servers/',
       gatewayPrefix: 'own/',
       decodeConfig: text => success(makeServingConfig({ version: Number(text) })),
-      decodeServer: id => success(makeBackendServer({ id })),
+      decodeServer: (id, text) => success(makeBackendServer({ id, state: text.startsWith(ServerState.Draining) ? ServerState.Draining : ServerState.Ready })),
       toComparable: (_key, text) => text
     }
   })
--- a/src/transport/relay-client.ts
+++ b/src/transport/relay-client.ts
@@ -13,7 +13,7 @@
 export function createRelayClient (httpClient: HttpClient): RelayLink {
   return {
     async fetch (address, request) {
-      const isLarge = request.afterRevision === undefined || request.wantsLargeValues
+      const isLarge = request.after === undefined || request.wantsLargeValues
       const response = await httpClient.send({
         origin: `http://${address}`,
         method: 'POST',
