--- a/src/coordination/dispatch/replica-choice.test.ts
+++ b/src/coordination/dispatch/replica-choice.test.ts
@@ -126,4 +126,14 @@
     loads.applyReport({ nodeId: 'other', sequence: 1, streamCounts: { 'small.a/1': 30 }, stalledIds: [], quietIds: [] })
     expect(loads.getStreamCount('small.a/1')).to.equal(1)
   })
+
+  it('keeps the event times of working replicas when there are many', () => {
+    for (let index = 0; index < 600; index += 1) {
+      loads.beginStream(`r${index}`)
+      loads.beginActiveStream(`r${index}`)
+      loads.recordEvent(`r${index}`)
+    }
+    loads.endStream('r0')
+    expect(loads.listLocallyQuiet()).to.deep.equal([])
+  })
 })
--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -63,8 +63,10 @@
 /** A working replica pauses for less than this between two events, even while it processes 12,000 prompt tokens. */
 const quietAfterMs = 220
 const quietReportMaxAgeMs = 600
-/** Event times are cleared above this number of replicas, since replicas that are gone are never removed one by one. */
+/** Above this number of replicas, event times that no longer count are dropped: replicas that are gone are not removed one by one. */
 const maxEventTimeCount = 500
+/** Longer than any time within which an event is asked for, see `hasRecentEvent`. */
+const eventTimeRetentionMs = 10_000
 /** A stalled replica gets new streams again after this time, unless it was replaced. */
 const stalledHoldMs = 5500
 
@@ -94,6 +96,12 @@
     return timers.nowMs() - (lastEventAtMs.get(replicaId) ?? -Infinity) <= withinMs
   }
 
+  function dropOldEventTimes (): void {
+    for (const [replicaId, atMs] of lastEventAtMs) {
+      if (timers.nowMs() - atMs > eventTimeRetentionMs) lastEventAtMs.delete(replicaId)
+    }
+  }
+
   function isLocallyQuiet (replicaId: string): boolean {
     return activeCounts.has(replicaId) && !hasRecentEvent(replicaId, quietAfterMs)
   }
@@ -157,7 +165,7 @@
         return
       }
       localCounts.delete(replicaId)
-      if (lastEventAtMs.size > maxEventTimeCount) lastEventAtMs.clear()
+      if (lastEventAtMs.size > maxEventTimeCount) dropOldEventTimes()
     },
     hasAnyStream: () => localCounts.size > 0 || [peers, relayedReports].some(reports => [...reports.values()].some(({ report }) => Object.keys(report.streamCounts).length > 0)),
     getLocalStreamCount: replicaId => localCounts.get(replicaId) ?? 0,
--- a/src/coordination/replicas/loss-record.test.ts
+++ b/src/coordination/replicas/loss-record.test.ts
@@ -16,4 +16,25 @@
     expect(record.countRecent('a', 12_000)).to.equal(1)
     expect(record.countRecent('a', 14_000)).to.equal(0)
   })
+
+  it('counts a missing answer and the restart that follows as one loss', () => {
+    const record = createLossRecord()
+    const server = makeBackendServer({ id: 'a', startedAtMs: 1 })
+    record.update([server], 0)
+    record.recordLoss('a', 1000)
+    record.update([{ ...server, startedAtMs: 2 }], 2000)
+    expect(record.countRecent('a', 2000)).to.equal(1)
+    record.update([{ ...server, startedAtMs: 3 }], 3000)
+    expect(record.countRecent('a', 3000)).to.equal(2)
+  })
+
+  it('counts a restart after the server had answered again', () => {
+    const record = createLossRecord()
+    const server = makeBackendServer({ id: 'a', startedAtMs: 1 })
+    record.update([server], 0)
+    record.recordLoss('a', 1000)
+    record.recordRecovery('a')
+    record.update([{ ...server, startedAtMs: 2 }], 2000)
+    expect(record.countRecent('a', 2000)).to.equal(2)
+  })
 })
--- a/src/coordination/replicas/loss-record.ts
+++ b/src/coordination/replicas/loss-record.ts
@@ -4,8 +4,10 @@
 export interface LossRecord {
   /** Records a loss for each server that restarted since the last call. */
   update (servers: readonly BackendServer[], nowMs: number): void
-  /** Records a loss because the server did not respond. */
+  /** Records a loss because the server did not respond. A restart that follows is the end of the same loss. */
   recordLoss (serverId: string, nowMs: number): void
+  /** Records that the server responds again: its next loss is another one. */
+  recordRecovery (serverId: string): void
   /** Counts the losses of the last ten seconds. */
   countRecent (serverId: string, nowMs: number): number
 }
@@ -17,8 +19,10 @@
 export function createLossRecord (): LossRecord {
   const startedAtMs = new Map<string, number>()
   const lossesAtMs = new Map<string, number[]>()
+  /** Servers whose last loss was a missing response, and which have neither responded nor restarted since. */
+  const silent = new Set<string>()
 
-  function recordLoss (serverId: string, nowMs: number): void {
+  function addLoss (serverId: string, nowMs: number): void {
     const recent = (lossesAtMs.get(serverId) ?? []).filter(atMs => nowMs - atMs < lossMaxAgeMs)
     lossesAtMs.set(serverId, [...recent, nowMs])
   }
@@ -27,11 +31,16 @@
     update (servers, nowMs) {
       for (const server of servers) {
         const previous = startedAtMs.get(server.id)
-        if (previous !== undefined && previous !== server.startedAtMs) recordLoss(server.id, nowMs)
+        const hasRestarted = previous !== undefined && previous !== server.startedAtMs
+        if (hasRestarted && !silent.delete(server.id)) addLoss(server.id, nowMs)
         startedAtMs.set(server.id, server.startedAtMs)
       }
     },
-    recordLoss,
+    recordLoss (serverId, nowMs) {
+      silent.add(serverId)
+      addLoss(serverId, nowMs)
+    },
+    recordRecovery: serverId => { silent.delete(serverId) },
     countRecent: (serverId, nowMs) => (lossesAtMs.get(serverId) ?? []).filter(atMs => nowMs - atMs < lossMaxAgeMs).length
   }
 }
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -56,8 +56,7 @@
   const planners = new Map<string, ReplicaPlanner>()
   const checkedAtMs = new Map<string, number>()
   let plannersFencingToken: number | undefined
-  let summarizedAtMs = -Infinity
-  let lastSummary = ''
+  const summaries = new Map<string, { readonly text: string, readonly loggedAtMs: number }>()
   let planTimer: TimerSubscription | undefined
 
   function getPlanner (serviceName: string, fencingToken: number): ReplicaPlanner {
@@ -89,12 +88,12 @@
 
   function logSummary (planner: ReplicaPlanner, service: PlannedService): void {
     const nowMs = timers.nowMs()
-    if (nowMs - summarizedAtMs < summaryIntervalMs) return
+    const last = summaries.get(service.name)
+    if (last !== undefined && nowMs - last.loggedAtMs < summaryIntervalMs) return
     const fields = { service: service.name, ...planner.summarize(toPlannerInput(service)) }
     const text = JSON.stringify(fields)
-    if (text === lastSummary) return
-    summarizedAtMs = nowMs
-    lastSummary = text
+    if (text === last?.text) return
+    summaries.set(service.name, { text, loggedAtMs: nowMs })
     logger.info('The state of the replicas and free servers has changed.', fields)
   }
 
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -343,7 +343,10 @@
     },
     isReconfiguring: () => dissolving.size > 0 || throttle.countInFlight() > 0 || [...forming.values()].some(replica => nowMs - replica.startedAtMs < maxFormingWithoutFetchMs),
     recordUnreachable,
-    recordReachable: unreachable.remove,
+    recordReachable (server) {
+      unreachable.remove(server)
+      losses.recordRecovery(server.id)
+    },
     recordBusy (server, atMs) {
       if (!fetches.has(server.id)) fetches.recordStart(server, undefined, atMs)
     },
--- a/src/gateway/fleet-view.test.ts
+++ b/src/gateway/fleet-view.test.ts
@@ -11,6 +11,7 @@
 import { createFakeRevisionedStore, type FakeRevisionedStore } from '../testing/fake-revisioned-store.js'
 import { makeBackendServer, makeServingConfig } from '../testing/serving-samples.js'
 import { createFleetView } from './fleet-view.js'
+import { maxServedAgeMs } from './relay-handler.js'
 
 function createDirectSource ({ store }: FakeRevisionedStore, timers: TimerService) {
   return {
@@ -58,6 +59,22 @@
       expect(view.getConfig()?.version).to.equal(5)
     })
 
+    it('is never older than a relay may serve while the store responds, however often entries change', async () => {
+      for (const changeIntervalMs of [100, 530, 900, 2000]) {
+        const { timers, fake, view } = createFixture()
+        fake.put('op/config', '3')
+        view.start()
+        await timers.advanceAsync(1000)
+        let oldestMs = 0
+        for (let passedMs = 0; passedMs < 20_000; passedMs += 10) {
+          if (passedMs % changeIntervalMs === 0) fake.put('servers/a', passedMs % (2 * changeIntervalMs) === 0 ? 'ready' : 'draining')
+          await timers.advanceAsync(10)
+          oldestMs = Math.max(oldestMs, view.getViewAgeMs())
+        }
+        expect(oldestMs, `changes every ${changeIntervalMs} ms`).to.be.at.most(maxServedAgeMs)
+      }
+    })
+
     it('stays in force when a newer one is invalid', async () => {
       const { timers, fake, view, warnings } = createFixture()
       fake.put('op/config', '3')
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -96,11 +96,13 @@
   isReconfiguring (): boolean
 }
 
+/** Longest wait of a watch. */
+const watchWaitMs = 550
 /**
- * Longest wait of a watch. The view's age reaches up to twice this time, which is below the age up to which a relay serves
- * it (`maxServedAgeMs` of the relay handler). The pause after a watch with changes, `coalesceMs`, comes on top.
+ * A watch waits so briefly that the view does not get older than this, whatever pause came before it. Below the age up
+ * to which a relay serves its view (`maxServedAgeMs` of the relay handler), with a margin for the call itself.
  */
-const watchWaitMs = 550
+const maxViewAgeMs = 1100
 /** Pause after a watch that returned changes. It coalesces bursts of changes, since each call to the store has a cost. */
 const coalesceMs = 400
 /** Shorter while replicas are formed or closed, since each step waits for a server's report. */
@@ -306,6 +308,11 @@
     configConfirmedAtMs -= suspendedMs
   }
 
+  /** A response confirms the view as of its request, so the age grows until the next response arrives. */
+  function chooseWaitMs (requestedAtMs: number): number {
+    return Math.max(0, Math.min(watchWaitMs, viewConfirmedAtMs + maxViewAgeMs - requestedAtMs))
+  }
+
   /** Reads or watches the source once. Returns whether the store was reachable, as it is when it reports a dropped history. */
   async function fetchOnce (): Promise<boolean> {
     const requestedAtMs = timers.nowMs()
@@ -313,7 +320,7 @@
     // Only a direct reader repeats full reads; a relay repairs its own view.
     const isRepairDue = source.isDirect() && requestedAtMs - lastFullReadAtMs > fullReadIntervalMs
     const isFullReadDue = needsFullRead || position === undefined || isRepairDue
-    const response = isFullReadDue || position === undefined ? await source.readAll(position) : await source.watch(position, watchWaitMs)
+    const response = isFullReadDue || position === undefined ? await source.readAll(position) : await source.watch(position, chooseWaitMs(requestedAtMs))
     if (response.isOk && !response.value.isWhole && response.value.changes.era !== position?.era) {
       // Changes of another era tell nothing of what was lost before them.
       needsFullRead = true
--- a/src/gateway/relay-handler.ts
+++ b/src/gateway/relay-handler.ts
@@ -29,7 +29,7 @@
  * Age of the view above which a relay refuses requests. Requesters wait 500 ms (`relayWaitMs`), so a relay that is cut
  * off from the store delays a change by at most 1300 + 500 ms, below the two seconds within which changes must be in force.
  */
-const maxServedAgeMs = 1300
+export const maxServedAgeMs = 1300
 /** Upper bound on the wait that a request may ask for. */
 const maxWaitMs = 2000
 /** In characters. A relay's link carries a few MB/s: larger values, sent to all gateways of a zone at once, would take too long. */
--- a/src/protocol/sse-framer.test.ts
+++ b/src/protocol/sse-framer.test.ts
@@ -22,4 +22,18 @@
     expect(framer.push(Buffer.from('id: 1\ndata: on'))).to.deep.equal([])
     expect(framer.hasPartialEvent()).to.equal(true)
   })
+
+  it('reads a large event in small chunks without searching it again for each of them', () => {
+    const framer = createSseFramer()
+    const chunk = Buffer.alloc(64, 'x')
+    const chunkCount = 40_000
+    framer.push(Buffer.from('id: 9\ndata: '))
+    const startedAtMs = performance.now()
+    for (let count = 0; count < chunkCount; count += 1) framer.push(chunk)
+    const events = framer.push(Buffer.from('\n\n'))
+    expect(events[0]?.id).to.equal('9')
+    expect(events[0]?.bytes.length).to.equal(chunkCount * chunk.length + 14)
+    // Searching the 2.5 MB again for each chunk takes half a minute.
+    expect(performance.now() - startedAtMs).to.be.lessThan(5000)
+  })
 })
--- a/src/protocol/sse-framer.ts
+++ b/src/protocol/sse-framer.ts
@@ -16,24 +16,48 @@
   hasPartialEvent (): boolean
 }
 
-/** Creates a framer at the beginning of a stream. */
+/** Bytes before a chunk that can be part of an event's end, which is a line feed, perhaps a carriage return, and a line feed. */
+const endContextLength = 2
+
+/** Creates a framer at the beginning of a stream. Each byte is searched and copied a bounded number of times, however small the chunks are. */
 export function createSseFramer (): SseFramer {
-  let pendingBytes: Buffer = Buffer.alloc(0)
+  let pendingChunks: Buffer[] = []
+  let pendingLength = 0
+
+  /** Returns the last bytes before the next chunk. */
+  function getContext (): Buffer {
+    const context = Buffer.concat(pendingChunks.slice(-endContextLength))
+    return context.subarray(Math.max(0, context.length - endContextLength))
+  }
+
+  function setPending (bytes: Buffer): void {
+    pendingChunks = bytes.length === 0 ? [] : [bytes]
+    pendingLength = bytes.length
+  }
+
   return {
     push (chunk) {
-      const bytes = pendingBytes.length === 0 ? chunk : Buffer.concat([pendingBytes, chunk])
+      if (chunk.length === 0) return []
+      const context = pendingLength === 0 ? undefined : getContext()
+      const firstEnd = findEventEnd(context === undefined ? chunk : Buffer.concat([context, chunk]), 0)
+      if (firstEnd < 0) {
+        pendingChunks.push(chunk)
+        pendingLength += chunk.length
+        return []
+      }
+      const bytes = pendingLength === 0 ? chunk : Buffer.concat([...pendingChunks, chunk])
       const events: FramedSseEvent[] = []
       let start = 0
-      for (let end = findEventEnd(bytes, start); end > 0; end = findEventEnd(bytes, start)) {
+      for (let end = pendingLength - (context?.length ?? 0) + firstEnd; end > 0; end = findEventEnd(bytes, start)) {
         const event = bytes.subarray(start, end)
         // Only the id line is read; latin1 maps each byte to one character.
         events.push({ bytes: event, id: idLinePattern.exec(event.toString('latin1'))?.[1]?.trim() })
         start = end
       }
-      pendingBytes = bytes.subarray(start)
+      setPending(bytes.subarray(start))
       return events
     },
-    hasPartialEvent: () => pendingBytes.length > 0
+    hasPartialEvent: () => pendingLength > 0
   }
 }
 
