Wake a gateway up less often

Ruled out: longer intervals of the checks that find stalled streams, since they are part of a stream's time to recover.

Change: one ticker of 50 ms checks all streams and then the quiet replicas, and runs only while there are streams. The planner's record is looked at once a second, or at once when the view of it changes; plans run at intervals only at the planner; load reports without peers are looked at once a second; servers that leave are reported when there are any, sooner than before.

--- a/src/coordination/replicas/planner-lease.test.ts
+++ b/src/coordination/replicas/planner-lease.test.ts
@@ -11,6 +11,7 @@
 function createFixture (nodeCount: number) {
   const timers = createVirtualTimerService()
   const fake = createFakeRevisionedStore(timers)
+  const recordReadCounts: number[] = []
   const leases = Array.from({ length: nodeCount }, (_, index) => createPlannerLease({
     store: fake.store,
     timers,
@@ -20,11 +21,15 @@
     key,
     leaseMs: 2000,
     getRank: () => index,
-    getRecord: () => fake.peek(key),
+    getRecord () {
+      recordReadCounts[index] = (recordReadCounts[index] ?? 0) + 1
+      return fake.peek(key)
+    },
     isStoreViewCurrent: () => !fake.faults.isDown,
-    getStoreEra: fake.getEra
+    getStoreEra: fake.getEra,
+    onAcquired () {}
   }))
-  return { timers, fake, leases, listHolders: () => leases.filter(lease => lease.getFencingToken() !== undefined) }
+  return { timers, fake, leases, countRecordReads: (index: number) => recordReadCounts[index] ?? 0, listHolders: () => leases.filter(lease => lease.getFencingToken() !== undefined) }
 }
 
 describe('planner lease', () => {
@@ -74,6 +79,36 @@
     expect(listHolders().length).to.equal(1)
   })
 
+  describe('while another gateway is the planner', () => {
+    async function createWithPlanner () {
+      const fixture = createFixture(2)
+      const [first, second] = fixture.leases
+      first?.start()
+      await fixture.timers.advanceAsync(500)
+      second?.start()
+      await fixture.timers.advanceAsync(500)
+      return { ...fixture, first, second }
+    }
+
+    it('looks at the record about once a second', async () => {
+      const { timers, second, countRecordReads } = await createWithPlanner()
+      const before = countRecordReads(1)
+      await timers.advanceAsync(10_000)
+      expect(second?.getFencingToken()).to.equal(undefined)
+      expect(countRecordReads(1) - before).to.be.at.most(40)
+    })
+
+    it('is acquired at once when it is told that the record has gone', async () => {
+      const { timers, first, second } = await createWithPlanner()
+      void first?.stop()
+      await timers.advanceAsync(20)
+      second?.checkNow()
+      // The second gateway waits up to 200 ms by its rank.
+      await timers.advanceAsync(250)
+      expect(second?.getFencingToken()).to.not.equal(undefined)
+    })
+  })
+
   describe('when the store comes back from a copy', () => {
     it('is given up at once, and the next fencing token is higher although revisions are given out again', async () => {
       const { timers, fake, leases, listHolders } = createFixture(3)
--- a/src/coordination/replicas/planner-lease.ts
+++ b/src/coordination/replicas/planner-lease.ts
@@ -29,6 +29,8 @@
   isStoreViewCurrent (): boolean
   /** The store's era in that view; undefined before the first read. */
   getStoreEra (): number | undefined
+  /** Called when this gateway has become the planner. */
+  onAcquired (): void
 }
 
 /** Planner election: at most one gateway is the planner, by a record in the store that is removed when its lease ends. */
@@ -37,6 +39,8 @@
   getFencingToken (): number | undefined
   /** Stops being the planner because a server has seen commands of a later one. */
   relinquish (): void
+  /** Looks at the planner's record at once, since the view of the store has changed. */
+  checkNow (): void
   start (): void
   stop (): Promise<void>
 }
@@ -48,6 +52,8 @@
 
 /** Time between two checks of the lease and the planner's record. */
 const recordCheckIntervalMs = 150
+/** The same while another gateway is the planner; `checkNow` tells when its record changes. */
+const idleCheckIntervalMs = 1000
 const renewalsPerLease = 3
 /** Fraction of the lease left unused as a margin for network latency of the renewal and late timers. */
 const unusedLeaseFraction = 0.15
@@ -83,6 +89,7 @@
   let held: HeldLease | undefined
   const state = { isRunning: false }
   let attemptCount = 0
+  let wake = (): void => {}
   let orphan: { readonly revision: number, readonly seenAtMs: number } | undefined
 
   /** Time for which the process was suspended counts against the lease. */
@@ -138,6 +145,7 @@
     const fencingToken = toFencingToken(written.value)
     held = { era, leaseId, fencingToken, renewedAtMs: requestedAtMs }
     logger.info('This gateway is the planner.', { generation: fencingToken, era, revision: written.value.revision })
+    options.onAcquired()
   }
 
   /** Removes a record that names this gateway and does not lapse, since another gateway renews the lease that it hangs on. */
@@ -154,6 +162,16 @@
     await store.remove(key, record.revision)
   }
 
+  function pauseUntilCheck (durationMs: number): Promise<void> {
+    return new Promise(resolve => {
+      const timer = timers.subscribeOnce(durationMs, resolve)
+      wake = () => {
+        timer.cancel()
+        resolve()
+      }
+    })
+  }
+
   async function run (): Promise<void> {
     while (state.isRunning) {
       if (held !== undefined) await renew(held)
@@ -161,12 +179,14 @@
         if (options.getRecord() === undefined) await tryAcquire()
         else await removeOrphan()
       }
-      await delay(timers, recordCheckIntervalMs)
+      const isIdle = held === undefined && options.getRecord() !== undefined
+      await pauseUntilCheck(isIdle ? idleCheckIntervalMs : recordCheckIntervalMs)
     }
   }
 
   return {
     getFencingToken: () => held !== undefined && held.era === options.getStoreEra() && isValid(held) ? held.fencingToken : undefined,
+    checkNow: () => wake(),
     relinquish: () => stopHolding('a server has seen a later planner'),
     start () {
       state.isRunning = true
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -40,11 +40,14 @@
   checkReplica (replicaId: string): void
   /** Whether this gateway is the planner and needs new server reports soon; see `ReplicaPlanner.isReconfiguring`. */
   isReconfiguring (): boolean
+  /** Starts to plan at intervals, or plans at once if it has started. */
   start (): void
   stop (): void
 }
 
 const planIntervalMs = 200
+/** The same while this gateway is not the planner; it starts the task again when it becomes the planner. */
+const idleIntervalMs = 1000
 const summaryIntervalMs = 500
 /** Time between two checks of one replica. */
 const replicaCheckIntervalMs = 1000
@@ -82,6 +85,11 @@
     }
   }
 
+  function runPlan (): void {
+    planNow()
+    planTimer = timers.subscribeOnce(lease.getFencingToken() === undefined ? idleIntervalMs : planIntervalMs, runPlan)
+  }
+
   function toPlannerInput ({ engine, servers, replicas }: PlannedService): PlannerInput {
     return { nowMs: timers.nowMs(), engine, servers, replicas, hasTraffic: options.hasTraffic() }
   }
@@ -155,7 +163,8 @@
     },
     isReconfiguring: () => lease.getFencingToken() !== undefined && [...planners.values()].some(planner => planner.isReconfiguring()),
     start () {
-      planTimer = timers.subscribeEvery(planIntervalMs, planNow)
+      planTimer?.cancel()
+      runPlan()
     },
     stop () {
       planTimer?.cancel()
--- a/src/coordination/replicas/replica-planner.test.ts
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -32,6 +32,7 @@
     task?.stop()
     const lease: PlannerLease = {
       getFencingToken: () => held === ownLease ? ownLease.fencingToken : undefined,
+      checkNow () {},
       relinquish () {},
       start () {},
       stop: async () => {}
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -8,6 +8,7 @@
 import type { LogFields, Logger } from '../observability/log.js'
 import { MetricEvent, type Metrics } from '../observability/metrics.js'
 import type { RandomSource } from '../shared/random-source.js'
+import type { SharedTicker } from '../shared/shared-ticker.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { Route, Team } from '../state/serving-config.js'
 import type { BackendServer } from '../state/backend-server.js'
@@ -19,6 +20,8 @@
 export interface CallDependencies {
   readonly zone: string
   readonly timers: TimerService
+  /** Checks of the streams in progress. */
+  readonly streamTicker: SharedTicker
   readonly random: RandomSource
   readonly fleet: FleetView
   readonly codec: WireCodec
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { createMetrics, MetricEvent, MetricGauge } from '../observability/metrics.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
+import { createSharedTicker } from '../shared/shared-ticker.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
 import type { BackendServer } from '../state/backend-server.js'
 import { createBackendConnectionPool } from '../transport/backend-connection-pool.js'
@@ -29,6 +30,7 @@
 import { createPresence } from './presence.js'
 import { createRelayHandler } from './relay-handler.js'
 import { createMetricsServer, createReadinessServer, createRelayServer } from './internal-servers.js'
+import { streamCheckIntervalMs } from './stream-forwarding.js'
 import type { WireCodec } from './wire-codec.js'
 
 export interface GatewayOptions {
@@ -115,7 +117,8 @@
     getRecord: () => fleet.listGatewayEntries().get(plannerKey),
     getRank: presence.getRank,
     isStoreViewCurrent: () => fleet.isStoreReachable() && fleet.isEraSettled() && fleet.getConfig() !== undefined,
-    getStoreEra: fleet.getEra
+    getStoreEra: fleet.getEra,
+    onAcquired: () => planner.start()
   })
   const planner = createPlannerTask({
     timers,
@@ -131,6 +134,8 @@
   const dependencies: CallDependencies = {
     zone: settings.zone,
     timers,
+    // A replica can become quiet only while streams are in progress.
+    streamTicker: createSharedTicker(timers, streamCheckIntervalMs, () => loadSharing.checkQuiet()),
     random,
     fleet,
     codec,
@@ -169,7 +174,9 @@
   let isStopping = false
 
   function noteLeaving (server: BackendServer): void {
-    if (fleet.markLeaving(server.id, server.startedAtMs)) metrics.countEvent(MetricEvent.ServerLeaving)
+    if (!fleet.markLeaving(server.id, server.startedAtMs)) return
+    metrics.countEvent(MetricEvent.ServerLeaving)
+    loadSharing.reportLeaving()
   }
 
   function refreshGauges (): void {
@@ -231,6 +238,7 @@
         const limits = fleet.getConfig()?.limits
         if (limits !== undefined) clientServer.applyLimits(limits)
       }
+      if (event !== FleetEvent.Servers) plannerLease.checkNow()
       if (event === FleetEvent.Era) metrics.countEvent(MetricEvent.StoreEraChange)
       planner.planNow()
     })
--- a/src/gateway/load-sharing.test.ts
+++ b/src/gateway/load-sharing.test.ts
@@ -33,6 +33,7 @@
       onLeavingServer: (serverId, startedAtMs) => { received.push([serverId, startedAtMs]) }
     })
     await Promise.all([gateway.start(), planner.start()])
+    gateway.reportLeaving()
     while (received.length === 0) await new Promise(resolve => setTimeout(resolve, 10))
     gateway.stop()
     planner.stop()
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -26,8 +26,6 @@
 /** The report interval grows by this for each peer: the reports per second in the deployment grow linearly with the gateways. */
 const intervalPerPeerMs = 15
 const minIntervalMs = 100
-/** Interval of the check for quiet replicas; the planner gets a report as soon as one is found. */
-const quietCheckIntervalMs = 60
 /** A report with the same content as the last one is sent only this often. */
 const repeatIntervalMs = 1000
 /** Each server that is leaving is reported to the planner several times, since datagrams are lost occasionally. */
@@ -37,7 +35,6 @@
 /** Creates the exchange of load reports with the other gateways. */
 export function createLoadSharing ({ settings, timers, logger, loads, listPeers, findPlannerAddress, listRecentlyLeaving, onLeavingServer, onSuspectReplica }: LoadSharingOptions) {
   let timer: TimerSubscription | undefined
-  let quietTimer: TimerSubscription | undefined
   let leavingTimer: TimerSubscription | undefined
   let reportedQuietIds = new Set<string>()
   let lastContent = ''
@@ -83,9 +80,12 @@
   }
 
   function reportLeaving (): void {
+    leavingTimer?.cancel()
     const leavingServers = listRecentlyLeaving(leavingReportTimeMs)
-    const planner = Object.keys(leavingServers).length > 0 ? findPlannerAddress() : undefined
+    if (Object.keys(leavingServers).length === 0) return
+    const planner = findPlannerAddress()
     if (planner !== undefined) sendToPlanner(planner, { leavingServers })
+    leavingTimer = timers.subscribeOnce(leavingReportIntervalMs, reportLeaving)
   }
 
   function sendToPlanner (planner: NetworkAddress, extra: Pick<LoadReport, 'leavingServers'>): void {
@@ -93,19 +93,22 @@
   }
 
   function schedule (): void {
-    timer = timers.subscribeOnce(Math.max(minIntervalMs, listPeers().length * intervalPerPeerMs), sendReport)
+    const peerCount = listPeers().length
+    // Without peers nothing is sent; the list is looked at again, since this gateway may become a relay.
+    timer = timers.subscribeOnce(peerCount === 0 ? repeatIntervalMs : Math.max(minIntervalMs, peerCount * intervalPerPeerMs), sendReport)
   }
 
   return {
+    /** Looks for replicas that have become quiet; the planner gets a report at once when there is one. */
+    checkQuiet,
+    /** Tells the planner of servers that are leaving, now and several times more. */
+    reportLeaving,
     async start (): Promise<void> {
       await reportSocket.start()
       schedule()
-      quietTimer = timers.subscribeEvery(quietCheckIntervalMs, checkQuiet)
-      leavingTimer = timers.subscribeEvery(leavingReportIntervalMs, reportLeaving)
     },
     stop (): void {
       timer?.cancel()
-      quietTimer?.cancel()
       leavingTimer?.cancel()
       reportSocket.stop()
     }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -40,7 +40,8 @@
 const firstEventObjectiveFactor = 2
 /** Limit on a pause between events, in pause objectives; a working replica stays below it. */
 const pauseObjectiveFactor = 2
-const checkIntervalMs = 50
+/** Interval of the checks of all streams. */
+export const streamCheckIntervalMs = 50
 /** A stream without a first event switches from a quiet replica after this time, early enough to still meet its objective. */
 const quietStartWaitMs = 120
 /**
@@ -322,6 +323,6 @@
   }
 
   call.response.on('close', onClientDisconnect)
-  const checkTimer = timers.subscribeEvery(checkIntervalMs, checkDeadlines)
+  const checkTimer = dependencies.streamTicker.subscribe(checkDeadlines)
   startAttempt()
 }
