Apply the configured limit on headers

Cause: `limits.maxHeaderBytes` was read and not applied; Node.js refused everything above 16 KB, whatever the operators allow. Shown: with a limit of 2,000 bytes a request of more got 200.

Change: each request's line and headers are counted against the limit in force; Node's own limit, fixed at the start, is 64 KB.

--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -20,6 +20,14 @@
 const unavailableRetryAfterSpreadMs = 700
 const defaultMaxBodyBytes = 4 * 1024 * 1024
 
+/** Bytes of the request line and the headers as they were sent, with a space and a line end each. */
+function countHeaderBytes ({ method = '', url = '', rawHeaders }: IncomingMessage): number {
+  const separatorLength = 2
+  const httpVersionLength = 'HTTP/1.1'.length
+  const requestLineLength = method.length + url.length + httpVersionLength + 2 * separatorLength
+  return rawHeaders.reduce((sum, text) => sum + text.length + separatorLength, requestLineLength)
+}
+
 /** Creates the handler that checks a request against the configuration and forwards it. */
 export function createCallIntake ({ dependencies, getMaxConfigAgeMs }: CallIntakeOptions) {
   const { fleet, codec, timers, random } = dependencies
@@ -41,6 +49,11 @@
     const arrivedAtMs = timers.nowMs()
     response.on('error', error => dependencies.logger.debug('A client connection failed.', { reason: error.message }))
     const limits = fleet.getConfig()?.limits
+    if (countHeaderBytes(request) > (limits?.maxHeaderBytes ?? Infinity)) {
+      response.shouldKeepAlive = false
+      refuse(request, response, 431, `the headers are larger than ${limits?.maxHeaderBytes} bytes`)
+      return
+    }
     const body = await readRequestBody(request, limits?.maxBodyBytes ?? defaultMaxBodyBytes)
     if (body.kind === BodyResultKind.TooLarge) {
       response.shouldKeepAlive = false
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -66,8 +66,11 @@
 const revocationMarginMs = 300
 /** Idle connections kept for each server. Requests in flight have their own limit, from what the server accepts in all. */
 const maxIdleConnectionsPerServer = 8
-/** Node.js fixes this limit when the server is created; the configuration's `limits.maxHeaderBytes` is not applied. */
-const maxHeaderBytes = 16_384
+/**
+ * Node.js fixes this limit when the server is created, and refuses requests above it before they are read. The
+ * configuration's limit, `limits.maxHeaderBytes`, is checked for each request and applies below it.
+ */
+const maxParsedHeaderBytes = 65_536
 /** Limits the log volume under load; lines above it are counted and dropped. */
 const requestLogLinesPerSecond = 60
 
@@ -167,7 +170,7 @@
     onSuspectReplica: replicaId => planner.checkReplica(replicaId)
   })
   const callIntake = createCallIntake({ dependencies, getMaxConfigAgeMs })
-  const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes, handle: callIntake.handle })
+  const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes: maxParsedHeaderBytes, handle: callIntake.handle })
   const readinessServer = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics, refreshGauges)
   const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), log)
