Compute the plan of relays once for each list of gateways

Change: both are kept until the list changes, which the list's reference tells.

Result: relay-plan.test.ts passes, with a case that the plan follows the list.

--- a/src/coordination/relay/relay-plan.test.ts
+++ b/src/coordination/relay/relay-plan.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { planRelays, type ListedGateway } from './relay-plan.js'
+import { createRelayPlans, listRelays, planRelays, type ListedGateway } from './relay-plan.js'
 
 function makeGateways (zoneCounts: Readonly<Record<string, number>>): ListedGateway[] {
   return Object.entries(zoneCounts).flatMap(([zone, count]) =>
@@ -39,4 +39,16 @@
   it('lets a gateway that is not listed yet read the store', () => {
     expect(planRelays(makeGateways({ a: 40 }), 'new').readsStoreDirectly).to.equal(true)
   })
+
+  it('is computed once for each list', () => {
+    let gateways = Array.from({ length: 40 }, (_, index) => ({ nodeId: `n${index}`, zone: 'z', address: `h:${index}`, listedRevision: index }))
+    const plans = createRelayPlans(() => gateways, 'n39')
+    const first = plans.getPlan()
+    expect(first).to.deep.equal(planRelays(gateways, 'n39'))
+    expect(plans.listRelays()).to.deep.equal(listRelays(gateways))
+    expect(plans.getPlan()).to.equal(first)
+    gateways = gateways.slice(5)
+    expect(plans.getPlan()).to.deep.equal(planRelays(gateways, 'n39'))
+    expect(plans.getPlan()).to.not.equal(first)
+  })
 })
--- a/src/coordination/relay/relay-plan.ts
+++ b/src/coordination/relay/relay-plan.ts
@@ -56,6 +56,34 @@
   return { readsStoreDirectly: false, relays: [...rotate(inSameZone, rank), ...rotate(inOtherZones, rank)] }
 }
 
+/** The plans that follow from the present list of gateways. */
+export interface RelayPlans {
+  /** How this gateway reads the store. */
+  getPlan (): RelayPlan
+  /** The gateways of all zones that read the store themselves. */
+  listRelays (): readonly ListedGateway[]
+}
+
+/**
+ * Creates plans that are computed once for each list: they are needed several times a second and change rarely. `listGateways`
+ * returns the same array until the list changes.
+ */
+export function createRelayPlans (listGateways: () => readonly ListedGateway[], nodeId: string): RelayPlans {
+  let known: { readonly gateways: readonly ListedGateway[], readonly plan: RelayPlan, readonly relays: readonly ListedGateway[] } | undefined
+
+  function get () {
+    const gateways = listGateways()
+    if (known?.gateways === gateways) return known
+    known = { gateways, plan: planRelays(gateways, nodeId), relays: listRelays(gateways) }
+    return known
+  }
+
+  return {
+    getPlan: () => get().plan,
+    listRelays: () => get().relays
+  }
+}
+
 /** Rotates a list by `count` places; different gateways then prefer different relays. */
 function rotate<T> (items: readonly T[], count: number): T[] {
   const first = items.length === 0 ? 0 : count % items.length
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,7 +7,7 @@
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerControl } from '../coordination/ports/server-control.js'
 import type { RelayLink } from '../coordination/ports/relay-link.js'
-import { directPlan, listRelays, planRelays } from '../coordination/relay/relay-plan.js'
+import { createRelayPlans, directPlan } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { createPlannerLease, readPlannerNode } from '../coordination/replicas/planner-lease.js'
@@ -90,7 +90,7 @@
     link: options.relayLink,
     timers,
     // The planner always reads the store itself, without the delay of a relay.
-    getPlan: () => isPlanner() ? directPlan : planRelays(presence.listGateways(), settings.nodeId),
+    getPlan: () => isPlanner() ? directPlan : relayPlans.getPlan(),
     createLoadReport: () => loads.createOwnReport(settings.nodeId),
     applyLoads: applyTotalReport,
     getStoreViewAgeMs: () => fleet.getViewAgeMs()
@@ -109,6 +109,7 @@
     listEntries: fleet.listGatewayEntries,
     getStoreEra: fleet.getEra
   })
+  const relayPlans = createRelayPlans(presence.listGateways, settings.nodeId)
   const plannerLease = createPlannerLease({
     store,
     timers,
@@ -210,9 +211,8 @@
 
   /** Relays exchange load reports by UDP. Other gateways send theirs with their relay requests, so their list is empty. */
   function listRelayPeers (): NetworkAddress[] {
-    const gateways = presence.listGateways()
-    if (!planRelays(gateways, settings.nodeId).readsStoreDirectly) return []
-    return listRelays(gateways).filter(gateway => gateway.nodeId !== settings.nodeId).flatMap(gateway => parseAddress(gateway.address) ?? [])
+    if (!relayPlans.getPlan().readsStoreDirectly) return []
+    return relayPlans.listRelays().filter(gateway => gateway.nodeId !== settings.nodeId).flatMap(gateway => parseAddress(gateway.address) ?? [])
   }
 
   function getRetryBudget (serviceName: string): ServiceRetryBudget {
