Move the entries of servers out of the view, and bound reads of a store that states eras in turn

Change: `gateway/server-entries.ts` holds the servers with what the gateway knows better than their entries (leaving, removed, missing); no behaviour changes with it.

--- a/src/gateway/fleet-view.test.ts
+++ b/src/gateway/fleet-view.test.ts
@@ -22,12 +22,12 @@
   }
 }
 
-function createFixture () {
+function createFixture (wrap: (fake: FakeRevisionedStore) => FakeRevisionedStore = fake => fake) {
   const timers = createVirtualTimerService()
   const fake = createFakeRevisionedStore(timers)
   const warnings: string[] = []
   const view = createFleetView({
-    ...createDirectSource(fake, timers),
+    ...createDirectSource(wrap(fake), timers),
     timers,
     isReconfiguring: () => false,
     logger: { debug () {}, info () {}, warn: sentence => { warnings.push(sentence) }, error: sentence => { warnings.push(sentence) } },
@@ -273,6 +273,24 @@
       expect(listStates(view)).to.deep.equal({ a: 'draining', b: 'ready' })
     })
 
+    it('reads a store whose watches state another era than its reads only a few times a second', async () => {
+      const { fake, timers, view } = createFixture(fake => ({
+        ...fake,
+        store: {
+          ...fake.store,
+          async watch (prefix, afterRevision) {
+            const result = await fake.store.watch(prefix, afterRevision, 0)
+            return result.isOk ? success({ ...result.value, era: 9 }) : result
+          }
+        }
+      }))
+      fake.put('op/config', '3')
+      view.start()
+      await timers.advanceAsync(5000)
+      expect(view.getConfig()?.version).to.equal(3)
+      expect(fake.countCalls()).to.be.lessThan(150)
+    })
+
     it('logs the change of era once', async () => {
       const { fake, timers, copy, warnings } = await createWithCopy()
       fake.restore(copy)
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -8,12 +8,10 @@
 import { createSuspensionDetector } from '../shared/suspension-detector.js'
 import type { Result } from '../shared/result.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
-import { ServerState, type BackendServer } from '../state/backend-server.js'
-import { createLeavingServers } from '../state/leaving-servers.js'
-import { createMissingEntryTracker } from '../state/missing-entry-tracker.js'
-import { createRemovedServers } from '../state/removed-servers.js'
+import type { BackendServer } from '../state/backend-server.js'
 import { listReplicas, type Replica } from '../state/replica.js'
 import type { EngineProfile, ServingConfig } from '../state/serving-config.js'
+import { createServerEntries } from './server-entries.js'
 
 /** The store's keys that a gateway reads, and how their values are decoded. */
 export interface StoreLayout {
@@ -118,13 +116,9 @@
 /** Creates the view; after `start` it reads the source until it is stopped. */
 export function createFleetView ({ source, mirror, timers, layout, logger, isReconfiguring }: FleetViewOptions): FleetView {
   const events = createChannel<FleetEvent>()
-  const servers = new Map<string, BackendServer>()
+  const servers = createServerEntries({ timers, logger, missingEntryGraceMs, decode: layout.decodeServer })
   // Replaced on each change and never mutated: readers compare references to decide whether derived data is stale.
   let gatewayEntries: ReadonlyMap<string, GatewayEntry> = new Map()
-  const warnedServerIds = new Set<string>()
-  const missingEntries = createMissingEntryTracker(timers, missingEntryGraceMs)
-  const leavingServers = createLeavingServers(timers)
-  const removedServers = createRemovedServers(timers)
   const suspensionDetector = createSuspensionDetector(timers)
   let serversByService = new Map<string, BackendServer[]>()
   let replicatedServices: ReplicatedService[] | undefined
@@ -163,38 +157,8 @@
     return true
   }
 
-  function applyServerEntry (id: string, text: string): void {
-    const decoded = layout.decodeServer(id, text)
-    if (decoded.isOk) {
-      servers.set(id, withOwnState(decoded.value))
-      return
-    }
-    servers.delete(id)
-    if (warnedServerIds.has(id)) return
-    warnedServerIds.add(id)
-    logger.warn('A server entry is invalid; the server is not used.', { serverId: id, reason: decoded.error })
-  }
-
-  /** A server that announced its leaving in a response may still be listed as ready. */
-  function withOwnState (server: BackendServer): BackendServer {
-    return leavingServers.has(server) ? { ...server, state: ServerState.Draining } : server
-  }
-
-  function removeServer (id: string): void {
-    if (!servers.has(id)) return
-    if (missingEntries.shouldKeep(id)) return
-    servers.delete(id)
-    removedServers.record(id)
-    logger.info('A server was removed: its entry is no longer in the store.', { serverId: id })
-  }
-
   function indexServers (): void {
-    serversByService = new Map()
-    for (const server of servers.values()) {
-      const list = serversByService.get(server.serviceName)
-      if (list === undefined) serversByService.set(server.serviceName, [server])
-      else list.push(server)
-    }
+    serversByService = servers.listByService()
     replicatedServices = undefined
   }
 
@@ -204,13 +168,9 @@
       if (value !== undefined && applyConfig(value, revision)) changed.add(FleetEvent.Config)
     } else if (key.startsWith(layout.serverPrefix)) {
       const id = key.slice(layout.serverPrefix.length)
-      if (value === undefined) removeServer(id)
+      if (value === undefined) servers.remove(id)
       else if (mirror.isCarriedOver(key)) hasUnusedEntries = true
-      else {
-        missingEntries.markPresent(id)
-        removedServers.forget(id)
-        applyServerEntry(id, value)
-      }
+      else servers.apply(id, value)
       changed.add(FleetEvent.Servers)
     } else if (key.startsWith(layout.gatewayPrefix)) {
       const gatewayKey = key.slice(layout.gatewayPrefix.length)
@@ -229,8 +189,8 @@
   }
 
   function recordReachability (hasResponse: boolean, error?: StoreError): void {
-    if (hasResponse) missingEntries.recordStoreResponse()
-    else missingEntries.recordStoreFailure()
+    if (hasResponse) servers.recordStoreResponse()
+    else servers.recordStoreFailure()
     if (hasResponse === isReachable) return
     isReachable = hasResponse
     if (hasResponse) logger.info('The store is reachable.')
@@ -248,8 +208,8 @@
     configRevision = 0
     isStoredConfigOlder = config !== undefined
     // Servers that are missing from the copy get the time to register again that they get after an outage.
-    missingEntries.recordStoreFailure()
-    missingEntries.recordStoreResponse()
+    servers.recordStoreFailure()
+    servers.recordStoreResponse()
     events.send(FleetEvent.Era)
   }
 
@@ -264,12 +224,12 @@
   function useUnknownEntries (): void {
     if (!hasUnusedEntries || !isEraSettled()) return
     hasUnusedEntries = false
-    const unknown = mirror.listItems().filter(({ key }) => {
-      const id = key.slice(layout.serverPrefix.length)
-      return key.startsWith(layout.serverPrefix) && mirror.isCarriedOver(key) && !servers.has(id) && !removedServers.has(id)
-    })
-    if (unknown.length === 0) return
-    for (const { key, value } of unknown) applyServerEntry(key.slice(layout.serverPrefix.length), value)
+    let hasNew = false
+    for (const { key, value } of mirror.listItems()) {
+      if (!key.startsWith(layout.serverPrefix) || !mirror.isCarriedOver(key)) continue
+      hasNew = servers.applyIfUnknown(key.slice(layout.serverPrefix.length), value) || hasNew
+    }
+    if (!hasNew) return
     indexServers()
     events.send(FleetEvent.Servers)
   }
@@ -289,7 +249,7 @@
   function applyResponse (response: SourceResponse, requestedAtMs: number): void {
     const { ageMs, isStoreBack } = response.age
     // The relay has seen a store failure that this gateway has not: start the same grace period here.
-    if (isStoreBack && !missingEntries.isGracePeriodActive()) missingEntries.recordStoreFailure()
+    if (isStoreBack && !servers.hasRecentStoreFailure()) servers.recordStoreFailure()
     recordReachability(true)
     applyContent(response)
     if (response.isWhole) {
@@ -325,6 +285,8 @@
       // Changes of another era tell nothing of what was lost before them.
       needsFullRead = true
       recordReachability(true)
+      // Bounds the reads from a store whose responses state different eras in turn.
+      await delay(timers, reconfiguringCoalesceMs)
       return true
     }
     if (response.isOk) {
@@ -340,9 +302,7 @@
   }
 
   function removeExpired (): void {
-    const ids = missingEntries.takeExpired()
-    if (ids.length === 0) return
-    for (const id of ids) removeServer(id)
+    if (!servers.removeExpired()) return
     indexServers()
     events.send(FleetEvent.Servers)
   }
@@ -382,19 +342,15 @@
       return replicatedServices
     },
     markLeaving (serverId, startedAtMs) {
-      if (!leavingServers.record(serverId, startedAtMs)) return false
-      logger.info('A server is leaving; it gets no new requests.', { serverId, startedAtMs })
-      const server = servers.get(serverId)
-      if (server === undefined) return true
-      servers.set(serverId, withOwnState(server))
+      if (!servers.markLeaving(serverId, startedAtMs)) return false
       indexServers()
       events.send(FleetEvent.Servers)
       return true
     },
-    listRecentlyLeaving: leavingServers.listRecent,
+    listRecentlyLeaving: servers.listRecentlyLeaving,
     listGatewayEntries: () => gatewayEntries,
     isStoreReachable: () => isReachable,
-    hasRecentStoreFailure: missingEntries.isGracePeriodActive,
+    hasRecentStoreFailure: servers.hasRecentStoreFailure,
     start () {
       state.isRunning = true
       void run()
