Log who closed the connection of each response that was not completed

Cause: a whole request whose connection closed without a complete response left at most the line 'A call ended.', which is dropped above 60 lines a second and says nothing of closes by the HTTP server (timeouts, bytes that are no request).

Change: one line and one counter for each such response, with who ended the connection, the error, whether the request was whole and whether a head was sent. A rate limit of its own, 20 lines a second.

--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -4,6 +4,25 @@
 import type { NetworkAddress } from '../shared/network-address.js'
 import type { ClientLimits } from '../state/serving-config.js'
 
+/** Who ended a connection on which a request has no complete response. The values are logged. */
+export enum ConnectionEnd {
+  /** The gateway closed it, since the response cannot be completed. */
+  Gateway = 'gateway',
+  /** The client closed or reset it, or its network path broke. */
+  Client = 'client',
+  /** The HTTP server closed it by itself, after a timeout or for bytes that are no request. */
+  HttpServer = 'http_server'
+}
+
+/** A request whose connection closed before its response was complete. */
+export interface IncompleteResponse {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly endedBy: ConnectionEnd
+  /** Error of the connection; empty when it was closed in order. */
+  readonly reason: string
+}
+
 /** The HTTP server that clients connect to. */
 export interface ClientServer {
   start (): Promise<void>
@@ -23,6 +42,8 @@
   readonly address: NetworkAddress
   readonly maxHeaderBytes: number
   handle (request: IncomingMessage, response: ServerResponse): void
+  /** Called for each request whose response was not completed. */
+  onIncomplete (incomplete: IncompleteResponse): void
 }
 
 /** Added to the idle timeout: clients may reuse a connection until the timeout ends, so the server closes it later than that. */
@@ -33,12 +54,15 @@
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
 }
+/** Errors of a connection that the client or its network path causes; any other one is raised by the HTTP server. */
+const clientErrorCodes: readonly string[] = ['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']
 
 /** Creates the server; it listens after `start`. */
-export function createClientServer ({ address, maxHeaderBytes, handle }: ClientServerOptions): ClientServer {
+export function createClientServer ({ address, maxHeaderBytes, handle, onIncomplete }: ClientServerOptions): ClientServer {
   let inFlightCount = 0
   let isDraining = false
   let hasReceivedRequest = false
+  const connectionErrors = new WeakMap<Socket, NodeJS.ErrnoException>()
 
   // `keepAlive` is TCP keep-alive: HTTP connections are reused.
   const server = http.createServer({ maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true }, (request, response) => {
@@ -46,10 +70,16 @@
     hasReceivedRequest = true
     response.sendDate = false
     if (isDraining) response.shouldKeepAlive = false
-    response.once('close', () => { inFlightCount -= 1 })
+    response.once('close', () => {
+      inFlightCount -= 1
+      if (!response.writableFinished) onIncomplete({ request, response, ...describeEnd(request.socket, connectionErrors.get(request.socket)) })
+    })
     handle(request, response)
   })
-  server.on('clientError', rejectMalformedRequest)
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    connectionErrors.set(socket, error)
+    rejectMalformedRequest(error, socket)
+  })
 
   return {
     start: () => new Promise((resolve, reject) => {
@@ -73,6 +103,12 @@
   }
 }
 
+function describeEnd (socket: Socket, error: NodeJS.ErrnoException | undefined): Pick<IncompleteResponse, 'endedBy' | 'reason'> {
+  const reason = error?.code ?? error?.message ?? ''
+  if (error !== undefined) return { endedBy: clientErrorCodes.includes(error.code ?? '') ? ConnectionEnd.Client : ConnectionEnd.HttpServer, reason }
+  return { endedBy: socket.readableEnded ? ConnectionEnd.Client : ConnectionEnd.Gateway, reason }
+}
+
 function rejectMalformedRequest (error: NodeJS.ErrnoException, socket: Socket): void {
   if (!socket.writable) {
     socket.destroy()
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,7 +23,7 @@
 import { createBackendConnectionPool } from '../transport/backend-connection-pool.js'
 import type { CallDependencies } from './call-context.js'
 import { createCallIntake } from './call-intake.js'
-import { createClientServer } from './client-server.js'
+import { ConnectionEnd, createClientServer, type IncompleteResponse } from './client-server.js'
 import { createFleetView, FleetEvent, type StoreLayout } from './fleet-view.js'
 import type { GatewayBounds, GatewaySettings } from './gateway-settings.js'
 import { createLoadSharing } from './load-sharing.js'
@@ -73,6 +73,13 @@
 const maxParsedHeaderBytes = 65_536
 /** Limits the log volume under load; lines above it are counted and dropped. */
 const requestLogLinesPerSecond = 60
+/** The same for the lines of responses that were not completed, which the lines of other requests cannot displace. */
+const incompleteLogLinesPerSecond = 20
+const incompleteEvents = {
+  [ConnectionEnd.Gateway]: MetricEvent.IncompleteByGateway,
+  [ConnectionEnd.Client]: MetricEvent.IncompleteByClient,
+  [ConnectionEnd.HttpServer]: MetricEvent.IncompleteByHttpServer
+}
 
 /** Creates a gateway; it serves after `start`. */
 export function createGateway (options: GatewayOptions): Gateway {
@@ -170,8 +177,9 @@
     onLeavingServer: (serverId, startedAtMs) => { fleet.markLeaving(serverId, startedAtMs) },
     onSuspectReplica: replicaId => planner.checkReplica(replicaId)
   })
+  const incompleteLogger = createRateLimitedLogger(createLogger('connections'), timers, incompleteLogLinesPerSecond)
   const callIntake = createCallIntake({ dependencies, getMaxConfigAgeMs })
-  const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes: maxParsedHeaderBytes, handle: callIntake.handle })
+  const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes: maxParsedHeaderBytes, handle: callIntake.handle, onIncomplete: recordIncomplete })
   const readinessServer = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics, refreshGauges)
   const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), log)
@@ -183,6 +191,18 @@
     loadSharing.reportLeaving()
   }
 
+  function recordIncomplete ({ request, response, endedBy, reason }: IncompleteResponse): void {
+    metrics.countEvent(incompleteEvents[endedBy])
+    incompleteLogger.warn('A response was not completed.', {
+      requestId: codec.readClientRequest(request.headers).requestId ?? '',
+      endedBy,
+      reason,
+      isRequestWhole: request.complete,
+      isHeadSent: response.headersSent,
+      configVersion: fleet.getConfig()?.version ?? 0
+    })
+  }
+
   function refreshGauges (): void {
     metrics.setGauge(MetricGauge.IsReady, Number(isReady()))
     metrics.setGauge(MetricGauge.ConfigVersion, fleet.getConfig()?.version ?? 0)
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -32,7 +32,13 @@
   /** A server announced that it is leaving. */
   ServerLeaving = 'server_leaving',
   /** The store came back from an older copy. */
-  StoreEraChange = 'store_era_change'
+  StoreEraChange = 'store_era_change',
+  /** A response was not completed: the gateway closed the connection. */
+  IncompleteByGateway = 'incomplete_by_gateway',
+  /** A response was not completed: the client closed the connection. */
+  IncompleteByClient = 'incomplete_by_client',
+  /** A response was not completed: the HTTP server closed the connection by itself. */
+  IncompleteByHttpServer = 'incomplete_by_http_server'
 }
 
 /** Gauges; the values are parts of metric names. */
