Keep the replica of a server that is silent for up to 1.5 seconds

What callers saw: streams that broke off. A sound server may fall silent for about a second and go on; the planner took one report that was not answered within 300 ms for the loss of the server, closed its replica at once and made the leader end the streams in progress, or had a member leave, so that the leader ended them after the stall limit. The streams had been accepted and the servers were sound.

Cause: silence was taken for a failure. A refused or unanswered connection and a request that nothing comes back for were one error.

Change: reports fail as failed or silent. A failed one means a lost server, as before. A silent server is asked again until it has been silent for 1.5 s. A command whose precondition cannot be read for that reason is postponed.

Why it works: new streams avoid the replica meanwhile and those in progress may move, but nothing is taken from a server that goes on.

--- a/src/coordination/ports/server-control.ts
+++ b/src/coordination/ports/server-control.ts
@@ -46,6 +46,8 @@
   Refused = 'refused',
   /** No connection; the command was not sent. */
   Unreachable = 'unreachable',
+  /** Not sent, since the server is silent at present. */
+  Postponed = 'postponed',
   /** No response: the command may have been accepted, or may still take effect later. */
   Unanswered = 'unanswered'
 }
@@ -68,12 +70,24 @@
   readonly pace: number
 }
 
+export enum ReportErrorKind {
+  /** No connection could be opened, the connection broke, or the response is no report. */
+  Failed = 'failed',
+  /** The request was sent and nothing came back in time. The server may be sound and go on. */
+  Silent = 'silent'
+}
+
+export interface ReportError {
+  readonly kind: ReportErrorKind
+  readonly reason: string
+}
+
 /** Control calls to backend servers. */
 export interface ServerControl {
   /** Servers that announced in a response that they are leaving; each response sends one. */
   readonly leavingServers: Channel<BackendServer>
   sendCommand (server: BackendServer, command: ServerCommand, precondition: CommandPrecondition): Promise<CommandOutcome>
-  readReport (server: BackendServer): Promise<Result<ServerReport, string>>
+  readReport (server: BackendServer): Promise<Result<ServerReport, ReportError>>
 }
 
 /** Whether the server has accepted the command. */
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -1,13 +1,14 @@
 import type { Logger } from '../../observability/log.js'
 import type { TimerService, TimerSubscription } from '../../shared/timer-service.js'
 import type { BackendServer } from '../../state/backend-server.js'
-import type { Replica } from '../../state/replica.js'
+import { formatReplicaId, type Replica } from '../../state/replica.js'
 import type { EngineProfile } from '../../state/serving-config.js'
-import { isAccepted, CommandOutcome, ServerCommandKind, type ServerControl } from '../ports/server-control.js'
+import { isAccepted, CommandOutcome, ReportErrorKind, ServerCommandKind, type ServerControl } from '../ports/server-control.js'
 import { createCommandSequences } from './command-sequences.js'
 import type { PlannerLease } from './planner-lease.js'
 import type { PlannedCommand, PlannerInput, ReplicaPlanner } from './planner-types.js'
 import { createReplicaPlanner } from './replica-planner.js'
+import { createServerChecks } from './server-checks.js'
 
 interface PlannedService {
   readonly name: string
@@ -56,6 +57,7 @@
 export function createPlannerTask (options: PlannerTaskOptions): PlannerTask {
   const { timers, logger, lease, serverControl, getStallLimitMs } = options
   const sequences = createCommandSequences()
+  const checks = createServerChecks(timers, serverControl)
   const planners = new Map<string, ReplicaPlanner>()
   const checkedAtMs = new Map<string, number>()
   let plannersFencingToken: number | undefined
@@ -117,7 +119,7 @@
   }
 
   async function send (planner: ReplicaPlanner, { server, command }: PlannedCommand, fencingToken: number): Promise<CommandOutcome> {
-    if (sequences.get(server) === undefined) await refreshSequence(planner, server)
+    if (sequences.get(server) === undefined && !await refreshSequence(planner, server)) return CommandOutcome.Postponed
     const expectedSequence = sequences.get(server)
     if (expectedSequence === undefined) return CommandOutcome.Unreachable
     // Not sent: this gateway is no longer the planner.
@@ -125,25 +127,31 @@
     return serverControl.sendCommand(server, command, { fencingToken, expectedSequence })
   }
 
-  async function refreshSequence (planner: ReplicaPlanner, server: BackendServer): Promise<void> {
+  /** Reads the server's command sequence. Returns false while the server is silent, which is then checked on its own. */
+  async function refreshSequence (planner: ReplicaPlanner, server: BackendServer): Promise<boolean> {
     const report = await serverControl.readReport(server)
+    if (!report.isOk && report.error.kind === ReportErrorKind.Silent) {
+      void checkServer(planner, server)
+      return false
+    }
     if (!report.isOk) {
       planner.recordUnreachable(server, timers.nowMs())
-      return
+      return true
     }
     sequences.set(server, report.value.commandSequence)
     if (report.value.isBusy && server.group === undefined) planner.recordBusy(server, timers.nowMs())
+    return true
   }
 
-  async function checkMember (planner: ReplicaPlanner, member: BackendServer, replicaId: string): Promise<void> {
-    if (options.isHeld(member)) return
-    const report = await serverControl.readReport(member)
+  async function checkServer (planner: ReplicaPlanner, server: BackendServer): Promise<void> {
+    if (options.isHeld(server)) return
+    const report = await checks.check(server)
     if (report.isOk) {
-      planner.recordReachable(member)
+      planner.recordReachable(server)
       return
     }
-    logger.warn('A member of a replica does not answer.', { replicaId, serverId: member.id, reason: report.error })
-    planner.recordUnreachable(member, timers.nowMs())
+    logger.warn('A server does not answer.', { serverId: server.id, replicaId: describeGroup(server), reason: report.error.reason })
+    planner.recordUnreachable(server, timers.nowMs())
     planNow()
   }
 
@@ -158,7 +166,7 @@
         if (replica === undefined || !replica.isOpen) continue
         checkedAtMs.set(replicaId, timers.nowMs())
         const planner = getPlanner(service.name, fencingToken)
-        for (const member of replica.members) void checkMember(planner, member, replicaId)
+        for (const member of replica.members) void checkServer(planner, member)
       }
     },
     isReconfiguring: () => lease.getFencingToken() !== undefined && [...planners.values()].some(planner => planner.isReconfiguring()),
@@ -172,6 +180,10 @@
   }
 }
 
+function describeGroup ({ group }: BackendServer): string {
+  return group === undefined ? '' : formatReplicaId(group.groupName, group.epoch)
+}
+
 function toLogFields ({ server, command }: PlannedCommand, fencingToken: number, outcome: CommandOutcome) {
   const group = command.kind === ServerCommandKind.Stage ? '' : command.groupName
   const model = command.kind === ServerCommandKind.Stage || command.kind === ServerCommandKind.Join ? command.model : ''
--- a/src/coordination/replicas/replica-planner.test.ts
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -182,6 +182,50 @@
     })
   })
 
+  describe('when a member falls silent', () => {
+    for (const memberRank of [0, 3]) {
+      it(`does not close the replica for a silence of 1.2 s (rank ${memberRank})`, async () => {
+        const fixture = await createFormedFixture(3)
+        fixture.beginTraffic()
+        const large = fixture.listOpen().find(replica => replica.model?.name === 'large') as Replica
+        const sentCount = fixture.servers.sent.length
+        for (let turn = 0; turn < 3; turn += 1) {
+          fixture.servers.silence(large.members[memberRank]?.id as string, 1200)
+          for (let step = 0; step < 20; step += 1) {
+            fixture.check(large.id)
+            await fixture.timers.advanceAsync(100)
+          }
+        }
+        await fixture.timers.advanceAsync(10_000)
+        expect(fixture.listOpen().map(replica => replica.id)).to.include(large.id)
+        expect(fixture.servers.sent.slice(sentCount)).to.deep.equal([])
+      })
+    }
+
+    it('replaces it when it stays silent', async () => {
+      const fixture = await createFormedFixture(3)
+      fixture.beginTraffic()
+      const large = fixture.listOpen().find(replica => replica.model?.name === 'large') as Replica
+      fixture.servers.silence(large.members[3]?.id as string, 60_000)
+      fixture.check(large.id)
+      await fixture.timers.advanceAsync(6000)
+      expect(countModels(fixture.listOpen())).to.deep.equal({ large: 1, small: 1 })
+      expect(fixture.listOpen().map(replica => replica.id)).to.not.include(large.id)
+    })
+
+    it('does not count the server as lost when it is silent to a command', async () => {
+      const fixture = await createFormedFixture(3)
+      const spare = fixture.servers.list().find(server => isSpareGroup(server.group?.groupName ?? ''))
+      fixture.takeOver()
+      fixture.servers.silence(spare?.id as string, 1200)
+      const large = fixture.listOpen().find(replica => replica.model?.name === 'large') as Replica
+      fixture.servers.kill(large.members[3]?.id as string)
+      fixture.check(large.id)
+      await fixture.timers.advanceAsync(8000)
+      expect(countModels(fixture.listOpen())).to.deep.equal({ large: 1, small: 1 })
+    })
+  })
+
   describe('when a server flaps', () => {
     it('sends it no commands until its losses have expired', async () => {
       const fixture = await createFormedFixture(9)
--- a/src/testing/fake-group-servers.ts
+++ b/src/testing/fake-group-servers.ts
@@ -1,4 +1,4 @@
-import { CommandOutcome, ServerCommandKind, type CommandPrecondition, type ServerCommand, type ServerControl, type ServerReport } from '../coordination/ports/server-control.js'
+import { CommandOutcome, ReportErrorKind, ServerCommandKind, type CommandPrecondition, type ServerCommand, type ReportError, type ServerControl, type ServerReport } from '../coordination/ports/server-control.js'
 import type { RandomSource } from '../shared/random-source.js'
 import { createChannel } from '../shared/channel.js'
 import { failure, success, type Result } from '../shared/result.js'
@@ -29,6 +29,8 @@
   add (id: string, domain: string): void
   /** Stops the server; the list still shows it until its entry expires. */
   kill (id: string): void
+  /** The server accepts connections and answers nothing for this time, and goes on then, with what it has received first. */
+  silence (id: string, durationMs: number): void
   setState (id: string, state: ServerState): void
   /** Returns the number of weight fetches so far. */
   countLoads (): number
@@ -43,6 +45,7 @@
   highestEpoch: number
   isAlive: boolean
   diedAtMs: number
+  silentUntilMs: number
   lastModel: string | undefined
   members: readonly string[]
   loadEndsAtMs: number
@@ -190,6 +193,12 @@
           await delay(timers, commandTimeoutMs)
           return CommandOutcome.Unreachable
         }
+        const silentMs = server.silentUntilMs - timers.nowMs()
+        if (silentMs > 0) {
+          timers.subscribeOnce(silentMs, () => apply(server, command, precondition))
+          await delay(timers, commandTimeoutMs)
+          return CommandOutcome.Unanswered
+        }
         const isLate = random.nextFloat() < faults.lateCommandShare
         if (isLate) {
           timers.subscribeOnce(minLateDelayMs + lateDelaySpreadMs * random.nextFloat(), () => {
@@ -201,12 +210,17 @@
         await delay(timers, commandTimeoutMs)
         return CommandOutcome.Unanswered
       },
-      async readReport (listed): Promise<Result<ServerReport, string>> {
+      async readReport (listed): Promise<Result<ServerReport, ReportError>> {
         await delay(timers, responseDelayMs)
         const server = servers.get(listed.id)
         if (server === undefined || !server.isAlive) {
           await delay(timers, commandTimeoutMs)
-          return failure('no response')
+          return failure({ kind: ReportErrorKind.Failed, reason: 'no connection' })
+        }
+        const silentMs = server.silentUntilMs - timers.nowMs()
+        if (silentMs > 0) {
+          await delay(timers, Math.min(silentMs, commandTimeoutMs))
+          if (silentMs > commandTimeoutMs) return failure({ kind: ReportErrorKind.Silent, reason: 'no response' })
         }
         const isBusy = server.loadEndsAtMs > timers.nowMs()
         return success({ commandSequence: server.sequence, group: server.entry.group, isBusy, pace: 1 })
@@ -240,6 +254,7 @@
         highestEpoch: 0,
         isAlive: true,
         diedAtMs: Infinity,
+        silentUntilMs: -Infinity,
         lastModel: undefined,
         members: [],
         loadEndsAtMs: 0
@@ -251,6 +266,10 @@
       server.isAlive = false
       server.diedAtMs = timers.nowMs()
     },
+    silence (id, durationMs) {
+      const server = servers.get(id)
+      if (server !== undefined) server.silentUntilMs = timers.nowMs() + durationMs
+    },
     setState (id, state) {
       const server = servers.get(id)
       if (server !== undefined) update(server, { state })
