End exchanges whose server sends bytes without end that are no body

Node.js bounds header names, values, reasons and chunk extensions, but neither empty lines before a response, spaces, leading zeros of a chunk size, spaces in trailers, nor the number of 1xx responses: these were read at full speed until the gateway aborted, however long that took. The pool now counts the bytes that arrive without any byte of a body. Bytes behind a complete response close the connection also while the exchange is paused, and on dedicated connections, where no guard of idle sockets saw them.

--- a/src/transport/backend-connection-pool.test.ts
+++ b/src/transport/backend-connection-pool.test.ts
@@ -217,6 +217,37 @@
       expect(await exchangeWith(connections, getPort(), false)).to.deep.equal(['head 200', 'data 1', 'end'])
       expect(connectionCount).to.equal(2)
     })
+
+    const whole = `HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n${'x'.repeat(1000)}`
+    const extras = { 'bytes that are no response': 'extra', 'a second response': whole, 'an empty line': '\r\n' }
+    for (const [name, extra] of Object.entries(extras)) {
+      for (const isDedicated of [false, true]) {
+        for (const isTogether of [true, false]) {
+          const title = `${name} ${isTogether ? 'in the same packet' : 'later'}, on a ${isDedicated ? 'dedicated' : 'pooled'} connection`
+
+          it(`leave the response complete: ${title}`, async () => {
+            handleRequest = socket => {
+              socket.write(isTogether ? whole + extra : whole)
+              if (!isTogether) setTimeout(() => socket.write(extra), 5)
+            }
+            expect((await exchangeWith(connections, getPort(), isDedicated)).at(-1)).to.equal('end')
+          })
+
+          it(`leave the response to a paused exchange complete, and the connection is closed: ${title}`, async () => {
+            const hasClosed = new Promise<void>(resolve => {
+              handleRequest = socket => {
+                socket.on('close', () => resolve())
+                socket.write(isTogether ? whole + extra : whole)
+                if (!isTogether) setTimeout(() => socket.write(extra), 5)
+              }
+            })
+            expect(await exchangeWithPause(connections, getPort(), isDedicated, 100)).to.deep.equal({ byteCount: 1000, outcome: 'end' })
+            // An empty line in the packet of the response is read with it and starts no response.
+            if (!isTogether || name !== 'an empty line' || isDedicated) await hasClosed
+          })
+        }
+      }
+    }
   })
 
   describe('a server that refuses connections', () => {
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 
 import type { TimerService } from '../shared/timer-service.js'
+import { maxBytesWithoutBody, maxInformationalResponseCount } from './response-limits.js'
 
 /** A request to a backend server, forwarded with its headers as given. */
 export interface BackendRequest {
@@ -75,7 +76,6 @@
 export function createBackendConnectionPool ({ timers, maxIdleConnectionsPerServer }: BackendConnectionPoolOptions): BackendConnectionPool {
   const pooled = new http.Agent({ keepAlive: true, maxFreeSockets: maxIdleConnectionsPerServer, timeout: idleTimeoutMs })
   const dedicated = new http.Agent({ keepAlive: false, maxSockets: Infinity })
-  pooled.on('free', guardIdleSocket)
 
   return {
     open: (request, listener) => openExchange(timers, request.isDedicated ? dedicated : pooled, request, listener),
@@ -111,22 +111,22 @@
   }
 }
 
-const guardedSockets = new WeakSet<Socket>()
+/** The exchange that uses a socket, or used it last, learns of each chunk before Node.js parses it. */
+const byteWatchers = new WeakMap<Socket, (byteCount: number) => void>()
 
-/** Closes an idle connection when bytes arrive on it: they belong to no request. */
-function guardIdleSocket (socket: Socket): void {
-  if (guardedSockets.has(socket)) return
-  guardedSockets.add(socket)
-  socket.prependListener('data', () => {
-    const isIdle = (socket as Socket & { _httpMessage?: unknown })._httpMessage === null
-    if (isIdle) socket.destroy()
-  })
+function watchBytes (socket: Socket, watcher: (byteCount: number) => void): void {
+  if (!byteWatchers.has(socket)) socket.prependListener('data', (chunk: Buffer) => byteWatchers.get(socket)?.(chunk.length))
+  byteWatchers.set(socket, watcher)
 }
 
 function openExchange (timers: TimerService, agent: http.Agent, request: BackendRequest, listener: ExchangeListener): BackendExchange {
   let isFinished = false
   let isConnected = false
   let currentResponse: http.IncomingMessage | undefined
+  let informationalCount = 0
+  let deliveredByteCount = 0
+  let knownBodyByteCount = 0
+  let byteCountWithoutBody = 0
 
   const clientRequest = http.request({
     agent,
@@ -155,8 +155,22 @@
     listener.onFailure({ kind: isConnected ? ExchangeFailureKind.Lost : ExchangeFailureKind.NotSent, reason })
   }
 
+  function watchArrivingBytes (socket: Socket, byteCount: number): void {
+    if (isFinished || currentResponse?.complete === true) {
+      // They belong to no request. A complete response that is not yet delivered still will be.
+      socket.destroy()
+      return
+    }
+    const bodyByteCount = deliveredByteCount + (currentResponse?.readableLength ?? 0)
+    if (bodyByteCount > knownBodyByteCount) byteCountWithoutBody = 0
+    knownBodyByteCount = bodyByteCount
+    if (byteCountWithoutBody > maxBytesWithoutBody) fail(`more than ${maxBytesWithoutBody} bytes arrived that are no body`)
+    byteCountWithoutBody += byteCount
+  }
+
   clientRequest.on('socket', socket => {
     watchForReset(socket)
+    watchBytes(socket, byteCount => watchArrivingBytes(socket, byteCount))
     if (!socket.connecting) isConnected = true
     else socket.once('connect', () => { isConnected = true })
   })
@@ -168,6 +182,10 @@
     // With a response, the request may close before the listener has read all of it; the response's own end or close decides.
     if (currentResponse === undefined) fail('the connection closed without a response')
   })
+  clientRequest.on('information', () => {
+    informationalCount += 1
+    if (informationalCount > maxInformationalResponseCount) fail(`more than ${maxInformationalResponseCount} informational responses arrived`)
+  })
   clientRequest.on('response', response => {
     currentResponse = response
     if (isFinished) return
@@ -178,6 +196,7 @@
       headers: response.headers
     })
     response.on('data', (chunk: Buffer) => {
+      deliveredByteCount += chunk.length
       if (!isFinished) listener.onData(chunk)
     })
     response.on('end', () => {
