Bound what each caller of the HTTP client reads

undici bounds header names and values, and ends a call on a 100 response, but not reasons, empty lines, spaces, chunk sizes and extensions, spaces in trailers, or 103 responses: these were read at full speed until the call's timeout, for a watch up to half a minute.

A guard counts the bytes of each connection since the last head, part of a body or end; each call states the size of response that fits it. Tests: 22 calls of 8 clients x 21 kinds of endless bytes, with time and bytes bounded and the connection closed as the server sees it.

--- a/src/fuzz/transport-fuzz.ts
+++ b/src/fuzz/transport-fuzz.ts
@@ -8,6 +8,7 @@
 import { ServerBehaviour, startFaultyHttpServer, type FaultyHttpServer } from './faulty-http-server.js'
 
 const callTimeoutMs = 30
+const maxResponseBytes = 65_536
 /** Longer than `callTimeoutMs`, so that requests time out before their connection opens. */
 const slowConnectDelayMs = 45
 /** Wait at the end of a history, in which requests that were reported as failed could still arrive. */
@@ -53,7 +54,8 @@
       method: 'POST',
       path: `/${id}`,
       body: id,
-      timeoutMs: callTimeoutMs
+      timeoutMs: callTimeoutMs,
+      maxResponseBytes
     })
   }
 
--- a/src/testing/endless-server.ts
+++ b/src/testing/endless-server.ts
@@ -89,7 +89,7 @@
 const trickleIntervalMs = 2
 
 /** Starts a raw TCP server that answers each first request on a connection with endless bytes, but stops silently after `maxBytes`. */
-export async function startEndlessServer (kind: EndlessKind, maxBytes = 48 * 1024 * 1024): Promise<EndlessServer> {
+export async function startEndlessServer (kind: EndlessKind, maxBytes = 32 * 1024 * 1024): Promise<EndlessServer> {
   const { start, repeated } = scripts[kind]
   const block = Buffer.from(repeated.repeat(Math.ceil(blockBytes / repeated.length)))
   const sockets = new Set<Socket>()
--- a/src/transport/engine-http-control.ts
+++ b/src/transport/engine-http-control.ts
@@ -21,6 +21,9 @@
   close (): Promise<void>
 }
 
+/** A state names the members of one group. */
+const maxResponseBytes = 65_536
+
 const stateSchema: z.ZodType<EngineState> = z.object({
   vmId: z.string(),
   groupId: z.string().optional(),
@@ -41,7 +44,7 @@
   const httpClient = createHttpClient({ timers: options.timers })
   return {
     async fetchState (address, timeoutMs) {
-      const response = await httpClient.send({ origin: toOrigin(address), method: 'GET', path: '/state', timeoutMs })
+      const response = await httpClient.send({ origin: toOrigin(address), method: 'GET', path: '/state', timeoutMs, maxResponseBytes })
       const state = response.isOk ? readState(response.value) : response
       return state.isOk ? state : failure({ kind: EngineControlErrorKind.Unreachable, reason: state.error.reason })
     },
@@ -53,7 +56,8 @@
         path: '/orders',
         headers: { 'content-type': 'application/json' },
         body: JSON.stringify(command),
-        timeoutMs
+        timeoutMs,
+        maxResponseBytes
       })
       return response.isOk ? readCommandResponse(response.value) : failure(toCommandError(response.error))
     },
--- a/src/transport/http-client.test.ts
+++ b/src/transport/http-client.test.ts
@@ -59,7 +59,7 @@
   })
 
   function send (origin: string, timeoutMs = 5000) {
-    return client!.send({ origin, method: 'POST', path: '/', body: 'work', timeoutMs })
+    return client!.send({ origin, method: 'POST', path: '/', body: 'work', timeoutMs, maxResponseBytes: 1000 })
   }
 
   describe('NotSent', () => {
@@ -101,7 +101,7 @@
 
     it('is returned for a malformed request', async () => {
       client = createHttpClient()
-      const result = await client.send({ origin: 'http://127.0.0.1:1', method: 'POST', path: 'no slash', timeoutMs: 1000 })
+      const result = await client.send({ origin: 'http://127.0.0.1:1', method: 'POST', path: 'no slash', timeoutMs: 1000, maxResponseBytes: 1000 })
       expect(result.isOk ? undefined : result.error.kind).to.equal(TransportErrorKind.NotSent)
     })
   })
@@ -152,6 +152,29 @@
     })
   })
 
+  describe('the limit on a response', () => {
+    const respond = (size: number) => (socket: Socket) => socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${size}\r\n\r\n${'x'.repeat(size)}`)
+
+    it('accepts a body of exactly this size', async () => {
+      server = await startRawServer(respond(1000))
+      client = createHttpClient()
+      const result = await send(server.origin)
+      expect(result.isOk ? result.value.body.length : result.error).to.equal(1000)
+    })
+
+    it('fails a larger one with ConnectionLost, and the request is not sent again', async () => {
+      server = await startRawServer(respond(1001))
+      client = createHttpClient()
+      const result = await send(server.origin)
+      expect(result.isOk ? undefined : result.error).to.deep.equal({
+        kind: TransportErrorKind.ConnectionLost,
+        reason: `call to ${server.origin} failed: the response is larger than 1000 bytes`
+      })
+      await send(server.origin)
+      expect(server.requestCount()).to.equal(2)
+    })
+  })
+
   describe('connections', () => {
     it('are new for each call when they are not reused', async () => {
       server = await startRawServer(socket => socket.write(okResponse))
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -4,10 +4,11 @@
 
 import { failure, success, type Result } from '../shared/result.js'
 import { createSystemTimerService, type TimerService } from '../shared/timer-service.js'
+import { createBodyCollector } from './body-collector.js'
+import { createReadGuard, type ReadGuard } from './read-guard.js'
+import { maxInformationalResponseCount } from './response-limits.js'
 import { TransportErrorKind, type TransportError } from './transport-error.js'
 
-const maxResponseBytes = 64 * 1024 * 1024
-
 export interface HttpClientRequest {
   /** Scheme, host and port, such as `http://10.0.0.1:8080`. */
   readonly origin: string
@@ -17,6 +18,8 @@
   readonly body?: Buffer | string
   /** Limit for the whole call, from connecting to the end of the response body. */
   readonly timeoutMs: number
+  /** Limit on the response's body; a larger one fails the call and closes the connection. */
+  readonly maxResponseBytes: number
 }
 
 /** A complete response. */
@@ -44,23 +47,24 @@
 /** Creates a client. Its errors distinguish requests that were never sent (`NotSent`) from those that may have arrived. */
 export function createHttpClient (options: HttpClientOptions = {}): HttpClient {
   const timers = options.timers ?? createSystemTimerService()
+  const guard = createReadGuard(options.connect)
   const agent = new Agent({
-    ...(options.connect === undefined ? {} : { connect: options.connect }),
+    connect: guard.connect,
     // The timeout of the whole call replaces those of its phases.
     headersTimeout: 0,
     bodyTimeout: 0,
-    pipelining: options.reusesConnections === false ? 0 : 1,
-    maxResponseSize: maxResponseBytes
+    pipelining: options.reusesConnections === false ? 0 : 1
   })
   return {
-    send: request => sendOnce(agent, timers, request),
+    send: request => sendOnce(agent, guard, timers, request),
     close: () => agent.destroy()
   }
 }
 
-function sendOnce (agent: Agent, timers: TimerService, request: HttpClientRequest): Promise<Result<HttpClientResponse, TransportError>> {
+function sendOnce (agent: Agent, guard: ReadGuard, timers: TimerService, request: HttpClientRequest): Promise<Result<HttpClientResponse, TransportError>> {
   return new Promise(resolve => {
-    const chunks: Buffer[] = []
+    const body = createBodyCollector(request.maxResponseBytes)
+    let informationalCount = 0
     let statusCode = 0
     let headers: IncomingHttpHeaders = {}
     let controller: Dispatcher.DispatchController | undefined
@@ -79,6 +83,12 @@
       finish(failure({ kind: hasStarted ? kind : TransportErrorKind.NotSent, reason }))
     }
 
+    /** Fails the call and closes its connection. */
+    function stop (reason: string): void {
+      fail(TransportErrorKind.ConnectionLost, `call to ${request.origin} failed: ${reason}`)
+      controller?.abort(new Error(reason))
+    }
+
     const timeout = timers.subscribeOnce(request.timeoutMs, () => {
       fail(TransportErrorKind.TimedOut, `no response from ${request.origin} within ${request.timeoutMs} ms`)
       controller?.abort(new Error('timed out'))
@@ -94,14 +104,22 @@
         controller = started
       },
       onResponseStart (_controller, responseStatusCode, responseHeaders) {
+        if (responseStatusCode < 200) {
+          informationalCount += 1
+          if (informationalCount > maxInformationalResponseCount) stop(`more than ${maxInformationalResponseCount} informational responses arrived`)
+          return
+        }
+        guard.recordProgress()
         statusCode = responseStatusCode
         headers = responseHeaders
       },
       onResponseData (_controller, chunk) {
-        chunks.push(chunk)
+        guard.recordProgress()
+        if (!body.append(chunk)) stop(`the response is larger than ${request.maxResponseBytes} bytes`)
       },
       onResponseEnd () {
-        finish(success({ statusCode, headers, body: Buffer.concat(chunks) }))
+        guard.recordProgress()
+        finish(success({ statusCode, headers, body: body.toBuffer() }))
       },
       onResponseError (_controller, error) {
         fail(TransportErrorKind.ConnectionLost, `call to ${request.origin} failed: ${describeError(error)}`)
--- a/src/transport/key-value-http-client.ts
+++ b/src/transport/key-value-http-client.ts
@@ -25,6 +25,9 @@
   close (): Promise<void>
 }
 
+/** A value is at most 1 MB; a list holds many. */
+const maxResponseBytes = 64 * 1024 * 1024
+
 const entrySchema: z.ZodType<KeyValueEntry> = z.object({ key: z.string(), value: z.string(), revision: z.number() })
 const optionalEntrySchema = z.object({ entry: entrySchema.nullable() })
 const entriesSchema = z.object({ entries: z.array(entrySchema) })
@@ -45,7 +48,8 @@
       path,
       headers: { 'content-type': 'application/json' },
       body: JSON.stringify(body),
-      timeoutMs: callTimeoutMs
+      timeoutMs: callTimeoutMs,
+      maxResponseBytes
     })
   }
 
--- a/src/transport/relay-client.ts
+++ b/src/transport/relay-client.ts
@@ -9,6 +9,9 @@
 /** Margin for a complete response or one with large values: a relay sends it to many gateways over one network link. */
 const largeResponseMarginMs = 1500
 
+/** A relay's answer holds the whole content of the store: 1 MB of configuration and some hundred bytes a server, for thousands of servers. */
+const maxResponseBytes = 32 * 1024 * 1024
+
 /** Creates the client that fetches the content of the store from other gateways. */
 export function createRelayClient (httpClient: HttpClient): RelayLink {
   return {
@@ -20,7 +23,8 @@
         path: relayPath,
         headers: { 'content-type': 'application/json' },
         body: encodeRelayRequest(request),
-        timeoutMs: request.waitMs + (isLarge ? largeResponseMarginMs : responseMarginMs)
+        timeoutMs: request.waitMs + (isLarge ? largeResponseMarginMs : responseMarginMs),
+        maxResponseBytes
       })
       if (!response.isOk) return failure(response.error.reason)
       if (response.value.statusCode !== 200) return failure(`gateway ${address} responded with status ${response.value.statusCode}`)
--- a/src/transport/service-http-client.ts
+++ b/src/transport/service-http-client.ts
@@ -18,6 +18,9 @@
   close (): Promise<void>
 }
 
+/** No limit is stated for the services' responses; this one bounds memory. */
+const maxResponseBytes = 64 * 1024 * 1024
+
 const defaultContentType = 'application/octet-stream'
 
 /**
@@ -36,7 +39,8 @@
         path: request.path,
         headers: toHeaders(request),
         body: request.body.length === 0 ? undefined : request.body,
-        timeoutMs: request.timeoutMs
+        timeoutMs: request.timeoutMs,
+        maxResponseBytes
       })
       if (!response.isOk) return failure(toServiceError(response.error))
       const { statusCode, headers, body } = response.value
--- a/src/transport/vm-list-http-client.ts
+++ b/src/transport/vm-list-http-client.ts
@@ -19,6 +19,9 @@
   close (): Promise<void>
 }
 
+/** About 200 bytes a VM, for at most some ten thousand VMs. */
+const maxResponseBytes = 16 * 1024 * 1024
+
 const listedVmSchema: z.ZodType<ListedVm> = z.object({
   vmId: z.string(),
   address: z.string(),
@@ -40,7 +43,7 @@
 
   async function fetchVms (): Promise<Result<readonly ListedVm[], TransportError>> {
     const headers: Record<string, string> = cached === undefined ? {} : { 'if-none-match': cached.etag }
-    const response = await httpClient.send({ origin: baseUrl, method: 'GET', path: '/vms', headers, timeoutMs })
+    const response = await httpClient.send({ origin: baseUrl, method: 'GET', path: '/vms', headers, timeoutMs, maxResponseBytes })
     if (!response.isOk) return response
     if (response.value.statusCode === 304 && cached !== undefined) return success(cached.vms)
     if (response.value.statusCode !== 200) return failure(createUnexpectedStatusError(response.value))
