Count a response whose status line cannot be forwarded as lost

What callers saw: every connection of the gateway closed at once, whole requests among them without a response, when a server sent bytes that are almost a response: a status line with a control character in its reason phrase, before an event of a stream.

Cause: Node.js's parser accepts such a status line, its server refuses to write it. writeHead threw in the listener of an engine's data, which nothing catches, and the process ended.

Evidence: platform/malformed-heads.test.ts before the change: 'Uncaught TypeError [ERR_INVALID_CHAR]: Invalid character in statusMessage' at forwardEvent. The other case, a status below 100, passed before too and is kept.

Change: the exchange fails as lost, as for any other malformed response, before its head reaches a caller. Plain calls got 500 by their promise's handler and get 502 now, which says that the request may have been executed.

--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -71,6 +71,8 @@
 const connectTimeoutMs = 300
 /** Idle connections are closed after this time, earlier than most servers close them. */
 const idleTimeoutMs = 4000
+/** Lowest status code of HTTP (RFC 9110, section 15). */
+const lowestStatusCode = 100
 
 /** Creates the pool; it never retries a request. */
 export function createBackendConnectionPool ({ timers, maxIdleConnectionsPerServer }: BackendConnectionPoolOptions): BackendConnectionPool {
@@ -189,6 +191,10 @@
   clientRequest.on('response', response => {
     currentResponse = response
     if (isFinished) return
+    if (!canForwardStatusLine(response)) {
+      fail('the status line of the response is malformed')
+      return
+    }
     listener.onHead({
       statusCode: response.statusCode ?? 0,
       statusMessage: response.statusMessage ?? '',
@@ -224,6 +230,18 @@
   }
 }
 
+/** Whether Node.js accepts the status line in a response of its own; its parser accepts more than that. */
+function canForwardStatusLine ({ statusCode = 0, statusMessage = '' }: http.IncomingMessage): boolean {
+  if (statusCode < lowestStatusCode) return false
+  try {
+    http.validateHeaderValue('reason phrase', statusMessage)
+    return true
+  } catch {
+    // Thrown for characters that a status line must not have.
+    return false
+  }
+}
+
 /** Whether the end of the connection marks the end of the response. */
 function isCloseDelimited (response: http.IncomingMessage): boolean {
   return response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined
