--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 
 import type { TimerService } from '../shared/timer-service.js'
+import { maxBytesWithoutBody, maxInformationalResponseCount } from './response-limits.js'
 
 /** A request to a backend server, forwarded with its headers as given. */
 export interface BackendRequest {
@@ -70,12 +71,13 @@
 const connectTimeoutMs = 300
 /** Idle connections are closed after this time, earlier than most servers close them. */
 const idleTimeoutMs = 4000
+/** Lowest status code of HTTP (RFC 9110, section 15). */
+const lowestStatusCode = 100
 
 /** Creates the pool; it never retries a request. */
 export function createBackendConnectionPool ({ timers, maxIdleConnectionsPerServer }: BackendConnectionPoolOptions): BackendConnectionPool {
   const pooled = new http.Agent({ keepAlive: true, maxFreeSockets: maxIdleConnectionsPerServer, timeout: idleTimeoutMs })
   const dedicated = new http.Agent({ keepAlive: false, maxSockets: Infinity })
-  pooled.on('free', guardIdleSocket)
 
   return {
     open: (request, listener) => openExchange(timers, request.isDedicated ? dedicated : pooled, request, listener),
@@ -111,22 +113,22 @@
   }
 }
 
-const guardedSockets = new WeakSet<Socket>()
+/** The exchange that uses a socket, or used it last, learns of each chunk before Node.js parses it. */
+const byteWatchers = new WeakMap<Socket, (byteCount: number) => void>()
 
-/** Closes an idle connection when bytes arrive on it: they belong to no request. */
-function guardIdleSocket (socket: Socket): void {
-  if (guardedSockets.has(socket)) return
-  guardedSockets.add(socket)
-  socket.prependListener('data', () => {
-    const isIdle = (socket as Socket & { _httpMessage?: unknown })._httpMessage === null
-    if (isIdle) socket.destroy()
-  })
+function watchBytes (socket: Socket, watcher: (byteCount: number) => void): void {
+  if (!byteWatchers.has(socket)) socket.prependListener('data', (chunk: Buffer) => byteWatchers.get(socket)?.(chunk.length))
+  byteWatchers.set(socket, watcher)
 }
 
 function openExchange (timers: TimerService, agent: http.Agent, request: BackendRequest, listener: ExchangeListener): BackendExchange {
   let isFinished = false
   let isConnected = false
   let currentResponse: http.IncomingMessage | undefined
+  let informationalCount = 0
+  let deliveredByteCount = 0
+  let knownBodyByteCount = 0
+  let byteCountWithoutBody = 0
 
   const clientRequest = http.request({
     agent,
@@ -155,16 +157,44 @@
     listener.onFailure({ kind: isConnected ? ExchangeFailureKind.Lost : ExchangeFailureKind.NotSent, reason })
   }
 
+  function watchArrivingBytes (socket: Socket, byteCount: number): void {
+    if (isFinished || currentResponse?.complete === true) {
+      // They belong to no request. A complete response that is not yet delivered still will be.
+      socket.destroy()
+      return
+    }
+    const bodyByteCount = deliveredByteCount + (currentResponse?.readableLength ?? 0)
+    if (bodyByteCount > knownBodyByteCount) byteCountWithoutBody = 0
+    knownBodyByteCount = bodyByteCount
+    if (byteCountWithoutBody > maxBytesWithoutBody) fail(`more than ${maxBytesWithoutBody} bytes arrived that are no body`)
+    byteCountWithoutBody += byteCount
+  }
+
   clientRequest.on('socket', socket => {
     watchForReset(socket)
+    watchBytes(socket, byteCount => watchArrivingBytes(socket, byteCount))
     if (!socket.connecting) isConnected = true
     else socket.once('connect', () => { isConnected = true })
   })
-  clientRequest.on('error', error => fail(error.message))
-  clientRequest.on('close', () => fail('the connection closed without a response'))
+  clientRequest.on('error', error => {
+    // A response that has arrived completely is delivered, whatever happens to the connection afterwards.
+    if (currentResponse?.complete !== true) fail(error.message)
+  })
+  clientRequest.on('close', () => {
+    // With a response, the request may close before the listener has read all of it; the response's own end or close decides.
+    if (currentResponse === undefined) fail('the connection closed without a response')
+  })
+  clientRequest.on('information', () => {
+    informationalCount += 1
+    if (informationalCount > maxInformationalResponseCount) fail(`more than ${maxInformationalResponseCount} informational responses arrived`)
+  })
   clientRequest.on('response', response => {
     currentResponse = response
     if (isFinished) return
+    if (!canForwardStatusLine(response)) {
+      fail('the status line of the response is malformed')
+      return
+    }
     listener.onHead({
       statusCode: response.statusCode ?? 0,
       statusMessage: response.statusMessage ?? '',
@@ -172,6 +202,7 @@
       headers: response.headers
     })
     response.on('data', (chunk: Buffer) => {
+      deliveredByteCount += chunk.length
       if (!isFinished) listener.onData(chunk)
     })
     response.on('end', () => {
@@ -199,6 +230,18 @@
   }
 }
 
+/** Whether Node.js accepts the status line in a response of its own; its parser accepts more than that. */
+function canForwardStatusLine ({ statusCode = 0, statusMessage = '' }: http.IncomingMessage): boolean {
+  if (statusCode < lowestStatusCode) return false
+  try {
+    http.validateHeaderValue('reason phrase', statusMessage)
+    return true
+  } catch {
+    // Thrown for characters that a status line must not have.
+    return false
+  }
+}
+
 /** Whether the end of the connection marks the end of the response. */
 function isCloseDelimited (response: http.IncomingMessage): boolean {
   return response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined
