Wait for a silent plain server while another one is asked

An attempt of a plain call that may be repeated was aborted after 1.5 latency objectives (at least 200 ms), also when no other server could take the call. Now the attempt goes on beside the next one; the first usable response is forwarded and the other attempt is aborted. Limits on attempts and the retry budget are as before and count the attempts in progress. A silence counts against its server once, at the time at which it did before. A server's failure is no longer replaced by 504 when another attempt reaches the deadline after it.

--- a/src/coordination/dispatch/server-scores.ts
+++ b/src/coordination/dispatch/server-scores.ts
@@ -5,6 +5,10 @@
   beginRequest (serverId: string): void
   /** Records the end of a request; `latencyMs` is undefined when it ended without a response. */
   endRequest (serverId: string, latencyMs: number | undefined, isFailure: boolean): void
+  /** Records an outcome of a request that stays in flight until `endRecordedRequest`. */
+  recordOutcome (serverId: string, latencyMs: number | undefined, isFailure: boolean): void
+  /** Ends a request whose outcome was recorded before. */
+  endRecordedRequest (serverId: string): void
   /** Requests of this gateway in flight at the server. */
   countInFlight (serverId: string): number
   /** Expected cost in ms of sending the next request to the server; lower is better. */
@@ -46,16 +50,26 @@
     return score
   }
 
+  function recordOutcome (serverId: string, latencyMs: number | undefined, isFailure: boolean): void {
+    const score = getDecayedScore(serverId)
+    if (latencyMs !== undefined) score.latencyMs += (latencyMs - score.latencyMs) * smoothing
+    score.failureRate += ((isFailure ? 1 : 0) - score.failureRate) * smoothing
+  }
+
+  function endRecordedRequest (serverId: string): void {
+    getDecayedScore(serverId).inFlightCount -= 1
+  }
+
   return {
     beginRequest (serverId) {
       getDecayedScore(serverId).inFlightCount += 1
     },
     endRequest (serverId, latencyMs, isFailure) {
-      const score = getDecayedScore(serverId)
-      score.inFlightCount -= 1
-      if (latencyMs !== undefined) score.latencyMs += (latencyMs - score.latencyMs) * smoothing
-      score.failureRate += ((isFailure ? 1 : 0) - score.failureRate) * smoothing
+      endRecordedRequest(serverId)
+      recordOutcome(serverId, latencyMs, isFailure)
     },
+    recordOutcome,
+    endRecordedRequest,
     countInFlight: serverId => scores.get(serverId)?.inFlightCount ?? 0,
     getCost (serverId) {
       const score = getDecayedScore(serverId)
--- /dev/null
+++ b/src/gateway/plain-attempt.ts
@@ -0,0 +1,133 @@
+/** One attempt of a plain call at one server. */
+import type { BackendServer } from '../state/backend-server.js'
+import { RouteKind } from '../state/serving-config.js'
+import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
+import { buildBackendRequest, getRemainingMs, promisesNotExecuted, readServerHead, type Call, type CallDependencies } from './call-context.js'
+import type { ServerResponseInfo } from './wire-codec.js'
+
+export enum PlainResultKind {
+  /** The server sent a response that can be forwarded, possibly with an error status. */
+  Responded = 'answered',
+  /** The request is known not to have been executed. */
+  NotExecuted = 'notRun',
+  /** No usable response arrived; the request may have been executed. */
+  Lost = 'lost',
+  /** No response arrived until the call's deadline. */
+  TimedOut = 'timedOut',
+  ClientDisconnected = 'left',
+  /** Another attempt of the call got the response. */
+  Superseded = 'superseded'
+}
+
+/** How an attempt ended. */
+export type PlainResult =
+  | { readonly kind: PlainResultKind.Responded, readonly head: ResponseHead, readonly body: Buffer }
+  | { readonly kind: Exclude<PlainResultKind, PlainResultKind.Responded>, readonly reason: string }
+
+/** An attempt in progress. */
+export interface PlainAttempt {
+  readonly server: BackendServer
+  /** Resolves when the attempt has ended; never rejects. */
+  readonly result: Promise<PlainResult>
+  /** Counts the silence so far against the server, once. The attempt goes on. */
+  recordSilence (): void
+  /** Ends the attempt, since another one got the response. */
+  supersede (): void
+}
+
+/** A larger response is not buffered; the attempt counts as lost. */
+const maxResponseBytes = 8 * 1024 * 1024
+const serverErrorStatus = 500
+
+export function isServerError (statusCode: number): boolean {
+  return statusCode >= serverErrorStatus
+}
+
+/** Sends the call to a server. The attempt ends with a response, a failure, the call's deadline, or when its client disconnects. */
+export function startPlainAttempt (dependencies: CallDependencies, call: Call, server: BackendServer): PlainAttempt {
+  const { timers, scores } = dependencies
+  const sentAtMs = timers.nowMs()
+  const chunks: Buffer[] = []
+  let size = 0
+  let head: ResponseHead | undefined
+  let info: ServerResponseInfo | undefined
+  let isSettled = false
+  let isSilent = false
+  let resolveResult: (result: PlainResult) => void = () => {}
+  const result = new Promise<PlainResult>(resolve => { resolveResult = resolve })
+
+  function recordScore (settled: PlainResult): void {
+    if (isSilent) {
+      scores.endRecordedRequest(server.id)
+    } else if (settled.kind === PlainResultKind.ClientDisconnected || settled.kind === PlainResultKind.Superseded) {
+      scores.endRequest(server.id, undefined, false)
+    } else {
+      const isFailure = settled.kind !== PlainResultKind.Responded || isServerError(settled.head.statusCode)
+      scores.endRequest(server.id, settled.kind === PlainResultKind.NotExecuted ? undefined : timers.nowMs() - sentAtMs, isFailure)
+    }
+  }
+
+  function settle (settled: PlainResult): void {
+    if (isSettled) return
+    isSettled = true
+    timeout.cancel()
+    call.response.off('close', onClientDisconnect)
+    recordScore(settled)
+    resolveResult(settled)
+  }
+
+  function abandon (kind: Exclude<PlainResultKind, PlainResultKind.Responded>, reason: string): void {
+    if (isSettled) return
+    exchange.abort()
+    settle({ kind, reason })
+  }
+
+  function onClientDisconnect (): void {
+    // A request that must not be repeated is left to finish at the server.
+    if (call.route.kind === RouteKind.Safe) abandon(PlainResultKind.ClientDisconnected, 'the client disconnected')
+  }
+
+  const timeoutMs = getRemainingMs(dependencies, call)
+  const timeout = timers.subscribeOnce(timeoutMs, () => abandon(PlainResultKind.TimedOut, `no response within ${Math.round(timeoutMs)} ms`))
+  call.response.on('close', onClientDisconnect)
+  scores.beginRequest(server.id)
+  const isDedicated = call.route.kind !== RouteKind.Safe
+  const exchange = dependencies.connections.open(buildBackendRequest(dependencies, call, server, { isDedicated, lastEventId: call.clientInfo.lastEventId }), {
+    onHead (received) {
+      head = received
+      info = readServerHead(dependencies, server, received)
+    },
+    onData (chunk) {
+      size += chunk.length
+      chunks.push(chunk)
+      if (size > maxResponseBytes) abandon(PlainResultKind.Lost, `the response is larger than ${maxResponseBytes} bytes`)
+    },
+    onEnd () {
+      settle(head === undefined || info === undefined ? { kind: PlainResultKind.Lost, reason: 'no response' } : classifyResponse(call, head, info, Buffer.concat(chunks)))
+    },
+    onFailure ({ kind, reason }) {
+      settle({ kind: kind === ExchangeFailureKind.NotSent ? PlainResultKind.NotExecuted : PlainResultKind.Lost, reason })
+    }
+  })
+  return {
+    server,
+    result,
+    recordSilence () {
+      if (isSilent || isSettled) return
+      isSilent = true
+      scores.recordOutcome(server.id, timers.nowMs() - sentAtMs, true)
+    },
+    supersede: () => abandon(PlainResultKind.Superseded, 'another server responded')
+  }
+}
+
+/** Decides whether a response can be forwarded: it must be the server's own response to this request. */
+function classifyResponse (call: Call, head: ResponseHead, response: ServerResponseInfo, body: Buffer): PlainResult {
+  if (response.isNotExecuted) return { kind: PlainResultKind.NotExecuted, reason: `the server refused the request with status ${head.statusCode}` }
+  if (response.requestId !== call.clientInfo.requestId) return { kind: PlainResultKind.Lost, reason: 'the response belongs to another request' }
+  if (response.isEncoded) return { kind: PlainResultKind.Lost, reason: 'the response has a content encoding that was not requested' }
+  const isSuccess = head.statusCode >= 200 && head.statusCode < 300
+  if (isSuccess && !response.isStamped) return { kind: PlainResultKind.Lost, reason: 'the response has no server stamp' }
+  if (promisesNotExecuted(head.statusCode)) return { kind: PlainResultKind.Lost, reason: `the server responded with status ${head.statusCode} but did not state whether it executed the request` }
+  return { kind: PlainResultKind.Responded, head, body }
+}
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,84 +1,121 @@
 /** Forwards requests to plain services, whose responses are not streams. */
 import { ServerState, type BackendServer } from '../state/backend-server.js'
 import { RouteKind } from '../state/serving-config.js'
-import { ExchangeFailureKind, type ResponseHead, type ExchangeFailure } from '../transport/backend-connection-pool.js'
+import type { TimerService } from '../shared/timer-service.js'
+import type { ResponseHead } from '../transport/backend-connection-pool.js'
+import { isServerError, PlainResultKind, startPlainAttempt, type PlainAttempt, type PlainResult } from './plain-attempt.js'
 import { filterResponseHeaders } from './response-headers.js'
-import {
-  sendGatewayResponse, buildBackendRequest, CallOutcome, getRemainingMs, maxNotExecutedRetryCount, promisesNotExecuted, readServerHead, recordOutcome, type Call, type CallDependencies
-} from './call-context.js'
-import type { ServerResponseInfo } from './wire-codec.js'
+import { sendGatewayResponse, CallOutcome, getRemainingMs, maxNotExecutedRetryCount, recordOutcome, type Call, type CallDependencies } from './call-context.js'
 
-enum AttemptKind {
-  /** The server sent a response that can be forwarded, possibly with an error status. */
-  Responded = 'answered',
-  /** The request is known not to have been executed. */
-  NotExecuted = 'notRun',
-  /** No usable response arrived; the request may have been executed. */
-  Lost = 'lost',
-  TimedOut = 'timedOut',
-  ClientDisconnected = 'left'
-}
-
-type Attempt =
-  | { readonly kind: AttemptKind.Responded, readonly head: ResponseHead, readonly body: Buffer }
-  | { readonly kind: AttemptKind.NotExecuted | AttemptKind.Lost | AttemptKind.TimedOut | AttemptKind.ClientDisconnected, readonly reason: string }
-
-/** A larger response is not buffered; the attempt counts as lost. */
-const maxResponseBytes = 8 * 1024 * 1024
-/** A retryable attempt times out after this many times the route's latency objective. */
-const attemptTimeoutObjectiveFactor = 1.5
-/** Lower bound on the timeout of a retryable attempt, for routes with a short objective. */
-const minAttemptTimeoutMs = 200
+/** A server that has not responded after this many times the route's latency objective counts as silent. */
+const silenceObjectiveFactor = 1.5
+/** Lower bound on that time, for routes with a short objective. */
+const minSilenceMs = 200
 /** Added to the cost of a server in another zone. The cost is an expected latency in milliseconds, see `ServerScores`. */
 const crossZoneCostMs = 25
-const serverErrorStatus = 500
 /** Shortest Retry-After of a refused request: a few times the usual processing time, after which a server may have capacity. */
 const minPlainRetryAfterMs = 150
 const plainRetryAfterSpreadMs = 350
 
-/** Forwards a request to a server of a plain service, retries it where that is allowed, and sends the client the response. */
+interface EndedAttempt {
+  readonly attempt: PlainAttempt
+  readonly result: PlainResult
+}
+
+/**
+ * Forwards a request to a server of a plain service, retries it where that is allowed, and sends the client the first usable
+ * response. A silent server may go on, so its attempt ends only when another one has that response, or at the deadline.
+ */
 export async function forwardPlain (dependencies: CallDependencies, call: Call): Promise<void> {
+  const { timers } = dependencies
   const triedServerIds = new Set<string>()
+  const running = new Set<PlainAttempt>()
   const retryBudget = dependencies.getRetryBudget(call.serviceName)
   const isRepeatable = call.route.kind === RouteKind.Safe
+  const silenceMs = Math.max(minSilenceMs, call.route.objectiveMs * silenceObjectiveFactor)
+  let silentAtMs = Infinity
   let possibleExecutionCount = 0
   let notExecutedCount = 0
-  let lastFailure: Attempt | undefined
+  let lastFailure: EndedAttempt | undefined
   retryBudget.recordRequest()
 
-  while (getRemainingMs(dependencies, call) > 0) {
-    const isFirst = possibleExecutionCount + notExecutedCount === 0
+  function mayStartAttempt (): boolean {
+    if (getRemainingMs(dependencies, call) <= 0 || notExecutedCount > maxNotExecutedRetryCount) return false
+    const executionCount = possibleExecutionCount + running.size
+    return executionCount === 0 || (isRepeatable && executionCount < call.route.maxAttempts)
+  }
+
+  function startAttempt (): void {
+    if (!mayStartAttempt()) return
     const server = chooseServer(dependencies, call, triedServerIds)
-    if (server === undefined || (!isFirst && !retryBudget.trySpend())) break
+    if (server === undefined || (triedServerIds.size > 0 && !retryBudget.trySpend())) return
     triedServerIds.add(server.id)
-    const mayRepeat = isRepeatable && possibleExecutionCount + 1 < call.route.maxAttempts
-    const attempt = await tryServer(dependencies, call, server, mayRepeat)
-    if (attempt.kind === AttemptKind.ClientDisconnected) {
-      recordOutcome(dependencies, call, CallOutcome.ClientDisconnected, { serverId: server.id })
-      return
-    }
-    if (attempt.kind === AttemptKind.NotExecuted) {
+    running.add(startPlainAttempt(dependencies, call, server))
+    silentAtMs = isRepeatable ? timers.nowMs() + silenceMs : Infinity
+  }
+
+  function handleSilence (): void {
+    silentAtMs = timers.nowMs() + silenceMs
+    if (!mayStartAttempt()) return
+    for (const attempt of running) attempt.recordSilence()
+    startAttempt()
+  }
+
+  /** Records the failure of an attempt, and starts another one where that is allowed. */
+  function handleFailure (ended: EndedAttempt): void {
+    const { kind } = ended.result
+    if (kind === PlainResultKind.NotExecuted) {
       notExecutedCount += 1
-      if (notExecutedCount > maxNotExecutedRetryCount) break
+    } else {
+      possibleExecutionCount += 1
+      // A server's own failure tells the client more than the deadline of another attempt.
+      if (kind !== PlainResultKind.TimedOut || lastFailure === undefined) lastFailure = ended
+    }
+    if (kind !== PlainResultKind.TimedOut) startAttempt()
+  }
+
+  startAttempt()
+  while (running.size > 0) {
+    const ended = await waitForEnd(timers, running, silentAtMs - timers.nowMs())
+    if (ended === undefined) {
+      handleSilence()
       continue
     }
-    possibleExecutionCount += 1
-    const isServerError = attempt.kind === AttemptKind.Responded && attempt.head.statusCode >= serverErrorStatus
-    if (attempt.kind === AttemptKind.Responded && !(isServerError && mayRepeat)) {
-      sendServerResponse(dependencies, call, server, attempt.head, attempt.body)
+    const { attempt, result } = ended
+    running.delete(attempt)
+    if (result.kind === PlainResultKind.ClientDisconnected) {
+      recordOutcome(dependencies, call, CallOutcome.ClientDisconnected, { serverId: attempt.server.id })
+      return
+    }
+    if (result.kind === PlainResultKind.Responded && !isServerError(result.head.statusCode)) {
+      for (const other of running) other.supersede()
+      sendServerResponse(dependencies, call, attempt.server, result.head, result.body)
       return
     }
-    lastFailure = attempt
-    if (!mayRepeat) break
+    handleFailure(ended)
   }
   finishWithoutSuccess(dependencies, call, possibleExecutionCount, lastFailure, triedServerIds)
 }
 
+/** Waits until one of the attempts has ended; returns undefined if none has within the time. */
+function waitForEnd (timers: TimerService, attempts: Iterable<PlainAttempt>, timeoutMs: number): Promise<EndedAttempt | undefined> {
+  return new Promise(resolve => {
+    const timer = timeoutMs === Infinity ? undefined : timers.subscribeOnce(Math.max(0, timeoutMs), () => resolve(undefined))
+    for (const attempt of attempts) {
+      void attempt.result.then(result => {
+        timer?.cancel()
+        resolve({ attempt, result })
+      })
+    }
+  })
+}
+
 /** Ends the call after the last attempt: forwards a server's error response, or responds with 502, 503 or 504. */
-function finishWithoutSuccess (dependencies: CallDependencies, call: Call, possibleExecutionCount: number, lastFailure: Attempt | undefined, triedServerIds: ReadonlySet<string>): void {
+function finishWithoutSuccess (dependencies: CallDependencies, call: Call, possibleExecutionCount: number, lastFailure: EndedAttempt | undefined, triedServerIds: ReadonlySet<string>): void {
   const fields = { serverIds: [...triedServerIds].join(' '), ranCount: possibleExecutionCount }
-  if (lastFailure?.kind === AttemptKind.Responded) {
-    sendServerResponse(dependencies, call, undefined, lastFailure.head, lastFailure.body)
+  const result = lastFailure?.result
+  if (lastFailure !== undefined && result?.kind === PlainResultKind.Responded) {
+    sendServerResponse(dependencies, call, lastFailure.attempt.server, result.head, result.body)
     return
   }
   if (possibleExecutionCount === 0) {
@@ -88,15 +125,15 @@
     sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, retryAfterMs)
     return
   }
-  const isTimeout = lastFailure?.kind === AttemptKind.TimedOut
-  const reason = lastFailure !== undefined && 'reason' in lastFailure ? lastFailure.reason : ''
+  const isTimeout = result?.kind === PlainResultKind.TimedOut
+  const reason = result !== undefined && 'reason' in result ? result.reason : ''
   recordOutcome(dependencies, call, isTimeout ? CallOutcome.TimedOut : CallOutcome.Broken, { ...fields, reason })
   sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, isTimeout ? 504 : 502)
 }
 
-function sendServerResponse (dependencies: CallDependencies, call: Call, server: BackendServer | undefined, head: ResponseHead, body: Buffer): void {
-  const isFailure = head.statusCode >= serverErrorStatus
-  recordOutcome(dependencies, call, isFailure ? CallOutcome.ServerFailure : CallOutcome.Served, { serverId: server?.id ?? '', statusCode: head.statusCode })
+function sendServerResponse (dependencies: CallDependencies, call: Call, server: BackendServer, head: ResponseHead, body: Buffer): void {
+  const isFailure = isServerError(head.statusCode)
+  recordOutcome(dependencies, call, isFailure ? CallOutcome.ServerFailure : CallOutcome.Served, { serverId: server.id, statusCode: head.statusCode })
   if (call.response.destroyed) return
   const headers = filterResponseHeaders(head.rawHeaders, false)
   headers.push('Content-Length', String(body.length))
@@ -125,73 +162,3 @@
   }
   return best
 }
-
-function tryServer (dependencies: CallDependencies, call: Call, server: BackendServer, mayRepeat: boolean): Promise<Attempt> {
-  return new Promise(resolve => {
-    const { timers } = dependencies
-    const sentAtMs = timers.nowMs()
-    const chunks: Buffer[] = []
-    let size = 0
-    let head: ResponseHead | undefined
-    let info: ServerResponseInfo | undefined
-    let isSettled = false
-
-    function settle (attempt: Attempt): void {
-      if (isSettled) return
-      isSettled = true
-      timeout.cancel()
-      call.response.off('close', onClientDisconnect)
-      const isFailure = attempt.kind !== AttemptKind.Responded || attempt.head.statusCode >= serverErrorStatus
-      if (attempt.kind === AttemptKind.ClientDisconnected) dependencies.scores.endRequest(server.id, undefined, false)
-      else dependencies.scores.endRequest(server.id, attempt.kind === AttemptKind.NotExecuted ? undefined : timers.nowMs() - sentAtMs, isFailure)
-      resolve(attempt)
-    }
-
-    function abandon (attempt: Attempt): void {
-      exchange.abort()
-      settle(attempt)
-    }
-
-    function onClientDisconnect (): void {
-      // A request that must not be repeated is left to finish at the server.
-      if (call.route.kind === RouteKind.Safe) abandon({ kind: AttemptKind.ClientDisconnected, reason: 'the client disconnected' })
-    }
-
-    const remainingMs = getRemainingMs(dependencies, call)
-    const retryableTimeoutMs = Math.max(minAttemptTimeoutMs, call.route.objectiveMs * attemptTimeoutObjectiveFactor)
-    const timeoutMs = mayRepeat ? Math.min(remainingMs, retryableTimeoutMs) : remainingMs
-    const timeout = timers.subscribeOnce(timeoutMs, () => abandon({ kind: AttemptKind.TimedOut, reason: `no response within ${Math.round(timeoutMs)} ms` }))
-    call.response.on('close', onClientDisconnect)
-    dependencies.scores.beginRequest(server.id)
-    const isDedicated = call.route.kind !== RouteKind.Safe
-    const exchange = dependencies.connections.open(buildBackendRequest(dependencies, call, server, { isDedicated, lastEventId: call.clientInfo.lastEventId }), {
-      onHead (received) {
-        head = received
-        info = readServerHead(dependencies, server, received)
-      },
-      onData (chunk) {
-        size += chunk.length
-        chunks.push(chunk)
-        if (size > maxResponseBytes) abandon({ kind: AttemptKind.Lost, reason: `the response is larger than ${maxResponseBytes} bytes` })
-      },
-      onEnd () {
-        settle(head === undefined || info === undefined ? { kind: AttemptKind.Lost, reason: 'no response' } : classifyResponse(call, head, info, Buffer.concat(chunks)))
-      },
-      onFailure (failure: ExchangeFailure) {
-        const kind = failure.kind === ExchangeFailureKind.NotSent ? AttemptKind.NotExecuted : AttemptKind.Lost
-        settle({ kind, reason: failure.reason })
-      }
-    })
-  })
-}
-
-/** Decides whether a response can be forwarded: it must be the server's own response to this request. */
-function classifyResponse (call: Call, head: ResponseHead, response: ServerResponseInfo, body: Buffer): Attempt {
-  if (response.isNotExecuted) return { kind: AttemptKind.NotExecuted, reason: `the server refused the request with status ${head.statusCode}` }
-  if (response.requestId !== call.clientInfo.requestId) return { kind: AttemptKind.Lost, reason: 'the response belongs to another request' }
-  if (response.isEncoded) return { kind: AttemptKind.Lost, reason: 'the response has a content encoding that was not requested' }
-  const isSuccess = head.statusCode >= 200 && head.statusCode < 300
-  if (isSuccess && !response.isStamped) return { kind: AttemptKind.Lost, reason: 'the response has no server stamp' }
-  if (promisesNotExecuted(head.statusCode)) return { kind: AttemptKind.Lost, reason: `the server responded with status ${head.statusCode} but did not state whether it executed the request` }
-  return { kind: AttemptKind.Responded, head, body }
-}
