Keep a silent replica of a stream while a replacement runs

The attempt at a silent replica was aborted before another replica had even been asked; when that one refused, could not be reached or failed, and the attempts were used up, the client's connection was closed although the first server was sound. Now at most two attempts of a call run side by side. The first that delivers a valid next event goes on, the other is aborted. When one ends, the other stays, and the next check may find another replacement. Attempts in progress count against maxAttempts and the four possible executions. The retry budget is spent only once a replica has been chosen. A server's error response is forwarded also when no replica has room for a further attempt; it was 502.

stream-forwarding.ts is split: an attempt with its exchange (stream-attempt.ts), the limits on attempts and the judgement of a silence as functions without sockets (attempt-limits.ts, stream-silence.ts). "A call ended." also says why there was no further attempt.

--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -89,9 +89,6 @@
 
 const notExecutedStatuses: readonly number[] = [408, 421, 429, 503]
 
-/** Limit on the further attempts of a call after attempts that no server executed, for streams and plain calls alike. */
-export const maxNotExecutedRetryCount = 3
-
 /** Time left until the final response is due. */
 export function getRemainingMs (dependencies: CallDependencies, call: Call): number {
   return call.deadlineAtMs - dependencies.timers.nowMs()
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,11 +1,12 @@
 /** Forwards requests to plain services, whose responses are not streams. */
+import { maxNotExecutedRetryCount } from '../coordination/dispatch/attempt-limits.js'
 import { ServerState, type BackendServer } from '../state/backend-server.js'
 import { RouteKind } from '../state/serving-config.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { ResponseHead } from '../transport/backend-connection-pool.js'
 import { isServerError, PlainResultKind, startPlainAttempt, type PlainAttempt, type PlainResult } from './plain-attempt.js'
 import { filterResponseHeaders } from './response-headers.js'
-import { sendGatewayResponse, CallOutcome, getRemainingMs, maxNotExecutedRetryCount, recordOutcome, type Call, type CallDependencies } from './call-context.js'
+import { sendGatewayResponse, CallOutcome, getRemainingMs, recordOutcome, type Call, type CallDependencies } from './call-context.js'
 
 /** A server that has not responded after this many times the route's latency objective counts as silent. */
 const silenceObjectiveFactor = 1.5
--- /dev/null
+++ b/src/gateway/stream-attempt.ts
@@ -0,0 +1,157 @@
+/** One attempt of a stream at one replica: its exchange, its events and its loads. */
+import { createSseFramer, type FramedSseEvent } from '../protocol/sse-framer.js'
+import type { BackendServer } from '../state/backend-server.js'
+import type { Replica } from '../state/replica.js'
+import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
+import { buildBackendRequest, readServerHead, type Call, type CallDependencies } from './call-context.js'
+import type { ServerResponseInfo } from './wire-codec.js'
+
+/** Why an attempt at one replica ended before the end of the stream. The values are logged. */
+export enum AttemptFailureKind {
+  /** Known not to have been executed. */
+  NotExecuted = 'notRun',
+  /** The connection broke, or the response was unusable. */
+  Lost = 'lost',
+  /** The server responded with an error status. */
+  ServerFailure = 'serverFailure'
+}
+
+export interface AttemptFailure {
+  readonly kind: AttemptFailureKind
+  readonly reason: string
+  /** The server's whole response with an error status. */
+  readonly errorResponse?: { readonly head: ResponseHead, readonly body: Buffer }
+}
+
+/** Called in order: `onEvent` for each event, then either `onEnd` or `onFailure`; nothing after an abort. */
+export interface StreamAttemptListener {
+  /** A complete event that follows the call's last one. */
+  onEvent (event: FramedSseEvent, head: ResponseHead): void
+  /** The stream has ended after a complete event. */
+  onEnd (): void
+  onFailure (failure: AttemptFailure): void
+}
+
+export interface StreamAttemptOptions {
+  readonly replica: Replica
+  readonly leader: BackendServer
+  /** ID of the last event that the client has been sent; it changes while other attempts of the call run. */
+  getLastEventId (): string | undefined
+}
+
+/** An attempt in progress. */
+export interface StreamAttempt {
+  readonly replica: Replica
+  readonly leader: BackendServer
+  hasEvents (): boolean
+  /** Time since the last event, or since the start. */
+  getWaitedMs (): number
+  /** Closes the connection; the listener is not called again. */
+  abort (): void
+  pause (): void
+  resume (): void
+}
+
+const successStatus = 200
+
+/** Sends the call to the replica's leader; a stream that may be resumed goes on after the call's last event. */
+export function startStreamAttempt (dependencies: CallDependencies, call: Call, options: StreamAttemptOptions, listener: StreamAttemptListener): StreamAttempt {
+  const { timers, loads } = dependencies
+  const { replica, leader, getLastEventId } = options
+  const framer = createSseFramer()
+  const errorBody: Buffer[] = []
+  let head: ResponseHead | undefined
+  let info: ServerResponseInfo | undefined
+  let hasEvents = false
+  let lastEventAtMs = timers.nowMs()
+  let isEnded = false
+
+  function end (): boolean {
+    if (isEnded) return false
+    isEnded = true
+    exchange.abort()
+    loads.endStream(replica.id)
+    if (hasEvents) loads.endActiveStream(replica.id)
+    return true
+  }
+
+  function fail (failure: AttemptFailure): void {
+    if (end()) listener.onFailure(failure)
+  }
+
+  function lose (reason: string): void {
+    fail({ kind: AttemptFailureKind.Lost, reason })
+  }
+
+  function handleHead (received: ResponseHead): void {
+    head = received
+    info = readServerHead(dependencies, leader, received)
+    if (received.statusCode !== successStatus) return
+    if (info.requestId !== call.clientInfo.requestId || !info.isStamped || info.isEncoded) lose('the response is not a valid response to this request')
+  }
+
+  function handleData (chunk: Buffer): void {
+    if (head?.statusCode !== successStatus) {
+      errorBody.push(chunk)
+      return
+    }
+    for (const event of framer.push(chunk)) {
+      if (isEnded) return
+      handleEvent(event, head)
+    }
+  }
+
+  function handleEvent (event: FramedSseEvent, responseHead: ResponseHead): void {
+    const lastEventId = getLastEventId()
+    if (event.id !== undefined && lastEventId !== undefined && Number(event.id) <= Number(lastEventId)) {
+      lose(`event ${event.id} arrived after event ${lastEventId}`)
+      return
+    }
+    if (!hasEvents) {
+      hasEvents = true
+      loads.beginActiveStream(replica.id)
+    }
+    lastEventAtMs = timers.nowMs()
+    loads.recordEvent(replica.id)
+    listener.onEvent(event, responseHead)
+  }
+
+  function handleEnd (): void {
+    if (head === undefined || head.statusCode !== successStatus) {
+      handleErrorResponse()
+    } else if (framer.hasPartialEvent() || !hasEvents) {
+      lose('the stream ended with an incomplete event or without any')
+    } else if (end()) {
+      listener.onEnd()
+    }
+  }
+
+  function handleErrorResponse (): void {
+    if (head === undefined || info === undefined) {
+      lose('no response')
+    } else if (info.isNotExecuted) {
+      // The response names a server at fault, so the replica may have lost a member.
+      if (info.faultyServerId !== undefined) dependencies.reportStall(replica.id)
+      fail({ kind: AttemptFailureKind.NotExecuted, reason: `the server refused the request with status ${head.statusCode}` })
+    } else {
+      fail({ kind: AttemptFailureKind.ServerFailure, reason: `the server responded with status ${head.statusCode}`, errorResponse: { head, body: Buffer.concat(errorBody) } })
+    }
+  }
+
+  loads.beginStream(replica.id)
+  const exchange = dependencies.connections.open(buildBackendRequest(dependencies, call, leader, { isDedicated: !call.route.isResumable, lastEventId: getLastEventId() }), {
+    onHead: handleHead,
+    onData: handleData,
+    onEnd: handleEnd,
+    onFailure: ({ kind, reason }) => fail({ kind: kind === ExchangeFailureKind.NotSent ? AttemptFailureKind.NotExecuted : AttemptFailureKind.Lost, reason })
+  })
+  return {
+    replica,
+    leader,
+    hasEvents: () => hasEvents,
+    getWaitedMs: () => timers.nowMs() - lastEventAtMs,
+    abort: () => { end() },
+    pause: () => exchange.pause(),
+    resume: () => exchange.resume()
+  }
+}
