Tell a client that does not read from a replica that is silent

While a client doesn't read, its stream's exchange is paused. That pause was taken for the replica's silence: the stream was run at another replica, and the replica was marked as stalled and shown as quiet. The clock of an attempt now stands at 0 while it is paused and starts anew at the drain; a paused attempt doesn't count among the replica's active streams. One listener for 'drain' serves the call; before, each event beyond the buffer added one.

--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -44,10 +44,11 @@
   readonly replica: Replica
   readonly leader: BackendServer
   hasEvents (): boolean
-  /** Time since the last event, or since the start. */
+  /** Time since the last event, or since the start. A pause is no wait for the server: the time starts anew when it ends. */
   getWaitedMs (): number
   /** Closes the connection; the listener is not called again. */
   abort (): void
+  /** Stops reading until `resume`, since the client does not read. */
   pause (): void
   resume (): void
 }
@@ -64,6 +65,8 @@
   let info: ServerResponseInfo | undefined
   let hasEvents = false
   let lastEventAtMs = timers.nowMs()
+  let isCountedActive = false
+  let isPaused = false
   let isEnded = false
 
   function end (): boolean {
@@ -71,10 +74,31 @@
     isEnded = true
     exchange.abort()
     loads.endStream(replica.id)
-    if (hasEvents) loads.endActiveStream(replica.id)
+    countActive(false)
     return true
   }
 
+  function countActive (isActive: boolean): void {
+    if (isActive === isCountedActive) return
+    isCountedActive = isActive
+    if (isActive) loads.beginActiveStream(replica.id)
+    else loads.endActiveStream(replica.id)
+  }
+
+  function pause (): void {
+    isPaused = true
+    // Its silence would make the replica look quiet.
+    countActive(false)
+    exchange.pause()
+  }
+
+  function resume (): void {
+    if (!isPaused) return
+    isPaused = false
+    lastEventAtMs = timers.nowMs()
+    exchange.resume()
+  }
+
   function fail (failure: AttemptFailure): void {
     if (end()) listener.onFailure(failure)
   }
@@ -107,10 +131,8 @@
       lose(`event ${event.id} arrived after event ${lastEventId}`)
       return
     }
-    if (!hasEvents) {
-      hasEvents = true
-      loads.beginActiveStream(replica.id)
-    }
+    hasEvents = true
+    if (!isPaused) countActive(true)
     lastEventAtMs = timers.nowMs()
     loads.recordEvent(replica.id)
     listener.onEvent(event, responseHead)
@@ -149,9 +171,9 @@
     replica,
     leader,
     hasEvents: () => hasEvents,
-    getWaitedMs: () => timers.nowMs() - lastEventAtMs,
+    getWaitedMs: () => isPaused ? 0 : timers.nowMs() - lastEventAtMs,
     abort: () => { end() },
-    pause: () => exchange.pause(),
-    resume: () => exchange.resume()
+    pause,
+    resume
   }
 }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -58,6 +58,7 @@
     isFinished = true
     checkTimer.cancel()
     call.response.off('close', onClientDisconnect)
+    call.response.off('drain', resumeAttempts)
     abortAttempts()
     recordOutcome(dependencies, call, outcome, {
       model: call.clientInfo.model ?? '',
@@ -144,10 +145,11 @@
     const hasWriteCapacity = call.response.write(event.bytes)
     eventCount += 1
     lastEventId = event.id ?? lastEventId
-    if (!hasWriteCapacity) {
-      attempt.pause()
-      call.response.once('drain', attempt.resume)
-    }
+    if (!hasWriteCapacity) attempt.pause()
+  }
+
+  function resumeAttempts (): void {
+    for (const attempt of attempts) attempt.resume()
   }
 
   function recordEventTiming (): void {
@@ -237,6 +239,7 @@
   }
 
   call.response.on('close', onClientDisconnect)
+  call.response.on('drain', resumeAttempts)
   const checkTimer = dependencies.streamTicker.subscribe(checkDeadlines)
   const first = findNextAttempt()
   if (first.isAllowed) startAttempt(first)
