Bound a server's error response to a stream

The body of an error response was collected without a limit until the call's deadline, and the stream stayed with that replica. Above 64 KB the connection is closed and the attempt ends as the status says: not executed, or failed. A partial body is not forwarded.

--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -20,7 +20,7 @@
   readonly kind: AttemptFailureKind
   readonly reason: string
   /** The server's whole response with an error status. */
-  readonly errorResponse?: { readonly head: ResponseHead, readonly body: Buffer }
+  readonly errorResponse?: { readonly head: ResponseHead, readonly body: Buffer } | undefined
 }
 
 /** Called in order: `onEvent` for each event, then either `onEnd` or `onFailure`; nothing after an abort. */
@@ -54,6 +54,8 @@
 }
 
 const successStatus = 200
+/** An error response larger than this is not forwarded, and its connection is closed. Servers explain errors in a few hundred bytes. */
+const maxErrorBodyBytes = 65_536
 
 /** Sends the call to the replica's leader; a stream that may be resumed goes on after the call's last event. */
 export function startStreamAttempt (dependencies: CallDependencies, call: Call, options: StreamAttemptOptions, listener: StreamAttemptListener): StreamAttempt {
@@ -61,6 +63,7 @@
   const { replica, leader, getLastEventId } = options
   const framer = createSseFramer()
   const errorBody: Buffer[] = []
+  let errorBodyBytes = 0
   let head: ResponseHead | undefined
   let info: ServerResponseInfo | undefined
   let hasEvents = false
@@ -116,7 +119,7 @@
 
   function handleData (chunk: Buffer): void {
     if (head?.statusCode !== successStatus) {
-      errorBody.push(chunk)
+      handleErrorChunk(chunk)
       return
     }
     for (const event of framer.push(chunk)) {
@@ -140,7 +143,7 @@
 
   function handleEnd (): void {
     if (head === undefined || head.statusCode !== successStatus) {
-      handleErrorResponse()
+      handleErrorResponse(true)
     } else if (framer.hasPartialEvent() || !hasEvents) {
       lose('the stream ended with an incomplete event or without any')
     } else if (end()) {
@@ -148,7 +151,13 @@
     }
   }
 
-  function handleErrorResponse (): void {
+  function handleErrorChunk (chunk: Buffer): void {
+    errorBodyBytes += chunk.length
+    if (errorBodyBytes > maxErrorBodyBytes) handleErrorResponse(false)
+    else errorBody.push(chunk)
+  }
+
+  function handleErrorResponse (isWhole: boolean): void {
     if (head === undefined || info === undefined) {
       lose('no response')
     } else if (info.isNotExecuted) {
@@ -156,7 +165,8 @@
       if (info.faultyServerId !== undefined) dependencies.reportStall(replica.id)
       fail({ kind: AttemptFailureKind.NotExecuted, reason: `the server refused the request with status ${head.statusCode}` })
     } else {
-      fail({ kind: AttemptFailureKind.ServerFailure, reason: `the server responded with status ${head.statusCode}`, errorResponse: { head, body: Buffer.concat(errorBody) } })
+      const reason = `the server responded with status ${head.statusCode}${isWhole ? '' : ` and more than ${maxErrorBodyBytes} bytes`}`
+      fail({ kind: AttemptFailureKind.ServerFailure, reason, errorResponse: isWhole ? { head, body: Buffer.concat(errorBody) } : undefined })
     }
   }
 
