Let a stream in progress wait for a replica that can take it

When the replica of a stream that had been started failed and no other one could take it at that moment (all refused, full or on hold, or the retry budget was empty), the client's connection was closed at once. Now the call looks again at each check until 1,600 ms after the last event, within the same limits on attempts and budget. A replica that refused may be asked again after a pause. A call whose limit on attempts is reached, and one without any event, ends at once as before. A service that has left the configuration since the first attempt is found by the engine profile that the call has seen.

--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -7,7 +7,8 @@
 import { DurationMetric } from '../observability/metrics.js'
 import type { FramedSseEvent } from '../protocol/sse-framer.js'
 import type { BackendServer } from '../state/backend-server.js'
-import type { Replica } from '../state/replica.js'
+import { listReplicas, type Replica } from '../state/replica.js'
+import type { EngineProfile } from '../state/serving-config.js'
 import type { ResponseHead } from '../transport/backend-connection-pool.js'
 import { filterResponseHeaders } from './response-headers.js'
 import type { ReplicatedService } from './fleet-view.js'
@@ -17,13 +18,17 @@
 /** The replica for one more attempt, or why there is none. */
 type NextAttempt =
   | { readonly isAllowed: true, readonly replica: Replica, readonly leader: BackendServer, readonly isHealthy: boolean }
-  /** `unavailableMs`: no replica is expected to take the call within this time. */
-  | { readonly isAllowed: false, readonly reason: string, readonly unavailableMs: number }
+  /** `isFinal`: later checks won't find one either. `unavailableMs`: no replica is expected to take the call within this time. */
+  | { readonly isAllowed: false, readonly isFinal: boolean, readonly reason: string, readonly unavailableMs: number }
 
 /** Interval of the checks of all streams. */
 export const streamCheckIntervalMs = 50
 /** A silent attempt and its replacement. */
 const maxConcurrentAttemptCount = 2
+/** A stream in progress without any replica looks for one until this time after its last event. Clients give up after two seconds. */
+const maxResumeWaitMs = 1600
+/** A replica that refused the stream may be asked again after this time for each refusal so far, which spreads the few attempts over the wait. */
+const refusedReplicaPauseMs = 500
 
 function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>): string {
   switch (choice.kind) {
@@ -41,6 +46,8 @@
   const { timers, loads } = dependencies
   const retryBudget = dependencies.getRetryBudget(call.serviceName)
   const triedReplicaIds: string[] = []
+  /** Times from which replicas that refused the stream may be asked again. */
+  const refusedUntilMs = new Map<string, number>()
   const mayRepeat = call.route.isResumable
   const attempts = new Set<StreamAttempt>()
   let lastEventId = call.clientInfo.lastEventId
@@ -51,6 +58,8 @@
   const possibleExecutions: PossibleExecution[] = []
   let notExecutedCount = 0
   let isFinished = false
+  let lastFailure: AttemptFailure | undefined
+  let lastEngine: EngineProfile | undefined
   retryBudget.recordRequest()
 
   function finish (outcome: CallOutcome, reason = ''): void {
@@ -93,13 +102,17 @@
       zone: dependencies.zone,
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
-      excludedIds: new Set(triedReplicaIds),
+      excludedIds: new Set(triedReplicaIds.filter(id => (refusedUntilMs.get(id) ?? Infinity) > timers.nowMs())),
       getHoldMs: dependencies.holds.getRemainingMs
     }, loads, dependencies.random)
   }
 
-  function findService (): ReplicatedService | undefined {
-    return dependencies.fleet.listReplicatedServices().find(candidate => candidate.name === call.serviceName)
+  /** Finds the service. One that has left the configuration since the first attempt may still finish the stream. */
+  function findService (): Pick<ReplicatedService, 'engine' | 'replicas'> | undefined {
+    const listed = dependencies.fleet.listReplicatedServices().find(candidate => candidate.name === call.serviceName)
+    if (listed !== undefined) lastEngine = listed.engine
+    if (listed !== undefined || lastEngine === undefined) return listed
+    return { engine: lastEngine, replicas: listReplicas(dependencies.fleet.getServers(call.serviceName), lastEngine) }
   }
 
   /** Finds the replica for one more attempt within the limits on attempts and the retry budget, which it does not spend. */
@@ -111,15 +124,15 @@
       mayRepeat,
       maxAttempts: call.route.maxAttempts
     })
-    if (!isWithinLimits) return { isAllowed: false, reason: 'the limit on attempts', unavailableMs: 0 }
-    if (triedReplicaIds.length > 0 && !retryBudget.canSpend()) return { isAllowed: false, reason: 'the retry budget is used up', unavailableMs: 0 }
+    if (!isWithinLimits) return { isAllowed: false, isFinal: true, reason: 'the limit on attempts', unavailableMs: 0 }
+    if (triedReplicaIds.length > 0 && !retryBudget.canSpend()) return { isAllowed: false, isFinal: false, reason: 'the retry budget is used up', unavailableMs: 0 }
     const choice = chooseNextReplica()
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
-      return { isAllowed: false, reason: describeRefusal(choice), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
+      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
     }
     const { replica, isHealthy } = choice
     const { leader } = replica
-    if (leader === undefined) return { isAllowed: false, reason: 'the replica has no leader', unavailableMs: 0 }
+    if (leader === undefined) return { isAllowed: false, isFinal: false, reason: 'the replica has no leader', unavailableMs: 0 }
     return { isAllowed: true, replica, leader, isHealthy }
   }
 
@@ -170,16 +183,30 @@
 
   function handleFailure (attempt: StreamAttempt, failure: AttemptFailure): void {
     attempts.delete(attempt)
-    if (failure.kind === AttemptFailureKind.NotExecuted) notExecutedCount += 1
-    else possibleExecutions.push(toPossibleExecution(attempt.leader))
+    lastFailure = failure
+    if (failure.kind === AttemptFailureKind.NotExecuted) {
+      notExecutedCount += 1
+      refusedUntilMs.set(attempt.replica.id, timers.nowMs() + refusedReplicaPauseMs * notExecutedCount)
+    } else {
+      refusedUntilMs.delete(attempt.replica.id)
+      possibleExecutions.push(toPossibleExecution(attempt.leader))
+    }
     dependencies.logger.info('An attempt failed.', {
       requestId: call.clientInfo.requestId ?? '', group: attempt.replica.id, serverId: attempt.leader.id, end: failure.kind, reason: failure.reason, lastEventId: lastEventId ?? ''
     })
     // Another attempt of the call goes on; if it is silent, the next check looks for a replacement.
-    if (attempts.size > 0) return
+    if (attempts.size === 0) resumeOrFinish(failure)
+  }
+
+  /** Starts an attempt, since none is left; waits for a replica when none can take the stream now. */
+  function resumeOrFinish (failure: AttemptFailure): void {
     const next = findNextAttempt()
     if (next.isAllowed) startAttempt(next)
-    else finishFailed(failure, next)
+    else if (!mayWait(next)) finishFailed(failure, next)
+  }
+
+  function mayWait (next: NextAttempt & { readonly isAllowed: false }): boolean {
+    return mayRepeat && call.response.headersSent && !next.isFinal && timers.nowMs() - previousEventAtMs < maxResumeWaitMs
   }
 
   function finishFailed ({ errorResponse, reason: failureReason }: AttemptFailure, next: NextAttempt & { readonly isAllowed: false }): void {
@@ -220,6 +247,7 @@
       return
     }
     if (!mayRepeat) return
+    if (attempts.size === 0 && lastFailure !== undefined) resumeOrFinish(lastFailure)
     for (const attempt of [...attempts]) checkProgress(attempt)
   }
 
