--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -6,7 +6,7 @@
 import { loadSettings } from '../settings/parse-settings.js'
 import { describeSettingsError } from '../settings/settings-error.js'
 import { getPackageVersion } from '../shared/package-version.js'
-import { handleTermination } from '../shared/termination.js'
+import { handleTermination, RepeatedTermination } from '../shared/termination.js'
 
 const exitCodeInvalidSettings = 2
 const exitCodeStartFailed = 1
@@ -32,7 +32,7 @@
 
 try {
   const node = await createEntryNode(settings.value)
-  handleTermination(() => node.stop(), () => node.abort())
+  handleTermination(() => node.stop(), { onSigterm: RepeatedTermination.Abort, abort: () => node.abort() })
   const ports = await node.start()
   console.log(`ready on ${settings.value.callers.host}:${ports.clientPort}`)
 } catch (error) {
