Log what follows a failed attempt, and each replacement of a silent server

"An attempt failed." has the field `next`: another attempt, the other one that goes on, a wait, or why there is none.

--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -46,20 +46,28 @@
     return executionCount === 0 || (isRepeatable && executionCount < call.route.maxAttempts)
   }
 
-  function startAttempt (): void {
-    if (!mayStartAttempt()) return
+  /** Starts an attempt where that is allowed, and returns it. */
+  function startAttempt (): PlainAttempt | undefined {
+    if (!mayStartAttempt()) return undefined
     const server = chooseServer(dependencies, call, triedServerIds)
-    if (server === undefined || (triedServerIds.size > 0 && !retryBudget.trySpend())) return
+    if (server === undefined || (triedServerIds.size > 0 && !retryBudget.trySpend())) return undefined
     triedServerIds.add(server.id)
-    running.add(startPlainAttempt(dependencies, call, server))
+    const attempt = startPlainAttempt(dependencies, call, server)
+    running.add(attempt)
     silentAtMs = isRepeatable ? timers.nowMs() + silenceMs : Infinity
+    return attempt
   }
 
   function handleSilence (): void {
     silentAtMs = timers.nowMs() + silenceMs
     if (!mayStartAttempt()) return
-    for (const attempt of running) attempt.recordSilence()
-    startAttempt()
+    const silent = [...running]
+    for (const attempt of silent) attempt.recordSilence()
+    const next = startAttempt()
+    if (next === undefined) return
+    dependencies.logger.info('A silent server gets a second attempt beside it.', {
+      requestId: call.clientInfo.requestId ?? '', serverIds: silent.map(({ server }) => server.id).join(' '), nextServerId: next.server.id, waitedMs: Math.round(timers.nowMs() - call.arrivedAtMs)
+    })
   }
 
   /** Records the failure of an attempt, and starts another one where that is allowed. */
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -4,6 +4,7 @@
 import { chooseRetryAfterMs } from '../coordination/dispatch/retry-after.js'
 import { toPossibleExecution, type PossibleExecution } from '../coordination/dispatch/possible-executions.js'
 import { judgeSilence } from '../coordination/dispatch/stream-silence.js'
+import type { LogFields } from '../observability/log.js'
 import { DurationMetric } from '../observability/metrics.js'
 import type { FramedSseEvent } from '../protocol/sse-framer.js'
 import type { BackendServer } from '../state/backend-server.js'
@@ -16,10 +17,23 @@
 import { AttemptFailureKind, startStreamAttempt, type AttemptFailure, type StreamAttempt } from './stream-attempt.js'
 
 /** The replica for one more attempt, or why there is none. */
-type NextAttempt =
-  | { readonly isAllowed: true, readonly replica: Replica, readonly leader: BackendServer, readonly isHealthy: boolean }
-  /** `isFinal`: later checks won't find one either. `unavailableMs`: no replica is expected to take the call within this time. */
-  | { readonly isAllowed: false, readonly isFinal: boolean, readonly reason: string, readonly unavailableMs: number }
+type NextAttempt = AllowedAttempt | NoAttempt
+
+interface AllowedAttempt {
+  readonly isAllowed: true
+  readonly replica: Replica
+  readonly leader: BackendServer
+  readonly isHealthy: boolean
+}
+
+interface NoAttempt {
+  readonly isAllowed: false
+  /** Later checks won't find a replica either. */
+  readonly isFinal: boolean
+  readonly reason: string
+  /** No replica is expected to take the call within this time. */
+  readonly unavailableMs: number
+}
 
 /** Interval of the checks of all streams. */
 export const streamCheckIntervalMs = 50
@@ -30,11 +44,11 @@
 /** A replica that refused the stream may be asked again after this time for each refusal so far, which spreads the few attempts over the wait. */
 const refusedReplicaPauseMs = 500
 
-function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>): string {
+function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>, isFirst: boolean): string {
   switch (choice.kind) {
     case ReplicaChoiceKind.Full: return `all replicas are full; the least loaded has ${choice.streamCount} streams`
     case ReplicaChoiceKind.Held: return `all replicas want no requests; the first for ${Math.round(choice.holdMs)} ms more`
-    case ReplicaChoiceKind.Absent: return 'no replica of the service serves the model'
+    case ReplicaChoiceKind.Absent: return `no ${isFirst ? '' : 'other '}replica of the service serves the model`
   }
 }
 
@@ -128,7 +142,7 @@
     if (triedReplicaIds.length > 0 && !retryBudget.canSpend()) return { isAllowed: false, isFinal: false, reason: 'the retry budget is used up', unavailableMs: 0 }
     const choice = chooseNextReplica()
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
-      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
+      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, triedReplicaIds.length === 0), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
     }
     const { replica, isHealthy } = choice
     const { leader } = replica
@@ -136,7 +150,7 @@
     return { isAllowed: true, replica, leader, isHealthy }
   }
 
-  function startAttempt ({ replica, leader }: NextAttempt & { readonly isAllowed: true }): void {
+  function startAttempt ({ replica, leader }: AllowedAttempt): void {
     // The budget allowed it just before.
     if (triedReplicaIds.length > 0) retryBudget.trySpend()
     triedReplicaIds.push(replica.id)
@@ -191,25 +205,40 @@
       refusedUntilMs.delete(attempt.replica.id)
       possibleExecutions.push(toPossibleExecution(attempt.leader))
     }
-    dependencies.logger.info('An attempt failed.', {
-      requestId: call.clientInfo.requestId ?? '', group: attempt.replica.id, serverId: attempt.leader.id, end: failure.kind, reason: failure.reason, lastEventId: lastEventId ?? ''
-    })
-    // Another attempt of the call goes on; if it is silent, the next check looks for a replacement.
-    if (attempts.size === 0) resumeOrFinish(failure)
+    // If another attempt of the call goes on and is silent, the next check looks for a replacement.
+    const next = attempts.size === 0 ? findNextAttempt() : undefined
+    logLine('An attempt failed.', { group: attempt.replica.id, serverId: attempt.leader.id, end: failure.kind, reason: failure.reason, next: describeNext(next) })
+    if (next !== undefined) resumeOrFinish(failure, next)
+  }
+
+  function logLine (message: string, fields: LogFields): void {
+    dependencies.logger.info(message, { requestId: call.clientInfo.requestId ?? '', ...fields, lastEventId: lastEventId ?? '' })
+  }
+
+  function describeNext (next: NextAttempt | undefined): string {
+    if (next === undefined) return 'the other attempt goes on'
+    if (next.isAllowed) return 'another attempt'
+    return `${mayWait(next) ? 'a wait' : 'none'}: ${next.reason}`
   }
 
   /** Starts an attempt, since none is left; waits for a replica when none can take the stream now. */
-  function resumeOrFinish (failure: AttemptFailure): void {
-    const next = findNextAttempt()
+  function resumeOrFinish (failure: AttemptFailure, next: NextAttempt): void {
     if (next.isAllowed) startAttempt(next)
     else if (!mayWait(next)) finishFailed(failure, next)
   }
 
-  function mayWait (next: NextAttempt & { readonly isAllowed: false }): boolean {
+  /** Looks again for a replica of a stream that waits for one. */
+  function checkWait (failure: AttemptFailure): void {
+    const next = findNextAttempt()
+    if (next.isAllowed) logLine('A stream goes on after a wait for a replica.', { group: next.replica.id, serverId: next.leader.id, waitedMs: Math.round(timers.nowMs() - previousEventAtMs) })
+    resumeOrFinish(failure, next)
+  }
+
+  function mayWait (next: NoAttempt): boolean {
     return mayRepeat && call.response.headersSent && !next.isFinal && timers.nowMs() - previousEventAtMs < maxResumeWaitMs
   }
 
-  function finishFailed ({ errorResponse, reason: failureReason }: AttemptFailure, next: NextAttempt & { readonly isAllowed: false }): void {
+  function finishFailed ({ errorResponse, reason: failureReason }: AttemptFailure, next: NoAttempt): void {
     const reason = `${failureReason}; no further attempt: ${next.reason}`
     if (errorResponse === undefined || call.response.headersSent || promisesNotExecuted(errorResponse.head.statusCode)) {
       finishIncomplete(reason, next.unavailableMs)
@@ -247,7 +276,7 @@
       return
     }
     if (!mayRepeat) return
-    if (attempts.size === 0 && lastFailure !== undefined) resumeOrFinish(lastFailure)
+    if (attempts.size === 0 && lastFailure !== undefined) checkWait(lastFailure)
     for (const attempt of [...attempts]) checkProgress(attempt)
   }
 
@@ -263,7 +292,9 @@
     if (isStalled) dependencies.reportStall(attempt.replica.id)
     if (!needsReplacement || attempts.size >= maxConcurrentAttemptCount) return
     const next = findNextAttempt()
-    if (next.isAllowed && (isUrgent || next.isHealthy)) startAttempt(next)
+    if (!next.isAllowed || (!isUrgent && !next.isHealthy)) return
+    logLine('A silent replica gets a replacement.', { group: attempt.replica.id, serverId: attempt.leader.id, replacement: next.replica.id, waitedMs: Math.round(attempt.getWaitedMs()) })
+    startAttempt(next)
   }
 
   call.response.on('close', onClientDisconnect)
