Don't ask a replica again while it runs the stream after a refusal

A replica that refused a stream could be chosen once more while its second attempt was in progress, once its pause was over: by a call that had waited for 1.6 s, at a replica that delivers events to other streams. Found by reading. A play of it through the fixture passed on the code before too, since a replica without other streams is marked as stalled by then; there is no test. The log tells the deadline from the limit on attempts.

--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -131,7 +131,8 @@
 
   /** Finds the replica for one more attempt within the limits on attempts and the retry budget, which it does not spend. */
   function findNextAttempt (): NextAttempt {
-    const isWithinLimits = getRemainingMs(dependencies, call) > 0 && allowsAnotherAttempt({
+    if (getRemainingMs(dependencies, call) <= 0) return { isAllowed: false, isFinal: true, reason: 'the deadline', unavailableMs: 0 }
+    const isWithinLimits = allowsAnotherAttempt({
       executions: [...possibleExecutions, ...[...attempts].map(({ leader }) => toPossibleExecution(leader))],
       notExecutedCount,
       servers: dependencies.fleet.getServers(call.serviceName),
@@ -154,6 +155,7 @@
     // The budget allowed it just before.
     if (triedReplicaIds.length > 0) retryBudget.trySpend()
     triedReplicaIds.push(replica.id)
+    refusedUntilMs.delete(replica.id)
     const attempt = startStreamAttempt(dependencies, call, { replica, leader, getLastEventId: () => lastEventId }, {
       onEvent: (event, head) => forwardEvent(attempt, event, head),
       onEnd () {
@@ -202,7 +204,6 @@
       notExecutedCount += 1
       refusedUntilMs.set(attempt.replica.id, timers.nowMs() + refusedReplicaPauseMs * notExecutedCount)
     } else {
-      refusedUntilMs.delete(attempt.replica.id)
       possibleExecutions.push(toPossibleExecution(attempt.leader))
     }
     // If another attempt of the call goes on and is silent, the next check looks for a replacement.
