Bound an event of a forwarded stream, and say when it is too large

An event that never ends was kept as a list of chunks without a limit. `createSseFramer({ maxEventBytes })` bounds it, 4 MB by default; `isTooLarge()` tells, whether the event is complete or not and however it was cut into chunks, and further bytes are ignored. A user that does not ask still sees `hasPartialEvent()`, so such a stream never ends as complete. The collector of bodies moves to src/shared, for both.

--- a/src/protocol/sse-framer.test.ts
+++ b/src/protocol/sse-framer.test.ts
@@ -17,6 +17,53 @@
     })
   }
 
+  describe('the limit on an event', () => {
+    const limit = 100
+    const small = 'data: small\n\n'
+
+    /** An event of this many bytes. */
+    const createEvent = (byteCount: number) => `data: ${'x'.repeat(byteCount - 8)}\n\n`
+
+    for (const size of [1, 7, 1000]) {
+      describe(`with chunks of ${size}`, () => {
+        function push (text: string) {
+          const framer = createSseFramer({ maxEventBytes: limit })
+          const bytes = Buffer.from(text)
+          const events = []
+          for (let start = 0; start < bytes.length; start += size) events.push(...framer.push(bytes.subarray(start, start + size)))
+          return { framer, text: Buffer.concat(events.map(event => event.bytes)).toString() }
+        }
+
+        it('accepts an event of exactly this size', () => {
+          const { framer, text } = push(small + createEvent(limit) + small)
+          expect(text).to.equal(small + createEvent(limit) + small)
+          expect(framer.isTooLarge()).to.equal(false)
+        })
+
+        it('returns the events before a larger one, and nothing from there on', () => {
+          const { framer, text } = push(small + createEvent(limit + 1) + small)
+          expect(text).to.equal(small)
+          expect(framer.isTooLarge()).to.equal(true)
+          expect(framer.hasPartialEvent()).to.equal(true)
+        })
+
+        it('does not wait for the end of a larger event', () => {
+          const { framer } = push(small + 'x'.repeat(limit + 1))
+          expect(framer.isTooLarge()).to.equal(true)
+        })
+      })
+    }
+
+    it('bounds memory when an event never ends and arrives byte by byte', () => {
+      const framer = createSseFramer({ maxEventBytes: 500_000 })
+      const before = process.memoryUsage()
+      for (let count = 0; count < 1_000_000; count += 1) framer.push(Buffer.from('x'))
+      const after = process.memoryUsage()
+      expect(framer.isTooLarge()).to.equal(true)
+      expect(after.heapUsed + after.external - before.heapUsed - before.external).to.be.lessThan(32_000_000)
+    })
+  })
+
   it('buffers an incomplete event', () => {
     const framer = createSseFramer()
     expect(framer.push(Buffer.from('id: 1\ndata: on'))).to.deep.equal([])
--- a/src/protocol/sse-framer.ts
+++ b/src/protocol/sse-framer.ts
@@ -1,3 +1,5 @@
+import { createByteCollector, type ByteCollector } from '../shared/byte-collector.js'
+
 const lineFeed = 0x0a
 const carriageReturn = 0x0d
 const idLinePattern = /^id: ?(.*)$/m
@@ -14,50 +16,63 @@
   push (chunk: Buffer): FramedSseEvent[]
   /** Whether bytes of an incomplete event are buffered. */
   hasPartialEvent (): boolean
+  /** Whether an event exceeds the limit, complete or not. The framer then ignores all further bytes. */
+  isTooLarge (): boolean
+}
+
+export interface SseFramerOptions {
+  readonly maxEventBytes?: number
 }
 
 /** Bytes before a chunk that can be part of an event's end, which is a line feed, perhaps a carriage return, and a line feed. */
 const endContextLength = 2
+/** An event holds one token or a few; this only bounds memory. */
+const defaultMaxEventBytes = 4_194_304
+const noBytes = Buffer.alloc(0)
 
 /** Creates a framer at the beginning of a stream. Each byte is searched and copied a bounded number of times, however small the chunks are. */
-export function createSseFramer (): SseFramer {
-  let pendingChunks: Buffer[] = []
-  let pendingLength = 0
-
-  /** Returns the last bytes before the next chunk. */
-  function getContext (): Buffer {
-    const context = Buffer.concat(pendingChunks.slice(-endContextLength))
-    return context.subarray(Math.max(0, context.length - endContextLength))
-  }
+export function createSseFramer ({ maxEventBytes = defaultMaxEventBytes }: SseFramerOptions = {}): SseFramer {
+  let pending: ByteCollector | undefined
+  let isTooLarge = false
 
-  function setPending (bytes: Buffer): void {
-    pendingChunks = bytes.length === 0 ? [] : [bytes]
-    pendingLength = bytes.length
+  /** Keeps bytes of an incomplete event. */
+  function keep (bytes: Buffer): void {
+    if (bytes.length === 0) return
+    pending ??= createByteCollector(maxEventBytes)
+    isTooLarge = !pending.append(bytes)
+    // What is kept only stands for the event that is too large.
+    if (isTooLarge) pending = undefined
   }
 
   return {
     push (chunk) {
-      if (chunk.length === 0) return []
-      const context = pendingLength === 0 ? undefined : getContext()
-      const firstEnd = findEventEnd(context === undefined ? chunk : Buffer.concat([context, chunk]), 0)
+      if (chunk.length === 0 || isTooLarge) return []
+      const pendingBytes = pending?.toBuffer() ?? noBytes
+      const context = pendingBytes.subarray(-endContextLength)
+      const firstEnd = findEventEnd(context.length === 0 ? chunk : Buffer.concat([context, chunk]), 0)
       if (firstEnd < 0) {
-        pendingChunks.push(chunk)
-        pendingLength += chunk.length
+        keep(chunk)
         return []
       }
-      const bytes = pendingLength === 0 ? chunk : Buffer.concat([...pendingChunks, chunk])
+      const bytes = pendingBytes.length === 0 ? chunk : Buffer.concat([pendingBytes, chunk])
+      pending = undefined
       const events: FramedSseEvent[] = []
       let start = 0
-      for (let end = pendingLength - (context?.length ?? 0) + firstEnd; end > 0; end = findEventEnd(bytes, start)) {
+      for (let end = pendingBytes.length - context.length + firstEnd; end > 0; end = findEventEnd(bytes, start)) {
         const event = bytes.subarray(start, end)
+        if (event.length > maxEventBytes) {
+          isTooLarge = true
+          return events
+        }
         // Only the id line is read; latin1 maps each byte to one character.
         events.push({ bytes: event, id: idLinePattern.exec(event.toString('latin1'))?.[1]?.trim() })
         start = end
       }
-      setPending(bytes.subarray(start))
+      keep(bytes.subarray(start))
       return events
     },
-    hasPartialEvent: () => pendingLength > 0
+    hasPartialEvent: () => pending !== undefined || isTooLarge,
+    isTooLarge: () => isTooLarge
   }
 }
 
--- a/src/transport/body-collector.test.ts
+++ b/src/shared/byte-collector.test.ts
@@ -1,17 +1,17 @@
 import { expect } from 'chai'
 
-import { createBodyCollector } from './body-collector.js'
+import { createByteCollector } from './byte-collector.js'
 
-describe('body collector', () => {
+describe('byte collector', () => {
   it('returns all chunks in order, and nothing for none', () => {
-    const collector = createBodyCollector(100)
+    const collector = createByteCollector(100)
     expect(collector.toBuffer().length).to.equal(0)
     for (const part of ['a', '', 'bcd', 'e'.repeat(20)]) expect(collector.append(Buffer.from(part))).to.equal(true)
     expect(collector.toBuffer().toString()).to.equal(`abcd${'e'.repeat(20)}`)
   })
 
   it('accepts a body of exactly the limit, and nothing beyond it', () => {
-    const collector = createBodyCollector(5)
+    const collector = createByteCollector(5)
     expect(collector.append(Buffer.from('abc'))).to.equal(true)
     expect(collector.append(Buffer.from('def'))).to.equal(false)
     expect(collector.append(Buffer.from('de'))).to.equal(true)
@@ -20,7 +20,7 @@
   })
 
   it('does not keep a chunk object for each byte of a body that arrives byte by byte', () => {
-    const collector = createBodyCollector(1_000_000)
+    const collector = createByteCollector(1_000_000)
     const before = process.memoryUsage()
     for (let count = 0; count < 1_000_000; count += 1) collector.append(Buffer.of(1))
     const after = process.memoryUsage()
--- a/src/transport/body-collector.ts
+++ b/src/shared/byte-collector.ts
@@ -1,12 +1,13 @@
-/** Collects the body of a response up to a limit. */
-export interface BodyCollector {
-  /** Returns false, and keeps nothing of the chunk, when the body would become larger than the limit. */
+/** Joins chunks up to a limit. */
+export interface ByteCollector {
+  /** Returns false, and keeps nothing of the chunk, when there would be more bytes than the limit. */
   append (chunk: Buffer): boolean
+  /** All bytes; valid until the next `append`. */
   toBuffer (): Buffer
 }
 
-/** Creates a collector whose memory is at most twice the body's size, also when the body arrives byte by byte. */
-export function createBodyCollector (maxBytes: number): BodyCollector {
+/** Creates a collector whose memory is at most about twice that of the bytes, also when they arrive one by one. */
+export function createByteCollector (maxBytes: number): ByteCollector {
   let buffer = Buffer.alloc(0)
   let byteCount = 0
 
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -4,7 +4,7 @@
 
 import { failure, success, type Result } from '../shared/result.js'
 import { createSystemTimerService, type TimerService } from '../shared/timer-service.js'
-import { createBodyCollector } from './body-collector.js'
+import { createByteCollector } from '../shared/byte-collector.js'
 import { createReadGuard, type ReadGuard } from './read-guard.js'
 import { maxInformationalResponseCount } from './response-limits.js'
 import { TransportErrorKind, type TransportError } from './transport-error.js'
@@ -63,7 +63,7 @@
 
 function sendOnce (agent: Agent, guard: ReadGuard, timers: TimerService, request: HttpClientRequest): Promise<Result<HttpClientResponse, TransportError>> {
   return new Promise(resolve => {
-    const body = createBodyCollector(request.maxResponseBytes)
+    const body = createByteCollector(request.maxResponseBytes)
     let informationalCount = 0
     let statusCode = 0
     let headers: IncomingHttpHeaders = {}
