Handle a connection's requests in turn, and none behind a closing response

Cause: the HTTP server hands over requests as they are parsed, while the one before is still being decided. The refusal closes the connection; what was forwarded meanwhile had nobody to answer to. Besides, a request that waited for its place had no 'close' event, so countInFlight stayed too high for good when its client left: a drain then waited until its limit.

Fix: a connection keeps its requests in order and hands over the next one when the response before is complete. A response that closes the connection ends it with what waits. During a drain only the last of several responses announces the close. A request is timed from the arrival of its head; one whose time has passed while it waited is refused with 503, not run. A missing Host and an unknown Expect are answered in their turn (Node.js answered them out of it). More than 16 waiting requests stop the reading.

The test 'names the HTTP server when it closes a connection for bytes that are no request' stays; its client now closes its half itself.

--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -4,6 +4,7 @@
 import { pickTarget } from '../coordination/dispatch/route-table.js'
 import { RouteKind, type Route, type Team } from '../state/serving-config.js'
 import { sendGatewayResponse, type Call, type CallDependencies } from './call-context.js'
+import type { ClientExchange } from './client-connection.js'
 import { forwardPlain } from './plain-forwarding.js'
 import { BodyResultKind, readRequestBody } from './request-body.js'
 import { forwardStream } from './stream-forwarding.js'
@@ -45,8 +46,7 @@
     refuse(request, response, 503, reason, Math.round(minUnavailableRetryAfterMs + unavailableRetryAfterSpreadMs * random.nextFloat()))
   }
 
-  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAtMs = timers.nowMs()
+  async function handle ({ request, response, arrivedAtMs }: ClientExchange): Promise<void> {
     response.on('error', error => dependencies.logger.debug('A client connection failed.', { reason: error.message }))
     const limits = fleet.getConfig()?.limits
     if (countHeaderBytes(request) > (limits?.maxHeaderBytes ?? Infinity)) {
@@ -89,10 +89,12 @@
       refuseWithRetryAfter(request, response, 'the route has no service')
       return
     }
-    const waitMs = Math.min(route.timeoutMs, clientInfo.clientTimeoutMs ?? route.timeoutMs)
-    await forward({
-      request, response, clientInfo, route, team, serviceName, arrivedAtMs, body: body.body, deadlineAtMs: arrivedAtMs + waitMs
-    }, route)
+    const deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, clientInfo.clientTimeoutMs ?? route.timeoutMs)
+    if (deadlineAtMs <= timers.nowMs()) {
+      refuseWithRetryAfter(request, response, 'the time for a response had passed before the whole request arrived')
+      return
+    }
+    await forward({ request, response, clientInfo, route, team, serviceName, arrivedAtMs, body: body.body, deadlineAtMs }, route)
   }
 
   async function forward (call: Call, route: Route): Promise<void> {
@@ -101,10 +103,10 @@
   }
 
   return {
-    handle (request: IncomingMessage, response: ServerResponse): void {
-      handle(request, response).catch((error: Error) => {
+    handle (exchange: ClientExchange): void {
+      handle(exchange).catch((error: Error) => {
         dependencies.logger.error('An unexpected error occurred while handling a request.', { reason: error.stack ?? error.message })
-        sendGatewayResponse(dependencies, response, codec.readClientRequest(request.headers).requestId, 500)
+        sendGatewayResponse(dependencies, exchange.response, codec.readClientRequest(exchange.request.headers).requestId, 500)
       })
     }
   }
--- /dev/null
+++ b/src/gateway/client-connection.ts
@@ -0,0 +1,149 @@
+/** One connection of a client: its requests are handled in turn, and it closes so that the last response arrives. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+import type { TimerService } from '../shared/timer-service.js'
+
+/** Who ended a connection on which a request has no complete response. The values are logged. */
+export enum ConnectionEnd {
+  /** The gateway closed it, since the response cannot be completed. */
+  Gateway = 'gateway',
+  /** The client closed or reset it, or its network path broke. */
+  Client = 'client',
+  /** The HTTP server closed it by itself, after a timeout or for bytes that are no request. */
+  HttpServer = 'http_server'
+}
+
+/** A request whose connection closed before its response was complete. */
+export interface IncompleteResponse {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly endedBy: ConnectionEnd
+  /** Error of the connection; empty when it was closed in order. */
+  readonly reason: string
+}
+
+/** A client's request and its response. */
+export interface ClientExchange {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  /** When the head arrived; requests on one connection wait for the responses before theirs. */
+  readonly arrivedAtMs: number
+}
+
+/** What the server of a connection knows and decides. */
+export interface ClientConnectionOptions {
+  readonly socket: Socket
+  readonly timers: TimerService
+  /** Whether responses ask clients to close their connections. */
+  isDraining (): boolean
+  handle (exchange: ClientExchange): void
+  onIncomplete (incomplete: IncompleteResponse): void
+}
+
+export interface ClientConnection {
+  receive (request: IncomingMessage, response: ServerResponse): void
+  /** Ends the connection with this status line. */
+  refuse (status: string, error: NodeJS.ErrnoException): void
+  /** Requests without a complete response. */
+  countOutstanding (): number
+}
+
+/** Requests that may wait on a connection for the responses before theirs; then no more is read. Clients rarely send two. */
+const maxWaitingCount = 16
+/** Errors of a connection that the client or its network path causes; any other one is raised by the HTTP server. */
+const clientErrorCodes: readonly string[] = ['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']
+
+/** Tracks a connection that the HTTP server has accepted. */
+export function createClientConnection (options: ClientConnectionOptions): ClientConnection {
+  const { socket, timers } = options
+  /** In the order of arrival; the first one is being handled. */
+  const exchanges: ClientExchange[] = []
+  let end: Pick<IncompleteResponse, 'endedBy' | 'reason'> | undefined
+  let isClosing = false
+  const destroySoon = socket.destroySoon.bind(socket)
+
+  function describeEnd (): Pick<IncompleteResponse, 'endedBy' | 'reason'> {
+    if (end !== undefined) return end
+    const error: NodeJS.ErrnoException | null = socket.errored
+    if (error === null) return { endedBy: socket.readableEnded ? ConnectionEnd.Client : ConnectionEnd.Gateway, reason: '' }
+    const reason = error.code ?? error.message
+    return { endedBy: clientErrorCodes.includes(reason) ? ConnectionEnd.Client : ConnectionEnd.HttpServer, reason }
+  }
+
+  function reportIncomplete ({ request, response }: ClientExchange): void {
+    options.onIncomplete({ request, response, ...describeEnd() })
+  }
+
+  function begin (exchange: ClientExchange): void {
+    if (options.isDraining()) announceClose()
+    options.handle(exchange)
+  }
+
+  /** A response behind one that announces the close would not arrive. */
+  function announceClose (): void {
+    const [only, ...others] = exchanges
+    if (only !== undefined && others.length === 0 && !only.response.headersSent) only.response.shouldKeepAlive = false
+  }
+
+  function finish (exchange: ClientExchange): void {
+    const index = exchanges.indexOf(exchange)
+    if (index === -1) return
+    exchanges.splice(index, 1)
+    if (!exchange.response.writableFinished) reportIncomplete(exchange)
+    if (socket.destroyed) return
+    if (isClosing) dropWaiting('the response before it closed the connection')
+    else if (exchanges[0] !== undefined) begin(exchanges[0])
+    if (socket.isPaused() && exchanges.length < maxWaitingCount) socket.resume()
+  }
+
+  function dropWaiting (reason: string): void {
+    end ??= { endedBy: ConnectionEnd.Gateway, reason }
+    for (const exchange of exchanges.splice(0)) reportIncomplete(exchange)
+  }
+
+  function closeAfterLast (): void {
+    isClosing = true
+    destroySoon()
+  }
+
+  // The HTTP server calls it after a response with `Connection: close`.
+  socket.destroySoon = closeAfterLast
+  // Without a listener an error would end the process; `describeEnd` reports it.
+  socket.on('error', () => {})
+  socket.once('close', () => {
+    for (const exchange of exchanges.splice(0)) {
+      if (!exchange.response.writableFinished) reportIncomplete(exchange)
+    }
+  })
+
+  return {
+    receive (request, response) {
+      if (isClosing) return
+      const exchange: ClientExchange = { request, response, arrivedAtMs: timers.nowMs() }
+      exchanges.push(exchange)
+      response.once('close', () => finish(exchange))
+      if (exchanges.length === 1) begin(exchange)
+      else if (exchanges.length >= maxWaitingCount) socket.pause()
+    },
+    refuse (status, raised) {
+      if (isClosing) return
+      if (!socket.writable) {
+        socket.destroy()
+        return
+      }
+      end ??= { endedBy: ConnectionEnd.HttpServer, reason: raised.code ?? raised.message }
+      socket.end(formatRefusal(status))
+    },
+    countOutstanding: () => exchanges.length
+  }
+}
+
+/** Sends a response that the gateway makes itself before a request's route is known. */
+export function respondWithoutBody (response: ServerResponse, statusCode: number): void {
+  response.writeHead(statusCode, { 'Content-Length': '0' }).end()
+}
+
+function formatRefusal (status: string): string {
+  return `HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
+}
--- a/src/gateway/client-server.test.ts
+++ b/src/gateway/client-server.test.ts
@@ -3,53 +3,96 @@
 
 import { expect } from 'chai'
 
+import { createSystemTimerService } from '../shared/timer-service.js'
 import { findFreePorts } from '../testing/free-ports.js'
-import { ConnectionEnd, createClientServer, type ClientServer, type IncompleteResponse } from './client-server.js'
+import { ConnectionEnd, type ClientExchange, type IncompleteResponse } from './client-connection.js'
+import { createClientServer, type ClientServer, type ClientServerOptions } from './client-server.js'
 
 const request = 'GET /a HTTP/1.1\r\nHost: h.example\r\n\r\n'
+const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+
+interface Client {
+  readonly socket: net.Socket
+  text: string
+  isClosed: boolean
+}
+
+function sleep (durationMs: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, durationMs))
+}
+
+async function waitFor (isDone: () => boolean): Promise<void> {
+  while (!isDone()) await sleep(5)
+}
 
 describe('client server', () => {
-  describe('responses that were not completed', () => {
-    let port = 0
-    let server: ClientServer
-    let incomplete: IncompleteResponse[]
-    let destroysResponse: boolean
+  let port = 0
+  let server: ClientServer
+  let incomplete: IncompleteResponse[]
+  let exchanges: ClientExchange[]
+  let clients: Client[]
+  /** What the gateway does with a request. */
+  let handle: (exchange: ClientExchange) => void
 
-    beforeEach(async () => {
-      incomplete = []
-      destroysResponse = false
-      const [freePort = 0] = await findFreePorts(1)
-      port = freePort
-      server = createClientServer({
-        address: { host: '127.0.0.1', port },
-        maxHeaderBytes: 16_384,
-        handle (_request, response) {
-          response.write('start')
-          if (destroysResponse) response.destroy()
-        },
-        onIncomplete: ended => incomplete.push(ended)
-      })
-      await server.start()
+  beforeEach(() => {
+    incomplete = []
+    exchanges = []
+    clients = []
+    handle = ({ response }) => { response.end('whole') }
+  })
+
+  afterEach(async () => {
+    for (const { socket } of clients) socket.destroy()
+    await server.stop()
+  })
+
+  async function start (options: Partial<ClientServerOptions> = {}): Promise<void> {
+    const [freePort = 0] = await findFreePorts(1)
+    port = freePort
+    server = createClientServer({
+      address: { host: '127.0.0.1', port },
+      maxHeaderBytes: limits.maxHeaderBytes,
+      timers: createSystemTimerService(),
+      handle (exchange) {
+        exchanges.push(exchange)
+        handle(exchange)
+      },
+      onIncomplete: ended => incomplete.push(ended),
+      ...options
     })
+    await server.start()
+    server.applyLimits(limits)
+  }
 
-    afterEach(() => server.stop())
+  async function connect (): Promise<Client> {
+    const client: Client = { socket: net.connect({ port, host: '127.0.0.1', allowHalfOpen: true }), text: '', isClosed: false }
+    const recordClose = () => { client.isClosed = true }
+    client.socket.on('error', () => {})
+    client.socket.on('data', chunk => { client.text += chunk })
+    client.socket.on('end', recordClose)
+    client.socket.on('close', recordClose)
+    await once(client.socket, 'connect')
+    clients.push(client)
+    return client
+  }
 
-    async function connect (): Promise<net.Socket> {
-      const socket = net.connect(port, '127.0.0.1')
-      socket.on('error', () => {})
-      socket.resume()
-      await once(socket, 'connect')
-      return socket
-    }
+  describe('responses that were not completed', () => {
+    beforeEach(async () => {
+      handle = ({ response }) => { response.write('start') }
+      await start()
+    })
 
     async function waitForEnd (): Promise<ConnectionEnd | undefined> {
-      while (incomplete.length === 0) await new Promise(resolve => setTimeout(resolve, 5))
+      await waitFor(() => incomplete.length > 0)
       return incomplete[0]?.endedBy
     }
 
     it('names the gateway when it gives a response up', async () => {
-      destroysResponse = true
-      const socket = await connect()
+      handle = ({ response }) => {
+        response.write('start')
+        response.destroy()
+      }
+      const { socket } = await connect()
       socket.write(request)
       expect(await waitForEnd()).to.equal(ConnectionEnd.Gateway)
     })
@@ -57,7 +100,7 @@
     it('names the client when it closes or resets its connection', async () => {
       for (const close of [(socket: net.Socket) => socket.end(), (socket: net.Socket) => socket.resetAndDestroy()]) {
         incomplete = []
-        const socket = await connect()
+        const { socket } = await connect()
         socket.write(request)
         await once(socket, 'data')
         close(socket)
@@ -66,11 +109,23 @@
     })
 
     it('names the HTTP server when it closes a connection for bytes that are no request', async () => {
-      const socket = await connect()
+      const { socket } = await connect()
       socket.write(request)
       await once(socket, 'data')
       socket.write('no request\r\n\r\n')
+      // The server ends its half, the client the other.
+      await once(socket, 'end')
+      socket.end()
       expect(await waitForEnd()).to.equal(ConnectionEnd.HttpServer)
     })
+
+    it('are counted and reported once each when a client leaves with several requests sent', async () => {
+      const client = await connect()
+      client.socket.write(request.repeat(3))
+      await waitFor(() => server.countInFlight() === 3)
+      client.socket.destroy()
+      await waitFor(() => server.countInFlight() === 0)
+      expect(incomplete.map(({ endedBy }) => endedBy)).to.eql(Array.from({ length: 3 }, () => ConnectionEnd.Client))
+    })
   })
 })
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -2,26 +2,9 @@
 import type { Socket } from 'node:net'
 
 import type { NetworkAddress } from '../shared/network-address.js'
+import type { TimerService } from '../shared/timer-service.js'
 import type { ClientLimits } from '../state/serving-config.js'
-
-/** Who ended a connection on which a request has no complete response. The values are logged. */
-export enum ConnectionEnd {
-  /** The gateway closed it, since the response cannot be completed. */
-  Gateway = 'gateway',
-  /** The client closed or reset it, or its network path broke. */
-  Client = 'client',
-  /** The HTTP server closed it by itself, after a timeout or for bytes that are no request. */
-  HttpServer = 'http_server'
-}
-
-/** A request whose connection closed before its response was complete. */
-export interface IncompleteResponse {
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  readonly endedBy: ConnectionEnd
-  /** Error of the connection; empty when it was closed in order. */
-  readonly reason: string
-}
+import { createClientConnection, respondWithoutBody, type ClientConnection, type ClientExchange, type IncompleteResponse } from './client-connection.js'
 
 /** The HTTP server that clients connect to. */
 export interface ClientServer {
@@ -41,46 +24,59 @@
 export interface ClientServerOptions {
   readonly address: NetworkAddress
   readonly maxHeaderBytes: number
-  handle (request: IncomingMessage, response: ServerResponse): void
+  readonly timers: TimerService
+  handle (exchange: ClientExchange): void
   /** Called for each request whose response was not completed. */
   onIncomplete (incomplete: IncompleteResponse): void
 }
 
+const backlogLength = 1024
 /** Added to the idle timeout: clients may reuse a connection until the timeout ends, so the server closes it later than that. */
 const idleTimeoutMarginMs = 2000
-const backlogLength = 1024
 /** Status lines by Node.js error code; any other client error is answered with 400. */
 const statusByErrorCode: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
 }
-/** Errors of a connection that the client or its network path causes; any other one is raised by the HTTP server. */
-const clientErrorCodes: readonly string[] = ['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']
 
 /** Creates the server; it listens after `start`. */
-export function createClientServer ({ address, maxHeaderBytes, handle, onIncomplete }: ClientServerOptions): ClientServer {
-  let inFlightCount = 0
+export function createClientServer ({ address, maxHeaderBytes, timers, handle, onIncomplete }: ClientServerOptions): ClientServer {
+  const connections = new Map<Socket, ClientConnection>()
   let isDraining = false
   let hasReceivedRequest = false
-  const connectionErrors = new WeakMap<Socket, NodeJS.ErrnoException>()
 
-  // `keepAlive` is TCP keep-alive: HTTP connections are reused.
-  const server = http.createServer({ maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true }, (request, response) => {
-    inFlightCount += 1
-    hasReceivedRequest = true
-    response.sendDate = false
-    if (isDraining) response.shouldKeepAlive = false
-    response.once('close', () => {
-      inFlightCount -= 1
-      if (!response.writableFinished) onIncomplete({ request, response, ...describeEnd(request.socket, connectionErrors.get(request.socket)) })
-    })
-    handle(request, response)
-  })
+  // `keepAlive` is TCP keep-alive: HTTP connections are reused. A missing Host is refused in `receive`, in the order of requests.
+  const server = http.createServer({ maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true, requireHostHeader: false }, receive)
+  server.on('connection', track)
+  server.on('checkExpectation', receive)
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    connectionErrors.set(socket, error)
-    rejectMalformedRequest(error, socket)
+    connections.get(socket)?.refuse(statusByErrorCode[error.code ?? ''] ?? '400 Bad Request', error)
   })
 
+  function track (socket: Socket): void {
+    const connection = createClientConnection({ socket, timers, isDraining: () => isDraining, handle: handleExchange, onIncomplete })
+    connections.set(socket, connection)
+    socket.once('close', () => connections.delete(socket))
+  }
+
+  function receive (request: IncomingMessage, response: ServerResponse): void {
+    hasReceivedRequest = true
+    response.sendDate = false
+    connections.get(request.socket)?.receive(request, response)
+  }
+
+  function handleExchange (exchange: ClientExchange): void {
+    const { request, response } = exchange
+    const isHostMissing = request.httpVersion === '1.1' && request.headers.host === undefined
+    const hasUnknownExpectation = request.headers.expect !== undefined && !/^100-continue$/i.test(request.headers.expect)
+    if (!isHostMissing && !hasUnknownExpectation) {
+      handle(exchange)
+      return
+    }
+    response.shouldKeepAlive = false
+    respondWithoutBody(response, isHostMissing ? 400 : 417)
+  }
+
   return {
     start: () => new Promise((resolve, reject) => {
       server.once('error', reject)
@@ -98,22 +94,7 @@
       server.close(() => resolve())
       server.closeIdleConnections()
     }),
-    countInFlight: () => inFlightCount,
+    countInFlight: () => [...connections.values()].reduce((sum, connection) => sum + connection.countOutstanding(), 0),
     hasReceivedRequest: () => hasReceivedRequest
   }
 }
-
-function describeEnd (socket: Socket, error: NodeJS.ErrnoException | undefined): Pick<IncompleteResponse, 'endedBy' | 'reason'> {
-  const reason = error?.code ?? error?.message ?? ''
-  if (error !== undefined) return { endedBy: clientErrorCodes.includes(error.code ?? '') ? ConnectionEnd.Client : ConnectionEnd.HttpServer, reason }
-  return { endedBy: socket.readableEnded ? ConnectionEnd.Client : ConnectionEnd.Gateway, reason }
-}
-
-function rejectMalformedRequest (error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable) {
-    socket.destroy()
-    return
-  }
-  const status = statusByErrorCode[error.code ?? ''] ?? '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,7 +23,8 @@
 import { createBackendConnectionPool } from '../transport/backend-connection-pool.js'
 import type { CallDependencies } from './call-context.js'
 import { createCallIntake } from './call-intake.js'
-import { ConnectionEnd, createClientServer, type IncompleteResponse } from './client-server.js'
+import { ConnectionEnd, type IncompleteResponse } from './client-connection.js'
+import { createClientServer } from './client-server.js'
 import { createFleetView, FleetEvent, type StoreLayout } from './fleet-view.js'
 import type { GatewayBounds, GatewaySettings } from './gateway-settings.js'
 import { createLoadSharing } from './load-sharing.js'
@@ -179,7 +180,7 @@
   })
   const incompleteLogger = createRateLimitedLogger(createLogger('connections'), timers, incompleteLogLinesPerSecond)
   const callIntake = createCallIntake({ dependencies, getMaxConfigAgeMs })
-  const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes: maxParsedHeaderBytes, handle: callIntake.handle, onIncomplete: recordIncomplete })
+  const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes: maxParsedHeaderBytes, timers, handle: callIntake.handle, onIncomplete: recordIncomplete })
   const readinessServer = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics, refreshGauges)
   const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), log)
