Refuse bytes that are no request only after the responses that are due

Cause: the answer to 'clientError' was written to the socket at once, whatever response was being written there, and ended it.

Fix: the refusal waits until the whole requests before it have their responses. The last of these announces the close where its head can still say so; then nothing is written behind it. A request that is not whole gets the refusal as its own response; when its response has begun already, the connection is cut, since it cannot be completed honestly.

--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -43,7 +43,7 @@
 
 export interface ClientConnection {
   receive (request: IncomingMessage, response: ServerResponse): void
-  /** Ends the connection with this status line. */
+  /** Ends the connection with this status line, after the responses that are due. */
   refuse (status: string, error: NodeJS.ErrnoException): void
   /** Requests without a complete response. */
   countOutstanding (): number
@@ -60,6 +60,7 @@
   /** In the order of arrival; the first one is being handled. */
   const exchanges: ClientExchange[] = []
   let end: Pick<IncompleteResponse, 'endedBy' | 'reason'> | undefined
+  let pendingRefusal: string | undefined
   let isClosing = false
   const destroySoon = socket.destroySoon.bind(socket)
 
@@ -75,7 +76,13 @@
     options.onIncomplete({ request, response, ...describeEnd() })
   }
 
+  function destroy (endedBy: ConnectionEnd, reason: string): void {
+    end = { endedBy, reason }
+    socket.destroy()
+  }
+
   function begin (exchange: ClientExchange): void {
+    if (exchange.response.writableEnded) return
     if (options.isDraining()) announceClose()
     options.handle(exchange)
   }
@@ -94,9 +101,16 @@
     if (socket.destroyed) return
     if (isClosing) dropWaiting('the response before it closed the connection')
     else if (exchanges[0] !== undefined) begin(exchanges[0])
+    else settle()
     if (socket.isPaused() && exchanges.length < maxWaitingCount) socket.resume()
   }
 
+  function settle (): void {
+    if (pendingRefusal === undefined) return
+    socket.write(formatRefusal(pendingRefusal))
+    closeAfterLast()
+  }
+
   function dropWaiting (reason: string): void {
     end ??= { endedBy: ConnectionEnd.Gateway, reason }
     for (const exchange of exchanges.splice(0)) reportIncomplete(exchange)
@@ -107,6 +121,17 @@
     destroySoon()
   }
 
+  /** Refuses a request whose rest will not arrive. A response that has begun cannot be completed with another status. */
+  function refuseIncomplete (response: ServerResponse, status: string, raised: NodeJS.ErrnoException): void {
+    if (response.writableEnded) return
+    if (response.headersSent) {
+      destroy(ConnectionEnd.HttpServer, raised.code ?? raised.message)
+      return
+    }
+    response.shouldKeepAlive = false
+    respondWithoutBody(response, Number.parseInt(status))
+  }
+
   // The HTTP server calls it after a response with `Connection: close`.
   socket.destroySoon = closeAfterLast
   // Without a listener an error would end the process; `describeEnd` reports it.
@@ -119,7 +144,7 @@
 
   return {
     receive (request, response) {
-      if (isClosing) return
+      if (isClosing || pendingRefusal !== undefined) return
       const exchange: ClientExchange = { request, response, arrivedAtMs: timers.nowMs() }
       exchanges.push(exchange)
       response.once('close', () => finish(exchange))
@@ -127,19 +152,25 @@
       else if (exchanges.length >= maxWaitingCount) socket.pause()
     },
     refuse (status, raised) {
-      if (isClosing) return
+      if (isClosing || pendingRefusal !== undefined) return
       if (!socket.writable) {
         socket.destroy()
         return
       }
-      end ??= { endedBy: ConnectionEnd.HttpServer, reason: raised.code ?? raised.message }
-      socket.end(formatRefusal(status))
+      const last = exchanges.at(-1)
+      if (last !== undefined && !last.request.complete) {
+        refuseIncomplete(last.response, status, raised)
+        return
+      }
+      pendingRefusal = status
+      if (last === undefined) settle()
+      else if (!last.response.headersSent) last.response.shouldKeepAlive = false
     },
     countOutstanding: () => exchanges.length
   }
 }
 
-/** Sends a response that the gateway makes itself before a request's route is known. */
+/** Sends a response that the gateway makes itself before a request's route is known, or at the end of the process. */
 export function respondWithoutBody (response: ServerResponse, statusCode: number): void {
   response.writeHead(statusCode, { 'Content-Length': '0' }).end()
 }
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -49,6 +49,7 @@
   const server = http.createServer({ maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true, requireHostHeader: false }, receive)
   server.on('connection', track)
   server.on('checkExpectation', receive)
+  server.on('connect', request => connections.get(request.socket)?.refuse('405 Method Not Allowed', new Error('the method is CONNECT')))
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     connections.get(socket)?.refuse(statusByErrorCode[error.code ?? ''] ?? '400 Bad Request', error)
   })
