Read on for a bounded time after the last response of a connection

Callers saw: a client that sends a body above the limit and reads afterwards got a reset instead of the 413.

Cause: the HTTP server closes the socket once the response is written. With unread bytes, or more that arrive, the kernel resets the connection, and the client's kernel drops what it had received and not yet handed over.

Fix: only the sending half is closed; what the client still sends is taken from the HTTP parser, read and dropped, until the client closes, for 2 s, or for 8 MiB. Nothing that arrives then is handled.

--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -45,10 +45,16 @@
   receive (request: IncomingMessage, response: ServerResponse): void
   /** Ends the connection with this status line, after the responses that are due. */
   refuse (status: string, error: NodeJS.ErrnoException): void
+  /** Ends what is due. */
+  check (): void
   /** Requests without a complete response. */
   countOutstanding (): number
 }
 
+/** After the last response the rest of what the client sends is read for this time; a reset could overtake the response. Longer than a round trip. */
+const lingerMs = 2000
+/** Limit on the bytes read meanwhile, twice the usual limit of a body. */
+const maxLingerBytes = 8 * 1024 * 1024
 /** Requests that may wait on a connection for the responses before theirs; then no more is read. Clients rarely send two. */
 const maxWaitingCount = 16
 /** Errors of a connection that the client or its network path causes; any other one is raised by the HTTP server. */
@@ -62,7 +68,8 @@
   let end: Pick<IncompleteResponse, 'endedBy' | 'reason'> | undefined
   let pendingRefusal: string | undefined
   let isClosing = false
-  const destroySoon = socket.destroySoon.bind(socket)
+  let discardedBytes = 0
+  let lingerEndsAtMs = Infinity
 
   function describeEnd (): Pick<IncompleteResponse, 'endedBy' | 'reason'> {
     if (end !== undefined) return end
@@ -108,7 +115,7 @@
   function settle (): void {
     if (pendingRefusal === undefined) return
     socket.write(formatRefusal(pendingRefusal))
-    closeAfterLast()
+    closeGently()
   }
 
   function dropWaiting (reason: string): void {
@@ -116,9 +123,19 @@
     for (const exchange of exchanges.splice(0)) reportIncomplete(exchange)
   }
 
-  function closeAfterLast (): void {
+  /** Closes the sending half, and reads and discards for a time. Bytes that are unread when a connection closes cause a reset. */
+  function closeGently (): void {
+    if (isClosing) return
     isClosing = true
-    destroySoon()
+    // The listener takes the bytes from the HTTP parser, so that nothing that follows is handled.
+    socket.removeAllListeners('data')
+    socket.on('data', (chunk: Buffer) => {
+      discardedBytes += chunk.length
+      if (discardedBytes > maxLingerBytes) socket.destroy()
+    })
+    socket.resume()
+    socket.once('finish', () => { lingerEndsAtMs = timers.nowMs() + lingerMs })
+    socket.end()
   }
 
   /** Refuses a request whose rest will not arrive. A response that has begun cannot be completed with another status. */
@@ -133,7 +150,7 @@
   }
 
   // The HTTP server calls it after a response with `Connection: close`.
-  socket.destroySoon = closeAfterLast
+  socket.destroySoon = closeGently
   // Without a listener an error would end the process; `describeEnd` reports it.
   socket.on('error', () => {})
   socket.once('close', () => {
@@ -166,6 +183,9 @@
       if (last === undefined) settle()
       else if (!last.response.headersSent) last.response.shouldKeepAlive = false
     },
+    check () {
+      if (timers.nowMs() >= lingerEndsAtMs) socket.destroy()
+    },
     countOutstanding: () => exchanges.length
   }
 }
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 
 import type { NetworkAddress } from '../shared/network-address.js'
+import { createSharedTicker } from '../shared/shared-ticker.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { ClientLimits } from '../state/serving-config.js'
 import { createClientConnection, respondWithoutBody, type ClientConnection, type ClientExchange, type IncompleteResponse } from './client-connection.js'
@@ -33,6 +34,8 @@
 const backlogLength = 1024
 /** Added to the idle timeout: clients may reuse a connection until the timeout ends, so the server closes it later than that. */
 const idleTimeoutMarginMs = 2000
+/** Interval of the checks of what is due. A fraction of the time that a closing connection is given. */
+const checkIntervalMs = 500
 /** Status lines by Node.js error code; any other client error is answered with 400. */
 const statusByErrorCode: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -42,6 +45,7 @@
 /** Creates the server; it listens after `start`. */
 export function createClientServer ({ address, maxHeaderBytes, timers, handle, onIncomplete }: ClientServerOptions): ClientServer {
   const connections = new Map<Socket, ClientConnection>()
+  const ticker = createSharedTicker(timers, checkIntervalMs)
   let isDraining = false
   let hasReceivedRequest = false
 
@@ -57,7 +61,11 @@
   function track (socket: Socket): void {
     const connection = createClientConnection({ socket, timers, isDraining: () => isDraining, handle: handleExchange, onIncomplete })
     connections.set(socket, connection)
-    socket.once('close', () => connections.delete(socket))
+    const subscription = ticker.subscribe(connection.check)
+    socket.once('close', () => {
+      subscription.cancel()
+      connections.delete(socket)
+    })
   }
 
   function receive (request: IncomingMessage, response: ServerResponse): void {
