Answer a client that has closed its sending half where its request must not be repeated

Cause: the HTTP server ends its own half as soon as the client ends the other.

Fix: the server allows half-open connections. Call intake says for each routed request whether its response is still due; it is for requests that must not be repeated, and their connection closes after the response. A client that is gone by then resets the write, which ends the connection.

With it: Node.js emits 'finish', and sets `writableFinished`, also for a response that an error cut off. Such responses were not reported; they count as incomplete now. 'does not keep its connection when it is gone by the time of the response' failed in this code until then (`expected [] to deeply equal [ 'client' ]`).

--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -46,7 +46,7 @@
     refuse(request, response, 503, reason, Math.round(minUnavailableRetryAfterMs + unavailableRetryAfterSpreadMs * random.nextFloat()))
   }
 
-  async function handle ({ request, response, arrivedAtMs }: ClientExchange): Promise<void> {
+  async function handle ({ request, response, arrivedAtMs, setMustComplete }: ClientExchange): Promise<void> {
     response.on('error', error => dependencies.logger.debug('A client connection failed.', { reason: error.message }))
     const limits = fleet.getConfig()?.limits
     if (countHeaderBytes(request) > (limits?.maxHeaderBytes ?? Infinity)) {
@@ -94,6 +94,8 @@
       refuseWithRetryAfter(request, response, 'the time for a response had passed before the whole request arrived')
       return
     }
+    setMustComplete(route.kind === RouteKind.Unsafe)
+    if (response.destroyed || request.socket.destroyed) return
     await forward({ request, response, clientInfo, route, team, serviceName, arrivedAtMs, body: body.body, deadlineAtMs }, route)
   }
 
--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -29,6 +29,11 @@
   readonly response: ServerResponse
   /** When the head arrived; requests on one connection wait for the responses before theirs. */
   readonly arrivedAtMs: number
+  /**
+   * Says whether the response is still due once the client has closed its sending half. Where it is not, the connection
+   * ends then, since a client that left looks the same.
+   */
+  setMustComplete (mustComplete: boolean): void
 }
 
 /** What the server of a connection knows and decides. */
@@ -60,11 +65,18 @@
 /** Errors of a connection that the client or its network path causes; any other one is raised by the HTTP server. */
 const clientErrorCodes: readonly string[] = ['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']
 
+interface TrackedExchange extends ClientExchange {
+  /** Whether the whole response was handed to the operating system. */
+  isSent: boolean
+  /** Undefined until the request's route is known. */
+  mustComplete: boolean | undefined
+}
+
 /** Tracks a connection that the HTTP server has accepted. */
 export function createClientConnection (options: ClientConnectionOptions): ClientConnection {
   const { socket, timers } = options
   /** In the order of arrival; the first one is being handled. */
-  const exchanges: ClientExchange[] = []
+  const exchanges: TrackedExchange[] = []
   let end: Pick<IncompleteResponse, 'endedBy' | 'reason'> | undefined
   let pendingRefusal: string | undefined
   let isClosing = false
@@ -79,7 +91,7 @@
     return { endedBy: clientErrorCodes.includes(reason) ? ConnectionEnd.Client : ConnectionEnd.HttpServer, reason }
   }
 
-  function reportIncomplete ({ request, response }: ClientExchange): void {
+  function reportIncomplete ({ request, response }: TrackedExchange): void {
     options.onIncomplete({ request, response, ...describeEnd() })
   }
 
@@ -88,7 +100,7 @@
     socket.destroy()
   }
 
-  function begin (exchange: ClientExchange): void {
+  function begin (exchange: TrackedExchange): void {
     if (exchange.response.writableEnded) return
     if (options.isDraining()) announceClose()
     options.handle(exchange)
@@ -100,11 +112,11 @@
     if (only !== undefined && others.length === 0 && !only.response.headersSent) only.response.shouldKeepAlive = false
   }
 
-  function finish (exchange: ClientExchange): void {
+  function finish (exchange: TrackedExchange): void {
     const index = exchanges.indexOf(exchange)
     if (index === -1) return
     exchanges.splice(index, 1)
-    if (!exchange.response.writableFinished) reportIncomplete(exchange)
+    if (!exchange.isSent) reportIncomplete(exchange)
     if (socket.destroyed) return
     if (isClosing) dropWaiting('the response before it closed the connection')
     else if (exchanges[0] !== undefined) begin(exchanges[0])
@@ -149,21 +161,39 @@
     respondWithoutBody(response, Number.parseInt(status))
   }
 
+  function handleHalfClose (): void {
+    const [current] = exchanges
+    if (current?.mustComplete === false && !current.response.writableEnded) socket.destroy()
+  }
+
   // The HTTP server calls it after a response with `Connection: close`.
   socket.destroySoon = closeGently
+  socket.on('end', handleHalfClose)
   // Without a listener an error would end the process; `describeEnd` reports it.
   socket.on('error', () => {})
   socket.once('close', () => {
     for (const exchange of exchanges.splice(0)) {
-      if (!exchange.response.writableFinished) reportIncomplete(exchange)
+      if (!exchange.isSent) reportIncomplete(exchange)
     }
   })
 
   return {
     receive (request, response) {
       if (isClosing || pendingRefusal !== undefined) return
-      const exchange: ClientExchange = { request, response, arrivedAtMs: timers.nowMs() }
+      const exchange: TrackedExchange = {
+        request,
+        response,
+        arrivedAtMs: timers.nowMs(),
+        isSent: false,
+        mustComplete: undefined,
+        setMustComplete (mustComplete) {
+          exchange.mustComplete = mustComplete
+          if (socket.readableEnded) handleHalfClose()
+        }
+      }
       exchanges.push(exchange)
+      // Node.js also emits it, and sets `writableFinished`, for what a connection did not send before an error.
+      response.once('finish', () => { exchange.isSent = !socket.destroyed && socket.errored === null })
       response.once('close', () => finish(exchange))
       if (exchanges.length === 1) begin(exchange)
       else if (exchanges.length >= maxWaitingCount) socket.pause()
--- a/src/gateway/client-server.test.ts
+++ b/src/gateway/client-server.test.ts
@@ -79,7 +79,10 @@
 
   describe('responses that were not completed', () => {
     beforeEach(async () => {
-      handle = ({ response }) => { response.write('start') }
+      handle = ({ response, setMustComplete }) => {
+        setMustComplete(false)
+        response.write('start')
+      }
       await start()
     })
 
@@ -171,4 +174,31 @@
       expect(incomplete).to.eql([])
     })
   })
+
+  describe('a client that closes its sending half', () => {
+    it('does not keep its connection when it is gone by the time of the response', async () => {
+      handle = ({ response, setMustComplete }) => {
+        setMustComplete(true)
+        setTimeout(() => response.end('x'.repeat(8_000_000)), 100)
+      }
+      await start()
+      const client = await connect()
+      client.socket.end(request)
+      await waitFor(() => exchanges.length === 1)
+      client.socket.resetAndDestroy()
+      await waitFor(() => server.countInFlight() === 0)
+      expect(exchanges[0]?.request.socket.destroyed).to.equal(true)
+      expect(incomplete.map(({ endedBy }) => endedBy)).to.eql([ConnectionEnd.Client])
+    })
+
+    it('is refused when its request is not whole', async () => {
+      handle = () => {}
+      await start()
+      const client = await connect()
+      client.socket.end(`${post}Content-Length: 10\r\n\r\nhalf`)
+      await waitFor(() => client.isClosed)
+      expect(client.text).to.match(/^HTTP\/1\.1 400 /)
+      expect(server.countInFlight()).to.equal(0)
+    })
+  })
 })
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -51,6 +51,8 @@
 
   // `keepAlive` is TCP keep-alive: HTTP connections are reused. A missing Host is refused in `receive`, in the order of requests.
   const server = http.createServer({ maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true, requireHostHeader: false }, receive)
+  // The end of the sending half alone does not end the connection.
+  Object.assign(server, { httpAllowHalfOpen: true })
   server.on('connection', track)
   server.on('checkExpectation', receive)
   server.on('connect', request => connections.get(request.socket)?.refuse('405 Method Not Allowed', new Error('the method is CONNECT')))
