Close idle connections later than their clients were told, whatever limits change

Callers saw: `Keep-Alive: timeout=N` with the very margin included that was meant for requests on their way, and after a change of the configuration an idle connection closed seconds before the time that its client had been told. Slow heads were checked every 30 s.

Cause: Node.js states `keepAliveTimeout` in the head and reads it again when the response ends, so a limit that was lowered in between applies to a client that knows the former one. A raised limit did not reach idle connections. `headersTimeout` applies to heads that are arriving.

Fix: the limit is stated as configured. A check of all connections, twice a second, closes those idle for longer than the highest of what their client was told last and what holds now, and 2 s. It runs after what has arrived is read, so that a request that waited for a suspended process is seen. A head that has begun to arrive by then gets its own limit. A lowered limit on heads applies once every head that began under the former one has had its time; configurations that follow each other don't put that off. A connection without any byte is no slow head: with checks twice a second it would have got 408 after `headerTimeoutMs`.

--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -46,16 +46,24 @@
   onIncomplete (incomplete: IncompleteResponse): void
 }
 
+/** Limits of a check of a connection. */
+export interface ConnectionCheck {
+  readonly idleLimitMs: number
+  /** Time that a head which began to arrive just before the end of the idle time gets. */
+  readonly headerLimitMs: number
+}
+
 export interface ClientConnection {
-  receive (request: IncomingMessage, response: ServerResponse): void
+  receive (request: IncomingMessage, response: ServerResponse, idleLimitMs: number): void
   /** Ends the connection with this status line, after the responses that are due. */
   refuse (status: string, error: NodeJS.ErrnoException): void
-  /** Ends what is due. */
-  check (): void
+  check (limits: ConnectionCheck): void
   /** Requests without a complete response. */
   countOutstanding (): number
 }
 
+/** Added to the idle limit that clients are told: a request that was sent just before its end must still be read. */
+const idleMarginMs = 2000
 /** After the last response the rest of what the client sends is read for this time; a reset could overtake the response. Longer than a round trip. */
 const lingerMs = 2000
 /** Limit on the bytes read meanwhile, twice the usual limit of a body. */
@@ -82,6 +90,9 @@
   let isClosing = false
   let discardedBytes = 0
   let lingerEndsAtMs = Infinity
+  let quietSinceMs = timers.nowMs()
+  let quietBytesRead = 0
+  let toldIdleMs = 0
 
   function describeEnd (): Pick<IncompleteResponse, 'endedBy' | 'reason'> {
     if (end !== undefined) return end
@@ -125,6 +136,8 @@
   }
 
   function settle (): void {
+    quietSinceMs = timers.nowMs()
+    quietBytesRead = socket.bytesRead
     if (pendingRefusal === undefined) return
     socket.write(formatRefusal(pendingRefusal))
     closeGently()
@@ -178,8 +191,9 @@
   })
 
   return {
-    receive (request, response) {
+    receive (request, response, idleLimitMs) {
       if (isClosing || pendingRefusal !== undefined) return
+      toldIdleMs = idleLimitMs
       const exchange: TrackedExchange = {
         request,
         response,
@@ -213,8 +227,17 @@
       if (last === undefined) settle()
       else if (!last.response.headersSent) last.response.shouldKeepAlive = false
     },
-    check () {
-      if (timers.nowMs() >= lingerEndsAtMs) socket.destroy()
+    check ({ idleLimitMs, headerLimitMs }) {
+      const nowMs = timers.nowMs()
+      if (isClosing) {
+        if (nowMs >= lingerEndsAtMs) socket.destroy()
+        return
+      }
+      if (exchanges.length > 0) return
+      const isArriving = socket.bytesRead > quietBytesRead
+      const limitMs = Math.max(idleLimitMs, toldIdleMs) + idleMarginMs + (isArriving ? headerLimitMs : 0)
+      const quietMs = nowMs - quietSinceMs
+      if (quietMs >= limitMs) socket.destroy()
     },
     countOutstanding: () => exchanges.length
   }
--- a/src/gateway/client-server.test.ts
+++ b/src/gateway/client-server.test.ts
@@ -47,7 +47,7 @@
     await server.stop()
   })
 
-  async function start (options: Partial<ClientServerOptions> = {}): Promise<void> {
+  async function start (options: Partial<ClientServerOptions> = {}, startLimits = limits): Promise<void> {
     const [freePort = 0] = await findFreePorts(1)
     port = freePort
     server = createClientServer({
@@ -62,7 +62,7 @@
       ...options
     })
     await server.start()
-    server.applyLimits(limits)
+    server.applyLimits(startLimits)
   }
 
   async function connect (): Promise<Client> {
@@ -77,6 +77,13 @@
     return client
   }
 
+  /** Sends a request and waits for the whole response. */
+  async function exchange (client: Client): Promise<void> {
+    const { length } = client.text
+    client.socket.write(request)
+    await waitFor(() => client.text.slice(length).includes('whole'))
+  }
+
   describe('responses that were not completed', () => {
     beforeEach(async () => {
       handle = ({ response, setMustComplete }) => {
@@ -201,4 +208,81 @@
       expect(server.countInFlight()).to.equal(0)
     })
   })
+
+  describe('idle connections', () => {
+    it('are told the configured limit and closed only after a margin', async () => {
+      await start({}, { ...limits, idleTimeoutMs: 1000 })
+      const client = await connect()
+      await exchange(client)
+      expect(client.text).to.match(/Keep-Alive: timeout=1\r\n/)
+      await sleep(1800)
+      await exchange(client)
+      const idleSinceMs = Date.now()
+      await waitFor(() => client.isClosed)
+      expect(Date.now() - idleSinceMs).to.be.within(2900, 4500)
+    })
+
+    it('are not told a limit of less than a second, which would read as none', async () => {
+      await start({}, { ...limits, idleTimeoutMs: 500 })
+      const client = await connect()
+      await exchange(client)
+      expect(client.text).to.not.match(/Keep-Alive: timeout/)
+    })
+
+    it('stay open for as long as they were told when the limit is lowered before the response ends', async () => {
+      handle = ({ response }) => { setTimeout(() => response.end('whole'), 50) }
+      await start({}, { ...limits, idleTimeoutMs: 2000 })
+      const client = await connect()
+      client.socket.write(request)
+      await waitFor(() => exchanges.length === 1)
+      server.applyLimits({ ...limits, idleTimeoutMs: 100 })
+      await waitFor(() => client.text.includes('whole'))
+      const [, toldS = '0'] = /Keep-Alive: timeout=(\d+)/.exec(client.text) ?? []
+      await sleep(Number(toldS) * 1000 - 100)
+      await exchange(client)
+    })
+
+    it('stay open for a raised limit', async () => {
+      await start({}, { ...limits, idleTimeoutMs: 100 })
+      const client = await connect()
+      await exchange(client)
+      server.applyLimits({ ...limits, idleTimeoutMs: 3500 })
+      await sleep(3400)
+      await exchange(client)
+    })
+
+    it('are not refused for a slow head while nothing has been sent', async () => {
+      await start({}, { ...limits, headerTimeoutMs: 200, idleTimeoutMs: 2000 })
+      const client = await connect()
+      await sleep(1500)
+      await exchange(client)
+      expect(client.text).to.match(/^HTTP\/1\.1 200 /)
+    })
+  })
+
+  describe('a changed limit on heads', () => {
+    it('does not cut a head that is arriving under the former one', async () => {
+      await start({}, { ...limits, headerTimeoutMs: 2000 })
+      const client = await connect()
+      client.socket.write(request.slice(0, 20))
+      server.applyLimits({ ...limits, headerTimeoutMs: 100 })
+      await sleep(1500)
+      client.socket.write(request.slice(20))
+      await waitFor(() => client.text.includes('whole'))
+    })
+
+    it('takes effect although configurations follow each other', async () => {
+      await start({}, { ...limits, headerTimeoutMs: 800 })
+      for (let round = 0; round < 10; round += 1) {
+        server.applyLimits({ ...limits, headerTimeoutMs: 100, idleTimeoutMs: 15_000 + round })
+        await sleep(100)
+      }
+      const client = await connect()
+      const startedAtMs = Date.now()
+      client.socket.write(request.slice(0, 20))
+      await waitFor(() => client.isClosed)
+      expect(Date.now() - startedAtMs).to.be.lessThan(1000)
+      expect(client.text).to.match(/^HTTP\/1\.1 408 /)
+    })
+  })
 })
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -3,7 +3,7 @@
 
 import type { NetworkAddress } from '../shared/network-address.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
-import type { TimerService } from '../shared/timer-service.js'
+import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
 import type { ClientLimits } from '../state/serving-config.js'
 import { createClientConnection, respondWithoutBody, type ClientConnection, type ClientExchange, type IncompleteResponse } from './client-connection.js'
 
@@ -32,10 +32,13 @@
 }
 
 const backlogLength = 1024
-/** Added to the idle timeout: clients may reuse a connection until the timeout ends, so the server closes it later than that. */
-const idleTimeoutMarginMs = 2000
-/** Interval of the checks of what is due. A fraction of the time that a closing connection is given. */
+/** In force until a configuration is known; the values are those of Node.js. */
+const defaultHeaderLimitMs = 60_000
+const defaultIdleLimitMs = 5000
+/** Interval of the checks of timeouts, which are late by as much. A fraction of the shortest timeouts of operators, which are seconds. */
 const checkIntervalMs = 500
+/** `Keep-Alive` states whole seconds. */
+const shortestStatedIdleMs = 1000
 /** Status lines by Node.js error code; any other client error is answered with 400. */
 const statusByErrorCode: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -46,34 +49,49 @@
 export function createClientServer ({ address, maxHeaderBytes, timers, handle, onIncomplete }: ClientServerOptions): ClientServer {
   const connections = new Map<Socket, ClientConnection>()
   const ticker = createSharedTicker(timers, checkIntervalMs)
+  let idleLimitMs = defaultIdleLimitMs
   let isDraining = false
   let hasReceivedRequest = false
+  /** Undefined until a configuration is known. */
+  let headerLimitMs: number | undefined
+  let lowering: { readonly limitMs: number, readonly appliesAtMs: number, readonly timer: TimerSubscription } | undefined
 
   // `keepAlive` is TCP keep-alive: HTTP connections are reused. A missing Host is refused in `receive`, in the order of requests.
-  const server = http.createServer({ maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true, requireHostHeader: false }, receive)
+  const server = http.createServer({
+    maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true, requireHostHeader: false, headersTimeout: defaultHeaderLimitMs, connectionsCheckingInterval: checkIntervalMs
+  }, receive)
   // The end of the sending half alone does not end the connection.
   Object.assign(server, { httpAllowHalfOpen: true })
   server.on('connection', track)
   server.on('checkExpectation', receive)
   server.on('connect', request => connections.get(request.socket)?.refuse('405 Method Not Allowed', new Error('the method is CONNECT')))
+  // Without a listener Node.js closes idle connections.
+  server.on('timeout', () => {})
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    // A connection without any byte is idle, not slow.
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket.bytesRead === 0) return
     connections.get(socket)?.refuse(statusByErrorCode[error.code ?? ''] ?? '400 Bad Request', error)
   })
 
   function track (socket: Socket): void {
     const connection = createClientConnection({ socket, timers, isDraining: () => isDraining, handle: handleExchange, onIncomplete })
     connections.set(socket, connection)
-    const subscription = ticker.subscribe(connection.check)
+    // After a suspension, what has arrived is read before its connection counts as idle.
+    const subscription = ticker.subscribe(() => setImmediate(checkConnection, connection))
     socket.once('close', () => {
       subscription.cancel()
       connections.delete(socket)
     })
   }
 
+  function checkConnection (connection: ClientConnection): void {
+    connection.check({ idleLimitMs, headerLimitMs: server.headersTimeout })
+  }
+
   function receive (request: IncomingMessage, response: ServerResponse): void {
     hasReceivedRequest = true
     response.sendDate = false
-    connections.get(request.socket)?.receive(request, response)
+    connections.get(request.socket)?.receive(request, response, idleLimitMs)
   }
 
   function handleExchange (exchange: ClientExchange): void {
@@ -88,14 +106,35 @@
     respondWithoutBody(response, isHostMissing ? 400 : 417)
   }
 
+  /** A head that is arriving keeps the limit under which it began. */
+  function applyHeaderLimit (limitMs: number): void {
+    const formerLimitMs = lowering?.limitMs ?? headerLimitMs
+    if (limitMs === formerLimitMs) return
+    lowering?.timer.cancel()
+    if (headerLimitMs === undefined || formerLimitMs === undefined || limitMs >= headerLimitMs) {
+      setHeaderLimit(limitMs)
+      return
+    }
+    const appliesAtMs = Math.max(lowering?.appliesAtMs ?? 0, timers.nowMs() + formerLimitMs)
+    lowering = { limitMs, appliesAtMs, timer: timers.subscribeOnce(appliesAtMs - timers.nowMs(), () => setHeaderLimit(limitMs)) }
+  }
+
+  function setHeaderLimit (limitMs: number): void {
+    lowering = undefined
+    headerLimitMs = limitMs
+    server.headersTimeout = limitMs
+  }
+
   return {
     start: () => new Promise((resolve, reject) => {
       server.once('error', reject)
       server.listen({ host: address.host, port: address.port, backlog: backlogLength }, resolve)
     }),
     applyLimits (limits) {
-      server.headersTimeout = limits.headerTimeoutMs
-      server.keepAliveTimeout = limits.idleTimeoutMs + idleTimeoutMarginMs
+      applyHeaderLimit(limits.headerTimeoutMs)
+      idleLimitMs = limits.idleTimeoutMs
+      // Stated in responses. The server closes idle connections by `checkConnection`, later.
+      server.keepAliveTimeout = idleLimitMs >= shortestStatedIdleMs ? idleLimitMs : 0
     },
     beginDrain () {
       isDraining = true
