Answer at the stop what has begun to arrive, and cut no response that was made

Callers saw, around a SIGTERM: a request whose bytes had begun to arrive when the notice time ended was cut by the end of the process; a complete response that the client was still reading was cut; a stream that had said nothing of a close had its connection closed at once.

Cause: `stop` closes idle connections as Node.js sees them: also those whose response was ended and not yet sent. A head that is arriving did not count as in flight, so the process ended. Responses in progress at the begin of the drain kept `keep-alive`. At the limit of the shutdown everything in flight was cut without a word.

Fix: the stop only ends the listening, after a turn of the event loop in which the kernel's connections are taken, and closes a connection once it has been quiet for a second and no byte of a next request has come, right after what has arrived was read. It resolves when all connections are closed; the gateway waits for that, within its limit. From 2.5 s after SIGTERM on, a request whose time would end after the process is refused with 503, since it could be cut; one that was sent earlier gets the chance. What is unanswered at the limit gets 504, or 503 where no server has it.

What crosses a close is still lost to the client, which sees the close of a connection that did not read its request. In busy times a stop takes up to 1.5 s longer.

--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -13,6 +13,8 @@
   readonly dependencies: CallDependencies
   /** Age of the configuration above which API keys are not accepted, since a key may have been revoked. */
   getMaxConfigAgeMs (): number
+  /** When this process ends; from some time after the begin of its drain on, requests that may last longer are refused. */
+  getLatestEndMs (): number
 }
 
 /** Shortest Retry-After while the gateway has no configuration that is fresh enough, or the route has no service. */
@@ -30,7 +32,7 @@
 }
 
 /** Creates the handler that checks a request against the configuration and forwards it. */
-export function createCallIntake ({ dependencies, getMaxConfigAgeMs }: CallIntakeOptions) {
+export function createCallIntake ({ dependencies, getMaxConfigAgeMs, getLatestEndMs }: CallIntakeOptions) {
   const { fleet, codec, timers, random } = dependencies
 
   function refuse (request: IncomingMessage, response: ServerResponse, statusCode: number, reason: string, retryAfterMs?: number): void {
@@ -60,7 +62,7 @@
       refuse(request, response, 413, `the body is larger than ${limits?.maxBodyBytes ?? defaultMaxBodyBytes} bytes`)
       return
     }
-    if (body.kind !== BodyResultKind.Whole || response.destroyed) return
+    if (body.kind !== BodyResultKind.Whole || response.destroyed || response.headersSent) return
     const routes = fleet.getRoutes()
     if (routes === undefined) {
       refuseWithRetryAfter(request, response, 'no configuration has been loaded yet')
@@ -94,6 +96,10 @@
       refuseWithRetryAfter(request, response, 'the time for a response had passed before the whole request arrived')
       return
     }
+    if (deadlineAtMs > getLatestEndMs()) {
+      refuseWithRetryAfter(request, response, 'the gateway ends before the response may')
+      return
+    }
     setMustComplete(route.kind === RouteKind.Unsafe)
     if (response.destroyed || request.socket.destroyed) return
     await forward({ request, response, clientInfo, route, team, serviceName, arrivedAtMs, body: body.body, deadlineAtMs }, route)
--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -51,12 +51,18 @@
   readonly idleLimitMs: number
   /** Time that a head which began to arrive just before the end of the idle time gets. */
   readonly headerLimitMs: number
+  /** Closes a connection that has been idle for this time, whatever its client was told. */
+  readonly quietLimitMs: number
 }
 
 export interface ClientConnection {
   receive (request: IncomingMessage, response: ServerResponse, idleLimitMs: number): void
   /** Ends the connection with this status line, after the responses that are due. */
   refuse (status: string, error: NodeJS.ErrnoException): void
+  /** Marks the response in progress, if its head can still say so, as the last one of the connection. */
+  beginDrain (): void
+  /** Answers what has no response yet, since the process ends: 503 where no server has the request, else 504. */
+  giveUp (): void
   check (limits: ConnectionCheck): void
   /** Requests without a complete response. */
   countOutstanding (): number
@@ -227,7 +233,13 @@
       if (last === undefined) settle()
       else if (!last.response.headersSent) last.response.shouldKeepAlive = false
     },
-    check ({ idleLimitMs, headerLimitMs }) {
+    beginDrain: announceClose,
+    giveUp () {
+      for (const { response, mustComplete } of exchanges) {
+        if (!response.headersSent) respondWithoutBody(response, mustComplete === undefined ? 503 : 504)
+      }
+    },
+    check ({ idleLimitMs, headerLimitMs, quietLimitMs }) {
       const nowMs = timers.nowMs()
       if (isClosing) {
         if (nowMs >= lingerEndsAtMs) socket.destroy()
@@ -237,7 +249,7 @@
       const isArriving = socket.bytesRead > quietBytesRead
       const limitMs = Math.max(idleLimitMs, toldIdleMs) + idleMarginMs + (isArriving ? headerLimitMs : 0)
       const quietMs = nowMs - quietSinceMs
-      if (quietMs >= limitMs) socket.destroy()
+      if (quietMs >= limitMs || (!isArriving && quietMs >= quietLimitMs)) socket.destroy()
     },
     countOutstanding: () => exchanges.length
   }
--- a/src/gateway/client-server.test.ts
+++ b/src/gateway/client-server.test.ts
@@ -285,4 +285,45 @@
       expect(client.text).to.match(/^HTTP\/1\.1 408 /)
     })
   })
+
+  describe('the stop', () => {
+    it('lets a response be read that was made before it', async () => {
+      handle = ({ response }) => { response.end(`${'x'.repeat(16_000_000)}whole`) }
+      await start()
+      const client = await connect()
+      client.socket.pause()
+      client.socket.write(request)
+      await waitFor(() => exchanges.length === 1)
+      await sleep(50)
+      const stopped = server.stop()
+      await sleep(50)
+      client.socket.resume()
+      await waitFor(() => client.isClosed)
+      expect(client.text.endsWith('whole')).to.equal(true)
+      await stopped
+    })
+
+    it('asks clients to close after the responses that are due at its begin', async () => {
+      handle = ({ response }) => { setTimeout(() => response.end('whole'), 50) }
+      await start()
+      const client = await connect()
+      client.socket.write(request)
+      await waitFor(() => exchanges.length === 1)
+      server.beginDrain()
+      await waitFor(() => client.isClosed)
+      expect(client.text).to.match(/Connection: close\r\n[^]*whole$/)
+    })
+
+    it('answers all requests that were sent at once', async () => {
+      handle = ({ response }) => { setTimeout(() => response.end('whole'), 50) }
+      await start()
+      const client = await connect()
+      client.socket.write(request.repeat(3))
+      await waitFor(() => server.countInFlight() === 3)
+      const stopped = server.stop()
+      await waitFor(() => client.isClosed)
+      expect(client.text.match(/whole/g)).to.have.length(3)
+      await stopped
+    })
+  })
 })
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -1,5 +1,5 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import net, { type Socket } from 'node:net'
 
 import type { NetworkAddress } from '../shared/network-address.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
@@ -14,8 +14,10 @@
   applyLimits (limits: ClientLimits): void
   /** From now on responses ask clients to close their connections. */
   beginDrain (): void
-  /** Stops accepting connections and closes idle ones; resolves once no request is in flight. */
+  /** Stops accepting connections and closes idle ones; resolves once all are closed. */
   stop (): Promise<void>
+  /** Answers the requests in flight that have no response yet with a failure, since the process ends. */
+  giveUp (): void
   /** Requests in flight. */
   countInFlight (): number
   /** Whether any request has arrived since the start. */
@@ -39,6 +41,8 @@
 const checkIntervalMs = 500
 /** `Keep-Alive` states whole seconds. */
 const shortestStatedIdleMs = 1000
+/** At the stop a connection closes once it has been idle for this time: longer than a request takes to arrive on a new connection. */
+const stopQuietMs = 1000
 /** Status lines by Node.js error code; any other client error is answered with 400. */
 const statusByErrorCode: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -51,6 +55,7 @@
   const ticker = createSharedTicker(timers, checkIntervalMs)
   let idleLimitMs = defaultIdleLimitMs
   let isDraining = false
+  let isStopping = false
   let hasReceivedRequest = false
   /** Undefined until a configuration is known. */
   let headerLimitMs: number | undefined
@@ -85,7 +90,7 @@
   }
 
   function checkConnection (connection: ClientConnection): void {
-    connection.check({ idleLimitMs, headerLimitMs: server.headersTimeout })
+    connection.check({ idleLimitMs, headerLimitMs: server.headersTimeout, quietLimitMs: isStopping ? stopQuietMs : Infinity })
   }
 
   function receive (request: IncomingMessage, response: ServerResponse): void {
@@ -138,12 +143,20 @@
     },
     beginDrain () {
       isDraining = true
+      for (const connection of connections.values()) connection.beginDrain()
     },
     stop: () => new Promise(resolve => {
       isDraining = true
-      server.close(() => resolve())
-      server.closeIdleConnections()
+      isStopping = true
+      // Connections that the kernel has accepted are taken first. The method of `http.Server` would close idle connections at once.
+      setImmediate(() => {
+        net.Server.prototype.close.call(server, () => resolve())
+        for (const connection of connections.values()) checkConnection(connection)
+      })
     }),
+    giveUp () {
+      for (const connection of connections.values()) connection.giveUp()
+    },
     countInFlight: () => [...connections.values()].reduce((sum, connection) => sum + connection.countOutstanding(), 0),
     hasReceivedRequest: () => hasReceivedRequest
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -62,7 +62,8 @@
 const balancerNoticeMs = 2500
 /** Kept at the end of a shutdown to flush the last bytes and exit. */
 const exitMarginMs = 700
-const drainPollMs = 50
+/** At the end of a shutdown for the last responses: a send on a local network takes less. */
+const lastResponsesMs = 100
 /** Subtracted from the revocation bound for the time that a request needs to reach its server. */
 const revocationMarginMs = 300
 /** Idle connections kept for each server. Requests in flight have their own limit, from what the server accepts in all. */
@@ -179,12 +180,12 @@
     onSuspectReplica: replicaId => planner.checkReplica(replicaId)
   })
   const incompleteLogger = createRateLimitedLogger(createLogger('connections'), timers, incompleteLogLinesPerSecond)
-  const callIntake = createCallIntake({ dependencies, getMaxConfigAgeMs })
+  const callIntake = createCallIntake({ dependencies, getMaxConfigAgeMs, getLatestEndMs })
   const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes: maxParsedHeaderBytes, timers, handle: callIntake.handle, onIncomplete: recordIncomplete })
   const readinessServer = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics, refreshGauges)
   const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), log)
-  let isStopping = false
+  let drain: { readonly lateFromMs: number, readonly stopsAtMs: number } | undefined
 
   function noteLeaving (server: BackendServer): void {
     if (!fleet.markLeaving(server.id, server.startedAtMs)) return
@@ -252,7 +253,7 @@
   }
 
   function isReady (): boolean {
-    return !isStopping && fleet.getConfig() !== undefined && fleet.getConfigAgeMs() <= getMaxConfigAgeMs()
+    return drain === undefined && fleet.getConfig() !== undefined && fleet.getConfigAgeMs() <= getMaxConfigAgeMs()
   }
 
   function observeFleet (): void {
@@ -268,8 +269,19 @@
     })
   }
 
-  async function waitForCalls (stopsAtMs: number): Promise<void> {
-    while (clientServer.countInFlight() > 0 && timers.nowMs() < stopsAtMs) await delay(timers, drainPollMs)
+  /** Requests that arrive late in the drain must have their response before its end; earlier ones get the chance. */
+  function getLatestEndMs (): number {
+    return drain === undefined || timers.nowMs() < drain.lateFromMs ? Infinity : drain.stopsAtMs
+  }
+
+  async function stopClientServer (stopsAtMs: number): Promise<void> {
+    const closed = clientServer.stop()
+    await Promise.race([closed, delay(timers, stopsAtMs - timers.nowMs())])
+    const unansweredCount = clientServer.countInFlight()
+    if (unansweredCount === 0) return
+    log.warn('The time for the drain is over; requests in flight are given up.', { inProgressCount: unansweredCount })
+    clientServer.giveUp()
+    await Promise.race([closed, delay(timers, lastResponsesMs)])
   }
 
   return {
@@ -286,16 +298,16 @@
       bounds = newBounds
     },
     async stop () {
-      const stopsAtMs = timers.nowMs() + bounds.shutdownLimitMs - exitMarginMs
-      isStopping = true
+      const nowMs = timers.nowMs()
+      const stopsAtMs = nowMs + bounds.shutdownLimitMs - exitMarginMs
+      drain = { lateFromMs: nowMs + balancerNoticeMs, stopsAtMs }
       log.info('The gateway is stopping.', { inProgressCount: clientServer.countInFlight() })
       planner.stop()
       clientServer.beginDrain()
       // The wait for the leases to be released is bounded, since the store may not respond.
       await Promise.race([Promise.all([plannerLease.stop(), presence.stop()]), delay(timers, balancerNoticeMs)])
       await delay(timers, balancerNoticeMs)
-      void clientServer.stop()
-      await waitForCalls(stopsAtMs)
+      await stopClientServer(stopsAtMs)
       fleet.stop()
       loadSharing.stop()
       log.info('The gateway has stopped.', { inProgressCount: clientServer.countInFlight() })
