Bound the time of clients' bodies, of empty lines and of responses that are not read

Callers saw nothing; memory and connections were held: a body could take 300 s, looked at each 30 s; a client that took no byte of its response kept it, up to 8 MiB, until its kernel gave up; empty lines kept an idle connection open for good.

New with the closing that reads on, and tested here: bytes without end after the last response, slow and fast.

Fix: `requestTimeout` is the limit on the head and 30 s; Node.js exchanges the two when the limit on heads is the longer one. The socket's timeout, 30 s, ends a connection that has bytes to send and sent none; for others it means nothing.

--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -63,6 +63,8 @@
   beginDrain (): void
   /** Answers what has no response yet, since the process ends: 503 where no server has the request, else 504. */
   giveUp (): void
+  /** Called when nothing was sent or received for the socket's timeout. */
+  checkProgress (): void
   check (limits: ConnectionCheck): void
   /** Requests without a complete response. */
   countOutstanding (): number
@@ -239,6 +241,9 @@
         if (!response.headersSent) respondWithoutBody(response, mustComplete === undefined ? 503 : 504)
       }
     },
+    checkProgress () {
+      if (socket.writableLength > 0) destroy(ConnectionEnd.HttpServer, 'the client does not read')
+    },
     check ({ idleLimitMs, headerLimitMs, quietLimitMs }) {
       const nowMs = timers.nowMs()
       if (isClosing) {
--- a/src/gateway/client-server.test.ts
+++ b/src/gateway/client-server.test.ts
@@ -286,6 +286,95 @@
     })
   })
 
+  describe('bytes without end', () => {
+    const maxSentBytes = 2_000_000
+
+    /** Sends until the server closes; fails by the test's timeout if it does not. Returns the bytes sent. */
+    async function sendUntilClosed (client: Client, head: string, piece: string, intervalMs: number): Promise<number> {
+      let sentBytes = 0
+      client.socket.write(head)
+      while (!client.isClosed) {
+        if (client.socket.writableLength === 0) {
+          client.socket.write(piece)
+          sentBytes += piece.length
+        }
+        await sleep(intervalMs)
+      }
+      return sentBytes
+    }
+
+    for (const { name, head, piece, status } of [
+      { name: 'a head', head: 'GET /a HTTP/1.1\r\nHost: h.example\r\n', piece: `X-Long: ${'x'.repeat(1000)}\r\n`, status: 431 },
+      { name: 'a header', head: 'GET /a HTTP/1.1\r\nHost: h.example\r\nX-Long: ', piece: 'x'.repeat(1000), status: 431 },
+      { name: 'a request line', head: 'GET /', piece: 'x'.repeat(1000), status: 431 },
+      { name: 'trailers', head: `${post}Transfer-Encoding: chunked\r\n\r\n0\r\n`, piece: `X-Long: ${'x'.repeat(1000)}\r\n`, status: 431 },
+      { name: 'a chunk extension', head: `${post}Transfer-Encoding: chunked\r\n\r\n5;`, piece: 'x'.repeat(1000), status: 400 }
+    ]) {
+      it(`are refused by their number: ${name}`, async () => {
+        handle = ({ request: { headers }, response }) => { if (headers['transfer-encoding'] === undefined) response.end('whole') }
+        await start()
+        const client = await connect()
+        expect(await sendUntilClosed(client, head, piece, 1)).to.be.lessThan(maxSentBytes)
+        expect(client.text).to.match(new RegExp(`^HTTP/1\\.1 ${status} `))
+        client.socket.destroy()
+        await waitFor(() => server.countInFlight() === 0)
+      })
+    }
+
+    for (const { name, head, piece } of [
+      { name: 'a head', head: 'GET /a HTTP/1.1\r\n', piece: 'X-Slow: 1\r\n' },
+      { name: 'empty lines', head: '', piece: '\r\n' },
+      { name: 'a body', head: `${post}Content-Length: 1000000\r\n\r\n`, piece: 'x' },
+      { name: 'chunks with extensions', head: `${post}Transfer-Encoding: chunked\r\n\r\n`, piece: `1;${'x'.repeat(1000)}\r\nx\r\n` }
+    ]) {
+      it(`are refused by their time, when they come slowly: ${name}`, async () => {
+        handle = ({ request: incoming }) => { incoming.resume() }
+        await start({ bodyLimitMs: 500 }, { ...limits, headerTimeoutMs: 500 })
+        const client = await connect()
+        const startedAtMs = Date.now()
+        await sendUntilClosed(client, head, piece, 50)
+        expect(Date.now() - startedAtMs).to.be.lessThan(2000)
+        expect(client.text).to.match(/^HTTP\/1\.1 408 /)
+        client.socket.destroy()
+        await waitFor(() => server.countInFlight() === 0)
+      })
+    }
+
+    it('do not keep a connection whose last response was sent', async () => {
+      handle = ({ response }) => {
+        response.shouldKeepAlive = false
+        response.end('whole')
+      }
+      await start()
+      for (const piece of ['x', 'x'.repeat(500_000)]) {
+        const client = await connect()
+        client.socket.write(`${post}Content-Length: 1000000000\r\n\r\n`)
+        const writer = setInterval(() => { if (client.socket.writableLength === 0) client.socket.write(piece) }, 5)
+        await waitFor(() => client.socket.destroyed)
+        clearInterval(writer)
+        expect(client.text).to.match(/whole$/)
+      }
+    })
+
+    it('do not keep a connection idle for longer when they are empty lines', async () => {
+      await start({}, { ...limits, headerTimeoutMs: 500, idleTimeoutMs: 100 })
+      const client = await connect()
+      await exchange(client)
+      await sleep(100)
+      await sendUntilClosed(client, '', '\r\n', 100)
+    })
+
+    it('that a client does not read do not stay in memory', async () => {
+      handle = ({ response }) => { response.end('x'.repeat(16_000_000)) }
+      await start({ sendStallLimitMs: 300 })
+      const client = await connect()
+      client.socket.pause()
+      client.socket.write(request)
+      await waitFor(() => incomplete.length === 1)
+      expect(incomplete[0]?.endedBy).to.equal(ConnectionEnd.HttpServer)
+    })
+  })
+
   describe('the stop', () => {
     it('lets a response be read that was made before it', async () => {
       handle = ({ response }) => { response.end(`${'x'.repeat(16_000_000)}whole`) }
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -28,6 +28,10 @@
   readonly address: NetworkAddress
   readonly maxHeaderBytes: number
   readonly timers: TimerService
+  /** Time for a body to arrive, beside the limit on the head. */
+  readonly bodyLimitMs?: number
+  /** Time after which a client that takes no byte of its response counts as gone. */
+  readonly sendStallLimitMs?: number
   handle (exchange: ClientExchange): void
   /** Called for each request whose response was not completed. */
   onIncomplete (incomplete: IncompleteResponse): void
@@ -39,6 +43,8 @@
 const defaultIdleLimitMs = 5000
 /** Interval of the checks of timeouts, which are late by as much. A fraction of the shortest timeouts of operators, which are seconds. */
 const checkIntervalMs = 500
+/** For bodies and for responses; no client of the platform waits as long for a response. */
+const defaultTransferLimitMs = 30_000
 /** `Keep-Alive` states whole seconds. */
 const shortestStatedIdleMs = 1000
 /** At the stop a connection closes once it has been idle for this time: longer than a request takes to arrive on a new connection. */
@@ -50,7 +56,9 @@
 }
 
 /** Creates the server; it listens after `start`. */
-export function createClientServer ({ address, maxHeaderBytes, timers, handle, onIncomplete }: ClientServerOptions): ClientServer {
+export function createClientServer ({
+  address, maxHeaderBytes, timers, handle, onIncomplete, bodyLimitMs = defaultTransferLimitMs, sendStallLimitMs = defaultTransferLimitMs
+}: ClientServerOptions): ClientServer {
   const connections = new Map<Socket, ClientConnection>()
   const ticker = createSharedTicker(timers, checkIntervalMs)
   let idleLimitMs = defaultIdleLimitMs
@@ -65,13 +73,14 @@
   const server = http.createServer({
     maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true, requireHostHeader: false, headersTimeout: defaultHeaderLimitMs, connectionsCheckingInterval: checkIntervalMs
   }, receive)
+  server.requestTimeout = defaultHeaderLimitMs + bodyLimitMs
+  server.timeout = sendStallLimitMs
   // The end of the sending half alone does not end the connection.
   Object.assign(server, { httpAllowHalfOpen: true })
   server.on('connection', track)
   server.on('checkExpectation', receive)
   server.on('connect', request => connections.get(request.socket)?.refuse('405 Method Not Allowed', new Error('the method is CONNECT')))
-  // Without a listener Node.js closes idle connections.
-  server.on('timeout', () => {})
+  server.on('timeout', (socket: Socket) => connections.get(socket)?.checkProgress())
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
     // A connection without any byte is idle, not slow.
     if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket.bytesRead === 0) return
@@ -128,6 +137,8 @@
     lowering = undefined
     headerLimitMs = limitMs
     server.headersTimeout = limitMs
+    // Node.js exchanges the two where the limit on the whole request is the shorter one.
+    server.requestTimeout = limitMs + bodyLimitMs
   }
 
   return {
