Bound the time of requests to the readiness, metrics and relay servers

Callers saw nothing; a request that never ends held its connection for 300 s, looked at each 30 s, and a relay request above the size limit was answered with 400 on a connection that stayed open with the rest unread. A response that nobody read stayed in memory.

Fix: limits for heads (2 s), requests (5 s) and silence (4 s; relay requests wait for 2 s at most, which has its test), checked twice a second; a refused relay request closes its connection.

--- a/src/gateway/internal-servers.ts
+++ b/src/gateway/internal-servers.ts
@@ -11,6 +11,13 @@
 const metricsPath = '/metrics'
 /** A relay request has the sender's load report, which names a few dozen replicas. */
 const maxRelayRequestBytes = 256 * 1024
+/** Heads and whole requests of machines of the platform arrive within milliseconds; the rest is for lost packets. */
+const headerLimitMs = 2000
+const requestLimitMs = 5000
+/** Longest time without a byte in either direction. Relay requests wait for 2 s at most (`maxWaitMs` of the relay handler). */
+const silenceLimitMs = 4000
+/** Interval of the checks of the limits on requests, a fraction of the shortest. */
+const checkIntervalMs = 500
 
 /** Creates the server of the load balancer's readiness check: 200 while the gateway accepts connections, else 503. */
 export function createReadinessServer (address: NetworkAddress, isReady: () => boolean) {
@@ -39,7 +46,8 @@
     const relayRequest = body.kind === BodyResultKind.Whole ? decodeRelayRequest(body.body?.toString('utf8') ?? '') : undefined
     if (request.url !== relayPath || relayRequest === undefined) {
       logger.warn('A relay request is invalid; it was refused with status 400.', { path: request.url ?? '', from: request.socket.remoteAddress ?? '' })
-      response.writeHead(400).end()
+      // The rest of a body that is too large is not read.
+      response.writeHead(400, { Connection: 'close' }).end()
       return
     }
     const relayResponse = await handler.handle(relayRequest)
@@ -56,7 +64,8 @@
 }
 
 function createInternalServer (address: NetworkAddress, listener: http.RequestListener) {
-  const server = http.createServer(listener)
+  const server = http.createServer({ headersTimeout: headerLimitMs, requestTimeout: requestLimitMs, connectionsCheckingInterval: checkIntervalMs }, listener)
+  server.timeout = silenceLimitMs
   return {
     start: (): Promise<void> => new Promise((resolve, reject) => {
       server.once('error', reject)
