--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -69,7 +69,7 @@
   let headerLimitMs: number | undefined
   let lowering: { readonly limitMs: number, readonly appliesAtMs: number, readonly timer: TimerSubscription } | undefined
 
-  // `keepAlive` is TCP keep-alive: HTTP connections are reused. A missing Host is refused in `receive`, in the order of requests.
+  // `keepAlive` is TCP keep-alive: HTTP connections are reused. A missing Host is refused in `handleExchange`, in the order of requests.
   const server = http.createServer({
     maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true, requireHostHeader: false, headersTimeout: defaultHeaderLimitMs, connectionsCheckingInterval: checkIntervalMs
   }, receive)
