--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -4,6 +4,7 @@
 import { pickTarget } from '../coordination/dispatch/route-table.js'
 import { RouteKind, type Route, type Team } from '../state/serving-config.js'
 import { sendGatewayResponse, type Call, type CallDependencies } from './call-context.js'
+import type { ClientExchange } from './client-connection.js'
 import { forwardPlain } from './plain-forwarding.js'
 import { BodyResultKind, readRequestBody } from './request-body.js'
 import { forwardStream } from './stream-forwarding.js'
@@ -12,6 +13,8 @@
   readonly dependencies: CallDependencies
   /** Age of the configuration above which API keys are not accepted, since a key may have been revoked. */
   getMaxConfigAgeMs (): number
+  /** When this process ends; from some time after the begin of its drain on, requests that may last longer are refused. */
+  getLatestEndMs (): number
 }
 
 /** Shortest Retry-After while the gateway has no configuration that is fresh enough, or the route has no service. */
@@ -29,7 +32,7 @@
 }
 
 /** Creates the handler that checks a request against the configuration and forwards it. */
-export function createCallIntake ({ dependencies, getMaxConfigAgeMs }: CallIntakeOptions) {
+export function createCallIntake ({ dependencies, getMaxConfigAgeMs, getLatestEndMs }: CallIntakeOptions) {
   const { fleet, codec, timers, random } = dependencies
 
   function refuse (request: IncomingMessage, response: ServerResponse, statusCode: number, reason: string, retryAfterMs?: number): void {
@@ -45,8 +48,7 @@
     refuse(request, response, 503, reason, Math.round(minUnavailableRetryAfterMs + unavailableRetryAfterSpreadMs * random.nextFloat()))
   }
 
-  async function handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAtMs = timers.nowMs()
+  async function handle ({ request, response, arrivedAtMs, setMustComplete }: ClientExchange): Promise<void> {
     response.on('error', error => dependencies.logger.debug('A client connection failed.', { reason: error.message }))
     const limits = fleet.getConfig()?.limits
     if (countHeaderBytes(request) > (limits?.maxHeaderBytes ?? Infinity)) {
@@ -60,7 +62,7 @@
       refuse(request, response, 413, `the body is larger than ${limits?.maxBodyBytes ?? defaultMaxBodyBytes} bytes`)
       return
     }
-    if (body.kind !== BodyResultKind.Whole || response.destroyed) return
+    if (body.kind !== BodyResultKind.Whole || response.destroyed || response.headersSent) return
     const routes = fleet.getRoutes()
     if (routes === undefined) {
       refuseWithRetryAfter(request, response, 'no configuration has been loaded yet')
@@ -89,10 +91,18 @@
       refuseWithRetryAfter(request, response, 'the route has no service')
       return
     }
-    const waitMs = Math.min(route.timeoutMs, clientInfo.clientTimeoutMs ?? route.timeoutMs)
-    await forward({
-      request, response, clientInfo, route, team, serviceName, arrivedAtMs, body: body.body, deadlineAtMs: arrivedAtMs + waitMs
-    }, route)
+    const deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, clientInfo.clientTimeoutMs ?? route.timeoutMs)
+    if (deadlineAtMs <= timers.nowMs()) {
+      refuseWithRetryAfter(request, response, 'the time for a response had passed before the whole request arrived')
+      return
+    }
+    if (deadlineAtMs > getLatestEndMs()) {
+      refuseWithRetryAfter(request, response, 'the gateway ends before the response may')
+      return
+    }
+    setMustComplete(route.kind === RouteKind.Unsafe)
+    if (response.destroyed || request.socket.destroyed) return
+    await forward({ request, response, clientInfo, route, team, serviceName, arrivedAtMs, body: body.body, deadlineAtMs }, route)
   }
 
   async function forward (call: Call, route: Route): Promise<void> {
@@ -101,10 +111,10 @@
   }
 
   return {
-    handle (request: IncomingMessage, response: ServerResponse): void {
-      handle(request, response).catch((error: Error) => {
+    handle (exchange: ClientExchange): void {
+      handle(exchange).catch((error: Error) => {
         dependencies.logger.error('An unexpected error occurred while handling a request.', { reason: error.stack ?? error.message })
-        sendGatewayResponse(dependencies, response, codec.readClientRequest(request.headers).requestId, 500)
+        sendGatewayResponse(dependencies, exchange.response, codec.readClientRequest(exchange.request.headers).requestId, 500)
       })
     }
   }
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -1,27 +1,11 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import net, { type Socket } from 'node:net'
 
 import type { NetworkAddress } from '../shared/network-address.js'
+import { createSharedTicker } from '../shared/shared-ticker.js'
+import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
 import type { ClientLimits } from '../state/serving-config.js'
-
-/** Who ended a connection on which a request has no complete response. The values are logged. */
-export enum ConnectionEnd {
-  /** The gateway closed it, since the response cannot be completed. */
-  Gateway = 'gateway',
-  /** The client closed or reset it, or its network path broke. */
-  Client = 'client',
-  /** The HTTP server closed it by itself, after a timeout or for bytes that are no request. */
-  HttpServer = 'http_server'
-}
-
-/** A request whose connection closed before its response was complete. */
-export interface IncompleteResponse {
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  readonly endedBy: ConnectionEnd
-  /** Error of the connection; empty when it was closed in order. */
-  readonly reason: string
-}
+import { createClientConnection, respondWithoutBody, type ClientConnection, type ClientExchange, type IncompleteResponse } from './client-connection.js'
 
 /** The HTTP server that clients connect to. */
 export interface ClientServer {
@@ -30,8 +14,10 @@
   applyLimits (limits: ClientLimits): void
   /** From now on responses ask clients to close their connections. */
   beginDrain (): void
-  /** Stops accepting connections and closes idle ones; resolves once no request is in flight. */
+  /** Stops accepting connections and closes idle ones; resolves once all are closed. */
   stop (): Promise<void>
+  /** Answers the requests in flight that have no response yet with a failure, since the process ends. */
+  giveUp (): void
   /** Requests in flight. */
   countInFlight (): number
   /** Whether any request has arrived since the start. */
@@ -41,79 +27,148 @@
 export interface ClientServerOptions {
   readonly address: NetworkAddress
   readonly maxHeaderBytes: number
-  handle (request: IncomingMessage, response: ServerResponse): void
+  readonly timers: TimerService
+  /** Time for a body to arrive, beside the limit on the head. */
+  readonly bodyLimitMs?: number
+  /** Time after which a client that takes no byte of its response counts as gone. */
+  readonly sendStallLimitMs?: number
+  handle (exchange: ClientExchange): void
   /** Called for each request whose response was not completed. */
   onIncomplete (incomplete: IncompleteResponse): void
 }
 
-/** Added to the idle timeout: clients may reuse a connection until the timeout ends, so the server closes it later than that. */
-const idleTimeoutMarginMs = 2000
 const backlogLength = 1024
+/** In force until a configuration is known; the values are those of Node.js. */
+const defaultHeaderLimitMs = 60_000
+const defaultIdleLimitMs = 5000
+/** Interval of the checks of timeouts, which are late by as much. A fraction of the shortest timeouts of operators, which are seconds. */
+const checkIntervalMs = 500
+/** For bodies and for responses; no client of the platform waits as long for a response. */
+const defaultTransferLimitMs = 30_000
+/** `Keep-Alive` states whole seconds. */
+const shortestStatedIdleMs = 1000
+/** At the stop a connection closes once it has been idle for this time: longer than a request takes to arrive on a new connection. */
+const stopQuietMs = 1000
 /** Status lines by Node.js error code; any other client error is answered with 400. */
 const statusByErrorCode: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
 }
-/** Errors of a connection that the client or its network path causes; any other one is raised by the HTTP server. */
-const clientErrorCodes: readonly string[] = ['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']
 
 /** Creates the server; it listens after `start`. */
-export function createClientServer ({ address, maxHeaderBytes, handle, onIncomplete }: ClientServerOptions): ClientServer {
-  let inFlightCount = 0
+export function createClientServer ({
+  address, maxHeaderBytes, timers, handle, onIncomplete, bodyLimitMs = defaultTransferLimitMs, sendStallLimitMs = defaultTransferLimitMs
+}: ClientServerOptions): ClientServer {
+  const connections = new Map<Socket, ClientConnection>()
+  const ticker = createSharedTicker(timers, checkIntervalMs)
+  let idleLimitMs = defaultIdleLimitMs
   let isDraining = false
+  let isStopping = false
   let hasReceivedRequest = false
-  const connectionErrors = new WeakMap<Socket, NodeJS.ErrnoException>()
+  /** Undefined until a configuration is known. */
+  let headerLimitMs: number | undefined
+  let lowering: { readonly limitMs: number, readonly appliesAtMs: number, readonly timer: TimerSubscription } | undefined
 
-  // `keepAlive` is TCP keep-alive: HTTP connections are reused.
-  const server = http.createServer({ maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true }, (request, response) => {
-    inFlightCount += 1
-    hasReceivedRequest = true
-    response.sendDate = false
-    if (isDraining) response.shouldKeepAlive = false
-    response.once('close', () => {
-      inFlightCount -= 1
-      if (!response.writableFinished) onIncomplete({ request, response, ...describeEnd(request.socket, connectionErrors.get(request.socket)) })
-    })
-    handle(request, response)
-  })
+  // `keepAlive` is TCP keep-alive: HTTP connections are reused. A missing Host is refused in `handleExchange`, in the order of requests.
+  const server = http.createServer({
+    maxHeaderSize: maxHeaderBytes, keepAlive: false, noDelay: true, requireHostHeader: false, headersTimeout: defaultHeaderLimitMs, connectionsCheckingInterval: checkIntervalMs
+  }, receive)
+  server.requestTimeout = defaultHeaderLimitMs + bodyLimitMs
+  server.timeout = sendStallLimitMs
+  // The end of the sending half alone does not end the connection.
+  Object.assign(server, { httpAllowHalfOpen: true })
+  server.on('connection', track)
+  server.on('checkExpectation', receive)
+  server.on('connect', request => connections.get(request.socket)?.refuse('405 Method Not Allowed', new Error('the method is CONNECT')))
+  server.on('timeout', (socket: Socket) => connections.get(socket)?.checkProgress())
   server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
-    connectionErrors.set(socket, error)
-    rejectMalformedRequest(error, socket)
+    // A connection without any byte is idle, not slow.
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' && socket.bytesRead === 0) return
+    connections.get(socket)?.refuse(statusByErrorCode[error.code ?? ''] ?? '400 Bad Request', error)
   })
 
+  function track (socket: Socket): void {
+    const connection = createClientConnection({ socket, timers, isDraining: () => isDraining, handle: handleExchange, onIncomplete })
+    connections.set(socket, connection)
+    // After a suspension, what has arrived is read before its connection counts as idle.
+    const subscription = ticker.subscribe(() => setImmediate(checkConnection, connection))
+    socket.once('close', () => {
+      subscription.cancel()
+      connections.delete(socket)
+    })
+  }
+
+  function checkConnection (connection: ClientConnection): void {
+    connection.check({ idleLimitMs, headerLimitMs: server.headersTimeout, quietLimitMs: isStopping ? stopQuietMs : Infinity })
+  }
+
+  function receive (request: IncomingMessage, response: ServerResponse): void {
+    hasReceivedRequest = true
+    response.sendDate = false
+    connections.get(request.socket)?.receive(request, response, idleLimitMs)
+  }
+
+  function handleExchange (exchange: ClientExchange): void {
+    const { request, response } = exchange
+    const isHostMissing = request.httpVersion === '1.1' && request.headers.host === undefined
+    const hasUnknownExpectation = request.headers.expect !== undefined && !/^100-continue$/i.test(request.headers.expect)
+    if (!isHostMissing && !hasUnknownExpectation) {
+      handle(exchange)
+      return
+    }
+    response.shouldKeepAlive = false
+    respondWithoutBody(response, isHostMissing ? 400 : 417)
+  }
+
+  /** A head that is arriving keeps the limit under which it began. */
+  function applyHeaderLimit (limitMs: number): void {
+    const formerLimitMs = lowering?.limitMs ?? headerLimitMs
+    if (limitMs === formerLimitMs) return
+    lowering?.timer.cancel()
+    if (headerLimitMs === undefined || formerLimitMs === undefined || limitMs >= headerLimitMs) {
+      setHeaderLimit(limitMs)
+      return
+    }
+    const appliesAtMs = Math.max(lowering?.appliesAtMs ?? 0, timers.nowMs() + formerLimitMs)
+    lowering = { limitMs, appliesAtMs, timer: timers.subscribeOnce(appliesAtMs - timers.nowMs(), () => setHeaderLimit(limitMs)) }
+  }
+
+  function setHeaderLimit (limitMs: number): void {
+    lowering = undefined
+    headerLimitMs = limitMs
+    server.headersTimeout = limitMs
+    // Node.js exchanges the two where the limit on the whole request is the shorter one.
+    server.requestTimeout = limitMs + bodyLimitMs
+  }
+
   return {
     start: () => new Promise((resolve, reject) => {
       server.once('error', reject)
       server.listen({ host: address.host, port: address.port, backlog: backlogLength }, resolve)
     }),
     applyLimits (limits) {
-      server.headersTimeout = limits.headerTimeoutMs
-      server.keepAliveTimeout = limits.idleTimeoutMs + idleTimeoutMarginMs
+      applyHeaderLimit(limits.headerTimeoutMs)
+      idleLimitMs = limits.idleTimeoutMs
+      // Stated in responses. The server closes idle connections by `checkConnection`, later.
+      server.keepAliveTimeout = idleLimitMs >= shortestStatedIdleMs ? idleLimitMs : 0
     },
     beginDrain () {
       isDraining = true
+      for (const connection of connections.values()) connection.beginDrain()
     },
     stop: () => new Promise(resolve => {
       isDraining = true
-      server.close(() => resolve())
-      server.closeIdleConnections()
+      isStopping = true
+      // Connections that the kernel has accepted are taken first. The method of `http.Server` would close idle connections at once.
+      setImmediate(() => {
+        net.Server.prototype.close.call(server, () => resolve())
+        for (const connection of connections.values()) checkConnection(connection)
+      })
     }),
-    countInFlight: () => inFlightCount,
+    giveUp () {
+      for (const connection of connections.values()) connection.giveUp()
+    },
+    countInFlight: () => [...connections.values()].reduce((sum, connection) => sum + connection.countOutstanding(), 0),
     hasReceivedRequest: () => hasReceivedRequest
   }
 }
-
-function describeEnd (socket: Socket, error: NodeJS.ErrnoException | undefined): Pick<IncompleteResponse, 'endedBy' | 'reason'> {
-  const reason = error?.code ?? error?.message ?? ''
-  if (error !== undefined) return { endedBy: clientErrorCodes.includes(error.code ?? '') ? ConnectionEnd.Client : ConnectionEnd.HttpServer, reason }
-  return { endedBy: socket.readableEnded ? ConnectionEnd.Client : ConnectionEnd.Gateway, reason }
-}
-
-function rejectMalformedRequest (error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable) {
-    socket.destroy()
-    return
-  }
-  const status = statusByErrorCode[error.code ?? ''] ?? '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-}
