End an attempt whose event is too large at once

What callers saw: a stream whose server sent an event without end waited until its replica counted as silent, twice the objective, before another one was asked, and held up to 4 MB meanwhile, each stream of it.

Cause: the gateway never asked the framer whether an event is too large, and its limit was that of the entry nodes.

Evidence: the new case of silent-servers.test.ts before the change: expected [] to deeply equal [ 'an event is larger than 262144 bytes' ].

Change: a limit of 256 KB on an event, and the attempt is lost when it is reached; a resumable stream moves at once.

--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -56,12 +56,14 @@
 const successStatus = 200
 /** An error response larger than this is not forwarded, and its connection is closed. Servers explain errors in a few hundred bytes. */
 const maxErrorBodyBytes = 65_536
+/** An event holds the text of a few tokens. The limit bounds the memory of each stream. */
+const maxEventBytes = 262_144
 
 /** Sends the call to the replica's leader; a stream that may be resumed goes on after the call's last event. */
 export function startStreamAttempt (dependencies: CallDependencies, call: Call, options: StreamAttemptOptions, listener: StreamAttemptListener): StreamAttempt {
   const { timers, loads } = dependencies
   const { replica, leader, getLastEventId } = options
-  const framer = createSseFramer()
+  const framer = createSseFramer({ maxEventBytes })
   const errorBody: Buffer[] = []
   let errorBodyBytes = 0
   let head: ResponseHead | undefined
@@ -126,6 +128,7 @@
       if (isEnded) return
       handleEvent(event, head)
     }
+    if (framer.isTooLarge()) lose(`an event is larger than ${maxEventBytes} bytes`)
   }
 
   function handleEvent (event: FramedSseEvent, responseHead: ResponseHead): void {
