Let the mark of a stalled replica end, also between gateways

Cause: a mark held for 5.5 s unless an event came, and no stream was left to bring one. Gateways also reported marks that they had from each other, so that these renewed each other for as long as reports changed.

Evidence, before the change: 'does not renew itself between gateways ...': expected [ true, true, true ] to deeply equal [ false, false, false ]; 'ends soon after a silence ...': expected true to equal false.

Change: marks hold for 2.5 s, and only those of a gateway's own observation are reported.

--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -44,6 +44,8 @@
   hasRecentEvent (replicaId: string, withinMs: number): boolean
   /** Marks a replica whose streams make no progress; it gets no new streams until the hold time passes or an event arrives. */
   markStalled (replicaId: string): void
+  /** The same for a replica that another gateway has reported. Such a mark is not reported again, or marks would renew each other. */
+  markReportedStalled (replicaId: string): void
   isStalled (replicaId: string): boolean
   /** Reports this gateway's own streams, for the relay that serves it. */
   createOwnReport (nodeId: string): LoadReport
@@ -67,8 +69,8 @@
 const maxEventTimeCount = 500
 /** Longer than any time within which an event is asked for, see `hasRecentEvent`. */
 const eventTimeRetentionMs = 10_000
-/** A stalled replica gets new streams again after this time, unless it was replaced. */
-const stalledHoldMs = 5500
+/** A stalled replica gets new streams again after this time: longer than a sound server's silence and than the planner takes to see a lost one. */
+const stalledHoldMs = 2500
 
 interface ReceivedReport {
   readonly report: LoadReport
@@ -84,12 +86,13 @@
   const peers = new Map<string, ReceivedReport>()
   const relayedReports = new Map<string, ReceivedReport>()
   const stalledUntilMs = new Map<string, number>()
+  const reportedStalledUntilMs = new Map<string, number>()
   const lastEventAtMs = new Map<string, number>()
   const activeCounts = new Map<string, number>()
   let sequence = 0
 
   function isStalled (replicaId: string): boolean {
-    return (stalledUntilMs.get(replicaId) ?? 0) > timers.nowMs()
+    return Math.max(stalledUntilMs.get(replicaId) ?? 0, reportedStalledUntilMs.get(replicaId) ?? 0) > timers.nowMs()
   }
 
   function hasRecentEvent (replicaId: string, withinMs: number): boolean {
@@ -111,8 +114,10 @@
   }
 
   function listStalled (): string[] {
-    for (const id of [...stalledUntilMs.keys()]) {
-      if (!isStalled(id)) stalledUntilMs.delete(id)
+    for (const marks of [stalledUntilMs, reportedStalledUntilMs]) {
+      for (const [id, untilMs] of marks) {
+        if (untilMs <= timers.nowMs()) marks.delete(id)
+      }
     }
     return [...stalledUntilMs.keys()]
   }
@@ -176,12 +181,16 @@
     recordEvent (replicaId) {
       lastEventAtMs.set(replicaId, timers.nowMs())
       stalledUntilMs.delete(replicaId)
+      reportedStalledUntilMs.delete(replicaId)
     },
     listLocallyQuiet,
     hasRecentEvent,
     markStalled (replicaId) {
       stalledUntilMs.set(replicaId, timers.nowMs() + stalledHoldMs)
     },
+    markReportedStalled (replicaId) {
+      reportedStalledUntilMs.set(replicaId, timers.nowMs() + stalledHoldMs)
+    },
     isStalled,
     createOwnReport,
     createReport: nodeId =>
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -45,7 +45,7 @@
       loads.applyReport(report)
       for (const replicaId of report.stalledIds) {
         if (loads.hasRecentEvent(replicaId, recentEventMs)) continue
-        if (!loads.isStalled(replicaId)) loads.markStalled(replicaId)
+        if (!loads.isStalled(replicaId)) loads.markReportedStalled(replicaId)
         onSuspectReplica(replicaId)
       }
       report.quietIds.forEach(onSuspectReplica)
