Pass no order on once its client has left

What servers saw: an order that one server had refused reached another one up to a second after its client had closed the connection.

Cause: a further attempt did not ask whether the client is still there.

Evidence, before the change: 'do not pass an order on to another server once its client has left': expected 2 to equal 1.

A client that only closed its sending half still gets its response. Found by the review of the incident.

--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -41,6 +41,7 @@
   retryBudget.recordRequest()
 
   function mayStartAttempt (): boolean {
+    if (call.response.destroyed) return false
     if (getRemainingMs(dependencies, call) <= 0 || notExecutedCount > maxNotExecutedRetryCount) return false
     const executionCount = possibleExecutionCount + running.size
     return executionCount === 0 || (isRepeatable && executionCount < call.route.maxAttempts)
