Run no timer before its delay has passed

What callers saw: nothing by itself. Cause: Node.js drops the fraction of a delay and counts from the start of the current millisecond, so that a timeout of 199.98 ms can end after 198.3 ms. Every limit of the gateway (silence, deadlines, the lease) was up to 2 ms short. Ruled out: the test's bound, which is the stated limit; load, which only makes timers later. Change: the system timer service asks for the next whole millisecond and one more. Test: 100 delays of 5 to 24 ms at once. Conclusion: `subscribeOnce` keeps what its comment says; timers run up to 2 ms later than before.

--- a/src/shared/timer-service.ts
+++ b/src/shared/timer-service.ts
@@ -12,19 +12,24 @@
   nowMs (): number
   /** Wall clock in milliseconds since 1970, for records that people read. Never used to determine the age of data. */
   wallClockMs (): number
-  /** Runs the listener once after the delay. */
+  /** Runs the listener once, never before the delay has passed. */
   subscribeOnce (delayMs: number, listener: () => void): TimerSubscription
   /** Runs the listener after each interval until cancelled. */
   subscribeEvery (intervalMs: number, listener: () => void): TimerSubscription
 }
 
+/** Node.js drops fractions of a millisecond from a delay and counts from the start of the current millisecond, so that a timeout alone may be early. */
+function toTimeoutMs (delayMs: number): number {
+  return delayMs <= 0 ? 0 : Math.ceil(delayMs) + 1
+}
+
 /** Creates the timer service of a running process. */
 export function createSystemTimerService (): TimerService {
   return {
     nowMs: () => performance.now(),
     wallClockMs: () => Date.now(),
     subscribeOnce (delayMs, listener) {
-      const handle = setTimeout(listener, delayMs)
+      const handle = setTimeout(listener, toTimeoutMs(delayMs))
       return { cancel: () => clearTimeout(handle) }
     },
     subscribeEvery (intervalMs, listener) {
