Pass on a value that was read after the response that names it

Cause: a dependent whose relay left a large value out reads it from the store after that response, and may get a later revision than the response's. The mirror logged it at its own, earlier position; when the same write came again it was no change. When that gateway became a relay, a dependent whose position lay between the two got a later position without the change. The same holds for items of later pages of a full read. Ruled out: routes matched before a body is read, requests that wait on a connection, a restart between. Change: an item is logged at its own revision where that is the later one. The relay fuzz replaces relays, reads large values late and writes two versions in a row.

--- a/src/coordination/relay/store-mirror.test.ts
+++ b/src/coordination/relay/store-mirror.test.ts
@@ -39,6 +39,21 @@
     expect(mirror.listChangesSince({ era: 1, revision: 8 })?.map(change => change.value)).to.deep.equal(['missed'])
   })
 
+  it('lists an item that was read after the response that names it, also to readers that ask from after that response', () => {
+    const mirror = createStoreMirror({ toComparable: removeCount })
+    mirror.applySnapshot({ era: 1, asOfRevision: 5, items: [] })
+    mirror.applyChanges({ era: 1, asOfRevision: 7, changes: [{ key: 'large', value: 'x', revision: 9 }] })
+    mirror.applyChanges({ era: 1, asOfRevision: 9, changes: [{ key: 'large', value: 'x', revision: 9 }] })
+    expect(mirror.listChangesSince({ era: 1, revision: 8 })?.map(change => change.value)).to.deep.equal(['x'])
+  })
+
+  it('lists an item of a snapshot that is newer than it, also to readers that ask from after the snapshot', () => {
+    const mirror = createStoreMirror({ toComparable: removeCount })
+    mirror.applySnapshot({ era: 1, asOfRevision: 5, items: [{ key: 'second-page', value: 'x', revision: 9 }] })
+    mirror.applyChanges({ era: 1, asOfRevision: 9, changes: [{ key: 'second-page', value: 'x', revision: 9 }] })
+    expect(mirror.listChangesSince({ era: 1, revision: 8 })?.map(change => change.value)).to.deep.equal(['x'])
+  })
+
   it('keeps an item that was read after a later snapshot', () => {
     const mirror = createStoreMirror({ toComparable: removeCount })
     mirror.applySnapshot({ era: 1, asOfRevision: 5, items: [{ key: 'large', value: 'x', revision: 9 }] })
--- a/src/coordination/relay/store-mirror.ts
+++ b/src/coordination/relay/store-mirror.ts
@@ -27,7 +27,10 @@
 
 interface LogEntry {
   readonly change: StoredChange
-  /** Revision of the mirror when it learned the change. Later than the change itself when a snapshot brought a missed change. */
+  /**
+   * Revision from which on a reader's position includes the change: the mirror's when it learned the change, or the change's own. The
+   * mirror's is later when a snapshot brought a missed change; the change's when it was read after the response that it came with.
+   */
   readonly learnedRevision: number
 }
 
@@ -74,10 +77,11 @@
 
   function appendToLog (changes: readonly StoredChange[], learnedRevision: number): void {
     logStartRevision ??= learnedRevision
-    for (const change of changes) log.push({ change, learnedRevision })
+    for (const change of changes) log.push({ change, learnedRevision: Math.max(learnedRevision, change.revision) })
     if (log.length <= maxLogLength) return
     const dropped = log.slice(0, log.length - maxLogLength)
-    logStartRevision = dropped.at(-1)?.learnedRevision ?? logStartRevision
+    // Not always those of the lowest revisions: a change that was read later than its response stands before earlier ones.
+    logStartRevision = dropped.reduce((highest, entry) => Math.max(highest, entry.learnedRevision), logStartRevision)
     log = log.slice(-maxLogLength)
   }
 
--- a/src/fuzz/relay-fuzz.ts
+++ b/src/fuzz/relay-fuzz.ts
@@ -1,6 +1,6 @@
 import type { RelayLink } from '../coordination/ports/relay-link.js'
 import { StoreErrorKind, type RevisionedStore } from '../coordination/ports/revisioned-store.js'
-import { directPlan, type ListedGateway } from '../coordination/relay/relay-plan.js'
+import type { ListedGateway, RelayPlan } from '../coordination/relay/relay-plan.js'
 import { createRandomSource, type RandomSource } from '../shared/random-source.js'
 import { failure } from '../shared/result.js'
 import { delay } from '../shared/timer-service.js'
@@ -40,6 +40,9 @@
 const maxCopyAgeMs = 4000
 /** The operators write again what a copy lacks within this time, as the platform states. */
 const maxRewriteDelayMs = 1500
+const maxLargeReadMs = 300
+/** Time between two versions that are written one after the other. */
+const maxVersionGapMs = 400
 const maxReportedViolationCount = 5
 /** Allowance for responses in flight while the version changes. */
 const toleranceMs = 5
@@ -58,10 +61,10 @@
   const violations: string[] = []
   const highestVersionByNode = new Map<string, number>()
 
-  function writeVersion (): void {
+  // Some values are so large that relays omit them from their responses.
+  function writeVersion (isLarge = random.nextInt(4) === 0): void {
     const version = (history.at(-1)?.version ?? 0) + 1 + random.nextInt(3)
-    // Some values are so large that relays omit them from their responses.
-    store.put('op/config', `${' '.repeat(random.nextInt(4) === 0 ? 60_000 : 0)}${version}`)
+    store.put('op/config', `${' '.repeat(isLarge ? 60_000 : 0)}${version}`)
     history.push({ atMs: timers.nowMs(), version })
   }
 
@@ -87,7 +90,32 @@
 
   writeVersion()
   const servers = createRegisteredServers(timers, random, store)
-  const nodes = createNodes(timers, { ...store, store: wrapStore(store.store) }, linkFaults, wrapLink)
+  /** The nodes that read the store, the one that became a relay first at the front. */
+  const currentRelayIds = [...relayIds]
+  const slowStore: RevisionedStore = {
+    ...store.store,
+    async read (prefix) {
+      // All nodes read a large value at the same time, each for itself.
+      if (prefix !== '') await delay(timers, random.nextInt(maxLargeReadMs))
+      return await store.store.read(prefix)
+    }
+  }
+  const nodes = createNodes(timers, { ...store, store: wrapStore(slowStore) }, linkFaults, wrapLink, currentRelayIds)
+
+  /** Another node takes the place of the relay that has been one for the longest time, which becomes a dependent. */
+  function replaceRelay (): void {
+    const successorId = random.pick(nodes.map(node => node.nodeId).filter(nodeId => !currentRelayIds.includes(nodeId)))
+    if (successorId === undefined) return
+    currentRelayIds.shift()
+    currentRelayIds.push(successorId)
+  }
+
+  /** Nodes that read a large value after the response of their relay may get the second version with the first one's response. */
+  function writeTwoVersions (): void {
+    writeVersion(true)
+    timers.subscribeOnce(random.nextInt(maxVersionGapMs), () => { writeVersion(true) })
+    timers.subscribeOnce(random.nextInt(maxVersionGapMs), replaceRelay)
+  }
 
   function check (): void {
     for (const { nodeId, fleet } of nodes) {
@@ -111,7 +139,7 @@
 
   await advance(startupMs)
   for (let step = 0; step < stepCount; step += 1) {
-    applyRandomFault(random, store, linkFaults, { writeVersion, restoreCopy, drainServer: servers.drainOne })
+    applyRandomFault(random, store, linkFaults, { writeVersion, writeTwoVersions, replaceRelay, restoreCopy, drainServer: servers.drainOne })
     await advance(random.nextInt(1500))
   }
   linkFaults.nodesCutFromStore.clear()
@@ -134,14 +162,17 @@
   return { isPassed: true, seed, runCount }
 }
 
-function createNodes (timers: VirtualTimerService, store: FakeRevisionedStore, linkFaults: LinkFaults, wrapLink: (link: RelayLink) => RelayLink): RelayNode[] {
-  const relays = relayIds.map(nodeId => createRelayNode({
-    nodeId, timers, store: cutStore(timers, store.store, () => linkFaults.nodesCutFromStore.has(nodeId)), link: { fetch: async () => failure('no relay') }, plan: directPlan
-  }))
-  const listed: ListedGateway[] = relayIds.map((nodeId, index) => ({ nodeId, zone: 'z', address: nodeId, listedRevision: index }))
+function createNodes (
+  timers: VirtualTimerService,
+  store: FakeRevisionedStore,
+  linkFaults: LinkFaults,
+  wrapLink: (link: RelayLink) => RelayLink,
+  currentRelayIds: readonly string[]
+): RelayNode[] {
+  const nodes: RelayNode[] = []
   const link = wrapLink({
     async fetch (address, request) {
-      const relay = relays.find(candidate => candidate.nodeId === address)
+      const relay = nodes.find(candidate => candidate.nodeId === address)
       if (relay === undefined || linkFaults.cutRelays.has(address)) {
         await delay(timers, request.waitMs)
         return failure('no response')
@@ -149,14 +180,20 @@
       return fetchOverWire(relay.handler, request)
     }
   })
-  const dependents = dependentIds.map((nodeId, index) => createRelayNode({
-    nodeId,
-    timers,
-    store: cutStore(timers, store.store, () => linkFaults.nodesCutFromStore.has(nodeId)),
-    link,
-    plan: { readsStoreDirectly: false, relays: index % 2 === 0 ? listed : [...listed].reverse() }
-  }))
-  return [...relays, ...dependents]
+  for (const [index, nodeId] of [...relayIds, ...dependentIds].entries()) {
+    const plan: RelayPlan = {
+      get readsStoreDirectly () {
+        return currentRelayIds.includes(nodeId)
+      },
+      get relays () {
+        const listed = currentRelayIds.map((relayId, listedRevision): ListedGateway => ({ nodeId: relayId, zone: 'z', address: relayId, listedRevision }))
+        if (currentRelayIds.includes(nodeId)) return []
+        return index % 2 === 0 ? listed : listed.reverse()
+      }
+    }
+    nodes.push(createRelayNode({ nodeId, timers, store: cutStore(timers, store.store, () => linkFaults.nodesCutFromStore.has(nodeId)), link, plan }))
+  }
+  return nodes
 }
 
 /** Wraps the store; while the link is cut, reads and watches fail after `callTimeoutMs` without a response. */
@@ -180,6 +217,8 @@
 /** Changes that the history makes besides faults of links and of the store. */
 interface HistoryChanges {
   writeVersion (): void
+  writeTwoVersions (): void
+  replaceRelay (): void
   restoreCopy (): void
   drainServer: RegisteredServers['drainOne']
 }
@@ -188,7 +227,7 @@
   const toggle = (set: Set<string>, id: string) => {
     if (!set.delete(id)) set.add(id)
   }
-  switch (random.nextInt(11)) {
+  switch (random.nextInt(14)) {
     case 0:
       toggle(linkFaults.nodesCutFromStore, random.pick([...relayIds, ...dependentIds]) as string)
       break
@@ -214,6 +253,13 @@
     case 8:
       changes.drainServer()
       break
+    case 9:
+      changes.replaceRelay()
+      break
+    case 10:
+    case 11:
+      changes.writeTwoVersions()
+      break
     default:
       // Operators write directly to the store, which the faults do not affect.
       changes.writeVersion()
--- a/src/gateway/relay.test.ts
+++ b/src/gateway/relay.test.ts
@@ -99,6 +99,39 @@
     })
   })
 
+  it('that was a dependent before passes on what it read from the store after the response of its own relay', async () => {
+    const timers = createVirtualTimerService()
+    const store = createFakeRevisionedStore(timers)
+    const makeText = (version: number) => `${' '.repeat(60_000)}${version}`
+    store.put('op/config', '3')
+    const link: RelayLink = { fetch: async (address, request) => await fetchOverWire((address === relay.address ? first : second).handler, request) }
+    // The second relay's read of the large value takes so long that it returns the next version.
+    const slowStore = {
+      ...store.store,
+      async read (prefix: string) {
+        if (prefix !== '') await delay(timers, 100)
+        return await store.store.read(prefix)
+      }
+    }
+    const secondPlan = { ...relayedPlan }
+    const nodePlan = { ...relayedPlan }
+    const first = createRelayNode({ nodeId: 'relay', timers, store: store.store, link, plan: directPlan })
+    const second = createRelayNode({ nodeId: 'second', timers, store: slowStore, link, plan: secondPlan })
+    const node = createRelayNode({ nodeId: 'node', timers, store: store.store, link, plan: nodePlan })
+    await timers.advanceAsync(8000)
+    store.put('op/config', makeText(5))
+    await timers.advanceAsync(50)
+    store.put('op/config', makeText(9))
+    await timers.advanceAsync(60)
+    expect([node, second].map(({ fleet }) => fleet.getConfig()?.version)).to.deep.equal([5, 9])
+    // The first relay ends before it passes the next version on.
+    Object.assign(secondPlan, directPlan)
+    Object.assign(nodePlan, { readsStoreDirectly: false, relays: [{ ...relay, address: 'second:1' }] })
+    await timers.advanceAsync(2000)
+    expect(second.fleet.getConfig()?.version).to.equal(9)
+    expect(node.fleet.getConfig()?.version).to.equal(9)
+  })
+
   it('never makes the configuration look fresher than it is', async () => {
     const { timers, store, node, relayNode } = await createFixture()
     store.faults.isDown = true
