Keep the replica of a server that only the planner cannot reach

What callers saw: streams that broke off beside cuts of about a second between some gateways and sound servers. The planner's own connection attempt of 300 ms failed, it counted the member as lost, closed the replica, and all streams there ended, also those that went on well through other gateways.

Cause: the planner judged by its own network path alone, in its checks, when it reads a command sequence, and when a command finds no connection.

Ruled out: to wait as long as for a silent server, 1.2 s more for each host that lost power. To carry it in the load reports: those of gateways behind a relay are up to 0.6 s old, so that a host that lost power would be seen that much later, and each report would grow.

Change: an attempt that has no answer after 120 ms asks all other gateways by datagram whether the replica has delivered an event since the attempt began, and once more after 210 ms. Those that got one answer, all others are silent. A replica that lacks a member delivers nothing, so that such an event shows that the member works: it is asked again 200 ms later, until it answers or the events end. An inquiry carries a span and an answer its number: no event from before the attempt counts (20 ms before it, where members share an inquiry), whatever the clocks and the delays are. A command without a connection, or whose sequence cannot be read, to a member of a serving replica is followed by such a check; other servers count as lost at once, as before. Gateways of earlier releases drop the datagrams, and planners of earlier releases send none; both then act as before.

An unanswered attempt costs at most two datagrams of some 140 bytes with headers to each gateway (reckoned from the encoding, not measured). A member of a serving replica that dies while a command is sent to it is seen one check later.

Conclusion: a cut of one path no longer ends streams that go on elsewhere. A cut between a server and all gateways leaves no evidence, and a replica without streams has none either; both are as before.

--- /dev/null
+++ b/src/coordination/replicas/delivery-inquiries.ts
@@ -0,0 +1,103 @@
+import type { TimerService, TimerSubscription } from '../../shared/timer-service.js'
+
+/** Asks another gateway whether the replica delivered it an event within the time. */
+export interface DeliveryInquiry {
+  readonly inquiryId: number
+  readonly replicaId: string
+  readonly sinceMs: number
+}
+
+/** Answer to an inquiry: the replica did deliver such an event. Gateways that got none do not answer. */
+export type DeliveryAnswer = Pick<DeliveryInquiry, 'inquiryId' | 'replicaId'>
+
+/** Evidence from one inquiry. */
+export interface DeliveryEvidence {
+  /** Whether the replica has delivered an event to any gateway since the inquiry began. */
+  hasDelivered (): boolean
+  /** Ends the inquiry: answers that arrive later do not count. */
+  end (): void
+}
+
+/** Asks all gateways whether replicas deliver events, for a planner that cannot reach a server on its own network path. */
+export interface DeliveryInquiries {
+  begin (replicaId: string): DeliveryEvidence
+  applyAnswer (answer: DeliveryAnswer): void
+}
+
+export interface DeliveryInquiriesOptions {
+  readonly timers: TimerService
+  /** Whether this gateway got an event of the replica within the time. */
+  hasRecentEvent (replicaId: string, withinMs: number): boolean
+  /** Sends the inquiry to all other gateways. */
+  sendInquiry (inquiry: DeliveryInquiry): void
+}
+
+/**
+ * The gateways are asked this long after the beginning, twice since datagrams are lost. A sound server has answered by the first time;
+ * answers to the second arrive before a connection attempt of 300 ms has failed.
+ */
+const askAfterMs = [120, 210]
+/** Checks of a replica's members begin together and share an inquiry that began no longer ago than this. */
+const sharedWithinMs = 20
+
+interface InquiryState {
+  readonly inquiryId: number
+  readonly beganAtMs: number
+  readonly timers: readonly TimerSubscription[]
+  userCount: number
+  isAnswered: boolean
+}
+
+/**
+ * Creates the record of inquiries with none in progress. An inquiry states how far back an event counts, and an answer is of one
+ * inquiry, so that neither clocks nor delays on the way make an event from before its beginning count.
+ */
+export function createDeliveryInquiries ({ timers, hasRecentEvent, sendInquiry }: DeliveryInquiriesOptions): DeliveryInquiries {
+  const inProgress = new Map<string, InquiryState>()
+  let lastInquiryId = 0
+
+  function hasOwnEvent (replicaId: string, { beganAtMs }: InquiryState): boolean {
+    return hasRecentEvent(replicaId, timers.nowMs() - beganAtMs)
+  }
+
+  function start (replicaId: string): InquiryState {
+    lastInquiryId += 1
+    const state: InquiryState = {
+      inquiryId: lastInquiryId,
+      beganAtMs: timers.nowMs(),
+      timers: askAfterMs.map(afterMs => timers.subscribeOnce(afterMs, () => ask(replicaId, state))),
+      userCount: 0,
+      isAnswered: false
+    }
+    inProgress.set(replicaId, state)
+    return state
+  }
+
+  function ask (replicaId: string, state: InquiryState): void {
+    if (state.isAnswered || hasOwnEvent(replicaId, state)) return
+    sendInquiry({ inquiryId: state.inquiryId, replicaId, sinceMs: timers.nowMs() - state.beganAtMs })
+  }
+
+  function release (replicaId: string, state: InquiryState): void {
+    state.userCount -= 1
+    if (state.userCount > 0) return
+    for (const timer of state.timers) timer.cancel()
+    if (inProgress.get(replicaId) === state) inProgress.delete(replicaId)
+  }
+
+  return {
+    begin (replicaId) {
+      const current = inProgress.get(replicaId)
+      const state = current !== undefined && timers.nowMs() - current.beganAtMs <= sharedWithinMs ? current : start(replicaId)
+      state.userCount += 1
+      return {
+        hasDelivered: () => state.isAnswered || hasOwnEvent(replicaId, state),
+        end: () => release(replicaId, state)
+      }
+    },
+    applyAnswer ({ inquiryId, replicaId }) {
+      const state = inProgress.get(replicaId)
+      if (state?.inquiryId === inquiryId) state.isAnswered = true
+    }
+  }
+}
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -1,10 +1,11 @@
 import type { Logger } from '../../observability/log.js'
 import type { TimerService, TimerSubscription } from '../../shared/timer-service.js'
-import type { BackendServer } from '../../state/backend-server.js'
+import { MemberState, type BackendServer } from '../../state/backend-server.js'
 import { formatReplicaId, type Replica } from '../../state/replica.js'
 import type { EngineProfile } from '../../state/serving-config.js'
 import { isAccepted, CommandOutcome, ReportErrorKind, ServerCommandKind, type ServerControl } from '../ports/server-control.js'
 import { createCommandSequences } from './command-sequences.js'
+import type { DeliveryInquiries } from './delivery-inquiries.js'
 import type { PlannerLease } from './planner-lease.js'
 import type { PlannedCommand, PlannerInput, ReplicaPlanner } from './planner-types.js'
 import { createReplicaPlanner } from './replica-planner.js'
@@ -23,6 +24,8 @@
   readonly logger: Logger
   readonly lease: PlannerLease
   readonly serverControl: ServerControl
+  /** Evidence of other gateways that a replica whose member this gateway cannot reach goes on. */
+  readonly inquiries: Pick<DeliveryInquiries, 'begin'>
   /** Time after which a replica that lost a member refuses requests on its own. */
   getStallLimitMs (): number
   /** Whether the server wants no requests for some time; it gets no health checks then, and counts as reachable. */
@@ -57,8 +60,10 @@
 export function createPlannerTask (options: PlannerTaskOptions): PlannerTask {
   const { timers, logger, lease, serverControl, getStallLimitMs } = options
   const sequences = createCommandSequences()
-  const checks = createServerChecks(timers, serverControl)
+  const checks = createServerChecks({ timers, logger, serverControl, inquiries: options.inquiries })
   const planners = new Map<string, ReplicaPlanner>()
+  /** The planner that waits for the result of a server's check, by server ID. */
+  const checkingPlanners = new Map<string, ReplicaPlanner>()
   const checkedAtMs = new Map<string, number>()
   let plannersFencingToken: number | undefined
   const summaries = new Map<string, { readonly text: string, readonly loggedAtMs: number }>()
@@ -115,6 +120,7 @@
     if (outcome === CommandOutcome.Unfit || outcome === CommandOutcome.Unanswered) await refreshSequence(planner, server)
     if (outcome === CommandOutcome.Fenced && command.kind !== ServerCommandKind.Join) lease.relinquish()
     planner.recordOutcome(planned, outcome, timers.nowMs())
+    if (outcome === CommandOutcome.Unreachable) recordNoConnection(planner, server)
     if (isAccepted(outcome)) planNow()
   }
 
@@ -127,25 +133,36 @@
     return serverControl.sendCommand(server, command, { fencingToken, expectedSequence })
   }
 
-  /** Reads the server's command sequence. Returns false while the server is silent, which is then checked on its own. */
+  /** Reads the server's command sequence. Returns false when the server does not answer. */
   async function refreshSequence (planner: ReplicaPlanner, server: BackendServer): Promise<boolean> {
     const report = await serverControl.readReport(server)
-    if (!report.isOk && report.error.kind === ReportErrorKind.Silent) {
-      void checkServer(planner, server)
-      return false
-    }
     if (!report.isOk) {
-      planner.recordUnreachable(server, timers.nowMs())
-      return true
+      if (report.error.kind === ReportErrorKind.Silent) void checkServer(planner, server)
+      else recordNoConnection(planner, server)
+      return false
     }
     sequences.set(server, report.value.commandSequence)
     if (report.value.isBusy && server.group === undefined) planner.recordBusy(server, timers.nowMs())
     return true
   }
 
+  /** Counts the server as lost, unless its replica serves: then it is checked, as it may be only this gateway's path that is cut. */
+  function recordNoConnection (planner: ReplicaPlanner, server: BackendServer): void {
+    if (isInServingReplica(server)) void checkServer(planner, server)
+    else planner.recordUnreachable(server, timers.nowMs())
+  }
+
+  function isInServingReplica (server: BackendServer): boolean {
+    const replicaId = describeGroup(server)
+    const state = options.listServices().flatMap(service => service.replicas).find(replica => replica.id === replicaId)?.leader?.group?.state
+    return state === MemberState.Open || state === MemberState.Closing
+  }
+
   async function checkServer (planner: ReplicaPlanner, server: BackendServer): Promise<void> {
-    if (options.isHeld(server)) return
+    if (options.isHeld(server) || checkingPlanners.get(server.id) === planner) return
+    checkingPlanners.set(server.id, planner)
     const report = await checks.check(server)
+    if (checkingPlanners.get(server.id) === planner) checkingPlanners.delete(server.id)
     if (report.isOk) {
       planner.recordReachable(server)
       return
--- a/src/coordination/replicas/replica-planner.test.ts
+++ b/src/coordination/replicas/replica-planner.test.ts
@@ -1,81 +1,11 @@
 import { expect } from 'chai'
 
-import { createRandomSource } from '../../shared/random-source.js'
-import { createVirtualTimerService, type VirtualTimerService } from '../../shared/virtual-timer-service.js'
 import { ServerState } from '../../state/backend-server.js'
-import { isSpareGroup, listReplicas, type Replica } from '../../state/replica.js'
-import { createFakeGroupServers, type FakeGroupServers } from '../../testing/fake-group-servers.js'
+import { isSpareGroup, type Replica } from '../../state/replica.js'
 import type { EngineProfile } from '../../state/serving-config.js'
+import { addDomains, createFormedFixture, createPlannerFixture } from '../../testing/planner-fixture.js'
 import { sampleEngine } from '../../testing/serving-samples.js'
-import type { PlannerLease } from './planner-lease.js'
 import { ServerCommandKind } from '../ports/server-control.js'
-import { createPlannerTask, type PlannerTask } from './planner-task.js'
-
-const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
-
-/** Creates fake servers and planners; `takeOver` replaces the planner with one of a higher fencing token. */
-function createFixture (seed: number, engine: EngineProfile = sampleEngine) {
-  const timers: VirtualTimerService = createVirtualTimerService()
-  const random = createRandomSource(seed)
-  const servers: FakeGroupServers = createFakeGroupServers(timers, random, engine)
-  let task: PlannerTask | undefined
-  let held = { fencingToken: 0 }
-  let hasTraffic = false
-
-  function listReplicasNow (): Replica[] {
-    return listReplicas(servers.list(), engine)
-  }
-
-  function takeOver (): void {
-    const ownLease = { fencingToken: held.fencingToken + 10 }
-    held = ownLease
-    task?.stop()
-    const lease: PlannerLease = {
-      getFencingToken: () => held === ownLease ? ownLease.fencingToken : undefined,
-      checkNow () {},
-      relinquish () {},
-      start () {},
-      stop: async () => {}
-    }
-    task = createPlannerTask({
-      isHeld: () => false,
-      timers,
-      logger: silentLogger,
-      lease,
-      serverControl: servers.serverControl,
-      getStallLimitMs: () => 5000,
-      hasTraffic: () => hasTraffic,
-      listServices: () => [{ name: 'drafting', engine, servers: servers.list(), replicas: listReplicasNow() }]
-    })
-    task.start()
-  }
-
-  return {
-    timers,
-    random,
-    servers,
-    takeOver,
-    beginTraffic: () => { hasTraffic = true },
-    check: (replicaId: string) => task?.checkReplica(replicaId),
-    listOpen: () => listReplicasNow().filter(replica => replica.isOpen && replica.isComplete),
-    listReplicas: listReplicasNow
-  }
-}
-
-function addDomains (servers: FakeGroupServers, domainCount: number, serverCount: number): void {
-  for (let domain = 0; domain < domainCount; domain += 1) {
-    for (let index = 0; index < serverCount; index += 1) servers.add(`d${domain}-s${String(index).padStart(2, '0')}`, `d${domain}`)
-  }
-}
-
-/** Creates a fixture in which all replicas are formed and the spares are ready. */
-async function createFormedFixture (seed: number, { domainCount = 1, serverCount = 11, engine = sampleEngine } = {}) {
-  const fixture = createFixture(seed, engine)
-  addDomains(fixture.servers, domainCount, serverCount)
-  fixture.takeOver()
-  await fixture.timers.advanceAsync(120_000)
-  return fixture
-}
 
 function countModels (replicas: readonly Replica[]): Record<string, number> {
   const counts: Record<string, number> = {}
@@ -95,7 +25,7 @@
     })
 
     it('waits for servers that register one after the other', async () => {
-      const fixture = createFixture(2)
+      const fixture = createPlannerFixture(2)
       fixture.takeOver()
       for (let index = 0; index < 11; index += 1) {
         fixture.servers.add(`s${String(index).padStart(2, '0')}`, 'd0')
@@ -261,7 +191,7 @@
 
   describe('when a member drains while the replica is being opened', () => {
     it('closes the replica before its members join another one', async () => {
-      const fixture = createFixture(6)
+      const fixture = createPlannerFixture(6)
       addDomains(fixture.servers, 1, 11)
       fixture.servers.faults.listLagMs = 400
       fixture.takeOver()
@@ -286,7 +216,7 @@
     // Seed 241: a join command of an earlier planner reached a member after a later planner had opened its replica again.
     for (const seed of [1, 2, 3, 4, 5, 6, 7, 8, 241]) {
       it(`never opens an incomplete replica or moves a member of an open one, and recovers (seed ${seed})`, async () => {
-        const fixture = createFixture(seed)
+        const fixture = createPlannerFixture(seed)
         addDomains(fixture.servers, 2, 11)
         fixture.takeOver()
         await fixture.timers.advanceAsync(60_000)
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -312,7 +312,6 @@
     },
     recordOutcome ({ server, command }, outcome, atMs) {
       throttle.recordEnded(server, atMs + getPauseMs(command, outcome))
-      if (outcome === CommandOutcome.Unreachable) recordUnreachable(server, atMs)
       if (isAccepted(outcome) && (command.kind === ServerCommandKind.Stage || command.kind === ServerCommandKind.Join)) fetches.recordStart(server, command.model, atMs)
       if (command.kind === ServerCommandKind.Stage) return
       const id = formatReplicaId(command.groupName, command.epoch)
--- a/src/coordination/replicas/server-checks.ts
+++ b/src/coordination/replicas/server-checks.ts
@@ -1,30 +1,61 @@
-import type { TimerService } from '../../shared/timer-service.js'
+import type { Logger } from '../../observability/log.js'
 import { failure, success, type Result } from '../../shared/result.js'
+import { delay, type TimerService } from '../../shared/timer-service.js'
 import type { BackendServer } from '../../state/backend-server.js'
+import { formatReplicaId, isSpareGroup } from '../../state/replica.js'
 import { ReportErrorKind, type ReportError, type ServerControl, type ServerReport } from '../ports/server-control.js'
+import type { DeliveryInquiries } from './delivery-inquiries.js'
 
 /** Checks whether servers still respond. */
 export interface ServerChecks {
   /**
-   * Reads the server's report. A silent server is asked again until it responds or has been silent for too long; the error
-   * means that it is lost. Concurrent checks of one process share their requests.
+   * Reads the server's report. A silent server is asked again until it responds or has been silent for too long, and one whose replica
+   * has delivered events since the last attempt began, until that ends; the error means that it is lost. Concurrent checks of one process
+   * share their requests.
    */
   check (server: BackendServer): Promise<Result<ServerReport, ReportError>>
 }
 
+export interface ServerChecksOptions {
+  readonly timers: TimerService
+  readonly logger: Logger
+  readonly serverControl: Pick<ServerControl, 'readReport'>
+  readonly inquiries: Pick<DeliveryInquiries, 'begin'>
+}
+
 /** A sound server may fall silent for about a second and go on (stated by the platform); half of that is the margin. */
 const silenceLimitMs = 1500
+/** Pause before the next attempt while the server's replica delivers events. A loss meanwhile is seen this much later. */
+const deliveringPauseMs = 200
 
 /** Creates the checks with none in progress. */
-export function createServerChecks (timers: TimerService, serverControl: Pick<ServerControl, 'readReport'>): ServerChecks {
+export function createServerChecks ({ timers, logger, serverControl, inquiries }: ServerChecksOptions): ServerChecks {
   const inProgress = new Map<string, Promise<Result<ServerReport, ReportError>>>()
 
+  /** Reads the report once. `isDelivering` tells whether the server's replica delivered an event meanwhile, which it cannot without the server. */
+  async function attempt (server: BackendServer) {
+    const replicaId = findReplicaId(server)
+    const evidence = replicaId === undefined ? undefined : inquiries.begin(replicaId)
+    const report = await serverControl.readReport(server)
+    const isDelivering = evidence?.hasDelivered() ?? false
+    evidence?.end()
+    return { report, isDelivering }
+  }
+
   async function ask (server: BackendServer): Promise<Result<ServerReport, ReportError>> {
-    const startedAtMs = timers.nowMs()
+    let silentFromMs = timers.nowMs()
+    let wasDelivering = false
     for (;;) {
-      const report = await serverControl.readReport(server)
-      const silentMs = timers.nowMs() - startedAtMs
+      const { report, isDelivering } = await attempt(server)
+      const silentMs = timers.nowMs() - silentFromMs
       if (report.isOk) return success(report.value)
+      if (isDelivering) {
+        if (!wasDelivering) logger.warn('A server does not answer, but its replica delivers events.', { serverId: server.id, replicaId: findReplicaId(server) ?? '', reason: report.error.reason })
+        wasDelivering = true
+        await delay(timers, deliveringPauseMs)
+        silentFromMs = timers.nowMs()
+        continue
+      }
       if (report.error.kind !== ReportErrorKind.Silent) return report
       if (silentMs >= silenceLimitMs) return failure({ ...report.error, reason: `silent for ${Math.round(silentMs)} ms: ${report.error.reason}` })
     }
@@ -41,3 +72,7 @@
     }
   }
 }
+
+function findReplicaId ({ group }: BackendServer): string | undefined {
+  return group === undefined || isSpareGroup(group.groupName) ? undefined : formatReplicaId(group.groupName, group.epoch)
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,9 +7,10 @@
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerControl } from '../coordination/ports/server-control.js'
 import type { RelayLink } from '../coordination/ports/relay-link.js'
-import { createRelayPlans, directPlan } from '../coordination/relay/relay-plan.js'
+import { createRelayPlans, directPlan, type ListedGateway } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
+import { createDeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
 import { createPlannerLease, readPlannerNode } from '../coordination/replicas/planner-lease.js'
 import { createPlannerTask } from '../coordination/replicas/planner-task.js'
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
@@ -133,11 +134,13 @@
     getStoreEra: fleet.getEra,
     onAcquired: () => planner.start()
   })
+  const inquiries = createDeliveryInquiries({ timers, hasRecentEvent: loads.hasRecentEvent, sendInquiry: inquiry => loadSharing.sendInquiry(inquiry) })
   const planner = createPlannerTask({
     timers,
     logger: createLogger('planner'),
     lease: plannerLease,
     serverControl: options.serverControl,
+    inquiries,
     getStallLimitMs: () => bounds.stallLimitMs,
     isHeld: server => dependencies.holds.getRemainingMs(server) > 0,
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
@@ -174,9 +177,12 @@
     logger: createLogger('loads'),
     loads,
     listPeers: listRelayPeers,
+    listGatewayAddresses: () => toAddresses(presence.listGateways()),
+    findAddress: presence.findPeer,
     findPlannerAddress: () => presence.findPeer(readPlannerNode(fleet.listGatewayEntries().get(plannerKey)?.value ?? '')),
     listRecentlyLeaving: fleet.listRecentlyLeaving,
     onLeavingServer: (serverId, startedAtMs) => { fleet.markLeaving(serverId, startedAtMs) },
+    onDeliveryAnswer: inquiries.applyAnswer,
     onSuspectReplica: replicaId => planner.checkReplica(replicaId)
   })
   const incompleteLogger = createRateLimitedLogger(createLogger('connections'), timers, incompleteLogLinesPerSecond)
@@ -234,7 +240,12 @@
   /** Relays exchange load reports by UDP. Other gateways send theirs with their relay requests, so their list is empty. */
   function listRelayPeers (): NetworkAddress[] {
     if (!relayPlans.getPlan().readsStoreDirectly) return []
-    return relayPlans.listRelays().filter(gateway => gateway.nodeId !== settings.nodeId).flatMap(gateway => parseAddress(gateway.address) ?? [])
+    return toAddresses(relayPlans.listRelays())
+  }
+
+  /** Returns the addresses of the other gateways in the list. */
+  function toAddresses (gateways: readonly ListedGateway[]): NetworkAddress[] {
+    return gateways.filter(gateway => gateway.nodeId !== settings.nodeId).flatMap(gateway => parseAddress(gateway.address) ?? [])
   }
 
   function getRetryBudget (serviceName: string): ServiceRetryBudget {
--- a/src/gateway/load-sharing.test.ts
+++ b/src/gateway/load-sharing.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 
 import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import type { DeliveryAnswer } from '../coordination/replicas/delivery-inquiries.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import { createSystemTimerService } from '../shared/timer-service.js'
 import { findFreePorts } from '../testing/free-ports.js'
@@ -9,13 +10,59 @@
 
 const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
 
+const sampleOptions = {
+  logger: silentLogger,
+  listPeers: () => [],
+  listGatewayAddresses: () => [],
+  findAddress: () => undefined,
+  findPlannerAddress: () => undefined,
+  listRecentlyLeaving: () => ({}),
+  onLeavingServer () {},
+  onDeliveryAnswer () {},
+  onSuspectReplica () {}
+}
+
 describe('load sharing', () => {
+  it('answers an inquiry about a replica that delivered an event in time, and no other', async () => {
+    const timers = createSystemTimerService()
+    const ports = await findFreePorts(2)
+    const [gatewayAddress, plannerAddress] = ports.map(port => ({ host: '127.0.0.1', port })) as [NetworkAddress, NetworkAddress]
+    const loads = createReplicaLoads(timers)
+    const answers: DeliveryAnswer[] = []
+    const gateway = createLoadSharing({
+      ...sampleOptions,
+      timers,
+      settings: { nodeId: 'gateway', peerAddress: gatewayAddress } as GatewaySettings,
+      loads,
+      findAddress: nodeId => nodeId === 'planner' ? plannerAddress : undefined
+    })
+    const planner = createLoadSharing({
+      ...sampleOptions,
+      timers,
+      settings: { nodeId: 'planner', peerAddress: plannerAddress } as GatewaySettings,
+      loads: createReplicaLoads(timers),
+      listGatewayAddresses: () => [gatewayAddress],
+      onDeliveryAnswer: answer => { answers.push(answer) }
+    })
+    await Promise.all([gateway.start(), planner.start()])
+    loads.recordEvent('old')
+    await new Promise(resolve => setTimeout(resolve, 50))
+    loads.recordEvent('recent')
+    planner.sendInquiry({ inquiryId: 1, replicaId: 'old', sinceMs: 10 })
+    planner.sendInquiry({ inquiryId: 2, replicaId: 'unknown', sinceMs: 10 })
+    planner.sendInquiry({ inquiryId: 3, replicaId: 'recent', sinceMs: 60_000 })
+    while (answers.length === 0) await new Promise(resolve => setTimeout(resolve, 10))
+    gateway.stop()
+    planner.stop()
+    expect(answers.map(({ inquiryId, replicaId }) => ({ inquiryId, replicaId }))).to.deep.equal([{ inquiryId: 3, replicaId: 'recent' }])
+  })
+
   it('tells the planner which servers are leaving', async () => {
     const timers = createSystemTimerService()
     const ports = await findFreePorts(2)
     const [gatewayAddress, plannerAddress] = ports.map(port => ({ host: '127.0.0.1', port })) as [NetworkAddress, NetworkAddress]
     const received: Array<[string, number]> = []
-    const options = { timers, logger: silentLogger, listPeers: () => [], onSuspectReplica () {} }
+    const options = { ...sampleOptions, timers }
     const gateway = createLoadSharing({
       ...options,
       settings: { nodeId: 'gateway', peerAddress: gatewayAddress } as GatewaySettings,
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -1,6 +1,11 @@
-/** Exchanges load reports with other gateways by UDP: streams per replica, and the replicas that are quiet or stalled. */
+/**
+ * Exchanges load reports with other gateways by UDP: streams per replica, and the replicas that are quiet or stalled. Answers the planner's
+ * inquiries about the events of replicas.
+ */
 import { recentEventMs, type LoadReport, type ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import type { DeliveryAnswer, DeliveryInquiry } from '../coordination/replicas/delivery-inquiries.js'
 import type { Logger } from '../observability/log.js'
+import { DeliveryMessageKind, type DeliveryMessage } from '../protocol/delivery-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
 import { createLoadReportSocket } from '../transport/load-report-socket.js'
@@ -15,10 +20,16 @@
   listPeers (): readonly NetworkAddress[]
   /** Address of the planner; undefined when it is this gateway or unknown. */
   findPlannerAddress (): NetworkAddress | undefined
+  /** All other gateways. */
+  listGatewayAddresses (): readonly NetworkAddress[]
+  /** Address of another gateway; undefined when it is unknown. */
+  findAddress (nodeId: string): NetworkAddress | undefined
   /** Servers that announced to this gateway within the time that they are leaving: start times of their processes by ID. */
   listRecentlyLeaving (withinMs: number): Record<string, number>
   /** Called when another gateway reports a server that is leaving. */
   onLeavingServer (serverId: string, startedAtMs: number): void
+  /** Called when another gateway answers an inquiry. */
+  onDeliveryAnswer (answer: DeliveryAnswer): void
   /** Called when a replica is quiet here, or when another gateway reports it as quiet or stalled. */
   onSuspectReplica (replicaId: string): void
 }
@@ -33,7 +44,8 @@
 const leavingReportTimeMs = 1500
 
 /** Creates the exchange of load reports with the other gateways. */
-export function createLoadSharing ({ settings, timers, logger, loads, listPeers, findPlannerAddress, listRecentlyLeaving, onLeavingServer, onSuspectReplica }: LoadSharingOptions) {
+export function createLoadSharing (options: LoadSharingOptions) {
+  const { settings, timers, logger, loads, listPeers, findPlannerAddress, listRecentlyLeaving, onLeavingServer, onSuspectReplica } = options
   let timer: TimerSubscription | undefined
   let leavingTimer: TimerSubscription | undefined
   let reportedQuietIds = new Set<string>()
@@ -51,9 +63,20 @@
       report.quietIds.forEach(onSuspectReplica)
       for (const [serverId, startedAtMs] of Object.entries(report.leavingServers ?? {})) onLeavingServer(serverId, startedAtMs)
     },
+    onDeliveryMessage: handleDeliveryMessage,
     onError: reason => logger.debug('A load report could not be sent or decoded.', { reason })
   })
 
+  function handleDeliveryMessage (message: DeliveryMessage): void {
+    if (message.kind === DeliveryMessageKind.Answer) {
+      options.onDeliveryAnswer(message)
+      return
+    }
+    const { inquiryId, replicaId, sinceMs, nodeId } = message
+    const address = loads.hasRecentEvent(replicaId, sinceMs) ? options.findAddress(nodeId) : undefined
+    if (address !== undefined) reportSocket.sendDeliveryMessage({ kind: DeliveryMessageKind.Answer, inquiryId, replicaId }, [address])
+  }
+
   function sendReport (): void {
     schedule()
     const peers = listPeers()
@@ -103,6 +126,10 @@
     checkQuiet,
     /** Tells the planner of servers that are leaving, now and several times more. */
     reportLeaving,
+    /** Asks all other gateways whether a replica delivers events to them. */
+    sendInquiry (inquiry: DeliveryInquiry): void {
+      reportSocket.sendDeliveryMessage({ kind: DeliveryMessageKind.Inquiry, nodeId: settings.nodeId, ...inquiry }, options.listGatewayAddresses())
+    },
     async start (): Promise<void> {
       await reportSocket.start()
       schedule()
--- a/src/testing/fake-group-servers.ts
+++ b/src/testing/fake-group-servers.ts
@@ -4,6 +4,7 @@
 import { failure, success, type Result } from '../shared/result.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
 import { MemberState, ServerState, type BackendServer, type GroupMembership } from '../state/backend-server.js'
+import { formatReplicaId } from '../state/replica.js'
 import type { EngineProfile } from '../state/serving-config.js'
 
 /** Faults of commands and of the published list of servers; all may change at any time. */
@@ -31,6 +32,10 @@
   kill (id: string): void
   /** The server accepts connections and answers nothing for this time, and goes on then, with what it has received first. */
   silence (id: string, durationMs: number): void
+  /** The path from the planner to the server is cut for this time; the server and its replica go on. */
+  cutPath (id: string, durationMs: number): void
+  /** Whether the replica's leader serves and all of its members are alive. */
+  isDelivering (replicaId: string): boolean
   setState (id: string, state: ServerState): void
   /** Returns the number of weight fetches so far. */
   countLoads (): number
@@ -46,6 +51,7 @@
   isAlive: boolean
   diedAtMs: number
   silentUntilMs: number
+  cutUntilMs: number
   lastModel: string | undefined
   members: readonly string[]
   loadEndsAtMs: number
@@ -178,6 +184,10 @@
     }
   }
 
+  function isReachable (server: FakeServer): boolean {
+    return server.isAlive && server.cutUntilMs <= timers.nowMs()
+  }
+
   return {
     faults,
     violations,
@@ -189,7 +199,7 @@
         sent.push({ serverId: listed.id, command })
         breakStalledGroups()
         const server = servers.get(listed.id)
-        if (server === undefined || !server.isAlive) {
+        if (server === undefined || !isReachable(server)) {
           await delay(timers, commandTimeoutMs)
           return CommandOutcome.Unreachable
         }
@@ -213,7 +223,7 @@
       async readReport (listed): Promise<Result<ServerReport, ReportError>> {
         await delay(timers, responseDelayMs)
         const server = servers.get(listed.id)
-        if (server === undefined || !server.isAlive) {
+        if (server === undefined || !isReachable(server)) {
           await delay(timers, commandTimeoutMs)
           return failure({ kind: ReportErrorKind.Failed, reason: 'no connection' })
         }
@@ -255,6 +265,7 @@
         isAlive: true,
         diedAtMs: Infinity,
         silentUntilMs: -Infinity,
+        cutUntilMs: -Infinity,
         lastModel: undefined,
         members: [],
         loadEndsAtMs: 0
@@ -270,6 +281,19 @@
       const server = servers.get(id)
       if (server !== undefined) server.silentUntilMs = timers.nowMs() + durationMs
     },
+    cutPath (id, durationMs) {
+      const server = servers.get(id)
+      if (server !== undefined) server.cutUntilMs = timers.nowMs() + durationMs
+    },
+    isDelivering (replicaId) {
+      const leader = [...servers.values()].find(({ entry: { group } }) => group?.rank === 0 && formatReplicaId(group.groupName, group.epoch) === replicaId)
+      const state = leader?.entry.group?.state
+      if (leader === undefined || (state !== MemberState.Open && state !== MemberState.Closing)) return false
+      return leader.members.every(id => {
+        const member = servers.get(id)
+        return member?.isAlive === true && member.entry.group?.epoch === leader.entry.group?.epoch
+      })
+    },
     setState (id, state) {
       const server = servers.get(id)
       if (server !== undefined) update(server, { state })
--- a/src/transport/load-report-socket.ts
+++ b/src/transport/load-report-socket.ts
@@ -1,32 +1,48 @@
 import { createSocket, type Socket } from 'node:dgram'
 
 import type { LoadReport } from '../coordination/dispatch/replica-loads.js'
+import { decodeDeliveryMessage, encodeDeliveryMessage, type DeliveryMessage } from '../protocol/delivery-messages.js'
 import { decodeLoadReport, encodeLoadReport } from '../protocol/relay-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 
-/** UDP socket for load reports between gateways; any datagram may be lost. */
+/** UDP socket for load reports and inquiries between gateways; any datagram may be lost. */
 export interface LoadReportSocket {
   /** Binds the socket; rejects when the address cannot be bound. */
   start (): Promise<void>
   /** Sends the report to each peer; does nothing while the socket is not bound. */
   send (report: LoadReport, peers: readonly NetworkAddress[]): void
+  /** The same for a message about the events of a replica. */
+  sendDeliveryMessage (message: DeliveryMessage, peers: readonly NetworkAddress[]): void
   stop (): void
 }
 
 export interface LoadReportSocketOptions {
   readonly address: NetworkAddress
   onReport (report: LoadReport): void
+  onDeliveryMessage (message: DeliveryMessage): void
   onError (reason: string): void
 }
 
 /** Creates the socket, which `start` binds. */
-export function createLoadReportSocket ({ address, onReport, onError }: LoadReportSocketOptions): LoadReportSocket {
+export function createLoadReportSocket ({ address, onReport, onDeliveryMessage, onError }: LoadReportSocketOptions): LoadReportSocket {
   let socket: Socket | undefined
 
   function receive (bytes: Buffer): void {
-    const report = decodeLoadReport(bytes.toString('utf8'))
-    if (report === undefined) onError('received a datagram that is not a load report')
-    else onReport(report)
+    const text = bytes.toString('utf8')
+    const report = decodeLoadReport(text)
+    const message = report === undefined ? decodeDeliveryMessage(text) : undefined
+    if (report !== undefined) onReport(report)
+    else if (message !== undefined) onDeliveryMessage(message)
+    else onError('received a datagram that is neither a load report nor an inquiry')
+  }
+
+  function sendText (text: string, peers: readonly NetworkAddress[]): void {
+    const bytes = Buffer.from(text)
+    for (const peer of peers) {
+      socket?.send(bytes, peer.port, peer.host, error => {
+        if (error !== null) onError(error.message)
+      })
+    }
   }
 
   return {
@@ -41,14 +57,8 @@
         resolve()
       })
     }),
-    send (report, peers) {
-      const bytes = Buffer.from(encodeLoadReport(report))
-      for (const peer of peers) {
-        socket?.send(bytes, peer.port, peer.host, error => {
-          if (error !== null) onError(error.message)
-        })
-      }
-    },
+    send: (report, peers) => sendText(encodeLoadReport(report), peers),
+    sendDeliveryMessage: (message, peers) => sendText(encodeDeliveryMessage(message), peers),
     stop () {
       socket?.close()
       socket = undefined
