Keep the answers to an inquiry when another one on its replica begins

Cause: the inquiries were kept by replica. A check of the other members, which answer at once, began another inquiry, and the answers to the one in progress were dropped.

Evidence, before the change: of one replica that overlap each get their answers: expected [ false, true ] to deeply equal [ true, true ] keeps the replica while it pauses for as long as a working one may: expected [ { serverId: 'd0-s00', …(1) }, …(7) ] to deeply equal []

Change: inquiries are kept by their number. 16 cases of the two files pass.

--- a/src/coordination/replicas/delivery-inquiries.test.ts
+++ b/src/coordination/replicas/delivery-inquiries.test.ts
@@ -61,6 +61,16 @@
     expect(second.hasDelivered()).to.equal(false)
   })
 
+  it('of one replica that overlap each get their answers', () => {
+    const { timers, sent, inquiries } = createFixture()
+    const first = inquiries.begin('r')
+    timers.advance(100)
+    const second = inquiries.begin('r')
+    timers.advance(150)
+    for (const inquiry of sent) inquiries.applyAnswer(inquiry)
+    expect([first.hasDelivered(), second.hasDelivered()]).to.deep.equal([true, true])
+  })
+
   it('are shared by the members of a replica that are checked together', () => {
     const { timers, sent, inquiries } = createFixture()
     const all = [inquiries.begin('r'), inquiries.begin('r'), inquiries.begin('r')]
--- a/src/coordination/replicas/delivery-inquiries.ts
+++ b/src/coordination/replicas/delivery-inquiries.ts
@@ -42,6 +42,7 @@
 
 interface InquiryState {
   readonly inquiryId: number
+  readonly replicaId: string
   readonly beganAtMs: number
   readonly timers: readonly TimerSubscription[]
   userCount: number
@@ -53,10 +54,10 @@
  * inquiry, so that neither clocks nor delays on the way make an event from before its beginning count.
  */
 export function createDeliveryInquiries ({ timers, hasRecentEvent, sendInquiry }: DeliveryInquiriesOptions): DeliveryInquiries {
-  const inProgress = new Map<string, InquiryState>()
+  const inProgress = new Map<number, InquiryState>()
   let lastInquiryId = 0
 
-  function hasOwnEvent (replicaId: string, { beganAtMs }: InquiryState): boolean {
+  function hasOwnEvent ({ replicaId, beganAtMs }: InquiryState): boolean {
     return hasRecentEvent(replicaId, timers.nowMs() - beganAtMs)
   }
 
@@ -64,40 +65,44 @@
     lastInquiryId += 1
     const state: InquiryState = {
       inquiryId: lastInquiryId,
+      replicaId,
       beganAtMs: timers.nowMs(),
-      timers: askAfterMs.map(afterMs => timers.subscribeOnce(afterMs, () => ask(replicaId, state))),
+      timers: askAfterMs.map(afterMs => timers.subscribeOnce(afterMs, () => ask(state))),
       userCount: 0,
       isAnswered: false
     }
-    inProgress.set(replicaId, state)
+    inProgress.set(state.inquiryId, state)
     return state
   }
 
-  function ask (replicaId: string, state: InquiryState): void {
-    if (state.isAnswered || hasOwnEvent(replicaId, state)) return
-    sendInquiry({ inquiryId: state.inquiryId, replicaId, sinceMs: timers.nowMs() - state.beganAtMs })
+  function findShared (replicaId: string): InquiryState | undefined {
+    return [...inProgress.values()].find(state => state.replicaId === replicaId && timers.nowMs() - state.beganAtMs <= sharedWithinMs)
+  }
+
+  function ask (state: InquiryState): void {
+    if (state.isAnswered || hasOwnEvent(state)) return
+    sendInquiry({ inquiryId: state.inquiryId, replicaId: state.replicaId, sinceMs: timers.nowMs() - state.beganAtMs })
   }
 
-  function release (replicaId: string, state: InquiryState): void {
+  function release (state: InquiryState): void {
     state.userCount -= 1
     if (state.userCount > 0) return
     for (const timer of state.timers) timer.cancel()
-    if (inProgress.get(replicaId) === state) inProgress.delete(replicaId)
+    inProgress.delete(state.inquiryId)
   }
 
   return {
     begin (replicaId) {
-      const current = inProgress.get(replicaId)
-      const state = current !== undefined && timers.nowMs() - current.beganAtMs <= sharedWithinMs ? current : start(replicaId)
+      const state = findShared(replicaId) ?? start(replicaId)
       state.userCount += 1
       return {
-        hasDelivered: () => state.isAnswered || hasOwnEvent(replicaId, state),
-        end: () => release(replicaId, state)
+        hasDelivered: () => state.isAnswered || hasOwnEvent(state),
+        end: () => release(state)
       }
     },
     applyAnswer ({ inquiryId, replicaId }) {
-      const state = inProgress.get(replicaId)
-      if (state?.inquiryId === inquiryId) state.isAnswered = true
+      const state = inProgress.get(inquiryId)
+      if (state?.replicaId === replicaId) state.isAnswered = true
     }
   }
 }
--- a/src/coordination/replicas/planner-evidence.test.ts
+++ b/src/coordination/replicas/planner-evidence.test.ts
@@ -9,6 +9,8 @@
 
 /** A check fails after 403 ms in the fixture; the planner then plans at once. */
 const lossSeenMs = 410
+/** Below the pause after which a replica counts as quiet. */
+const longestPauseMs = 215
 
 async function createStreamingFixture () {
   const fixture = await createFormedFixture(3)
@@ -38,6 +40,15 @@
     })
   }
 
+  it('keeps the replica while it pauses for as long as a working one may', async () => {
+    const { fixture, large, sentBefore } = await createStreamingFixture()
+    fixture.streamElsewhere(large.id, longestPauseMs)
+    await fixture.timers.advanceAsync(500)
+    fixture.servers.cutPath(large.members[3]?.id as string, 20_000)
+    await advanceWithChecks(fixture, large.id, 25_000)
+    expect(fixture.servers.sent.slice(sentBefore)).to.deep.equal([])
+  })
+
   it('keeps the replica when the path to all of its members is cut for long', async () => {
     const { fixture, large, sentBefore } = await createStreamingFixture()
     fixture.streamElsewhere(large.id)
--- a/src/testing/planner-fixture.ts
+++ b/src/testing/planner-fixture.ts
@@ -36,8 +36,8 @@
   })
 
   /** Starts streams on the replica through another gateway; they deliver events while the replica works. */
-  function streamElsewhere (replicaId: string): void {
-    timers.subscribeEvery(eventIntervalMs, () => {
+  function streamElsewhere (replicaId: string, intervalMs = eventIntervalMs): void {
+    timers.subscribeEvery(intervalMs, () => {
       if (servers.isDelivering(replicaId)) otherLoads.recordEvent(replicaId)
     })
   }
