Fail a response without a length that a reset ends

What callers saw: a call to the store, a server, a relay, a service or an engine counted as complete with the part of the response that had arrived before the connection was reset. An engine stream could end as if it were whole.

Cause: undici takes ECONNRESET as the end of a response that has no length and does not keep its connection.

Evidence, before the change: 'fails with ConnectionLost when a reset ends a response that ends with its connection, after a body of 4 bytes': expected 'half' to equal 'connectionLost' (and three more); 'does not take a reset for the end of a stream that has no length': expected { done: true, kind: undefined } to deeply equal { done: true, kind: 'broken' }.

Ruled out: a truncated response with a length, which failed before too. The pool of connections to servers does not use undici.

Change: the error of a reset connection gets another code before undici sees it, which then fails the response.

After: the tests of http-client (14) and the new one of the engine stream client pass.

--- a/src/transport/engine-stream-client.test.ts
+++ b/src/transport/engine-stream-client.test.ts
@@ -1,10 +1,29 @@
-import { ModelRequestShape, type EngineStreamRequest } from '../coordination/ports/engine-streams.js'
+import { createServer, type AddressInfo } from 'node:net'
+
+import { expect } from 'chai'
+
+import { EngineStreamErrorKind, ModelRequestShape, type EngineStreamRequest } from '../coordination/ports/engine-streams.js'
 import { describeEndlessReader } from '../testing/endless-reader-tests.js'
 import { EndlessKind } from '../testing/endless-server.js'
 import { createEngineStreamClient, type EngineStreamClient } from './engine-stream-client.js'
 
 const request: EngineStreamRequest = { shape: ModelRequestShape.Chat, groupId: 'g', epoch: 1, requestId: 'r', body: {}, priority: 1, resumeFromToken: 0 }
 
+describe('engine stream client', () => {
+  it('does not take a reset for the end of a stream that has no length', async () => {
+    const server = createServer(socket => socket.once('data', () => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\n')
+      setTimeout(() => socket.resetAndDestroy(), 50)
+    }))
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const client = createEngineStreamClient({ connectTimeoutMs: 500, idleTimeoutMs: 500 })
+    const { done, value } = await client.open(`127.0.0.1:${(server.address() as AddressInfo).port}`, request, new AbortController().signal).next()
+    expect({ done, kind: value !== undefined && 'kind' in value ? value.kind : undefined }).to.eql({ done: true, kind: EngineStreamErrorKind.Broken })
+    await client.close()
+    server.close()
+  })
+})
+
 describe('engine stream client: bytes without end', () => {
   let client: EngineStreamClient
 
--- a/src/transport/engine-stream-client.ts
+++ b/src/transport/engine-stream-client.ts
@@ -1,4 +1,4 @@
-import { Agent, request as sendRequest, type Dispatcher } from 'undici'
+import { Agent, buildConnector, request as sendRequest, type Dispatcher } from 'undici'
 
 import {
   EngineStreamErrorKind,
@@ -10,6 +10,7 @@
 } from '../coordination/ports/engine-streams.js'
 import { parseEngineChunk } from '../protocol/engine-chunk.js'
 import { createSseParser } from '../protocol/sse-parser.js'
+import { reportResets } from './reset-errors.js'
 import { maxInformationalResponseCount } from './response-limits.js'
 
 const maxEventCharacters = 1_048_576
@@ -50,8 +51,14 @@
 
 /** Creates the client. It never retries a request. */
 export function createEngineStreamClient (options: EngineStreamClientOptions): EngineStreamClient {
+  const connect = buildConnector({ timeout: options.connectTimeoutMs })
   const dispatcher = new Agent({
-    connect: { timeout: options.connectTimeoutMs },
+    connect (target, callback) {
+      connect(target, (...result) => {
+        if (result[0] === null) reportResets(result[1])
+        callback(...result)
+      })
+    },
     headersTimeout: options.idleTimeoutMs,
     bodyTimeout: options.idleTimeoutMs,
     pipelining: 1
--- a/src/transport/http-client.test.ts
+++ b/src/transport/http-client.test.ts
@@ -122,6 +122,20 @@
       expect(result.isOk ? undefined : result.error.kind).to.equal(TransportErrorKind.ConnectionLost)
     })
 
+    for (const { name, head } of [{ name: 'ends with its connection', head: 'HTTP/1.1 200 OK\r\n\r\n' }, { name: 'ends with its connection, which it says', head: 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n' }]) {
+      for (const body of ['', 'half']) {
+        it(`fails with ConnectionLost when a reset ends a response that ${name}, after a body of ${body.length} bytes`, async () => {
+          server = await startRawServer(socket => {
+            socket.write(head + body)
+            setTimeout(() => socket.resetAndDestroy(), 50)
+          })
+          client = createHttpClient()
+          const result = await send(server.origin)
+          expect(result.isOk ? result.value.body.toString() : result.error.kind).to.equal(TransportErrorKind.ConnectionLost)
+        })
+      }
+    }
+
     it('fails with TimedOut when the timeout passes during the wait for the response', async () => {
       const timers = createVirtualTimerService()
       client = createHttpClient({ timers })
--- a/src/transport/read-guard.ts
+++ b/src/transport/read-guard.ts
@@ -2,6 +2,7 @@
 
 import { buildConnector, type Agent } from 'undici'
 
+import { reportResets } from './reset-errors.js'
 import { maxBytesWithoutBody } from './response-limits.js'
 
 /** Destroys connections of an undici agent on which bytes arrive that are no body, without end. */
@@ -35,7 +36,10 @@
   return {
     connect (options, callback) {
       open(options, (...result) => {
-        if (result[0] === null) guard(result[1])
+        if (result[0] === null) {
+          reportResets(result[1])
+          guard(result[1])
+        }
         callback(...result)
       })
     },
