Fit the drain into a short shutdown limit

What callers saw: with a graceS of 1 or 2 s a gateway had closed no connection and given no request up when its limit was over, so that its end cut all of them.

Cause: the notice of the load balancer took 2.5 s whatever the limit, and the time left for responses was what remained.

Evidence, before the change: 'answers what is in progress and closes quiet connections before a limit of 1000 ms': AssertionError: expected 2504 to be below 1000; 'of 2000 ms': expected 2512 to be below 2000. The case of 4000 ms passed before, and stays as a guard.

Ruled out: readiness, which fails at the begin of the drain whatever the limit, so that no gateway counts as ready 4 s later (asserted in 'closes connections at the same time when the store does not respond').

Change: all times are computed by one function of the limit, with its invariants as tests for limits of 1 to 30 s; the drain has a file of its own. From 8 s on the times are the former ones. Below, refusals of late requests begin at 5/16 of the limit, and below 5.2 s connections close earlier. Connections are also checked at intervals of the quiet time, which may be below half a second.

After: 8 tests of the schedule and the three limits pass, and the stop tests of the client server and the gateway.

--- a/src/gateway/client-server.test.ts
+++ b/src/gateway/client-server.test.ts
@@ -12,6 +12,8 @@
 const post = 'POST /a HTTP/1.1\r\nHost: h.example\r\n'
 const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
 
+const quietLimitMs = 1000
+
 interface Client {
   readonly socket: net.Socket
   text: string
@@ -44,7 +46,7 @@
 
   afterEach(async () => {
     for (const { socket } of clients) socket.destroy()
-    await server.stop()
+    await server.stop(quietLimitMs)
   })
 
   async function start (options: Partial<ClientServerOptions> = {}, startLimits = limits): Promise<void> {
@@ -384,7 +386,7 @@
       client.socket.write(request)
       await waitFor(() => exchanges.length === 1)
       await sleep(50)
-      const stopped = server.stop()
+      const stopped = server.stop(quietLimitMs)
       await sleep(50)
       client.socket.resume()
       await waitFor(() => client.isClosed)
@@ -409,7 +411,7 @@
       const client = await connect()
       client.socket.write(request.repeat(3))
       await waitFor(() => server.countInFlight() === 3)
-      const stopped = server.stop()
+      const stopped = server.stop(quietLimitMs)
       await waitFor(() => client.isClosed)
       expect(client.text.match(/whole/g)).to.have.length(3)
       await stopped
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -14,8 +14,8 @@
   applyLimits (limits: ClientLimits): void
   /** From now on responses ask clients to close their connections. */
   beginDrain (): void
-  /** Stops accepting connections and closes idle ones; resolves once all are closed. */
-  stop (): Promise<void>
+  /** Stops accepting connections and closes those that are idle for this time; resolves once all are closed. */
+  stop (quietLimitMs: number): Promise<void>
   /** Answers the requests in flight that have no response yet with a failure, since the process ends. */
   giveUp (): void
   /** Requests in flight. */
@@ -47,8 +47,6 @@
 const defaultTransferLimitMs = 30_000
 /** `Keep-Alive` states whole seconds. */
 const shortestStatedIdleMs = 1000
-/** At the stop a connection closes once it has been idle for this time: longer than a request takes to arrive on a new connection. */
-const stopQuietMs = 1000
 /** Status lines by Node.js error code; any other client error is answered with 400. */
 const statusByErrorCode: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -63,7 +61,7 @@
   const ticker = createSharedTicker(timers, checkIntervalMs)
   let idleLimitMs = defaultIdleLimitMs
   let isDraining = false
-  let isStopping = false
+  let quietLimitMs = Infinity
   let hasReceivedRequest = false
   /** Undefined until a configuration is known. */
   let headerLimitMs: number | undefined
@@ -99,7 +97,11 @@
   }
 
   function checkConnection (connection: ClientConnection): void {
-    connection.check({ idleLimitMs, headerLimitMs: server.headersTimeout, quietLimitMs: isStopping ? stopQuietMs : Infinity })
+    connection.check({ idleLimitMs, headerLimitMs: server.headersTimeout, quietLimitMs })
+  }
+
+  function checkConnections (): void {
+    for (const connection of connections.values()) checkConnection(connection)
   }
 
   function receive (request: IncomingMessage, response: ServerResponse): void {
@@ -156,13 +158,17 @@
       isDraining = true
       for (const connection of connections.values()) connection.beginDrain()
     },
-    stop: () => new Promise(resolve => {
+    stop: newQuietLimitMs => new Promise(resolve => {
       isDraining = true
-      isStopping = true
+      quietLimitMs = newQuietLimitMs
+      const checks = timers.subscribeEvery(Math.min(checkIntervalMs, quietLimitMs), checkConnections)
       // Connections that the kernel has accepted are taken first. The method of `http.Server` would close idle connections at once.
       setImmediate(() => {
-        net.Server.prototype.close.call(server, () => resolve())
-        for (const connection of connections.values()) checkConnection(connection)
+        net.Server.prototype.close.call(server, () => {
+          checks.cancel()
+          resolve()
+        })
+        checkConnections()
       })
     }),
     giveUp () {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,13 +18,14 @@
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
-import { delay, type TimerService } from '../shared/timer-service.js'
+import type { TimerService } from '../shared/timer-service.js'
 import type { BackendServer } from '../state/backend-server.js'
 import { createBackendConnectionPool } from '../transport/backend-connection-pool.js'
 import type { CallDependencies } from './call-context.js'
 import { createCallIntake } from './call-intake.js'
 import { ConnectionEnd, type IncompleteResponse } from './client-connection.js'
 import { createClientServer } from './client-server.js'
+import { createDrain } from './drain.js'
 import { createFleetView, FleetEvent, type StoreLayout } from './fleet-view.js'
 import type { GatewayBounds, GatewaySettings } from './gateway-settings.js'
 import { createLoadSharing } from './load-sharing.js'
@@ -58,12 +59,6 @@
 const plannerLeaseMs = 2000
 const plannerKey = 'planner'
 const gatewayKeyPrefix = 'gateways/'
-/** The load balancer checks every second and needs two failures, so that new connections arrive for somewhat over 2 s. */
-const balancerNoticeMs = 2500
-/** Kept at the end of a shutdown to flush the last bytes and exit. */
-const exitMarginMs = 700
-/** At the end of a shutdown for the last responses: a send on a local network takes less. */
-const lastResponsesMs = 100
 /** Subtracted from the revocation bound for the time that a request needs to reach its server. */
 const revocationMarginMs = 300
 /** Idle connections kept for each server. Requests in flight have their own limit, from what the server accepts in all. */
@@ -180,12 +175,12 @@
     onSuspectReplica: replicaId => planner.checkReplica(replicaId)
   })
   const incompleteLogger = createRateLimitedLogger(createLogger('connections'), timers, incompleteLogLinesPerSecond)
-  const callIntake = createCallIntake({ dependencies, getMaxConfigAgeMs, getLatestEndMs })
+  const callIntake = createCallIntake({ dependencies, getMaxConfigAgeMs, getLatestEndMs: () => drain.getLatestEndMs() })
   const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes: maxParsedHeaderBytes, timers, handle: callIntake.handle, onIncomplete: recordIncomplete })
   const readinessServer = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics, refreshGauges)
   const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), log)
-  let drain: { readonly lateFromMs: number, readonly stopsAtMs: number } | undefined
+  const drain = createDrain({ timers, logger: log, clientServer, getShutdownLimitMs: () => bounds.shutdownLimitMs })
 
   function noteLeaving (server: BackendServer): void {
     if (!fleet.markLeaving(server.id, server.startedAtMs)) return
@@ -253,7 +248,7 @@
   }
 
   function isReady (): boolean {
-    return drain === undefined && fleet.getConfig() !== undefined && fleet.getConfigAgeMs() <= getMaxConfigAgeMs()
+    return !drain.hasBegun() && fleet.getConfig() !== undefined && fleet.getConfigAgeMs() <= getMaxConfigAgeMs()
   }
 
   function observeFleet (): void {
@@ -269,11 +264,6 @@
     })
   }
 
-  /** Requests that arrive late in the drain must have their response before its end; earlier ones get the chance. */
-  function getLatestEndMs (): number {
-    return drain === undefined || timers.nowMs() < drain.lateFromMs ? Infinity : drain.stopsAtMs
-  }
-
   /** Nothing waits for it, since the store may not respond. */
   async function releaseLeases (): Promise<void> {
     try {
@@ -283,16 +273,6 @@
     }
   }
 
-  async function stopClientServer (stopsAtMs: number): Promise<void> {
-    const closed = clientServer.stop()
-    await Promise.race([closed, delay(timers, stopsAtMs - timers.nowMs())])
-    const unansweredCount = clientServer.countInFlight()
-    if (unansweredCount === 0) return
-    log.warn('The time for the drain is over; requests in flight are given up.', { inProgressCount: unansweredCount })
-    clientServer.giveUp()
-    await Promise.race([closed, delay(timers, lastResponsesMs)])
-  }
-
   return {
     async start () {
       observeFleet()
@@ -307,15 +287,10 @@
       bounds = newBounds
     },
     async stop () {
-      const nowMs = timers.nowMs()
-      const stopsAtMs = nowMs + bounds.shutdownLimitMs - exitMarginMs
-      drain = { lateFromMs: nowMs + balancerNoticeMs, stopsAtMs }
       log.info('The gateway is stopping.', { inProgressCount: clientServer.countInFlight() })
       planner.stop()
-      clientServer.beginDrain()
       void releaseLeases()
-      await delay(timers, balancerNoticeMs)
-      await stopClientServer(stopsAtMs)
+      await drain.run()
       fleet.stop()
       loadSharing.stop()
       log.info('The gateway has stopped.', { inProgressCount: clientServer.countInFlight() })
