Answer requests that arrive in a drain behind a response that has not begun

What callers saw: of requests sent at once on one connection to a gateway that is draining only the first got a response, and the connection closed. So did a request that arrived while the response before it had no head yet.

Cause: in a drain the first request's response was marked as the last one as soon as the request began; what arrived behind it had been read whole and was dropped at the close.

Evidence, before the change: 'are answered when they were sent at once, and the last response announces the close': expected [ 'whole' ] to have a length of 3 but got 1; 'are answered when they arrive before the head of the response in progress': expected [ 'whole' ] to have a length of 2 but got 1.

Ruled out: a response that had begun before the drain and ends in time; what is behind it was answered before too (a test).

Change: an announcement of the close that was not sent is withdrawn when another request arrives. A close that the client asked for, or that a refusal needs, stays.

Open: behind a response that has begun and lasts past the end of the process nothing can be sent. Responses come in the order of requests, and one that is cut must not look complete. A test states what clients see: the beginning of the first response without its end, no status line behind it, and a request that was not run.

--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -96,6 +96,8 @@
   let end: Pick<IncompleteResponse, 'endedBy' | 'reason'> | undefined
   let pendingRefusal: string | undefined
   let isClosing = false
+  /** The response that is to announce the close because of the drain. */
+  let announcing: ServerResponse | undefined
   let discardedBytes = 0
   let lingerEndsAtMs = Infinity
   let quietSinceMs = timers.nowMs()
@@ -128,7 +130,15 @@
   /** A response behind one that announces the close would not arrive. */
   function announceClose (): void {
     const [only, ...others] = exchanges
-    if (only !== undefined && others.length === 0 && !only.response.headersSent) only.response.shouldKeepAlive = false
+    if (only === undefined || others.length > 0 || only.response.headersSent || !only.response.shouldKeepAlive) return
+    only.response.shouldKeepAlive = false
+    announcing = only.response
+  }
+
+  /** For a request that arrives behind the response; the last one announces the close then. */
+  function withdrawClose (): void {
+    if (announcing?.headersSent === false) announcing.shouldKeepAlive = true
+    announcing = undefined
   }
 
   function finish (exchange: TrackedExchange): void {
@@ -213,6 +223,7 @@
           if (socket.readableEnded) handleHalfClose()
         }
       }
+      withdrawClose()
       exchanges.push(exchange)
       // Node.js also emits it, and sets `writableFinished`, for what a connection did not send before an error.
       response.once('finish', () => { exchange.isSent = !socket.destroyed && socket.errored === null })
