Keep an idle time that was told until another one is told

What callers saw: a connection whose client had been told an idle time of 4 s was closed some 2 s after its next response, once the limit had been lowered below a second.

Cause: each request replaced the told time with the limit in force, although `Keep-Alive` states none below a second.

Evidence, before the change: 'are kept as they were told last when a later response states none': expected true to equal false.

Ruled out: a limit that is lowered to a second or more. Its response states the new time, which then holds. A limit that is raised and lowered between two requests was never told.

Change: the connection keeps the time that its responses stated.

After: the test passes, and those of idle connections.

--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -56,7 +56,8 @@
 }
 
 export interface ClientConnection {
-  receive (request: IncomingMessage, response: ServerResponse, idleLimitMs: number): void
+  /** `statedIdleMs` is what the response says; 0 if it says nothing. */
+  receive (request: IncomingMessage, response: ServerResponse, statedIdleMs: number): void
   /** Ends the connection with this status line, after the responses that are due. */
   refuse (status: string, error: NodeJS.ErrnoException): void
   /** Marks the response in progress, if its head can still say so, as the last one of the connection. */
@@ -209,9 +210,10 @@
   })
 
   return {
-    receive (request, response, idleLimitMs) {
+    receive (request, response, statedIdleMs) {
       if (isClosing || pendingRefusal !== undefined) return
-      toldIdleMs = idleLimitMs
+      // What was told before holds while nothing else is told.
+      if (statedIdleMs > 0) toldIdleMs = statedIdleMs
       const exchange: TrackedExchange = {
         request,
         response,
--- a/src/gateway/client-server-drain.test.ts
+++ b/src/gateway/client-server-drain.test.ts
@@ -25,7 +25,7 @@
   while (!isDone()) await sleep(5)
 }
 
-describe('client server: requests behind others', () => {
+describe('client server: connections with several requests', () => {
   let port = 0
   let server: ClientServer
   let client: Client
@@ -62,7 +62,7 @@
     await server.stop(0)
   })
 
-  describe('in a drain', () => {
+  describe('requests behind others in a drain', () => {
     it('are answered when they were sent at once, and the last response announces the close', async () => {
       handle = ({ response }) => { setTimeout(() => response.end('whole'), 50) }
       server.beginDrain()
@@ -114,4 +114,19 @@
       expect(exchanges).to.have.length(1)
     })
   })
+
+  describe('idle times', () => {
+    it('are kept as they were told last when a later response states none', async () => {
+      handle = ({ response }) => { response.end('whole') }
+      server.applyLimits({ ...limits, idleTimeoutMs: 4000 })
+      client.socket.write(request)
+      await waitFor(() => client.text.includes('whole'))
+      server.applyLimits({ ...limits, idleTimeoutMs: 200 })
+      client.socket.write(request)
+      await waitFor(() => client.text.match(/whole/g)?.length === 2)
+      expect(client.text.match(/Keep-Alive: timeout=\d+/g)).to.eql(['Keep-Alive: timeout=4'])
+      await sleep(3900)
+      expect(client.isClosed).to.equal(false)
+    })
+  })
 })
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -107,7 +107,7 @@
   function receive (request: IncomingMessage, response: ServerResponse): void {
     hasReceivedRequest = true
     response.sendDate = false
-    connections.get(request.socket)?.receive(request, response, idleLimitMs)
+    connections.get(request.socket)?.receive(request, response, server.keepAliveTimeout)
   }
 
   function handleExchange (exchange: ClientExchange): void {
