--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -56,7 +56,8 @@
 }
 
 export interface ClientConnection {
-  receive (request: IncomingMessage, response: ServerResponse, idleLimitMs: number): void
+  /** `statedIdleMs` is what the response says; 0 if it says nothing. */
+  receive (request: IncomingMessage, response: ServerResponse, statedIdleMs: number): void
   /** Ends the connection with this status line, after the responses that are due. */
   refuse (status: string, error: NodeJS.ErrnoException): void
   /** Marks the response in progress, if its head can still say so, as the last one of the connection. */
@@ -96,6 +97,8 @@
   let end: Pick<IncompleteResponse, 'endedBy' | 'reason'> | undefined
   let pendingRefusal: string | undefined
   let isClosing = false
+  /** The response that is to announce the close because of the drain. */
+  let announcing: ServerResponse | undefined
   let discardedBytes = 0
   let lingerEndsAtMs = Infinity
   let quietSinceMs = timers.nowMs()
@@ -128,7 +131,15 @@
   /** A response behind one that announces the close would not arrive. */
   function announceClose (): void {
     const [only, ...others] = exchanges
-    if (only !== undefined && others.length === 0 && !only.response.headersSent) only.response.shouldKeepAlive = false
+    if (only === undefined || others.length > 0 || only.response.headersSent || !only.response.shouldKeepAlive) return
+    only.response.shouldKeepAlive = false
+    announcing = only.response
+  }
+
+  /** For a request that arrives behind the response; the last one announces the close then. */
+  function withdrawClose (): void {
+    if (announcing?.headersSent === false) announcing.shouldKeepAlive = true
+    announcing = undefined
   }
 
   function finish (exchange: TrackedExchange): void {
@@ -199,9 +210,10 @@
   })
 
   return {
-    receive (request, response, idleLimitMs) {
+    receive (request, response, statedIdleMs) {
       if (isClosing || pendingRefusal !== undefined) return
-      toldIdleMs = idleLimitMs
+      // What was told before holds while nothing else is told.
+      if (statedIdleMs > 0) toldIdleMs = statedIdleMs
       const exchange: TrackedExchange = {
         request,
         response,
@@ -213,6 +225,7 @@
           if (socket.readableEnded) handleHalfClose()
         }
       }
+      withdrawClose()
       exchanges.push(exchange)
       // Node.js also emits it, and sets `writableFinished`, for what a connection did not send before an error.
       response.once('finish', () => { exchange.isSent = !socket.destroyed && socket.errored === null })
