Count a stream's wait for a replica from the failure

What callers saw: a stream whose replica was silent for 1.6 s, or whose client did not read for as long, and then failed, was cut at once when no other replica could take it at that moment.

Cause: the wait ended 1.6 s after the last event, whatever happened in between, and took a pause of the client for a wait of it.

Change: getWaitEndMs (stream-wait.ts, without sockets or clocks) ends the wait 1.6 s after the failure, or 200 ms before the client gives up: two seconds, four latency objectives or eight pause objectives after the last event, or after it read again.

--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -4,6 +4,7 @@
 import { chooseRetryAfterMs } from '../coordination/dispatch/retry-after.js'
 import { toPossibleExecution, type PossibleExecution } from '../coordination/dispatch/possible-executions.js'
 import { judgeSilence } from '../coordination/dispatch/stream-silence.js'
+import { getWaitEndMs } from '../coordination/dispatch/stream-wait.js'
 import type { LogFields } from '../observability/log.js'
 import { DurationMetric } from '../observability/metrics.js'
 import type { FramedSseEvent } from '../protocol/sse-framer.js'
@@ -39,8 +40,6 @@
 export const streamCheckIntervalMs = 50
 /** A silent attempt and its replacement. */
 const maxConcurrentAttemptCount = 2
-/** A stream in progress without any replica looks for one until this time after its last event. Clients give up after two seconds. */
-const maxResumeWaitMs = 1600
 /** A replica that refused the stream may be asked again after this time for each refusal so far, which spreads the few attempts over the wait. */
 const refusedReplicaPauseMs = 500
 
@@ -69,6 +68,10 @@
   let firstEventMs: number | undefined
   let longestPauseMs = 0
   let previousEventAtMs = 0
+  let clientReadAtMs = 0
+  let isClientReading = true
+  /** When the last attempt failed that may have been executed, since the last event. */
+  let lostAtMs: number | undefined
   const possibleExecutions: PossibleExecution[] = []
   let notExecutedCount = 0
   let isFinished = false
@@ -174,10 +177,14 @@
     const hasWriteCapacity = call.response.write(event.bytes)
     eventCount += 1
     lastEventId = event.id ?? lastEventId
+    lostAtMs = undefined
+    isClientReading = hasWriteCapacity
     if (!hasWriteCapacity) attempt.pause()
   }
 
   function resumeAttempts (): void {
+    isClientReading = true
+    clientReadAtMs = timers.nowMs()
     for (const attempt of attempts) attempt.resume()
   }
 
@@ -205,6 +212,7 @@
       refusedUntilMs.set(attempt.replica.id, timers.nowMs() + refusedReplicaPauseMs * notExecutedCount)
     } else {
       possibleExecutions.push(toPossibleExecution(attempt.leader))
+      lostAtMs = timers.nowMs()
     }
     // If another attempt of the call goes on and is silent, the next check looks for a replacement.
     const next = attempts.size === 0 ? findNextAttempt() : undefined
@@ -231,12 +239,18 @@
   /** Looks again for a replica of a stream that waits for one. */
   function checkWait (failure: AttemptFailure): void {
     const next = findNextAttempt()
-    if (next.isAllowed) logLine('A stream goes on after a wait for a replica.', { group: next.replica.id, serverId: next.leader.id, waitedMs: Math.round(timers.nowMs() - previousEventAtMs) })
+    if (next.isAllowed) logLine('A stream goes on after a wait for a replica.', { group: next.replica.id, serverId: next.leader.id, waitedMs: Math.round(timers.nowMs() - (lostAtMs ?? previousEventAtMs)) })
     resumeOrFinish(failure, next)
   }
 
   function mayWait (next: NoAttempt): boolean {
-    return mayRepeat && call.response.headersSent && !next.isFinal && timers.nowMs() - previousEventAtMs < maxResumeWaitMs
+    if (!mayRepeat || !call.response.headersSent || next.isFinal) return false
+    return timers.nowMs() < getWaitEndMs({
+      lostAtMs: lostAtMs ?? previousEventAtMs,
+      clientWaitsSinceMs: isClientReading ? Math.max(previousEventAtMs, clientReadAtMs) : timers.nowMs(),
+      objectiveMs: call.route.objectiveMs,
+      pauseObjectiveMs: call.route.pauseObjectiveMs
+    })
   }
 
   function finishFailed ({ errorResponse, reason: failureReason }: AttemptFailure, next: NoAttempt): void {
