Let a stream return to a silent replica that was replaced

What callers saw: a replica fell silent, its replacement delivered and was then lost; the stream was cut with "the limit on attempts" although the first replica still ran and could have gone on.

Cause: the limit on attempts was asked for any replica, and a replica that had run the stream was never a candidate again.

Change: getAttemptScope says whether any server, only the known ones or none may run one more attempt. AttemptRecord keeps what became of each attempt. A stream that finds no other replica returns to one that was replaced while silent, has not lost the stream and is the same process; after Last-Event-Id, drawing on the retry budget, and with four possible executions in total as before. Without any other attempt it may return to a replica that is still marked as stalled. Streams that may not be resumed run once, as before (getAttemptScope gives None).

--- a/src/coordination/dispatch/attempt-limits.ts
+++ b/src/coordination/dispatch/attempt-limits.ts
@@ -20,9 +20,18 @@
 /** Limit on possible executions in total, while the route's `maxAttempts` limits those on servers that are still alive. */
 const maxPossibleExecutionCount = 4
 
-/** Whether the limits on attempts allow one more. */
-export function allowsAnotherAttempt ({ executions, notExecutedCount, servers, mayRepeat, maxAttempts }: AttemptCounts): boolean {
-  if (notExecutedCount > maxNotExecutedRetryCount) return false
-  if (executions.length === 0) return true
-  return mayRepeat && executions.length < maxPossibleExecutionCount && countLiveExecutions(executions, servers) < maxAttempts
+/** Servers at which one more attempt may run. */
+export enum AttemptScope {
+  AnyServer = 'anyServer',
+  /** Those that may have executed the request: `maxAttempts` limits servers, and one of these is no further server. */
+  KnownServers = 'knownServers',
+  None = 'none'
+}
+
+/** Where the limits on attempts allow one more. */
+export function getAttemptScope ({ executions, notExecutedCount, servers, mayRepeat, maxAttempts }: AttemptCounts): AttemptScope {
+  if (notExecutedCount > maxNotExecutedRetryCount) return AttemptScope.None
+  if (executions.length === 0) return AttemptScope.AnyServer
+  if (!mayRepeat || executions.length >= maxPossibleExecutionCount) return AttemptScope.None
+  return countLiveExecutions(executions, servers) < maxAttempts ? AttemptScope.AnyServer : AttemptScope.KnownServers
 }
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -15,6 +15,8 @@
   readonly maxLocalStreamCount: number
   /** Replicas on which this request was attempted already. */
   readonly excludedIds: ReadonlySet<string>
+  /** Whether a replica that is marked as stalled may be chosen; false when undefined. */
+  readonly mayBeStalled?: boolean
   /** Time for which the server wants no requests, in milliseconds; 0 when it takes them. */
   getHoldMs (server: BackendServer): number
 }
@@ -67,7 +69,7 @@
  */
 export function chooseReplica (input: ReplicaChoiceInput, loads: ReplicaLoads, random: RandomSource): ReplicaChoice {
   const candidates = input.replicas.filter(replica => replica.model?.name === input.model && replica.isOpen &&
-    !input.excludedIds.has(replica.id) && !loads.isStalled(replica.id) && hasAllMembersAndReadyLeader(replica))
+    !input.excludedIds.has(replica.id) && (input.mayBeStalled === true || !loads.isStalled(replica.id)) && hasAllMembersAndReadyLeader(replica))
   if (candidates.length === 0) return { kind: ReplicaChoiceKind.Absent }
   const getHoldMs = ({ leader }: Replica) => leader === undefined ? 0 : input.getHoldMs(leader)
   const usable = candidates.filter(replica => getHoldMs(replica) === 0)
--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -1,7 +1,12 @@
 import { expect } from 'chai'
 
 import type { BackendServer } from '../state/backend-server.js'
-import { createStreamHarness } from '../testing/stream-harness.js'
+import { createStreamHarness, type ReceivedAttempt } from '../testing/stream-harness.js'
+
+type Harness = ReturnType<typeof createStreamHarness>
+
+/** Longer than two pause objectives, after which a silent replica gets a replacement. */
+const silenceMs = 600
 
 describe('forwardStream', () => {
   describe('the wait of a stream in progress for a replica', () => {
@@ -51,4 +56,64 @@
       expect(harness.response.endedAtMs).to.be.within(1600, 1999)
     })
   })
+
+  describe('the return to a silent replica that was replaced', () => {
+    /** Starts a stream whose first replica falls silent after an event, and whose replacement delivers one. */
+    function playReplacement (harness: Harness): { readonly first: ReceivedAttempt, readonly replacement: ReceivedAttempt } {
+      const first = harness.start()
+      first.sendEvent(1)
+      harness.timers.advance(silenceMs)
+      const replacement = harness.attempts[1] as ReceivedAttempt
+      replacement.sendEvent(2)
+      return { first, replacement }
+    }
+
+    it('happens when the replacement is lost, though its route allows no further server', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'] })
+      const { first, replacement } = playReplacement(harness)
+      expect(first.isAborted).to.equal(true)
+      replacement.reset()
+      harness.timers.advance(100)
+      const resumed = harness.attempts[2] as ReceivedAttempt
+      expect(resumed).to.include({ serverId: first.serverId, lastEventId: '2' })
+      resumed.sendEvent(3)
+      resumed.end()
+      expect(harness.response).to.include({ isEnded: true, destroyed: false })
+      expect(harness.response.body.match(/id: \d+/g)).to.deep.equal(['id: 1', 'id: 2', 'id: 3'])
+    })
+
+    it('happens when its route allows another server, but there is none', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { maxAttempts: 3 } })
+      const { first, replacement } = playReplacement(harness)
+      replacement.reset()
+      harness.timers.advance(100)
+      expect(harness.attempts[2]?.serverId).to.equal(first.serverId)
+    })
+
+    it('does not happen while another server is allowed and free', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { maxAttempts: 3 } })
+      const { first, replacement } = playReplacement(harness)
+      replacement.reset()
+      harness.timers.advance(100)
+      expect(harness.attempts[2]?.serverId).to.not.be.oneOf([first.serverId, replacement.serverId])
+    })
+
+    it('draws on the retry budget', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], retrySlackCount: 3 })
+      const { replacement } = playReplacement(harness)
+      replacement.reset()
+      harness.timers.advance(1000)
+      expect(harness.attempts.length).to.equal(2)
+    })
+
+    it('does not happen at a server that has restarted or lost the stream', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'] })
+      const { first, replacement } = playReplacement(harness)
+      const server = harness.servers.get(first.serverId) as BackendServer
+      harness.servers.set(first.serverId, { ...server, startedAtMs: 2 })
+      replacement.reset()
+      harness.timers.advance(1000)
+      expect(harness.attempts.length).to.equal(2)
+    })
+  })
 })
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -1,8 +1,8 @@
 /** Forwards streams of server-sent events, and resumes them at another replica after a failure. */
-import { allowsAnotherAttempt } from '../coordination/dispatch/attempt-limits.js'
+import { AttemptScope, getAttemptScope } from '../coordination/dispatch/attempt-limits.js'
+import { createAttemptRecord } from '../coordination/dispatch/attempt-record.js'
 import { chooseReplica, ReplicaChoiceKind, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
 import { chooseRetryAfterMs } from '../coordination/dispatch/retry-after.js'
-import { toPossibleExecution, type PossibleExecution } from '../coordination/dispatch/possible-executions.js'
 import { judgeSilence } from '../coordination/dispatch/stream-silence.js'
 import { getWaitEndMs } from '../coordination/dispatch/stream-wait.js'
 import type { LogFields } from '../observability/log.js'
@@ -40,8 +40,6 @@
 export const streamCheckIntervalMs = 50
 /** A silent attempt and its replacement. */
 const maxConcurrentAttemptCount = 2
-/** A replica that refused the stream may be asked again after this time for each refusal so far, which spreads the few attempts over the wait. */
-const refusedReplicaPauseMs = 500
 
 function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>, isFirst: boolean): string {
   switch (choice.kind) {
@@ -58,9 +56,7 @@
 export function forwardStream (dependencies: CallDependencies, call: Call): void {
   const { timers, loads } = dependencies
   const retryBudget = dependencies.getRetryBudget(call.serviceName)
-  const triedReplicaIds: string[] = []
-  /** Times from which replicas that refused the stream may be asked again. */
-  const refusedUntilMs = new Map<string, number>()
+  const record = createAttemptRecord()
   const mayRepeat = call.route.isResumable
   const attempts = new Set<StreamAttempt>()
   let lastEventId = call.clientInfo.lastEventId
@@ -72,8 +68,6 @@
   let isClientReading = true
   /** When the last attempt failed that may have been executed, since the last event. */
   let lostAtMs: number | undefined
-  const possibleExecutions: PossibleExecution[] = []
-  let notExecutedCount = 0
   let isFinished = false
   let lastFailure: AttemptFailure | undefined
   let lastEngine: EngineProfile | undefined
@@ -88,7 +82,7 @@
     abortAttempts()
     recordOutcome(dependencies, call, outcome, {
       model: call.clientInfo.model ?? '',
-      groups: triedReplicaIds.join(' '),
+      groups: record.listReplicaIds().join(' '),
       eventCount,
       firstEventMs: firstEventMs === undefined ? 'none' : Math.round(firstEventMs),
       longestPauseMs: Math.round(longestPauseMs),
@@ -101,7 +95,7 @@
       if (attempt === kept) continue
       attempt.abort()
       attempts.delete(attempt)
-      possibleExecutions.push(toPossibleExecution(attempt.leader))
+      record.replace(attempt.replica.id)
     }
   }
 
@@ -109,19 +103,26 @@
     finish(CallOutcome.ClientDisconnected)
   }
 
-  function chooseNextReplica (): ReplicaChoice {
+  /** Chooses among the replicas that have not run the stream, else among those that were replaced while they were silent. */
+  function chooseNextReplica (scope: AttemptScope): ReplicaChoice {
     const service = findService()
     if (service === undefined) return { kind: ReplicaChoiceKind.Absent }
-    return chooseReplica({
-      replicas: service.replicas,
+    const input = {
       model: call.clientInfo.model ?? '',
       slotCount: service.engine.slotCount,
       zone: dependencies.zone,
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
-      excludedIds: new Set(triedReplicaIds.filter(id => (refusedUntilMs.get(id) ?? Infinity) > timers.nowMs())),
       getHoldMs: dependencies.holds.getRemainingMs
-    }, loads, dependencies.random)
+    }
+    const excludedIds = record.listExcludedIds(timers.nowMs())
+    const choice: ReplicaChoice = scope === AttemptScope.AnyServer
+      ? chooseReplica({ ...input, replicas: service.replicas, excludedIds }, loads, dependencies.random)
+      : { kind: ReplicaChoiceKind.Absent }
+    const returnable = record.filterReturnable(service.replicas, timers.nowMs())
+    if (choice.kind === ReplicaChoiceKind.Chosen || returnable.length === 0) return choice
+    // Without any other attempt nothing is lost by asking a replica that may still be silent.
+    return chooseReplica({ ...input, replicas: returnable, excludedIds: new Set(), mayBeStalled: attempts.size === 0 }, loads, dependencies.random)
   }
 
   /** Finds the service. One that has left the configuration since the first attempt may still finish the stream. */
@@ -135,18 +136,21 @@
   /** Finds the replica for one more attempt within the limits on attempts and the retry budget, which it does not spend. */
   function findNextAttempt (): NextAttempt {
     if (getRemainingMs(dependencies, call) <= 0) return { isAllowed: false, isFinal: true, reason: 'the deadline', unavailableMs: 0 }
-    const isWithinLimits = allowsAnotherAttempt({
-      executions: [...possibleExecutions, ...[...attempts].map(({ leader }) => toPossibleExecution(leader))],
-      notExecutedCount,
+    const scope = getAttemptScope({
+      executions: record.listExecutions(),
+      notExecutedCount: record.countRefusals(),
       servers: dependencies.fleet.getServers(call.serviceName),
       mayRepeat,
       maxAttempts: call.route.maxAttempts
     })
-    if (!isWithinLimits) return { isAllowed: false, isFinal: true, reason: 'the limit on attempts', unavailableMs: 0 }
-    if (triedReplicaIds.length > 0 && !retryBudget.canSpend()) return { isAllowed: false, isFinal: false, reason: 'the retry budget is used up', unavailableMs: 0 }
-    const choice = chooseNextReplica()
+    if (scope === AttemptScope.None || (scope === AttemptScope.KnownServers && !record.mayReturn(findService()?.replicas ?? []))) {
+      return { isAllowed: false, isFinal: true, reason: 'the limit on attempts', unavailableMs: 0 }
+    }
+    const isFirst = record.listReplicaIds().length === 0
+    if (!isFirst && !retryBudget.canSpend()) return { isAllowed: false, isFinal: false, reason: 'the retry budget is used up', unavailableMs: 0 }
+    const choice = chooseNextReplica(scope)
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
-      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, triedReplicaIds.length === 0), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
+      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
     }
     const { replica, isHealthy } = choice
     const { leader } = replica
@@ -156,9 +160,8 @@
 
   function startAttempt ({ replica, leader }: AllowedAttempt): void {
     // The budget allowed it just before.
-    if (triedReplicaIds.length > 0) retryBudget.trySpend()
-    triedReplicaIds.push(replica.id)
-    refusedUntilMs.delete(replica.id)
+    if (record.listReplicaIds().length > 0) retryBudget.trySpend()
+    record.start(replica.id, leader)
     const attempt = startStreamAttempt(dependencies, call, { replica, leader, getLastEventId: () => lastEventId }, {
       onEvent: (event, head) => forwardEvent(attempt, event, head),
       onEnd () {
@@ -208,10 +211,9 @@
     attempts.delete(attempt)
     lastFailure = failure
     if (failure.kind === AttemptFailureKind.NotExecuted) {
-      notExecutedCount += 1
-      refusedUntilMs.set(attempt.replica.id, timers.nowMs() + refusedReplicaPauseMs * notExecutedCount)
+      record.refuse(attempt.replica.id, timers.nowMs())
     } else {
-      possibleExecutions.push(toPossibleExecution(attempt.leader))
+      record.lose(attempt.replica.id)
       lostAtMs = timers.nowMs()
     }
     // If another attempt of the call goes on and is silent, the next check looks for a replacement.
@@ -272,7 +274,7 @@
       call.response.destroy()
       return
     }
-    if (possibleExecutions.length === 0) {
+    if (record.listExecutions().length === 0) {
       finish(CallOutcome.Refused, reason)
       sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs))
       return
