Ask a third replica when a silent one and its replacement are silent

What callers saw: with two silent replicas a stream waited for one of them until it left, also where its route allows three servers.

Cause: two attempts at most ran side by side, and each silent one was judged alone.

Change: one more attempt starts when all in progress are silent by their own limits, three at most: a replacement that still has time for its first event is waited for. maxAttempts (it counts attempts in progress), the four possible executions and the retry budget hold as before, so that a route with maxAttempts 2 gets no third server.

--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -116,4 +116,42 @@
       expect(harness.attempts.length).to.equal(2)
     })
   })
+
+  describe('a silent replica with a silent replacement', () => {
+    /** Lets the first replica fall silent after an event; no replacement delivers. */
+    function playSilence (harness: Harness): void {
+      harness.start().sendEvent(1)
+      harness.timers.advance(silenceMs)
+      expect(harness.attempts.length).to.equal(2)
+      harness.timers.advance(1250)
+    }
+
+    it('gets a third replica where the route allows a further server', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c', 'd'], route: { maxAttempts: 4 } })
+      playSilence(harness)
+      expect(new Set(harness.attempts.map(({ serverId }) => serverId)).size).to.equal(3)
+      expect(harness.attempts.every(({ isAborted }) => !isAborted)).to.equal(true)
+      harness.attempts[2]?.sendEvent(2)
+      expect(harness.attempts.map(({ isAborted }) => isAborted)).to.deep.equal([true, true, false])
+    })
+
+    it('gets none where the route allows no further server', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { maxAttempts: 2 } })
+      playSilence(harness)
+      expect(harness.attempts.length).to.equal(2)
+    })
+
+    it('gets none while the replacement has time for its first event', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { maxAttempts: 3 } })
+      harness.start().sendEvent(1)
+      harness.timers.advance(silenceMs + 500)
+      expect(harness.attempts.length).to.equal(2)
+    })
+
+    it('gets none beyond the retry budget', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { maxAttempts: 3 }, retrySlackCount: 3 })
+      playSilence(harness)
+      expect(harness.attempts.length).to.equal(2)
+    })
+  })
 })
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -3,7 +3,7 @@
 import { createAttemptRecord } from '../coordination/dispatch/attempt-record.js'
 import { chooseReplica, ReplicaChoiceKind, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
 import { chooseRetryAfterMs } from '../coordination/dispatch/retry-after.js'
-import { judgeSilence } from '../coordination/dispatch/stream-silence.js'
+import { judgeSilence, type SilenceVerdict } from '../coordination/dispatch/stream-silence.js'
 import { getWaitEndMs } from '../coordination/dispatch/stream-wait.js'
 import type { LogFields } from '../observability/log.js'
 import { DurationMetric } from '../observability/metrics.js'
@@ -38,8 +38,8 @@
 
 /** Interval of the checks of all streams. */
 export const streamCheckIntervalMs = 50
-/** A silent attempt and its replacement. */
-const maxConcurrentAttemptCount = 2
+/** A silent attempt, its replacement and one more when that is silent too: each server reads the whole prompt. */
+const maxConcurrentAttemptCount = 3
 
 function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>, isFirst: boolean): string {
   switch (choice.kind) {
@@ -294,11 +294,27 @@
     }
     if (!mayRepeat) return
     if (attempts.size === 0 && lastFailure !== undefined) checkWait(lastFailure)
-    for (const attempt of [...attempts]) checkProgress(attempt)
+    checkProgress()
   }
 
-  function checkProgress (attempt: StreamAttempt): void {
-    const { needsReplacement, isStalled, isUrgent } = judgeSilence({
+  /** Starts one more attempt when all those in progress are silent. */
+  function checkProgress (): void {
+    const silences = [...attempts].map(attempt => ({ attempt, ...judgeAttempt(attempt) }))
+    for (const { attempt, isStalled } of silences) {
+      if (isStalled) dependencies.reportStall(attempt.replica.id)
+    }
+    const last = silences.at(-1)
+    if (last === undefined || !silences.every(({ needsReplacement }) => needsReplacement) || silences.length >= maxConcurrentAttemptCount) return
+    const { attempt } = last
+    const isUrgent = silences.some(silence => silence.isUrgent)
+    const next = findNextAttempt()
+    if (!next.isAllowed || (!isUrgent && !next.isHealthy)) return
+    logLine('A silent replica gets a replacement.', { group: attempt.replica.id, serverId: attempt.leader.id, replacement: next.replica.id, waitedMs: Math.round(attempt.getWaitedMs()) })
+    startAttempt(next)
+  }
+
+  function judgeAttempt (attempt: StreamAttempt): SilenceVerdict {
+    return judgeSilence({
       waitedMs: attempt.getWaitedMs(),
       hasEvents: attempt.hasEvents(),
       objectiveMs: call.route.objectiveMs,
@@ -306,12 +322,6 @@
       hasRecentEvent: withinMs => loads.hasRecentEvent(attempt.replica.id, withinMs),
       isQuiet: () => loads.isQuiet(attempt.replica.id)
     })
-    if (isStalled) dependencies.reportStall(attempt.replica.id)
-    if (!needsReplacement || attempts.size >= maxConcurrentAttemptCount) return
-    const next = findNextAttempt()
-    if (!next.isAllowed || (!isUrgent && !next.isHealthy)) return
-    logLine('A silent replica gets a replacement.', { group: attempt.replica.id, serverId: attempt.leader.id, replacement: next.replica.id, waitedMs: Math.round(attempt.getWaitedMs()) })
-    startAttempt(next)
   }
 
   call.response.on('close', onClientDisconnect)
