Let a stream without an event wait for a replica after a loss

What callers saw: 502 at once when the replica of a resumable stream was lost before its first event and no other one could take it at that moment, though one could within the latency objective.

Cause: only streams with an event waited.

Change: such a stream looks for a replica at each check until its latency objective has passed since it arrived, within the limits on attempts and the retry budget; 502 then, never 503, since it may have run. At once as before: a server's error response, a stream that may not be resumed or may run at no further server (502), and one that is known not to have run (503).

--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 
 import type { BackendServer } from '../state/backend-server.js'
+import type { Route } from '../state/serving-config.js'
 import { createStreamHarness, type ReceivedAttempt } from '../testing/stream-harness.js'
 
 type Harness = ReturnType<typeof createStreamHarness>
@@ -154,4 +155,51 @@
       expect(harness.attempts.length).to.equal(2)
     })
   })
+
+  describe('a stream without an event whose replica was lost', () => {
+    /** Loses the only replica of a stream; another one is listed after `unavailableMs`. */
+    function playLoss (unavailableMs: number, route: Partial<Route> = {}): Harness {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route })
+      const other = harness.servers.get('b') as BackendServer
+      harness.servers.delete('b')
+      harness.start().reset()
+      harness.timers.advance(unavailableMs)
+      harness.servers.set('b', other)
+      harness.timers.advance(100)
+      return harness
+    }
+
+    it('waits for a replica, since it may have run and is not refused', () => {
+      const harness = playLoss(300)
+      expect(harness.response.headersSent).to.equal(false)
+      harness.listAttempts('b')[0]?.sendEvent(1)
+      harness.attempts[1]?.end()
+      expect(harness.response).to.include({ statusCode: 200, isEnded: true })
+    })
+
+    it('gets 502 after its latency objective, long before its deadline', () => {
+      const harness = playLoss(600)
+      expect(harness.attempts.length).to.equal(1)
+      expect(harness.response).to.include({ statusCode: 502, isEnded: true })
+      expect(harness.response.endedAtMs).to.be.within(400, 500)
+    })
+
+    it('gets 502 at once when it may not be resumed', () => {
+      const harness = playLoss(300, { isResumable: false })
+      expect(harness.attempts.length).to.equal(1)
+      expect(harness.response).to.include({ statusCode: 502, endedAtMs: 0 })
+    })
+
+    it('gets 502 at once when it may run at no further server', () => {
+      const harness = playLoss(300, { maxAttempts: 1 })
+      expect(harness.attempts.length).to.equal(1)
+      expect(harness.response).to.include({ statusCode: 502, endedAtMs: 0 })
+    })
+
+    it('is refused at once when it is known not to have run', () => {
+      const harness = createStreamHarness({ serverIds: ['a'] })
+      harness.start().refuse()
+      expect(harness.response).to.include({ statusCode: 503, endedAtMs: 0 })
+    })
+  })
 })
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -246,7 +246,8 @@
   }
 
   function mayWait (next: NoAttempt): boolean {
-    if (!mayRepeat || !call.response.headersSent || next.isFinal) return false
+    if (!mayRepeat || next.isFinal) return false
+    if (!call.response.headersSent) return mayWaitForFirstEvent()
     return timers.nowMs() < getWaitEndMs({
       lostAtMs: lostAtMs ?? previousEventAtMs,
       clientWaitsSinceMs: isClientReading ? Math.max(previousEventAtMs, clientReadAtMs) : timers.nowMs(),
@@ -255,6 +256,12 @@
     })
   }
 
+  /** A stream that is known not to have run is refused at once instead, so that its client can turn to another gateway. */
+  function mayWaitForFirstEvent (): boolean {
+    if (record.listExecutions().length === 0 || lastFailure?.errorResponse !== undefined) return false
+    return timers.nowMs() < call.arrivedAtMs + call.route.objectiveMs
+  }
+
   function finishFailed ({ errorResponse, reason: failureReason }: AttemptFailure, next: NoAttempt): void {
     const reason = `${failureReason}; no further attempt: ${next.reason}`
     if (errorResponse === undefined || call.response.headersSent || promisesNotExecuted(errorResponse.head.statusCode)) {
