Test that a replica which runs a stream after a refusal is not asked again

A play through the fixture with real sockets found none, since a silent replica without other streams is marked as stalled by then. In virtual time the replica delivers to other streams all the while: it refuses the stream, gets it half a second later, is silent on it for 1.6 s, and was chosen a third time.

--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -202,4 +202,21 @@
       expect(harness.response).to.include({ statusCode: 503, endedAtMs: 0 })
     })
   })
+
+  describe('a replica that refused the stream', () => {
+    it('is not asked a third time while it runs the stream, silent here and delivering to others', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { maxAttempts: 3 } })
+      harness.timers.subscribeEvery(100, () => { for (const id of ['a', 'b']) harness.loads.recordEvent(harness.formatReplicaId(id)) })
+      const first = harness.start()
+      first.sendEvent(1)
+      harness.servers.delete(first.serverId)
+      const otherId = first.serverId === 'a' ? 'b' : 'a'
+      first.reset()
+      harness.attempts[1]?.refuse()
+      harness.timers.advance(700)
+      expect(harness.listAttempts(otherId).length).to.equal(2)
+      harness.timers.advance(2500)
+      expect(harness.listAttempts(otherId).length).to.equal(2)
+    })
+  })
 })
