--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -219,4 +219,17 @@
       expect(harness.listAttempts(otherId).length).to.equal(2)
     })
   })
+
+  it('sends a stream that may not be resumed to one server, whatever that does', () => {
+    for (const hasEvent of [true, false]) {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { isResumable: false, maxAttempts: 3 } })
+      const first = harness.start()
+      if (hasEvent) first.sendEvent(1)
+      harness.timers.advance(3000)
+      first.reset()
+      harness.timers.advance(1000)
+      expect(harness.attempts.length).to.equal(1)
+      expect(hasEvent ? harness.response.destroyed : harness.response.statusCode === 502).to.equal(true)
+    }
+  })
 })
