--- /dev/null
+++ b/src/gateway/stream-forwarding.test.ts
@@ -0,0 +1,235 @@
+import { expect } from 'chai'
+
+import type { BackendServer } from '../state/backend-server.js'
+import type { Route } from '../state/serving-config.js'
+import { createStreamHarness, type ReceivedAttempt } from '../testing/stream-harness.js'
+
+type Harness = ReturnType<typeof createStreamHarness>
+
+/** Longer than two pause objectives, after which a silent replica gets a replacement. */
+const silenceMs = 600
+
+describe('forwardStream', () => {
+  describe('the wait of a stream in progress for a replica', () => {
+    it('begins when the last attempt fails, not at the last event before a silence', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { pauseObjectiveMs: 500 } })
+      const other = harness.servers.get('b') as BackendServer
+      harness.servers.delete('b')
+      const first = harness.start()
+      first.sendEvent(1)
+      harness.timers.advance(1700)
+      first.reset()
+      harness.timers.advance(1000)
+      expect(harness.response.destroyed).to.equal(false)
+      harness.servers.set('b', other)
+      harness.timers.advance(100)
+      const [resumed] = harness.listAttempts('b')
+      expect(resumed?.lastEventId).to.equal('1')
+      resumed?.sendEvent(2)
+      resumed?.end()
+      expect(harness.response).to.include({ isEnded: true, destroyed: false })
+    })
+
+    it('does not count the time in which the client did not read', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'] })
+      const first = harness.start()
+      harness.response.isReading = false
+      first.sendEvent(1)
+      harness.timers.advance(2500)
+      harness.drain()
+      harness.servers.delete(first.serverId === 'a' ? 'b' : 'a')
+      first.reset()
+      expect(harness.response.destroyed).to.equal(false)
+      harness.timers.advance(1400)
+      expect(harness.response.destroyed).to.equal(false)
+      harness.timers.advance(400)
+      expect(harness.response.destroyed).to.equal(true)
+    })
+
+    it('ends before its client gives up, also after a silence', () => {
+      const harness = createStreamHarness({ serverIds: ['a'] })
+      const first = harness.start()
+      first.sendEvent(1)
+      harness.timers.advance(1000)
+      first.reset()
+      harness.timers.advance(1000)
+      expect(harness.response.destroyed).to.equal(true)
+      expect(harness.response.endedAtMs).to.be.within(1600, 1999)
+    })
+  })
+
+  describe('the return to a silent replica that was replaced', () => {
+    /** Starts a stream whose first replica falls silent after an event, and whose replacement delivers one. */
+    function playReplacement (harness: Harness): { readonly first: ReceivedAttempt, readonly replacement: ReceivedAttempt } {
+      const first = harness.start()
+      first.sendEvent(1)
+      harness.timers.advance(silenceMs)
+      const replacement = harness.attempts[1] as ReceivedAttempt
+      replacement.sendEvent(2)
+      return { first, replacement }
+    }
+
+    it('happens when the replacement is lost, though its route allows no further server', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'] })
+      const { first, replacement } = playReplacement(harness)
+      expect(first.isAborted).to.equal(true)
+      replacement.reset()
+      harness.timers.advance(100)
+      const resumed = harness.attempts[2] as ReceivedAttempt
+      expect(resumed).to.include({ serverId: first.serverId, lastEventId: '2' })
+      resumed.sendEvent(3)
+      resumed.end()
+      expect(harness.response).to.include({ isEnded: true, destroyed: false })
+      expect(harness.response.body.match(/id: \d+/g)).to.deep.equal(['id: 1', 'id: 2', 'id: 3'])
+    })
+
+    it('happens when its route allows another server, but there is none', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { maxAttempts: 3 } })
+      const { first, replacement } = playReplacement(harness)
+      replacement.reset()
+      harness.timers.advance(100)
+      expect(harness.attempts[2]?.serverId).to.equal(first.serverId)
+    })
+
+    it('does not happen while another server is allowed and free', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { maxAttempts: 3 } })
+      const { first, replacement } = playReplacement(harness)
+      replacement.reset()
+      harness.timers.advance(100)
+      expect(harness.attempts[2]?.serverId).to.not.be.oneOf([first.serverId, replacement.serverId])
+    })
+
+    it('draws on the retry budget', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], retrySlackCount: 3 })
+      const { replacement } = playReplacement(harness)
+      replacement.reset()
+      harness.timers.advance(1000)
+      expect(harness.attempts.length).to.equal(2)
+    })
+
+    it('does not happen at a server that has restarted or lost the stream', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'] })
+      const { first, replacement } = playReplacement(harness)
+      const server = harness.servers.get(first.serverId) as BackendServer
+      harness.servers.set(first.serverId, { ...server, startedAtMs: 2 })
+      replacement.reset()
+      harness.timers.advance(1000)
+      expect(harness.attempts.length).to.equal(2)
+    })
+  })
+
+  describe('a silent replica with a silent replacement', () => {
+    /** Lets the first replica fall silent after an event; no replacement delivers. */
+    function playSilence (harness: Harness): void {
+      harness.start().sendEvent(1)
+      harness.timers.advance(silenceMs)
+      expect(harness.attempts.length).to.equal(2)
+      harness.timers.advance(1250)
+    }
+
+    it('gets a third replica where the route allows a further server', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c', 'd'], route: { maxAttempts: 4 } })
+      playSilence(harness)
+      expect(new Set(harness.attempts.map(({ serverId }) => serverId)).size).to.equal(3)
+      expect(harness.attempts.every(({ isAborted }) => !isAborted)).to.equal(true)
+      harness.attempts[2]?.sendEvent(2)
+      expect(harness.attempts.map(({ isAborted }) => isAborted)).to.deep.equal([true, true, false])
+    })
+
+    it('gets none where the route allows no further server', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { maxAttempts: 2 } })
+      playSilence(harness)
+      expect(harness.attempts.length).to.equal(2)
+    })
+
+    it('gets none while the replacement has time for its first event', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { maxAttempts: 3 } })
+      harness.start().sendEvent(1)
+      harness.timers.advance(silenceMs + 500)
+      expect(harness.attempts.length).to.equal(2)
+    })
+
+    it('gets none beyond the retry budget', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { maxAttempts: 3 }, retrySlackCount: 3 })
+      playSilence(harness)
+      expect(harness.attempts.length).to.equal(2)
+    })
+  })
+
+  describe('a stream without an event whose replica was lost', () => {
+    /** Loses the only replica of a stream; another one is listed after `unavailableMs`. */
+    function playLoss (unavailableMs: number, route: Partial<Route> = {}): Harness {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route })
+      const other = harness.servers.get('b') as BackendServer
+      harness.servers.delete('b')
+      harness.start().reset()
+      harness.timers.advance(unavailableMs)
+      harness.servers.set('b', other)
+      harness.timers.advance(100)
+      return harness
+    }
+
+    it('waits for a replica, since it may have run and is not refused', () => {
+      const harness = playLoss(300)
+      expect(harness.response.headersSent).to.equal(false)
+      harness.listAttempts('b')[0]?.sendEvent(1)
+      harness.attempts[1]?.end()
+      expect(harness.response).to.include({ statusCode: 200, isEnded: true })
+    })
+
+    it('gets 502 after its latency objective, long before its deadline', () => {
+      const harness = playLoss(600)
+      expect(harness.attempts.length).to.equal(1)
+      expect(harness.response).to.include({ statusCode: 502, isEnded: true })
+      expect(harness.response.endedAtMs).to.be.within(400, 500)
+    })
+
+    it('gets 502 at once when it may not be resumed', () => {
+      const harness = playLoss(300, { isResumable: false })
+      expect(harness.attempts.length).to.equal(1)
+      expect(harness.response).to.include({ statusCode: 502, endedAtMs: 0 })
+    })
+
+    it('gets 502 at once when it may run at no further server', () => {
+      const harness = playLoss(300, { maxAttempts: 1 })
+      expect(harness.attempts.length).to.equal(1)
+      expect(harness.response).to.include({ statusCode: 502, endedAtMs: 0 })
+    })
+
+    it('is refused at once when it is known not to have run', () => {
+      const harness = createStreamHarness({ serverIds: ['a'] })
+      harness.start().refuse()
+      expect(harness.response).to.include({ statusCode: 503, endedAtMs: 0 })
+    })
+  })
+
+  describe('a replica that refused the stream', () => {
+    it('is not asked a third time while it runs the stream, silent here and delivering to others', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { maxAttempts: 3 } })
+      harness.timers.subscribeEvery(100, () => { for (const id of ['a', 'b']) harness.loads.recordEvent(harness.formatReplicaId(id)) })
+      const first = harness.start()
+      first.sendEvent(1)
+      harness.servers.delete(first.serverId)
+      const otherId = first.serverId === 'a' ? 'b' : 'a'
+      first.reset()
+      harness.attempts[1]?.refuse()
+      harness.timers.advance(700)
+      expect(harness.listAttempts(otherId).length).to.equal(2)
+      harness.timers.advance(2500)
+      expect(harness.listAttempts(otherId).length).to.equal(2)
+    })
+  })
+
+  it('sends a stream that may not be resumed to one server, whatever that does', () => {
+    for (const hasEvent of [true, false]) {
+      const harness = createStreamHarness({ serverIds: ['a', 'b', 'c'], route: { isResumable: false, maxAttempts: 3 } })
+      const first = harness.start()
+      if (hasEvent) first.sendEvent(1)
+      harness.timers.advance(3000)
+      first.reset()
+      harness.timers.advance(1000)
+      expect(harness.attempts.length).to.equal(1)
+      expect(hasEvent ? harness.response.destroyed : harness.response.statusCode === 502).to.equal(true)
+    }
+  })
+})
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -1,9 +1,10 @@
 /** Forwards streams of server-sent events, and resumes them at another replica after a failure. */
-import { allowsAnotherAttempt } from '../coordination/dispatch/attempt-limits.js'
+import { AttemptScope, getAttemptScope } from '../coordination/dispatch/attempt-limits.js'
+import { createAttemptRecord } from '../coordination/dispatch/attempt-record.js'
 import { chooseReplica, ReplicaChoiceKind, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
 import { chooseRetryAfterMs } from '../coordination/dispatch/retry-after.js'
-import { toPossibleExecution, type PossibleExecution } from '../coordination/dispatch/possible-executions.js'
-import { judgeSilence } from '../coordination/dispatch/stream-silence.js'
+import { judgeSilence, type SilenceVerdict } from '../coordination/dispatch/stream-silence.js'
+import { getWaitEndMs } from '../coordination/dispatch/stream-wait.js'
 import type { LogFields } from '../observability/log.js'
 import { DurationMetric } from '../observability/metrics.js'
 import type { FramedSseEvent } from '../protocol/sse-framer.js'
@@ -37,12 +38,8 @@
 
 /** Interval of the checks of all streams. */
 export const streamCheckIntervalMs = 50
-/** A silent attempt and its replacement. */
-const maxConcurrentAttemptCount = 2
-/** A stream in progress without any replica looks for one until this time after its last event. Clients give up after two seconds. */
-const maxResumeWaitMs = 1600
-/** A replica that refused the stream may be asked again after this time for each refusal so far, which spreads the few attempts over the wait. */
-const refusedReplicaPauseMs = 500
+/** A silent attempt, its replacement and one more when that is silent too: each server reads the whole prompt. */
+const maxConcurrentAttemptCount = 3
 
 function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>, isFirst: boolean): string {
   switch (choice.kind) {
@@ -59,9 +56,7 @@
 export function forwardStream (dependencies: CallDependencies, call: Call): void {
   const { timers, loads } = dependencies
   const retryBudget = dependencies.getRetryBudget(call.serviceName)
-  const triedReplicaIds: string[] = []
-  /** Times from which replicas that refused the stream may be asked again. */
-  const refusedUntilMs = new Map<string, number>()
+  const record = createAttemptRecord()
   const mayRepeat = call.route.isResumable
   const attempts = new Set<StreamAttempt>()
   let lastEventId = call.clientInfo.lastEventId
@@ -69,8 +64,10 @@
   let firstEventMs: number | undefined
   let longestPauseMs = 0
   let previousEventAtMs = 0
-  const possibleExecutions: PossibleExecution[] = []
-  let notExecutedCount = 0
+  let clientReadAtMs = 0
+  let isClientReading = true
+  /** When the last attempt failed that may have been executed, since the last event. */
+  let lostAtMs: number | undefined
   let isFinished = false
   let lastFailure: AttemptFailure | undefined
   let lastEngine: EngineProfile | undefined
@@ -85,7 +82,7 @@
     abortAttempts()
     recordOutcome(dependencies, call, outcome, {
       model: call.clientInfo.model ?? '',
-      groups: triedReplicaIds.join(' '),
+      groups: record.listReplicaIds().join(' '),
       eventCount,
       firstEventMs: firstEventMs === undefined ? 'none' : Math.round(firstEventMs),
       longestPauseMs: Math.round(longestPauseMs),
@@ -98,7 +95,7 @@
       if (attempt === kept) continue
       attempt.abort()
       attempts.delete(attempt)
-      possibleExecutions.push(toPossibleExecution(attempt.leader))
+      record.replace(attempt.replica.id)
     }
   }
 
@@ -106,19 +103,26 @@
     finish(CallOutcome.ClientDisconnected)
   }
 
-  function chooseNextReplica (): ReplicaChoice {
+  /** Chooses among the replicas that have not run the stream, else among those that were replaced while they were silent. */
+  function chooseNextReplica (scope: AttemptScope): ReplicaChoice {
     const service = findService()
     if (service === undefined) return { kind: ReplicaChoiceKind.Absent }
-    return chooseReplica({
-      replicas: service.replicas,
+    const input = {
       model: call.clientInfo.model ?? '',
       slotCount: service.engine.slotCount,
       zone: dependencies.zone,
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
-      excludedIds: new Set(triedReplicaIds.filter(id => (refusedUntilMs.get(id) ?? Infinity) > timers.nowMs())),
       getHoldMs: dependencies.holds.getRemainingMs
-    }, loads, dependencies.random)
+    }
+    const excludedIds = record.listExcludedIds(timers.nowMs())
+    const choice: ReplicaChoice = scope === AttemptScope.AnyServer
+      ? chooseReplica({ ...input, replicas: service.replicas, excludedIds }, loads, dependencies.random)
+      : { kind: ReplicaChoiceKind.Absent }
+    const returnable = record.filterReturnable(service.replicas, timers.nowMs())
+    if (choice.kind === ReplicaChoiceKind.Chosen || returnable.length === 0) return choice
+    // Without any other attempt nothing is lost by asking a replica that may still be silent.
+    return chooseReplica({ ...input, replicas: returnable, excludedIds: new Set(), mayBeStalled: attempts.size === 0 }, loads, dependencies.random)
   }
 
   /** Finds the service. One that has left the configuration since the first attempt may still finish the stream. */
@@ -132,18 +136,21 @@
   /** Finds the replica for one more attempt within the limits on attempts and the retry budget, which it does not spend. */
   function findNextAttempt (): NextAttempt {
     if (getRemainingMs(dependencies, call) <= 0) return { isAllowed: false, isFinal: true, reason: 'the deadline', unavailableMs: 0 }
-    const isWithinLimits = allowsAnotherAttempt({
-      executions: [...possibleExecutions, ...[...attempts].map(({ leader }) => toPossibleExecution(leader))],
-      notExecutedCount,
+    const scope = getAttemptScope({
+      executions: record.listExecutions(),
+      notExecutedCount: record.countRefusals(),
       servers: dependencies.fleet.getServers(call.serviceName),
       mayRepeat,
       maxAttempts: call.route.maxAttempts
     })
-    if (!isWithinLimits) return { isAllowed: false, isFinal: true, reason: 'the limit on attempts', unavailableMs: 0 }
-    if (triedReplicaIds.length > 0 && !retryBudget.canSpend()) return { isAllowed: false, isFinal: false, reason: 'the retry budget is used up', unavailableMs: 0 }
-    const choice = chooseNextReplica()
+    if (scope === AttemptScope.None || (scope === AttemptScope.KnownServers && !record.mayReturn(findService()?.replicas ?? []))) {
+      return { isAllowed: false, isFinal: true, reason: 'the limit on attempts', unavailableMs: 0 }
+    }
+    const isFirst = record.listReplicaIds().length === 0
+    if (!isFirst && !retryBudget.canSpend()) return { isAllowed: false, isFinal: false, reason: 'the retry budget is used up', unavailableMs: 0 }
+    const choice = chooseNextReplica(scope)
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
-      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, triedReplicaIds.length === 0), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
+      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
     }
     const { replica, isHealthy } = choice
     const { leader } = replica
@@ -153,9 +160,8 @@
 
   function startAttempt ({ replica, leader }: AllowedAttempt): void {
     // The budget allowed it just before.
-    if (triedReplicaIds.length > 0) retryBudget.trySpend()
-    triedReplicaIds.push(replica.id)
-    refusedUntilMs.delete(replica.id)
+    if (record.listReplicaIds().length > 0) retryBudget.trySpend()
+    record.start(replica.id, leader)
     const attempt = startStreamAttempt(dependencies, call, { replica, leader, getLastEventId: () => lastEventId }, {
       onEvent: (event, head) => forwardEvent(attempt, event, head),
       onEnd () {
@@ -174,10 +180,14 @@
     const hasWriteCapacity = call.response.write(event.bytes)
     eventCount += 1
     lastEventId = event.id ?? lastEventId
+    lostAtMs = undefined
+    isClientReading = hasWriteCapacity
     if (!hasWriteCapacity) attempt.pause()
   }
 
   function resumeAttempts (): void {
+    isClientReading = true
+    clientReadAtMs = timers.nowMs()
     for (const attempt of attempts) attempt.resume()
   }
 
@@ -201,10 +211,10 @@
     attempts.delete(attempt)
     lastFailure = failure
     if (failure.kind === AttemptFailureKind.NotExecuted) {
-      notExecutedCount += 1
-      refusedUntilMs.set(attempt.replica.id, timers.nowMs() + refusedReplicaPauseMs * notExecutedCount)
+      record.refuse(attempt.replica.id, timers.nowMs())
     } else {
-      possibleExecutions.push(toPossibleExecution(attempt.leader))
+      record.lose(attempt.replica.id)
+      lostAtMs = timers.nowMs()
     }
     // If another attempt of the call goes on and is silent, the next check looks for a replacement.
     const next = attempts.size === 0 ? findNextAttempt() : undefined
@@ -231,12 +241,25 @@
   /** Looks again for a replica of a stream that waits for one. */
   function checkWait (failure: AttemptFailure): void {
     const next = findNextAttempt()
-    if (next.isAllowed) logLine('A stream goes on after a wait for a replica.', { group: next.replica.id, serverId: next.leader.id, waitedMs: Math.round(timers.nowMs() - previousEventAtMs) })
+    if (next.isAllowed) logLine('A stream goes on after a wait for a replica.', { group: next.replica.id, serverId: next.leader.id, waitedMs: Math.round(timers.nowMs() - (lostAtMs ?? previousEventAtMs)) })
     resumeOrFinish(failure, next)
   }
 
   function mayWait (next: NoAttempt): boolean {
-    return mayRepeat && call.response.headersSent && !next.isFinal && timers.nowMs() - previousEventAtMs < maxResumeWaitMs
+    if (!mayRepeat || next.isFinal) return false
+    if (!call.response.headersSent) return mayWaitForFirstEvent()
+    return timers.nowMs() < getWaitEndMs({
+      lostAtMs: lostAtMs ?? previousEventAtMs,
+      clientWaitsSinceMs: isClientReading ? Math.max(previousEventAtMs, clientReadAtMs) : timers.nowMs(),
+      objectiveMs: call.route.objectiveMs,
+      pauseObjectiveMs: call.route.pauseObjectiveMs
+    })
+  }
+
+  /** A stream that is known not to have run is refused at once instead, so that its client can turn to another gateway. */
+  function mayWaitForFirstEvent (): boolean {
+    if (record.listExecutions().length === 0 || lastFailure?.errorResponse !== undefined) return false
+    return timers.nowMs() < call.arrivedAtMs + call.route.objectiveMs
   }
 
   function finishFailed ({ errorResponse, reason: failureReason }: AttemptFailure, next: NoAttempt): void {
@@ -258,7 +281,7 @@
       call.response.destroy()
       return
     }
-    if (possibleExecutions.length === 0) {
+    if (record.listExecutions().length === 0) {
       finish(CallOutcome.Refused, reason)
       sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs))
       return
@@ -278,11 +301,27 @@
     }
     if (!mayRepeat) return
     if (attempts.size === 0 && lastFailure !== undefined) checkWait(lastFailure)
-    for (const attempt of [...attempts]) checkProgress(attempt)
+    checkProgress()
   }
 
-  function checkProgress (attempt: StreamAttempt): void {
-    const { needsReplacement, isStalled, isUrgent } = judgeSilence({
+  /** Starts one more attempt when all those in progress are silent. */
+  function checkProgress (): void {
+    const silences = [...attempts].map(attempt => ({ attempt, ...judgeAttempt(attempt) }))
+    for (const { attempt, isStalled } of silences) {
+      if (isStalled) dependencies.reportStall(attempt.replica.id)
+    }
+    const last = silences.at(-1)
+    if (last === undefined || !silences.every(({ needsReplacement }) => needsReplacement) || silences.length >= maxConcurrentAttemptCount) return
+    const { attempt } = last
+    const isUrgent = silences.some(silence => silence.isUrgent)
+    const next = findNextAttempt()
+    if (!next.isAllowed || (!isUrgent && !next.isHealthy)) return
+    logLine('A silent replica gets a replacement.', { group: attempt.replica.id, serverId: attempt.leader.id, replacement: next.replica.id, waitedMs: Math.round(attempt.getWaitedMs()) })
+    startAttempt(next)
+  }
+
+  function judgeAttempt (attempt: StreamAttempt): SilenceVerdict {
+    return judgeSilence({
       waitedMs: attempt.getWaitedMs(),
       hasEvents: attempt.hasEvents(),
       objectiveMs: call.route.objectiveMs,
@@ -290,12 +329,6 @@
       hasRecentEvent: withinMs => loads.hasRecentEvent(attempt.replica.id, withinMs),
       isQuiet: () => loads.isQuiet(attempt.replica.id)
     })
-    if (isStalled) dependencies.reportStall(attempt.replica.id)
-    if (!needsReplacement || attempts.size >= maxConcurrentAttemptCount) return
-    const next = findNextAttempt()
-    if (!next.isAllowed || (!isUrgent && !next.isHealthy)) return
-    logLine('A silent replica gets a replacement.', { group: attempt.replica.id, serverId: attempt.leader.id, replacement: next.replica.id, waitedMs: Math.round(attempt.getWaitedMs()) })
-    startAttempt(next)
   }
 
   call.response.on('close', onClientDisconnect)
