--- a/src/coordination/ports/server-control.ts
+++ b/src/coordination/ports/server-control.ts
@@ -46,7 +46,7 @@
   Refused = 'refused',
   /** No connection; the command was not sent. */
   Unreachable = 'unreachable',
-  /** Not sent, since the server is silent at present. */
+  /** Not sent, since the server's command sequence could not be read. */
   Postponed = 'postponed',
   /** No response: the command may have been accepted, or may still take effect later. */
   Unanswered = 'unanswered'
