--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -46,7 +46,7 @@
 const leavingReportTimeMs = 1500
 /**
  * Limits the datagrams of an inquiry in a large deployment, where each inquiry goes to other gateways. A replica with streams of thirty among
- * 2,200 gateways is missed by one inquiry in thirty.
+ * 2,200 gateways is missed by one inquiry in forty.
  */
 const maxAskedGatewayCount = 256
 
