Announce the close in the last response of a drain that gives requests up

What callers saw: at the end of a drain, two requests sent at once got 504 and 503, both with 'Connection: keep-alive', 0.7 s before the exit; the client's next request could cross it. Change: the last response that is given up announces the close, if its head is unsent. Before: expected null to have property 'length' ('are given up with a last response that announces the close'). After: the file passes.

--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -250,6 +250,8 @@
     },
     beginDrain: announceClose,
     giveUp () {
+      const last = exchanges.at(-1)
+      if (last !== undefined && !last.response.headersSent) last.response.shouldKeepAlive = false
       for (const { response, mustComplete } of exchanges) {
         if (!response.headersSent) respondWithoutBody(response, mustComplete === undefined ? 503 : 504)
       }
--- a/src/gateway/client-server-drain.test.ts
+++ b/src/gateway/client-server-drain.test.ts
@@ -129,4 +129,15 @@
       expect(client.isClosed).to.equal(false)
     })
   })
+
+  it('are given up with a last response that announces the close', async () => {
+    handle = exchange => exchange.setMustComplete(true)
+    server.beginDrain()
+    client.socket.write(request.repeat(2))
+    await waitFor(() => server.countInFlight() === 2)
+    server.giveUp()
+    await waitFor(() => client.text.match(/HTTP\/1\.1 /g)?.length === 2)
+    expect(client.text.match(/HTTP\/1\.1 \d+/g)).to.deep.equal(['HTTP/1.1 504', 'HTTP/1.1 503'])
+    expect(client.text.match(/Connection: close/g)).to.have.length(1)
+  })
 })
