Count a stream's wait also from a refusal that leaves it without an attempt

What callers saw: a stream lost its replica, its replacement queued it for 1.65 s and refused it, and the response was cut at once, though the client waits 8 s by its objective. Cause: counts the wait from the earlier loss. Found by the review. Change: it counts from the end of the last attempt in progress, whatever the end was; the client's patience bounds it as before. Before: 'begins when the next replica refuses the stream after a long queue': expected true to equal false (destroyed). After: 20 of 20 of the file.

--- a/src/coordination/dispatch/stream-wait.ts
+++ b/src/coordination/dispatch/stream-wait.ts
@@ -1,6 +1,6 @@
 /** What is known of a stream in progress that has no attempt left. */
 export interface StreamWaitInput {
-  /** When its last attempt failed that may have been executed. */
+  /** When its last attempt failed or was refused. */
   readonly lostAtMs: number
   /** Since when its client has waited for an event: since the last one, or since it read again. */
   readonly clientWaitsSinceMs: number
--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -46,6 +46,24 @@
       expect(harness.response.destroyed).to.equal(true)
     })
 
+    it('begins when the next replica refuses the stream after a long queue', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { objectiveMs: 2000, maxAttempts: 3 } })
+      harness.timers.subscribeEvery(100, () => {
+        for (const id of ['a', 'b']) harness.loads.recordEvent(harness.formatReplicaId(id))
+      })
+      const first = harness.start()
+      first.sendEvent(1)
+      first.reset()
+      const second = harness.attempts[1]
+      harness.timers.advance(1550)
+      harness.servers.delete(first.serverId)
+      harness.timers.advance(100)
+      second?.refuse()
+      expect(harness.response.destroyed).to.equal(false)
+      harness.timers.advance(600)
+      expect(harness.listAttempts(second?.serverId as string).length).to.equal(2)
+    })
+
     it('ends before its client gives up, also after a silence', () => {
       const harness = createStreamHarness({ serverIds: ['a'] })
       const first = harness.start()
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -66,7 +66,7 @@
   let previousEventAtMs = 0
   let clientReadAtMs = 0
   let isClientReading = true
-  /** When the last attempt failed that may have been executed, since the last event. */
+  /** When the last attempt in progress failed or was refused, since the last event. */
   let lostAtMs: number | undefined
   let isFinished = false
   let lastFailure: AttemptFailure | undefined
@@ -214,8 +214,8 @@
       record.refuse(attempt.replica.id, timers.nowMs())
     } else {
       record.lose(attempt.replica.id)
-      lostAtMs = timers.nowMs()
     }
+    if (attempts.size === 0) lostAtMs = timers.nowMs()
     // If another attempt of the call goes on and is silent, the next check looks for a replacement.
     const next = attempts.size === 0 ? findNextAttempt() : undefined
     logLine('An attempt failed.', { group: attempt.replica.id, serverId: attempt.leader.id, end: failure.kind, reason: failure.reason, next: describeNext(next) })
