Pick the gateways that a planner asks evenly over the list, and keep an inquiry within one packet

Cause: above 256 gateways a contiguous run of the list was asked. A message of 16 was 1,381 to 1,422 bytes, and longer with more digits. Change: items at even distances from a random first one; 12 inquiries a message; whole milliseconds. 195 gateways are all asked, as before.

--- a/src/coordination/replicas/delivery-inquiries.test.ts
+++ b/src/coordination/replicas/delivery-inquiries.test.ts
@@ -86,7 +86,7 @@
       if (index % 10 === 9) timers.advance(2)
     }
     timers.advance(135)
-    expect(messageSizes).to.deep.equal([16, 16, 8])
+    expect(messageSizes).to.deep.equal([12, 12, 12, 4])
   })
 
   it('are shared by the members of a replica that are checked together', () => {
--- a/src/coordination/replicas/delivery-inquiries.ts
+++ b/src/coordination/replicas/delivery-inquiries.ts
@@ -42,8 +42,8 @@
 
 /** Inquiries that are due within this time go out together: when an availability zone is cut, those of many replicas are. */
 const batchMs = 10
-/** Keeps a message, with some 70 bytes an inquiry, within one packet. */
-const maxInquiriesPerMessage = 16
+/** Keeps a message, with up to 90 bytes an inquiry, within one packet. */
+const maxInquiriesPerMessage = 12
 
 interface InquiryState {
   readonly inquiryId: number
@@ -91,7 +91,7 @@
   }
 
   function sendDue (): void {
-    const inquiries = [...due].filter(needsAnswer).map(({ inquiryId, replicaId, beganAtMs }) => ({ inquiryId, replicaId, sinceMs: timers.nowMs() - beganAtMs }))
+    const inquiries = [...due].filter(needsAnswer).map(({ inquiryId, replicaId, beganAtMs }) => ({ inquiryId, replicaId, sinceMs: Math.floor(timers.nowMs() - beganAtMs) }))
     due.clear()
     for (let from = 0; from < inquiries.length; from += maxInquiriesPerMessage) sendInquiries(inquiries.slice(from, from + maxInquiriesPerMessage))
   }
--- a/src/gateway/load-sharing.test.ts
+++ b/src/gateway/load-sharing.test.ts
@@ -7,7 +7,7 @@
 import { createSystemTimerService } from '../shared/timer-service.js'
 import { findFreePorts } from '../testing/free-ports.js'
 import type { GatewaySettings } from './gateway-settings.js'
-import { createLoadSharing } from './load-sharing.js'
+import { createLoadSharing, pickEvenly } from './load-sharing.js'
 
 const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
 
@@ -24,6 +24,21 @@
   onSuspectReplica () {}
 }
 
+describe('pickEvenly', () => {
+  it('finds one of the gateways that have streams in one availability zone of nine in most inquiries', () => {
+    const random = createRandomSource(1)
+    const hasStreams = (index: number) => index < 244 && index % 8 === 0
+    const indexes = Array.from({ length: 2199 }, (_, index) => index)
+    const found = Array.from({ length: 200 }, () => pickEvenly(indexes, 256, random.nextInt(2199))).filter(picked => picked.some(hasStreams))
+    expect(found.length).to.be.at.least(180)
+  })
+
+  it('picks each item at most once', () => {
+    const picked = pickEvenly([...'abcdefg'], 5, 6)
+    expect(new Set(picked).size).to.equal(5)
+  })
+})
+
 describe('load sharing', () => {
   it('answers an inquiry about a replica that delivered an event in time, and no other', async () => {
     const timers = createSystemTimerService()
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -50,6 +50,11 @@
  */
 const maxAskedGatewayCount = 256
 
+/** Picks items at even distances from the first on, so that each run of neighbours gets its share: gateways of one availability zone have similar names. */
+export function pickEvenly<T> (items: readonly T[], count: number, firstIndex: number): T[] {
+  return Array.from({ length: count }, (_, index) => items[(firstIndex + Math.floor(index * items.length / count)) % items.length] as T)
+}
+
 /** Creates the exchange of load reports with the other gateways. */
 export function createLoadSharing (options: LoadSharingOptions) {
   const { settings, timers, logger, loads, listPeers, findPlannerAddress, listRecentlyLeaving, onLeavingServer, onSuspectReplica } = options
@@ -85,10 +90,9 @@
     for (const { inquiryId, replicaId } of delivered) reportSocket.sendDeliveryMessage({ kind: DeliveryMessageKind.Answer, inquiryId, replicaId }, [address])
   }
 
-  function listAskedGateways (): NetworkAddress[] {
+  function listAskedGateways (): readonly NetworkAddress[] {
     const addresses = options.listGatewayAddresses()
-    const first = addresses.length <= maxAskedGatewayCount ? 0 : options.random.nextInt(addresses.length)
-    return [...addresses.slice(first), ...addresses.slice(0, first)].slice(0, maxAskedGatewayCount)
+    return addresses.length <= maxAskedGatewayCount ? addresses : pickEvenly(addresses, maxAskedGatewayCount, options.random.nextInt(addresses.length))
   }
 
   function sendReport (): void {
