Read what has arrived before a stop counts a connection as quiet

What callers saw: a request that arrives while the process is held up (a suspension, a long turn) in a drain is dropped unread, and its connection closed. Cause: checks connections at the stop from a timer, which runs before what has arrived is read; the check at each tick defers for that. Ruled out: connections that are still to be accepted; those are taken first. Change: the check is deferred in the same way. Before: 'are read before a stop counts their connection as quiet ...': expected '' to include 'whole'.

--- a/src/gateway/client-server-drain.test.ts
+++ b/src/gateway/client-server-drain.test.ts
@@ -140,4 +140,16 @@
     expect(client.text.match(/HTTP\/1\.1 \d+/g)).to.deep.equal(['HTTP/1.1 504', 'HTTP/1.1 503'])
     expect(client.text.match(/Connection: close/g)).to.have.length(1)
   })
+
+  it('are read before a stop counts their connection as quiet, also when the process was held up', async () => {
+    handle = ({ response }) => { response.end('whole') }
+    await sleep(50)
+    void server.stop(200)
+    await sleep(50)
+    client.socket.write(request)
+    const heldUpUntilMs = Date.now() + 400
+    while (Date.now() < heldUpUntilMs);
+    await waitFor(() => client.isClosed)
+    expect(client.text).to.include('whole')
+  })
 })
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -161,7 +161,7 @@
     stop: newQuietLimitMs => new Promise(resolve => {
       isDraining = true
       quietLimitMs = newQuietLimitMs
-      const checks = timers.subscribeEvery(Math.min(checkIntervalMs, quietLimitMs), checkConnections)
+      const checks = timers.subscribeEvery(Math.min(checkIntervalMs, quietLimitMs), () => setImmediate(checkConnections))
       // Connections that the kernel has accepted are taken first. The method of `http.Server` would close idle connections at once.
       setImmediate(() => {
         net.Server.prototype.close.call(server, () => {
