--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -218,7 +218,7 @@
     if (attempts.size === 0) lostAtMs = timers.nowMs()
     // If another attempt of the call goes on and is silent, the next check looks for a replacement.
     const next = attempts.size === 0 ? findNextAttempt() : undefined
-    logLine('An attempt failed.', { group: attempt.replica.id, serverId: attempt.leader.id, end: failure.kind, reason: failure.reason, next: describeNext(next) })
+    logLine('An attempt failed.', { group: attempt.replica.id, serverId: attempt.leader.id, end: failure.kind, reason: failure.reason, next: describeNext(next), promptParts: call.clientInfo.sharedPartIds.join(' ') })
     if (next !== undefined) resumeOrFinish(failure, next)
   }
 
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -38,10 +38,12 @@
   readonly serverIds: readonly string[]
   readonly route?: Partial<Route>
   readonly retrySlackCount?: number
+  /** Parts of the prompt that other requests may share. */
+  readonly partIds?: readonly string[]
 }
 
 /** Creates one call of a stream route; each server is the leader of a replica that has no other member. */
-export function createStreamHarness ({ serverIds, route: routeChanges, retrySlackCount = 100 }: StreamHarnessOptions) {
+export function createStreamHarness ({ serverIds, route: routeChanges, retrySlackCount = 100, partIds = [] }: StreamHarnessOptions) {
   const timers = createVirtualTimerService()
   const random = createRandomSource(1)
   const loads = createReplicaLoads(timers)
@@ -147,7 +149,7 @@
       forwardStream(dependencies, {
         request: { method: 'POST', url: '/drafts/a', rawHeaders: [] },
         response,
-        clientInfo: { requestId, model: 'm', apiKey: undefined, clientTimeoutMs: undefined, lastEventId: undefined },
+        clientInfo: { requestId, model: 'm', apiKey: undefined, clientTimeoutMs: undefined, sharedPartIds: partIds, lastEventId: undefined },
         body: undefined,
         route,
         team: undefined,
