Decide which prompt part ends servers, by what becomes of the requests that have it

The new folder quarantine/ decides without sockets or clocks: three servers that end in a row before the first event of a response (six at any point), with no request of the part served between, put the part in quarantine; requests under suspicion go one at a time.

--- /dev/null
+++ b/src/coordination/quarantine/crash-evidence.ts
@@ -0,0 +1,148 @@
+/** Finds the part of a prompt whose requests end the servers that work on them, by what became of the requests that have it. */
+
+/** A server ended while it worked on a request. */
+export interface CrashSign {
+  /** Identifies the process of the server: its end counts once, however many requests and gateways saw it. */
+  readonly serverKey: string
+  /** Parts of the request's prompt that other requests may share. */
+  readonly partIds: readonly string[]
+  /** The response had begun, but no event had arrived: a sound request spends little time in that state. */
+  readonly isEarly: boolean
+  /** When the request was sent to the server. */
+  readonly sentAtMs: number
+  /** When the connection ended. */
+  readonly lostAtMs: number
+}
+
+/** What is known of the parts of prompts. A part that nothing is known of is sound. */
+export interface CrashEvidence {
+  /** Returns the parts that are at fault by now; empty in most cases. */
+  recordCrash (sign: CrashSign, nowMs: number): string[]
+  /** A response to a request with the parts has delivered an event. Returns the parts that this clears of early crashes. */
+  recordProgress (partIds: readonly string[]): string[]
+  /** A request with the parts has been served. Returns the parts that were under suspicion. */
+  recordCompletion (partIds: readonly string[], nowMs: number): string[]
+  /** Drops the crashes of other parts that those at fault explain. */
+  explain (partIds: readonly string[]): void
+  /** Drops what is known of the parts. */
+  forget (partIds: readonly string[]): void
+  /** Lists those of the parts whose requests go to servers one at a time. */
+  listSuspects (partIds: readonly string[], nowMs: number): string[]
+  /** Servers that ended under the part since a request with it was last served. */
+  countCrashes (partId: string): number
+  countSuspects (): number
+}
+
+interface Crash {
+  readonly serverKey: string
+  isEarly: boolean
+}
+
+interface SuspectRecord {
+  /** Crashes since the last completion, in order. */
+  crashes: Crash[]
+  lastCrashAtMs: number
+}
+
+/** Servers that end in a row, before the first event, under one part. */
+export const faultEarlyCrashCount = 3
+/** The same for crashes at any point of a response, under which most streams of the server are. */
+export const faultCrashCount = 6
+/** Crashes at any point after which requests with the part go to servers one at a time. */
+const suspectCrashCount = 4
+/** Servers that end within this time end together. A prompt takes longer to end the next one, and messages of other gateways are faster. */
+const minCrashIntervalMs = 50
+/** While other requests with the part are served this frequently, its first crash changes nothing for them. */
+const recentCompletionMs = 2000
+/** Without another crash a part is no longer suspected after this time. */
+const suspicionTimeMs = 600_000
+/** Bounds the memory, whatever parts clients make up. A part is suspected only when a server has ended under it. */
+const maxSuspectCount = 2000
+const maxCompletedPartCount = 4000
+
+/** Creates the evidence with no part known. */
+export function createCrashEvidence (): CrashEvidence {
+  /** In the order of the last crash. */
+  const suspects = new Map<string, SuspectRecord>()
+  /** Times of the last completions, in their order. */
+  const completions = new Map<string, number>()
+
+  function isPartSuspect (partId: string, nowMs: number): boolean {
+    const record = suspects.get(partId)
+    if (record === undefined || record.crashes.length === 0) return false
+    const earlyCount = countEarly(record)
+    if (earlyCount > 1 || record.crashes.length >= suspectCrashCount) return true
+    return earlyCount === 1 && nowMs - (completions.get(partId) ?? -Infinity) > recentCompletionMs
+  }
+
+  function removeOldest (nowMs: number): void {
+    for (const [partId, { lastCrashAtMs }] of suspects) {
+      if (suspects.size <= maxSuspectCount && nowMs - lastCrashAtMs <= suspicionTimeMs) return
+      suspects.delete(partId)
+    }
+  }
+
+  function addCrash (partId: string, { serverKey, isEarly, lostAtMs }: CrashSign, nowMs: number): void {
+    const record = suspects.get(partId) ?? { crashes: [], lastCrashAtMs: -Infinity }
+    const known = record.crashes.find(crash => crash.serverKey === serverKey)
+    if (known !== undefined) {
+      known.isEarly ||= isEarly
+      return
+    }
+    // Of servers that end together, as in a power loss, one counts.
+    if (lostAtMs < record.lastCrashAtMs + minCrashIntervalMs) return
+    record.crashes.push({ serverKey, isEarly })
+    record.lastCrashAtMs = lostAtMs
+    suspects.delete(partId)
+    suspects.set(partId, record)
+    removeOldest(nowMs)
+  }
+
+  function isAtFault (partId: string): boolean {
+    const record = suspects.get(partId)
+    return record !== undefined && (countEarly(record) >= faultEarlyCrashCount || record.crashes.length >= faultCrashCount)
+  }
+
+  return {
+    recordCrash (sign, nowMs) {
+      for (const partId of sign.partIds) addCrash(partId, sign, nowMs)
+      return sign.partIds.filter(isAtFault)
+    },
+    recordProgress (partIds) {
+      return partIds.filter(partId => {
+        const early = suspects.get(partId)?.crashes.filter(crash => crash.isEarly) ?? []
+        for (const crash of early) crash.isEarly = false
+        return early.length > 0
+      })
+    },
+    recordCompletion (partIds, nowMs) {
+      for (const partId of partIds) {
+        completions.delete(partId)
+        completions.set(partId, nowMs)
+      }
+      for (const partId of completions.keys()) {
+        if (completions.size <= maxCompletedPartCount) break
+        completions.delete(partId)
+      }
+      return partIds.filter(partId => suspects.delete(partId))
+    },
+    explain (partIds) {
+      const explained = new Set(partIds.flatMap(partId => suspects.get(partId)?.crashes.map(({ serverKey }) => serverKey) ?? []))
+      for (const [partId, record] of suspects) {
+        if (partIds.includes(partId)) continue
+        record.crashes = record.crashes.filter(({ serverKey }) => !explained.has(serverKey))
+        if (record.crashes.length === 0) suspects.delete(partId)
+      }
+    },
+    forget (partIds) {
+      for (const partId of partIds) suspects.delete(partId)
+    },
+    listSuspects: (partIds, nowMs) => partIds.filter(partId => isPartSuspect(partId, nowMs)),
+    countCrashes: partId => suspects.get(partId)?.crashes.length ?? 0,
+    countSuspects: () => suspects.size
+  }
+}
+
+function countEarly ({ crashes }: SuspectRecord): number {
+  return crashes.filter(({ isEarly }) => isEarly).length
+}
--- /dev/null
+++ b/src/coordination/quarantine/prompt-guard.test.ts
@@ -0,0 +1,164 @@
+import { expect } from 'chai'
+
+import { PromptMessageKind, type PromptMessage } from '../../protocol/prompt-messages.js'
+import { createVirtualTimerService, type VirtualTimerService } from '../../shared/virtual-timer-service.js'
+import { makeBackendServer } from '../../testing/serving-samples.js'
+import { createPromptGuard, type PromptGuard } from './prompt-guard.js'
+import { AdmissionKind, type QuarantineEntry } from './prompt-quarantine.js'
+
+const requestMs = 200
+
+/** Creates a guard whose messages are kept, before servers that end with each lost connection unless stated otherwise. */
+function createSample (options: { readonly isListening?: boolean, readonly name?: string, readonly timers?: VirtualTimerService, onMessage? (message: PromptMessage): void } = {}) {
+  const { name = 'gateway', timers = createVirtualTimerService(1000) } = options
+  const messages: PromptMessage[] = []
+  const entries: QuarantineEntry[] = []
+  const refuted: QuarantineEntry[] = []
+  let serverCount = 0
+  const guard = createPromptGuard({
+    timers,
+    logger: { debug () {}, info () {}, warn () {}, error () {} },
+    metrics: { countEvent () {} },
+    isListening: () => Promise.resolve(options.isListening === true),
+    sendMessage (message) {
+      messages.push(message)
+      options.onMessage?.(message)
+    },
+    onEntry: entry => { entries.push(entry) },
+    onRefuted: entry => { refuted.push(entry) }
+  })
+
+  function begin (partIds: readonly string[]) {
+    serverCount += 1
+    return guard.begin(partIds, makeBackendServer({ id: `${name}-${serverCount}` }))
+  }
+
+  async function lose (partIds: readonly string[], hasHead = true): Promise<void> {
+    const attempt = begin(partIds)
+    await timers.advanceAsync(requestMs)
+    attempt.recordLoss(hasHead)
+    await timers.advanceAsync(1)
+  }
+
+  return { guard, timers, messages, entries, refuted, begin, lose }
+}
+
+function countKind (messages: readonly PromptMessage[], kind: PromptMessageKind): number {
+  return messages.filter(message => message.kind === kind).length
+}
+
+describe('prompt guard', () => {
+  it('makes an entry of a part under which three servers ended, and tells of each crash', async () => {
+    const { guard, entries, messages, lose } = createSample()
+    for (let index = 0; index < 3; index += 1) {
+      expect(entries).to.deep.equal([])
+      await lose(['p', `own-${index}`])
+    }
+    expect(entries).to.deep.equal([{ partIds: ['p'], probeCount: 0 }])
+    expect(guard.check(['p']).kind).to.equal(AdmissionKind.Quarantined)
+    const crashes = messages.flatMap(message => message.kind === PromptMessageKind.Crash ? [message.serverKey] : [])
+    expect(new Set(crashes).size).to.equal(3)
+  })
+
+  it('takes the end of a connection to a server that still listens for no crash', async () => {
+    const { guard, entries, messages, lose } = createSample({ isListening: true })
+    for (let index = 0; index < 9; index += 1) await lose(['p'])
+    expect({ entries, messages, suspects: guard.countSuspects() }).to.deep.equal({ entries: [], messages: [], suspects: 0 })
+  })
+
+  it('ends the trial of a request that only lost its connection', async () => {
+    const { guard, lose, begin } = createSample()
+    await lose(['p'])
+    const attempt = begin(['p'])
+    expect(guard.check(['p']).kind).to.equal(AdmissionKind.OnTrial)
+    attempt.end()
+    expect(guard.check(['p']).kind).to.equal(AdmissionKind.Admitted)
+  })
+
+  it('counts a request that was sent again before the crash was confirmed as the trial', async () => {
+    const { guard, messages, timers, begin } = createSample()
+    const first = begin(['p'])
+    await timers.advanceAsync(requestMs)
+    first.recordLoss(true)
+    begin(['p'])
+    await timers.advanceAsync(1)
+    expect(guard.check(['p']).kind).to.equal(AdmissionKind.OnTrial)
+    expect(messages[0]).to.include({ kind: PromptMessageKind.Crash, isOnTrial: true, sentAgoMs: requestMs, lostAgoMs: 0 })
+  })
+
+  it('repeats the message on a crash while the part is suspected, and not after', async () => {
+    const { messages, timers, lose, begin } = createSample()
+    await lose(['p'])
+    await timers.advanceAsync(500)
+    expect(countKind(messages, PromptMessageKind.Crash)).to.equal(2)
+    await lose(['q'])
+    begin(['q']).complete()
+    await timers.advanceAsync(500)
+    expect(countKind(messages, PromptMessageKind.Crash)).to.equal(3)
+  })
+
+  it('tells once that a suspected part is cleared, and nothing of parts that no gateway suspected', async () => {
+    const { messages, lose, begin } = createSample()
+    await lose(['p'])
+    for (let index = 0; index < 3; index += 1) {
+      const attempt = begin(['p', 'q'])
+      attempt.recordProgress()
+      attempt.complete()
+    }
+    const cleared = messages.filter(({ kind }) => kind === PromptMessageKind.Cleared)
+    expect(cleared).to.deep.equal([
+      { kind: PromptMessageKind.Cleared, partIds: ['p'], isCompletion: false },
+      { kind: PromptMessageKind.Cleared, partIds: ['p'], isCompletion: true }
+    ])
+  })
+
+  it('lifts an entry when a request with its parts is served', async () => {
+    const { guard, refuted, begin } = createSample()
+    guard.addEntry({ partIds: ['p'], probeCount: 1 }, 'the store')
+    begin(['p', 'q']).complete()
+    expect(refuted).to.deep.equal([{ partIds: ['p'], probeCount: 1 }])
+  })
+
+  it('does nothing for requests whose prompts share no part', async () => {
+    const { guard, entries, messages, lose } = createSample()
+    for (let index = 0; index < 9; index += 1) await lose([])
+    expect({ entries, messages, kind: guard.check([]).kind }).to.deep.equal({ entries: [], messages: [], kind: AdmissionKind.Admitted })
+  })
+
+  describe('messages of other gateways', () => {
+    function createPair () {
+      const guards: PromptGuard[] = []
+      const timers = createVirtualTimerService(1000)
+      const left = createSample({ name: 'left', timers, onMessage: message => guards[1]?.applyMessage(message) })
+      const right = createSample({ name: 'right', timers, onMessage: message => guards[0]?.applyMessage(message) })
+      guards.push(left.guard, right.guard)
+      return { left, right, timers }
+    }
+
+    it('add to the evidence of the own requests', async () => {
+      const { left, right } = createPair()
+      await left.lose(['p', 'a'])
+      await right.lose(['p', 'b'])
+      await left.lose(['p', 'c'])
+      expect([left, right].map(({ guard }) => guard.check(['p']).kind)).to.deep.equal([AdmissionKind.Quarantined, AdmissionKind.Quarantined])
+      expect([left, right].flatMap(({ entries }) => entries).length).to.equal(1)
+    })
+
+    it('hold requests while another gateway tries one, and clear the part when it is served there', async () => {
+      const { left, right } = createPair()
+      await left.lose(['p'])
+      const attempt = left.begin(['p'])
+      expect(right.guard.check(['p']).kind).to.equal(AdmissionKind.OnTrial)
+      attempt.recordProgress()
+      attempt.complete()
+      expect(right.guard.check(['p']).kind).to.equal(AdmissionKind.Admitted)
+      expect(right.guard.countSuspects()).to.equal(0)
+    })
+
+    it('bring entries that the store does not hold yet', async () => {
+      const { guard } = createSample()
+      guard.applyMessage({ kind: PromptMessageKind.Quarantine, partIds: ['p'], probeCount: 0 })
+      expect(guard.check(['p']).kind).to.equal(AdmissionKind.Quarantined)
+    })
+  })
+})
--- /dev/null
+++ b/src/coordination/quarantine/prompt-guard.ts
@@ -0,0 +1,198 @@
+/** Observes what becomes of the requests that a gateway sends to servers, and shares what that tells of the parts of their prompts. */
+import type { Logger } from '../../observability/log.js'
+import { MetricEvent, type Metrics } from '../../observability/metrics.js'
+import { PromptMessageKind, type PromptMessage } from '../../protocol/prompt-messages.js'
+import type { TimerService } from '../../shared/timer-service.js'
+import type { BackendServer } from '../../state/backend-server.js'
+import type { CrashSign } from './crash-evidence.js'
+import { createPromptQuarantine, type Admission, type QuarantineEntry } from './prompt-quarantine.js'
+
+/** A request at one server. Each attempt ends with one of `end`, `complete` and `recordLoss`. */
+export interface GuardedAttempt {
+  /** The response delivered its first event. */
+  recordProgress (): void
+  /** The request has been served. */
+  complete (): void
+  /** The connection to the server ended within the response. `hasHead` tells whether the response had begun. */
+  recordLoss (hasHead: boolean): void
+  /** The attempt ended in a way that says nothing of the prompt. */
+  end (): void
+}
+
+export interface PromptGuard {
+  /** Whether a request with the parts may go to a server now. */
+  check (partIds: readonly string[]): Admission
+  /** A request with the parts is being sent to the server. */
+  begin (partIds: readonly string[], server: BackendServer): GuardedAttempt
+  applyMessage (message: PromptMessage): void
+  /** Applies an entry that another gateway has made. */
+  addEntry (entry: QuarantineEntry, source: string): void
+  /** Drops an entry that is no longer in the store. */
+  removeEntry (key: string): void
+  listEntries (): QuarantineEntry[]
+  /** The entry that keeps a request with the parts from its server, if a probe of it is due. */
+  findDueProbe (partIds: readonly string[]): QuarantineEntry | undefined
+  countSuspects (): number
+}
+
+export interface PromptGuardOptions {
+  readonly timers: TimerService
+  readonly logger: Logger
+  readonly metrics: Pick<Metrics, 'countEvent'>
+  /** Whether the server accepts a connection: it has not ended, only the connection has. */
+  isListening (server: BackendServer): Promise<boolean>
+  /** Sends a message to all other gateways; it may be lost. */
+  sendMessage (message: PromptMessage): void
+  /** Called with each entry that this gateway makes. */
+  onEntry (entry: QuarantineEntry): void
+  /** Called when a request was served although it has the parts of the entry. */
+  onRefuted (entry: QuarantineEntry): void
+}
+
+/** Messages on crashes are sent twice, since datagrams are lost occasionally. */
+const repeatAfterMs = 150
+/** Bounds the parts whose clearing is announced. */
+const maxSharedPartCount = 2000
+const unguarded: GuardedAttempt = { recordProgress () {}, complete () {}, recordLoss () {}, end () {} }
+
+/** Creates the guard with no part under suspicion. */
+export function createPromptGuard ({ timers, logger, metrics, isListening, sendMessage, onEntry, onRefuted }: PromptGuardOptions): PromptGuard {
+  const quarantine = createPromptQuarantine()
+  /** Attempts of this gateway that have delivered no event, by part. */
+  const silentCounts = new Map<string, number>()
+  /** Suspicious parts that were in a message of this or another gateway. */
+  const sharedPartIds = new Set<string>()
+
+  function countSilent (partIds: readonly string[], change: number): void {
+    for (const partId of partIds) {
+      const count = (silentCounts.get(partId) ?? 0) + change
+      if (count > 0) silentCounts.set(partId, count)
+      else silentCounts.delete(partId)
+    }
+  }
+
+  function recordShared (partIds: readonly string[]): void {
+    for (const partId of partIds) {
+      if (sharedPartIds.size < maxSharedPartCount) sharedPartIds.add(partId)
+    }
+  }
+
+  function announceCleared (partIds: readonly string[], isCompletion: boolean): void {
+    const announced = partIds.filter(partId => isCompletion ? sharedPartIds.delete(partId) : sharedPartIds.has(partId))
+    if (announced.length === 0) return
+    logger.info('Parts of prompts are no longer suspected.', { parts: announced.join(' '), isCompletion })
+    sendMessage({ kind: PromptMessageKind.Cleared, partIds: announced, isCompletion })
+  }
+
+  function shareCrash ({ partIds, serverKey, isEarly, sentAtMs, lostAtMs }: CrashSign): void {
+    const suspects = quarantine.listSuspects(partIds, timers.nowMs())
+    if (suspects.length === 0) return
+    const isOnTrial = suspects.some(partId => silentCounts.has(partId))
+    if (isOnTrial) quarantine.recordTrial(suspects, timers.nowMs())
+    recordShared(suspects)
+    logger.warn('A server ended under a request; parts of its prompt are suspected.', {
+      serverKey, parts: suspects.join(' '), crashCounts: suspects.map(quarantine.countCrashes).join(' '), isEarly, isOnTrial
+    })
+    const send = () => sendMessage({ kind: PromptMessageKind.Crash, partIds: suspects, serverKey, isEarly, sentAgoMs: timers.nowMs() - sentAtMs, lostAgoMs: timers.nowMs() - lostAtMs, isOnTrial })
+    send()
+    timers.subscribeOnce(repeatAfterMs, () => {
+      if (quarantine.listSuspects(suspects, timers.nowMs()).length > 0) send()
+    })
+  }
+
+  function reportEntry (entry: QuarantineEntry, source: string): void {
+    metrics.countEvent(MetricEvent.PromptQuarantined)
+    logger.error('Servers ended in a row under requests with the same part; requests with it are refused.', {
+      parts: entry.partIds.join(' '), probeCount: entry.probeCount, source
+    })
+  }
+
+  async function recordLoss (partIds: readonly string[], server: BackendServer, isEarly: boolean, sentAtMs: number): Promise<void> {
+    const sign = { serverKey: `${server.id}/${server.startedAtMs}`, partIds, isEarly, sentAtMs, lostAtMs: timers.nowMs() }
+    if (await isListening(server)) {
+      quarantine.endTrial(partIds, sentAtMs)
+      return
+    }
+    metrics.countEvent(MetricEvent.ServerCrash)
+    const entry = quarantine.recordCrash(sign, timers.nowMs())
+    shareCrash(sign)
+    if (entry === undefined) return
+    reportEntry(entry, 'this gateway')
+    onEntry(entry)
+  }
+
+  function recordCompletion (partIds: readonly string[]): void {
+    announceCleared(quarantine.recordCompletion(partIds, timers.nowMs()), true)
+    for (const entry of quarantine.findEntries(partIds)) onRefuted(entry)
+  }
+
+  return {
+    check: partIds => quarantine.check(partIds, timers.nowMs()),
+    begin (partIds, server) {
+      if (partIds.length === 0) return unguarded
+      const sentAtMs = timers.nowMs()
+      const suspects = quarantine.begin(partIds, sentAtMs)
+      if (suspects.length > 0) sendMessage({ kind: PromptMessageKind.Trial, partIds: suspects })
+      let isSilent = true
+      countSilent(partIds, 1)
+      const endSilence = () => {
+        if (isSilent) countSilent(partIds, -1)
+        isSilent = false
+      }
+      return {
+        recordProgress () {
+          if (!isSilent) return
+          endSilence()
+          announceCleared(quarantine.recordProgress(partIds), false)
+        },
+        complete () {
+          endSilence()
+          recordCompletion(partIds)
+        },
+        recordLoss (hasHead) {
+          const isEarly = hasHead && isSilent
+          endSilence()
+          void recordLoss(partIds, server, isEarly, sentAtMs)
+        },
+        end () {
+          if (isSilent) quarantine.endTrial(partIds, sentAtMs)
+          endSilence()
+        }
+      }
+    },
+    applyMessage (message) {
+      const nowMs = timers.nowMs()
+      switch (message.kind) {
+        case PromptMessageKind.Crash: {
+          const { partIds, serverKey, isEarly, sentAgoMs, lostAgoMs, isOnTrial } = message
+          recordShared(partIds)
+          const entry = quarantine.recordCrash({ serverKey, partIds, isEarly, sentAtMs: nowMs - sentAgoMs, lostAtMs: nowMs - lostAgoMs }, nowMs)
+          if (isOnTrial) quarantine.recordTrial(partIds, nowMs)
+          if (entry !== undefined) reportEntry(entry, 'crashes that another gateway saw')
+          return
+        }
+        case PromptMessageKind.Trial:
+          quarantine.recordTrial(message.partIds, nowMs)
+          return
+        case PromptMessageKind.Cleared:
+          for (const partId of message.partIds) sharedPartIds.delete(partId)
+          if (message.isCompletion) quarantine.recordCompletion(message.partIds, nowMs)
+          else quarantine.recordProgress(message.partIds)
+          return
+        case PromptMessageKind.Quarantine:
+          if (quarantine.add({ partIds: message.partIds, probeCount: message.probeCount }, nowMs)) reportEntry(message, 'another gateway')
+      }
+    },
+    addEntry (entry, source) {
+      if (quarantine.add(entry, timers.nowMs())) reportEntry(entry, source)
+    },
+    removeEntry (key) {
+      if (!quarantine.remove(key)) return
+      metrics.countEvent(MetricEvent.PromptReleased)
+      logger.warn('Requests with the parts are no longer refused.', { parts: key })
+    },
+    listEntries: quarantine.listEntries,
+    findDueProbe: partIds => quarantine.findDueProbe(partIds, timers.nowMs()),
+    countSuspects: quarantine.countSuspects
+  }
+}
--- /dev/null
+++ b/src/fuzz/quarantine-fleet.test.ts
@@ -0,0 +1,30 @@
+import { expect } from 'chai'
+
+import { FleetTrouble, playQuarantineFleet } from './quarantine-fleet.js'
+
+const seeds = Array.from({ length: 5 }, (_, index) => index + 1)
+/** Requests a second of each session, from rare to frequent. */
+const sessionRates = [0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30]
+const durationMs = 30_000
+
+describe('quarantine of prompts in a fleet', () => {
+  for (const trouble of Object.values(FleetTrouble)) {
+    it(`blames no part of a prompt for trouble of the servers (${trouble})`, async () => {
+      for (const seed of seeds) {
+        const { falseEntries, requestCount, refusedCount } = await playQuarantineFleet({ seed, trouble, gatewayCount: 8, durationMs, sessionRates })
+        expect(falseEntries, `seed ${seed}`).to.deep.equal([])
+        expect(refusedCount / requestCount, `seed ${seed}`).to.be.lessThan(0.01)
+      }
+    }).timeout(120_000)
+  }
+
+  for (const [faultRate, gatewayCount] of [[0.2, 3], [0.8, 8], [2, 8], [4, 40]] as const) {
+    it(`contains a part whose requests end servers, ${faultRate} a second at ${gatewayCount} gateways, within five servers`, async () => {
+      for (const seed of seeds) {
+        const { falseEntries, hasTrueEntry, faultCrashCount, lateFaultArrivalCount } = await playQuarantineFleet({ seed, trouble: FleetTrouble.None, gatewayCount, durationMs: 60_000, sessionRates, faultRate })
+        expect({ falseEntries, hasTrueEntry, lateFaultArrivalCount }, `seed ${seed}`).to.deep.equal({ falseEntries: [], hasTrueEntry: true, lateFaultArrivalCount: 0 })
+        expect(faultCrashCount, `seed ${seed}`).to.be.at.most(5)
+      }
+    }).timeout(120_000)
+  }
+})
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -33,6 +33,16 @@
   ServerLeaving = 'server_leaving',
   /** The store came back from an older copy. */
   StoreEraChange = 'store_era_change',
+  /** A server ended under a request whose prompt has parts. Each request counts. */
+  ServerCrash = 'server_crash',
+  /** Parts of prompts came into quarantine, by this or another gateway. */
+  PromptQuarantined = 'prompt_quarantined',
+  /** Parts of prompts left the quarantine. */
+  PromptReleased = 'prompt_released',
+  /** A request was refused for the parts of its prompt. */
+  PromptRefused = 'prompt_refused',
+  /** A request with quarantined parts was let through. */
+  PromptProbe = 'prompt_probe',
   /** A response was not completed: the gateway closed the connection. */
   IncompleteByGateway = 'incomplete_by_gateway',
   /** A response was not completed: the client closed the connection. */
@@ -47,7 +57,11 @@
   ConfigVersion = 'config_version',
   LiveNodeCount = 'live_node_count',
   CompleteGroupCount = 'complete_group_count',
-  InFlightCount = 'in_flight_count'
+  InFlightCount = 'in_flight_count',
+  /** Entries of the quarantine of prompts. */
+  QuarantineEntryCount = 'quarantine_entry_count',
+  /** Parts of prompts under suspicion. */
+  SuspectPartCount = 'suspect_part_count'
 }
 
 const microsecondsPerMillisecond = 1000
--- /dev/null
+++ b/src/protocol/prompt-messages.ts
@@ -0,0 +1,48 @@
+import { z } from 'zod'
+
+/** What gateways tell each other, in datagrams beside the load reports, about the parts of prompts. */
+export enum PromptMessageKind {
+  /** A server ended under a request with the parts, which are under suspicion at the sender. */
+  Crash = 'promptCrash',
+  /** A request with the parts, which are under suspicion, goes to a server. */
+  Trial = 'promptTrial',
+  /** A response to such a request has delivered an event, or the request has been served. */
+  Cleared = 'promptCleared',
+  /** Parts in quarantine that the store may not hold yet. */
+  Quarantine = 'promptQuarantine'
+}
+
+const partIdsSchema = z.array(z.string().max(64)).max(32)
+const promptMessageSchema = z.discriminatedUnion('kind', [
+  z.object({
+    kind: z.literal(PromptMessageKind.Crash),
+    partIds: partIdsSchema,
+    serverKey: z.string().max(200),
+    isEarly: z.boolean(),
+    /** Times since the request was sent to the server and since it was lost, as the clocks of the gateways differ. */
+    sentAgoMs: z.number().nonnegative(),
+    lostAgoMs: z.number().nonnegative(),
+    /** The sender has sent a request with the parts to another server since. */
+    isOnTrial: z.boolean()
+  }),
+  z.object({ kind: z.literal(PromptMessageKind.Trial), partIds: partIdsSchema }),
+  z.object({ kind: z.literal(PromptMessageKind.Cleared), partIds: partIdsSchema, isCompletion: z.boolean() }),
+  z.object({ kind: z.literal(PromptMessageKind.Quarantine), partIds: partIdsSchema, probeCount: z.number().int().nonnegative() })
+])
+
+export type PromptMessage = z.infer<typeof promptMessageSchema>
+
+/** Encodes a message for a datagram. Gateways of earlier releases drop it, since they do not know the kind. */
+export function encodePromptMessage (message: PromptMessage): string {
+  return JSON.stringify(message)
+}
+
+/** Decodes a message; undefined for any other content. Unknown fields are ignored. */
+export function decodePromptMessage (text: string): PromptMessage | undefined {
+  try {
+    return promptMessageSchema.safeParse(JSON.parse(text)).data
+  } catch {
+    // Not JSON: the text came from another program. The load report socket logs it.
+    return undefined
+  }
+}
