--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -3,6 +3,7 @@
 
 import type { ServerHolds } from '../coordination/dispatch/server-holds.js'
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
+import type { PromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import type { LogFields, Logger } from '../observability/log.js'
@@ -28,6 +29,7 @@
   readonly connections: BackendConnectionPool
   readonly scores: ServerScores
   readonly holds: ServerHolds
+  readonly promptGuard: PromptGuard
   readonly loads: ReplicaLoads
   readonly metrics: Metrics
   readonly logger: Logger
@@ -58,6 +60,8 @@
   readonly arrivedAtMs: number
   /** The client gets its final response by this time. */
   readonly deadlineAtMs: number
+  /** The parts of its prompt are in quarantine, and it goes to one server to show whether they still end it. */
+  readonly isProbe: boolean
 }
 
 /** How a call ended, for logs and counters. */
@@ -72,11 +76,13 @@
   ClientDisconnected = 'caller_left'
 }
 
-/** Sends a response without a body that the gateway makes itself. Does nothing once a response has been started. */
-export function sendGatewayResponse (dependencies: CallDependencies, response: ServerResponse, requestId: string | undefined, statusCode: number, retryAfterMs?: number): void {
+/** Sends a response that the gateway makes itself, with a JSON body if there is an explanation. Does nothing once a response has been started. */
+export function sendGatewayResponse (dependencies: CallDependencies, response: ServerResponse, requestId: string | undefined, statusCode: number, retryAfterMs?: number, explanation?: string): void {
   if (response.headersSent || response.destroyed) return
-  response.writeHead(statusCode, { ...dependencies.codec.buildGatewayHeaders(requestId, retryAfterMs), 'Content-Length': '0' })
-  response.end()
+  const body = explanation === undefined ? '' : JSON.stringify({ error: explanation })
+  const bodyHeaders = { ...(explanation === undefined ? {} : { 'Content-Type': 'application/json' }), 'Content-Length': String(Buffer.byteLength(body)) }
+  response.writeHead(statusCode, { ...dependencies.codec.buildGatewayHeaders(requestId, retryAfterMs), ...bodyHeaders })
+  response.end(body)
 }
 
 /**
--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -2,17 +2,22 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
 import { pickTarget } from '../coordination/dispatch/route-table.js'
+import type { QuarantineEntry } from '../coordination/quarantine/prompt-quarantine.js'
+import { MetricEvent } from '../observability/metrics.js'
 import { RouteKind, type Route, type Team } from '../state/serving-config.js'
 import { sendGatewayResponse, type Call, type CallDependencies } from './call-context.js'
 import type { ClientExchange } from './client-connection.js'
 import { forwardPlain } from './plain-forwarding.js'
 import { BodyResultKind, readRequestBody } from './request-body.js'
 import { forwardStream } from './stream-forwarding.js'
+import type { ClientRequestInfo } from './wire-codec.js'
 
 export interface CallIntakeOptions {
   readonly dependencies: CallDependencies
   /** Age of the configuration above which API keys are not accepted, since a key may have been revoked. */
   getMaxConfigAgeMs (): number
+  /** Lets this gateway send the next probe of an entry; false when it may not. */
+  claimProbe (entry: QuarantineEntry): Promise<boolean>
   /** When this process ends; from some time after the begin of its drain on, requests that may last longer are refused. */
   getLatestEndMs (): number
 }
@@ -32,7 +37,7 @@
 }
 
 /** Creates the handler that checks a request against the configuration and forwards it. */
-export function createCallIntake ({ dependencies, getMaxConfigAgeMs, getLatestEndMs }: CallIntakeOptions) {
+export function createCallIntake ({ dependencies, claimProbe, getMaxConfigAgeMs, getLatestEndMs }: CallIntakeOptions) {
   const { fleet, codec, timers, random } = dependencies
 
   function refuse (request: IncomingMessage, response: ServerResponse, statusCode: number, reason: string, retryAfterMs?: number): void {
@@ -101,8 +106,17 @@
       return
     }
     setMustComplete(route.kind === RouteKind.Unsafe)
+    const isProbe = await claimDueProbe(clientInfo)
     if (response.destroyed || request.socket.destroyed) return
-    await forward({ request, response, clientInfo, route, team, serviceName, arrivedAtMs, body: body.body, deadlineAtMs }, route)
+    await forward({ request, response, clientInfo, route, team, serviceName, arrivedAtMs, body: body.body, deadlineAtMs, isProbe }, route)
+  }
+
+  async function claimDueProbe ({ requestId, sharedPartIds }: ClientRequestInfo): Promise<boolean> {
+    const entry = dependencies.promptGuard.findDueProbe(sharedPartIds)
+    if (entry === undefined || !await claimProbe(entry)) return false
+    dependencies.metrics.countEvent(MetricEvent.PromptProbe)
+    dependencies.logger.warn('A request with quarantined prompt parts is let through as a probe.', { requestId: requestId ?? '', parts: entry.partIds.join(' '), probeCount: entry.probeCount + 1 })
+    return true
   }
 
   async function forward (call: Call, route: Route): Promise<void> {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,8 @@
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerControl } from '../coordination/ports/server-control.js'
 import type { RelayLink } from '../coordination/ports/relay-link.js'
+import { createPromptGuard } from '../coordination/quarantine/prompt-guard.js'
+import { createQuarantineStore } from '../coordination/quarantine/quarantine-store.js'
 import { createRelayPlans, directPlan, type ListedGateway } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
@@ -21,7 +23,9 @@
 import { createSharedTicker } from '../shared/shared-ticker.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { BackendServer } from '../state/backend-server.js'
+import { PromptMessageKind } from '../protocol/prompt-messages.js'
 import { createBackendConnectionPool } from '../transport/backend-connection-pool.js'
+import { createListeningCheck } from '../transport/listening-check.js'
 import type { CallDependencies } from './call-context.js'
 import { createCallIntake } from './call-intake.js'
 import { ConnectionEnd, type IncompleteResponse } from './client-connection.js'
@@ -141,6 +145,27 @@
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
     listServices: fleet.listReplicatedServices
   })
+  const promptGuard = createPromptGuard({
+    timers,
+    logger: createLogger('quarantine'),
+    metrics,
+    isListening: createListeningCheck(timers),
+    sendMessage: message => loadSharing.sendPromptMessage(message),
+    onEntry: entry => quarantineStore.publish(entry),
+    onRefuted: entry => quarantineStore.release(entry)
+  })
+  const quarantineStore = createQuarantineStore({
+    store,
+    timers,
+    random,
+    logger: createLogger('quarantine'),
+    gatewayPrefix: layout.gatewayPrefix,
+    guard: promptGuard,
+    listStored: fleet.listGatewayEntries,
+    isPlanner,
+    countGateways: presence.countGateways,
+    announce: entry => loadSharing.sendPromptMessage({ kind: PromptMessageKind.Quarantine, partIds: [...entry.partIds], probeCount: entry.probeCount })
+  })
   const retryBudgets = new Map<string, ServiceRetryBudget>()
   const dependencies: CallDependencies = {
     zone: settings.zone,
@@ -154,6 +179,7 @@
     scores: createServerScores(timers),
     holds: createServerHolds(timers),
     loads,
+    promptGuard,
     metrics,
     logger: createRateLimitedLogger(createLogger('calls'), timers, requestLogLinesPerSecond),
     countGateways: presence.countGateways,
@@ -179,10 +205,11 @@
     listRecentlyLeaving: fleet.listRecentlyLeaving,
     onLeavingServer: (serverId, startedAtMs) => { fleet.markLeaving(serverId, startedAtMs) },
     onDeliveryAnswer: inquiries.applyAnswer,
+    onPromptMessage: promptGuard.applyMessage,
     onSuspectReplica: replicaId => planner.checkReplica(replicaId)
   })
   const incompleteLogger = createRateLimitedLogger(createLogger('connections'), timers, incompleteLogLinesPerSecond)
-  const callIntake = createCallIntake({ dependencies, getMaxConfigAgeMs, getLatestEndMs: () => drain.getLatestEndMs() })
+  const callIntake = createCallIntake({ dependencies, claimProbe: quarantineStore.claimProbe, getMaxConfigAgeMs, getLatestEndMs: () => drain.getLatestEndMs() })
   const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes: maxParsedHeaderBytes, timers, handle: callIntake.handle, onIncomplete: recordIncomplete })
   const readinessServer = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics, refreshGauges)
@@ -212,6 +239,8 @@
     metrics.setGauge(MetricGauge.ConfigVersion, fleet.getConfig()?.version ?? 0)
     metrics.setGauge(MetricGauge.LiveNodeCount, presence.listGateways().length)
     metrics.setGauge(MetricGauge.CompleteGroupCount, countServingReplicas())
+    metrics.setGauge(MetricGauge.QuarantineEntryCount, promptGuard.listEntries().length)
+    metrics.setGauge(MetricGauge.SuspectPartCount, promptGuard.countSuspects())
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
   }
 
@@ -270,6 +299,8 @@
         const limits = fleet.getConfig()?.limits
         if (limits !== undefined) clientServer.applyLimits(limits)
       }
+      if (event === FleetEvent.Era) quarantineStore.forgetView()
+      if (event === FleetEvent.Gateways) quarantineStore.applyView()
       if (event !== FleetEvent.Servers) plannerLease.checkNow()
       if (event === FleetEvent.Era) metrics.countEvent(MetricEvent.StoreEraChange)
       planner.planNow()
@@ -292,6 +323,7 @@
       await Promise.all([clientServer.start(), readinessServer.start(), metricsServer.start(), relayServer.start(), loadSharing.start()])
       presence.start()
       plannerLease.start()
+      quarantineStore.start()
       planner.start()
       log.info('The gateway has started.', { node: settings.nodeId, zone: settings.zone })
     },
@@ -304,6 +336,7 @@
       void releaseLeases()
       await drain.run()
       fleet.stop()
+      quarantineStore.stop()
       loadSharing.stop()
       log.info('The gateway has stopped.', { inProgressCount: clientServer.countInFlight() })
     }
--- a/src/gateway/load-sharing.test.ts
+++ b/src/gateway/load-sharing.test.ts
@@ -21,6 +21,7 @@
   listRecentlyLeaving: () => ({}),
   onLeavingServer () {},
   onDeliveryAnswer () {},
+  onPromptMessage () {},
   onSuspectReplica () {}
 }
 
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -6,6 +6,7 @@
 import type { DeliveryAnswer, DeliveryInquiry } from '../coordination/replicas/delivery-inquiries.js'
 import type { Logger } from '../observability/log.js'
 import { DeliveryMessageKind, type DeliveryMessage } from '../protocol/delivery-messages.js'
+import type { PromptMessage } from '../protocol/prompt-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import type { RandomSource } from '../shared/random-source.js'
 import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
@@ -32,6 +33,8 @@
   onLeavingServer (serverId: string, startedAtMs: number): void
   /** Called when another gateway answers an inquiry. */
   onDeliveryAnswer (answer: DeliveryAnswer): void
+  /** Called when another gateway tells something of the parts of prompts. */
+  onPromptMessage (message: PromptMessage): void
   /** Called when a replica is quiet here, or when another gateway reports it as quiet or stalled. */
   onSuspectReplica (replicaId: string): void
 }
@@ -76,6 +79,7 @@
       for (const [serverId, startedAtMs] of Object.entries(report.leavingServers ?? {})) onLeavingServer(serverId, startedAtMs)
     },
     onDeliveryMessage: handleDeliveryMessage,
+    onPromptMessage: options.onPromptMessage,
     onError: reason => logger.debug('A load report could not be sent or decoded.', { reason })
   })
 
@@ -148,6 +152,10 @@
     sendInquiries (inquiries: readonly DeliveryInquiry[]): void {
       reportSocket.sendDeliveryMessage({ kind: DeliveryMessageKind.Inquiry, nodeId: settings.nodeId, inquiries }, listAskedGateways())
     },
+    /** Tells all other gateways something of the parts of prompts. */
+    sendPromptMessage (message: PromptMessage): void {
+      reportSocket.sendPromptMessage(message, options.listGatewayAddresses())
+    },
     async start (): Promise<void> {
       await reportSocket.start()
       schedule()
--- a/src/gateway/plain-attempt.ts
+++ b/src/gateway/plain-attempt.ts
@@ -47,12 +47,14 @@
 export function startPlainAttempt (dependencies: CallDependencies, call: Call, server: BackendServer): PlainAttempt {
   const { timers, scores } = dependencies
   const sentAtMs = timers.nowMs()
+  const guarded = dependencies.promptGuard.begin(call.clientInfo.sharedPartIds, server)
   const chunks: Buffer[] = []
   let size = 0
   let head: ResponseHead | undefined
   let info: ServerResponseInfo | undefined
   let isSettled = false
   let isSilent = false
+  let hasConnectionEnded = false
   let resolveResult: (result: PlainResult) => void = () => {}
   const result = new Promise<PlainResult>(resolve => { resolveResult = resolve })
 
@@ -73,6 +75,9 @@
     timeout.cancel()
     call.response.off('close', onClientDisconnect)
     recordScore(settled)
+    if (settled.kind === PlainResultKind.Responded && !isServerError(settled.head.statusCode)) guarded.complete()
+    else if (hasConnectionEnded) guarded.recordLoss(false)
+    else guarded.end()
     resolveResult(settled)
   }
 
@@ -106,6 +111,7 @@
       settle(head === undefined || info === undefined ? { kind: PlainResultKind.Lost, reason: 'no response' } : classifyResponse(call, head, info, Buffer.concat(chunks)))
     },
     onFailure ({ kind, reason }) {
+      hasConnectionEnded = kind === ExchangeFailureKind.Lost
       settle({ kind: kind === ExchangeFailureKind.NotSent ? PlainResultKind.NotExecuted : PlainResultKind.Lost, reason })
     }
   })
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,5 +1,8 @@
 /** Forwards requests to plain services, whose responses are not streams. */
 import { maxNotExecutedRetryCount } from '../coordination/dispatch/attempt-limits.js'
+import { describeAdmission } from '../coordination/quarantine/describe-admission.js'
+import { AdmissionKind, type Admission } from '../coordination/quarantine/prompt-quarantine.js'
+import { MetricEvent } from '../observability/metrics.js'
 import { ServerState, type BackendServer } from '../state/backend-server.js'
 import { RouteKind } from '../state/serving-config.js'
 import type { TimerService } from '../shared/timer-service.js'
@@ -38,12 +41,15 @@
   let possibleExecutionCount = 0
   let notExecutedCount = 0
   let lastFailure: EndedAttempt | undefined
+  let admission: Admission = { kind: AdmissionKind.Admitted }
   retryBudget.recordRequest()
 
   function mayStartAttempt (): boolean {
     if (call.response.destroyed) return false
     if (getRemainingMs(dependencies, call) <= 0 || notExecutedCount > maxNotExecutedRetryCount) return false
     const executionCount = possibleExecutionCount + running.size
+    admission = call.isProbe && executionCount === 0 ? { kind: AdmissionKind.Admitted } : dependencies.promptGuard.check(call.clientInfo.sharedPartIds)
+    if (admission.kind !== AdmissionKind.Admitted) return false
     return executionCount === 0 || (isRepeatable && executionCount < call.route.maxAttempts)
   }
 
@@ -104,7 +110,7 @@
     }
     handleFailure(ended)
   }
-  finishWithoutSuccess(dependencies, call, possibleExecutionCount, lastFailure, triedServerIds)
+  finishWithoutSuccess(dependencies, call, { possibleExecutionCount, lastFailure, triedServerIds, admission })
 }
 
 /** Waits until one of the attempts has ended; returns undefined if none has within the time. */
@@ -120,8 +126,16 @@
   })
 }
 
+interface UnsuccessfulEnd {
+  readonly possibleExecutionCount: number
+  readonly lastFailure: EndedAttempt | undefined
+  readonly triedServerIds: ReadonlySet<string>
+  /** The last answer to whether the call may go to a server. */
+  readonly admission: Admission
+}
+
 /** Ends the call after the last attempt: forwards a server's error response, or responds with 502, 503 or 504. */
-function finishWithoutSuccess (dependencies: CallDependencies, call: Call, possibleExecutionCount: number, lastFailure: EndedAttempt | undefined, triedServerIds: ReadonlySet<string>): void {
+function finishWithoutSuccess (dependencies: CallDependencies, call: Call, { possibleExecutionCount, lastFailure, triedServerIds, admission }: UnsuccessfulEnd): void {
   const fields = { serverIds: [...triedServerIds].join(' '), ranCount: possibleExecutionCount }
   const result = lastFailure?.result
   if (lastFailure !== undefined && result?.kind === PlainResultKind.Responded) {
@@ -129,10 +143,13 @@
     return
   }
   if (possibleExecutionCount === 0) {
-    const minRetryAfterMs = Math.max(minPlainRetryAfterMs, getShortestHoldMs(dependencies, call.serviceName))
+    const isAdmitted = admission.kind === AdmissionKind.Admitted
+    const explanation = isAdmitted ? undefined : describeAdmission(admission)
+    if (!isAdmitted) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
+    const minRetryAfterMs = Math.max(minPlainRetryAfterMs, getShortestHoldMs(dependencies, call.serviceName), isAdmitted ? 0 : admission.waitMs)
     const retryAfterMs = Math.round(minRetryAfterMs + plainRetryAfterSpreadMs * dependencies.random.nextFloat())
-    recordOutcome(dependencies, call, CallOutcome.Refused, { ...fields, retryAfterMs })
-    sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, retryAfterMs)
+    recordOutcome(dependencies, call, CallOutcome.Refused, { ...fields, retryAfterMs, ...(explanation === undefined ? {} : { reason: explanation }) })
+    sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, retryAfterMs, explanation)
     return
   }
   const isTimeout = result?.kind === PlainResultKind.TimedOut
--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -66,6 +66,7 @@
   const { timers, loads } = dependencies
   const { replica, leader, getLastEventId } = options
   const framer = createSseFramer({ maxEventBytes })
+  const guarded = dependencies.promptGuard.begin(call.clientInfo.sharedPartIds, leader)
   const errorBody: Buffer[] = []
   let errorBodyBytes = 0
   let head: ResponseHead | undefined
@@ -107,7 +108,16 @@
   }
 
   function fail (failure: AttemptFailure): void {
-    if (end()) listener.onFailure(failure)
+    if (!end()) return
+    guarded.end()
+    listener.onFailure(failure)
+  }
+
+  /** The connection ended within the response; the server may have ended with it. */
+  function breakOff (reason: string): void {
+    if (!end()) return
+    guarded.recordLoss(head?.statusCode === successStatus)
+    listener.onFailure({ kind: AttemptFailureKind.Lost, reason })
   }
 
   function lose (reason: string): void {
@@ -143,6 +153,7 @@
       lose(`event ${event.id} arrived after event ${lastEventId}`)
       return
     }
+    if (!hasEvents) guarded.recordProgress()
     hasEvents = true
     if (!isPaused) countActive(true)
     lastEventAtMs = timers.nowMs()
@@ -154,8 +165,9 @@
     if (head === undefined || head.statusCode !== successStatus) {
       handleErrorResponse(true)
     } else if (framer.hasPartialEvent() || !hasEvents) {
-      lose('the stream ended with an incomplete event or without any')
+      breakOff('the stream ended with an incomplete event or without any')
     } else if (end()) {
+      guarded.complete()
       listener.onEnd()
     }
   }
@@ -168,7 +180,7 @@
 
   function handleErrorResponse (isWhole: boolean): void {
     if (head === undefined || info === undefined) {
-      lose('no response')
+      breakOff('no response')
     } else if (info.isNotExecuted) {
       // The response names a server at fault, so the replica may have lost a member.
       if (info.faultyServerId !== undefined) dependencies.reportStall(replica.id)
@@ -184,14 +196,19 @@
     onHead: handleHead,
     onData: handleData,
     onEnd: handleEnd,
-    onFailure: ({ kind, reason }) => fail({ kind: kind === ExchangeFailureKind.NotSent ? AttemptFailureKind.NotExecuted : AttemptFailureKind.Lost, reason })
+    onFailure ({ kind, reason }) {
+      if (kind === ExchangeFailureKind.NotSent) fail({ kind: AttemptFailureKind.NotExecuted, reason })
+      else breakOff(reason)
+    }
   })
   return {
     replica,
     leader,
     hasEvents: () => hasEvents,
     getWaitedMs: () => isPaused ? 0 : timers.nowMs() - lastEventAtMs,
-    abort: () => { end() },
+    abort () {
+      if (end()) guarded.end()
+    },
     pause,
     resume
   }
--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -250,4 +250,77 @@
       expect(hasEvent ? harness.response.destroyed : harness.response.statusCode === 502).to.equal(true)
     }
   })
+
+  describe('a stream whose prompt has a part under which servers ended', () => {
+    const serverIds = ['a', 'b', 'c', 'd', 'e', 'f']
+    const route = { maxAttempts: 3, objectiveMs: 2000 }
+
+    function createHarness (partIds: readonly string[] = ['p', 'own']): Harness {
+      return createStreamHarness({ serverIds, route, partIds })
+    }
+
+    /** Ends the server of an attempt before its first event. */
+    async function endServer (harness: Harness, attempt: ReceivedAttempt | undefined): Promise<void> {
+      harness.timers.advance(200)
+      attempt?.sendHead()
+      attempt?.reset()
+      await harness.timers.advanceAsync(100)
+    }
+
+    it('goes to no fourth server when it has ended three', async () => {
+      const harness = createStreamHarness({ serverIds, route: { ...route, maxAttempts: 5 }, partIds: ['p'] })
+      harness.start()
+      for (const index of [0, 1, 2]) await endServer(harness, harness.attempts[index])
+      await harness.timers.advanceAsync(3000)
+      expect(harness.attempts.length).to.equal(3)
+      expect(harness.response).to.include({ isEnded: true, statusCode: 502 })
+    })
+
+    it('is refused at once with a reason while the part is in quarantine, and goes to no server', () => {
+      const harness = createHarness()
+      harness.promptGuard.addEntry({ partIds: ['p'], probeCount: 0 }, 'the store')
+      harness.start()
+      expect(harness.attempts.length).to.equal(0)
+      expect(harness.response).to.include({ isEnded: true, statusCode: 503, endedAtMs: 0 })
+    })
+
+    it('runs as before when it shares other parts with such streams', () => {
+      const harness = createHarness(['q', 'own'])
+      harness.promptGuard.addEntry({ partIds: ['p'], probeCount: 0 }, 'the store')
+      harness.start().sendEvent(1)
+      harness.attempts[0]?.end()
+      expect(harness.response).to.include({ isEnded: true, statusCode: 200 })
+    })
+
+    it('goes to one server as a probe, and to no second one when that ends', async () => {
+      const harness = createHarness()
+      harness.promptGuard.addEntry({ partIds: ['p'], probeCount: 1 }, 'the store')
+      harness.start({ isProbe: true })
+      await endServer(harness, harness.attempts[0])
+      await harness.timers.advanceAsync(3000)
+      expect(harness.attempts.length).to.equal(1)
+      expect(harness.response).to.include({ isEnded: true, statusCode: 502 })
+    })
+
+    it('is served by another server when its first one ended by chance', async () => {
+      const harness = createHarness()
+      const first = harness.start()
+      await endServer(harness, first)
+      harness.attempts[1]?.sendEvent(1)
+      harness.attempts[1]?.end()
+      expect(harness.response).to.include({ isEnded: true, statusCode: 200 })
+    })
+
+    it('goes on at once when the connection ends after an event, as streams of a server that ends do', async () => {
+      const harness = createHarness()
+      const first = harness.start()
+      first.sendEvent(1)
+      first.reset()
+      expect(harness.attempts[1]?.lastEventId).to.equal('1')
+      harness.attempts[1]?.sendEvent(2)
+      harness.attempts[1]?.end()
+      await harness.timers.advanceAsync(100)
+      expect(harness.response).to.include({ isEnded: true, destroyed: false })
+    })
+  })
 })
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -5,8 +5,10 @@
 import { chooseRetryAfterMs } from '../coordination/dispatch/retry-after.js'
 import { judgeSilence, type SilenceVerdict } from '../coordination/dispatch/stream-silence.js'
 import { getWaitEndMs } from '../coordination/dispatch/stream-wait.js'
+import { describeAdmission } from '../coordination/quarantine/describe-admission.js'
+import { AdmissionKind } from '../coordination/quarantine/prompt-quarantine.js'
 import type { LogFields } from '../observability/log.js'
-import { DurationMetric } from '../observability/metrics.js'
+import { DurationMetric, MetricEvent } from '../observability/metrics.js'
 import type { FramedSseEvent } from '../protocol/sse-framer.js'
 import type { BackendServer } from '../state/backend-server.js'
 import { listReplicas, type Replica } from '../state/replica.js'
@@ -34,6 +36,8 @@
   readonly reason: string
   /** No replica is expected to take the call within this time. */
   readonly unavailableMs: number
+  /** What the client is told when the call is refused. */
+  readonly explanation?: string
 }
 
 /** Interval of the checks of all streams. */
@@ -136,6 +140,11 @@
   /** Finds the replica for one more attempt within the limits on attempts and the retry budget, which it does not spend. */
   function findNextAttempt (): NextAttempt {
     if (getRemainingMs(dependencies, call) <= 0) return { isAllowed: false, isFinal: true, reason: 'the deadline', unavailableMs: 0 }
+    const admission = dependencies.promptGuard.check(call.clientInfo.sharedPartIds)
+    if (admission.kind !== AdmissionKind.Admitted && !(call.isProbe && record.listExecutions().length === 0)) {
+      const reason = describeAdmission(admission)
+      return { isAllowed: false, isFinal: admission.kind === AdmissionKind.Quarantined, reason, unavailableMs: admission.waitMs, explanation: reason }
+    }
     const scope = getAttemptScope({
       executions: record.listExecutions(),
       notExecutedCount: record.countRefusals(),
@@ -265,7 +274,7 @@
   function finishFailed ({ errorResponse, reason: failureReason }: AttemptFailure, next: NoAttempt): void {
     const reason = `${failureReason}; no further attempt: ${next.reason}`
     if (errorResponse === undefined || call.response.headersSent || promisesNotExecuted(errorResponse.head.statusCode)) {
-      finishIncomplete(reason, next.unavailableMs)
+      finishIncomplete(reason, next)
       return
     }
     const { head, body } = errorResponse
@@ -274,8 +283,8 @@
     finish(CallOutcome.ServerFailure, reason)
   }
 
-  /** Ends the call without a complete stream. No replica is expected to take it within `unavailableMs`. */
-  function finishIncomplete (reason: string, unavailableMs: number): void {
+  /** Ends the call without a complete stream. */
+  function finishIncomplete (reason: string, { unavailableMs, explanation }: Pick<NoAttempt, 'unavailableMs' | 'explanation'>): void {
     if (call.response.headersSent) {
       finish(CallOutcome.Broken, reason)
       call.response.destroy()
@@ -283,7 +292,8 @@
     }
     if (record.listExecutions().length === 0) {
       finish(CallOutcome.Refused, reason)
-      sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs))
+      if (explanation !== undefined) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
+      sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs), explanation)
       return
     }
     finish(CallOutcome.Broken, reason)
@@ -336,5 +346,5 @@
   const checkTimer = dependencies.streamTicker.subscribe(checkDeadlines)
   const first = findNextAttempt()
   if (first.isAllowed) startAttempt(first)
-  else finishIncomplete(first.reason, first.unavailableMs)
+  else finishIncomplete(first.reason, first)
 }
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -4,6 +4,7 @@
 import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
+import { createPromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { Call, CallDependencies } from '../gateway/call-context.js'
 import { forwardStream, streamCheckIntervalMs } from '../gateway/stream-forwarding.js'
 import type { LogFields } from '../observability/log.js'
@@ -18,6 +19,7 @@
 
 const serviceName = 'drafting'
 const requestId = 'request'
+const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
 const engine: EngineProfile = { ...sampleEngine, models: [{ name: 'm', groupSize: 1, pace: 1, share: 1, loadMs: 1, warmLoadMs: 1 }] }
 
 /** An attempt of the stream as its server sees it. */
@@ -26,6 +28,8 @@
   readonly atMs: number
   readonly lastEventId: string | undefined
   isAborted: boolean
+  /** Begins the response without an event. */
+  sendHead (): void
   sendEvent (id: number): void
   /** Ends the stream after a complete event. */
   end (): void
@@ -53,6 +57,15 @@
   const servers = new Map<string, BackendServer>(serverIds.map((id, index) =>
     [id, makeBackendServer({ id, serviceName, port: index, group: { groupName: `m.${id}`, epoch: 1, rank: 0, state: MemberState.Open }, loadedModels: ['m'] })]))
   const retryBudget = createServiceRetryBudget(timers, () => ({ ratio: 0, slackCount: retrySlackCount, windowMs: 10_000 }), () => 1)
+  const promptGuard = createPromptGuard({
+    timers,
+    logger: silentLogger,
+    metrics: { countEvent () {} },
+    isListening: () => Promise.resolve(false),
+    sendMessage () {},
+    onEntry () {},
+    onRefuted () {}
+  })
   const listServers = () => [...servers.values()]
 
   const response = Object.assign(new EventEmitter(), {
@@ -94,6 +107,7 @@
       atMs: timers.nowMs(),
       lastEventId: rawHeaders[0],
       isAborted: false,
+      sendHead: () => { if (!attempt.isAborted) chunk(200, '') },
       sendEvent: id => { if (!attempt.isAborted) chunk(200, `id: ${id}\ndata: token\n\n`) },
       end: () => { if (!attempt.isAborted) listener.onEnd() },
       reset: () => { if (!attempt.isAborted) listener.onFailure({ kind: ExchangeFailureKind.Lost, reason: 'reset' } as never) },
@@ -114,6 +128,7 @@
     loads,
     streamTicker: createSharedTicker(timers, streamCheckIntervalMs),
     holds: createServerHolds(timers),
+    promptGuard,
     fleet: {
       getServers: listServers,
       getConfig: () => undefined,
@@ -139,13 +154,14 @@
   return {
     timers,
     loads,
+    promptGuard,
     servers,
     attempts,
     logLines,
     response,
     /** Attempts that were sent to the server, in order. */
     listAttempts: (serverId: string) => attempts.filter(attempt => attempt.serverId === serverId),
-    start (): ReceivedAttempt {
+    start ({ isProbe = false } = {}): ReceivedAttempt {
       forwardStream(dependencies, {
         request: { method: 'POST', url: '/drafts/a', rawHeaders: [] },
         response,
@@ -155,7 +171,8 @@
         team: undefined,
         serviceName,
         arrivedAtMs: timers.nowMs(),
-        deadlineAtMs: timers.nowMs() + route.timeoutMs
+        deadlineAtMs: timers.nowMs() + route.timeoutMs,
+        isProbe
       } as unknown as Call)
       return attempts[0] as ReceivedAttempt
     },
--- a/src/transport/load-report-socket.ts
+++ b/src/transport/load-report-socket.ts
@@ -2,6 +2,7 @@
 
 import type { LoadReport } from '../coordination/dispatch/replica-loads.js'
 import { decodeDeliveryMessage, encodeDeliveryMessage, type DeliveryMessage } from '../protocol/delivery-messages.js'
+import { decodePromptMessage, encodePromptMessage, type PromptMessage } from '../protocol/prompt-messages.js'
 import { decodeLoadReport, encodeLoadReport } from '../protocol/relay-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 
@@ -13,6 +14,8 @@
   send (report: LoadReport, peers: readonly NetworkAddress[]): void
   /** The same for a message about the events of a replica. */
   sendDeliveryMessage (message: DeliveryMessage, peers: readonly NetworkAddress[]): void
+  /** The same for a message about the parts of prompts. */
+  sendPromptMessage (message: PromptMessage, peers: readonly NetworkAddress[]): void
   stop (): void
 }
 
@@ -20,20 +23,23 @@
   readonly address: NetworkAddress
   onReport (report: LoadReport): void
   onDeliveryMessage (message: DeliveryMessage): void
+  onPromptMessage (message: PromptMessage): void
   onError (reason: string): void
 }
 
 /** Creates the socket, which `start` binds. */
-export function createLoadReportSocket ({ address, onReport, onDeliveryMessage, onError }: LoadReportSocketOptions): LoadReportSocket {
+export function createLoadReportSocket ({ address, onReport, onDeliveryMessage, onPromptMessage, onError }: LoadReportSocketOptions): LoadReportSocket {
   let socket: Socket | undefined
 
   function receive (bytes: Buffer): void {
     const text = bytes.toString('utf8')
     const report = decodeLoadReport(text)
     const message = report === undefined ? decodeDeliveryMessage(text) : undefined
+    const promptMessage = report === undefined && message === undefined ? decodePromptMessage(text) : undefined
     if (report !== undefined) onReport(report)
     else if (message !== undefined) onDeliveryMessage(message)
-    else onError('received a datagram that is neither a load report nor an inquiry')
+    else if (promptMessage !== undefined) onPromptMessage(promptMessage)
+    else onError('received a datagram of an unknown kind')
   }
 
   function sendText (text: string, peers: readonly NetworkAddress[]): void {
@@ -59,6 +65,7 @@
     }),
     send: (report, peers) => sendText(encodeLoadReport(report), peers),
     sendDeliveryMessage: (message, peers) => sendText(encodeDeliveryMessage(message), peers),
+    sendPromptMessage: (message, peers) => sendText(encodePromptMessage(message), peers),
     stop () {
       socket?.close()
       socket = undefined
