Bound what messages and entries about prompts can do, and test streams that end inside an event

Found by reading the diff: a datagram with an empty list of parts would have quarantined all requests (its test decoded it before); above 100 entries each change of the store's view would have dropped and added entries in turn, so that none is made at the limit now; the lines on crashes were not rate limited. A response that ends in order inside an event was resumed or broken off before as well: now with a test.

--- a/src/coordination/quarantine/prompt-quarantine.ts
+++ b/src/coordination/quarantine/prompt-quarantine.ts
@@ -34,7 +34,7 @@
   /** Returns the parts whose requests need no longer go one at a time. */
   recordProgress (partIds: readonly string[]): string[]
   recordCompletion (partIds: readonly string[], nowMs: number): string[]
-  /** Applies an entry of this or another gateway. Returns whether it was unknown. An entry with more probes replaces one with fewer. */
+  /** Applies an entry of this or another gateway. Returns whether it is a new one. An entry with more probes replaces one with fewer. */
   add (entry: QuarantineEntry, nowMs: number): boolean
   remove (key: string): boolean
   /** Entries whose parts the request has all of. */
@@ -59,7 +59,7 @@
 const trialMarkDelayMs = 30
 /** Times from the entry, and from each probe, to the next one. The last is repeated. A day has three probes at most. */
 const probeIntervalsMs = [60_000, 600_000, 7_200_000, 86_400_000]
-/** Each entry stands for at least three servers that ended. Above the limit the oldest is dropped. */
+/** Each entry stands for at least three servers that ended. At the limit no new one is made. */
 export const maxEntryCount = 100
 
 /** Identifies an entry by its parts. */
@@ -108,11 +108,10 @@
     const key = formatEntryKey(entry.partIds)
     const known = entries.get(key)
     if (known !== undefined && known.entry.probeCount >= entry.probeCount) return false
+    if (known === undefined && entries.size >= maxEntryCount) return false
     entries.set(key, { entry, sinceMs: nowMs })
     evidence.explain(entry.partIds)
     endTrial(entry.partIds)
-    const oldestKey = [...entries.keys()][0]
-    if (entries.size > maxEntryCount && oldestKey !== undefined) entries.delete(oldestKey)
     return known === undefined
   }
 
@@ -145,8 +144,7 @@
       const atFault = evidence.recordCrash(sign, nowMs)
       if (atFault.length === 0) return undefined
       const entry = { partIds: atFault, probeCount: 0 }
-      add(entry, nowMs)
-      return entry
+      return add(entry, nowMs) ? entry : undefined
     },
     recordProgress (partIds) {
       const cleared = evidence.recordProgress(partIds)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -77,6 +77,8 @@
 const requestLogLinesPerSecond = 60
 /** The same for the lines of responses that were not completed, which the lines of other requests cannot displace. */
 const incompleteLogLinesPerSecond = 20
+/** The same for the lines on prompts, of which a server that ends causes one for each suspicious request. */
+const quarantineLogLinesPerSecond = 20
 const incompleteEvents = {
   [ConnectionEnd.Gateway]: MetricEvent.IncompleteByGateway,
   [ConnectionEnd.Client]: MetricEvent.IncompleteByClient,
@@ -145,9 +147,10 @@
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
     listServices: fleet.listReplicatedServices
   })
+  const quarantineLogger = createRateLimitedLogger(createLogger('quarantine'), timers, quarantineLogLinesPerSecond)
   const promptGuard = createPromptGuard({
     timers,
-    logger: createLogger('quarantine'),
+    logger: quarantineLogger,
     metrics,
     isListening: createListeningCheck(timers),
     sendMessage: message => loadSharing.sendPromptMessage(message),
@@ -158,7 +161,7 @@
     store,
     timers,
     random,
-    logger: createLogger('quarantine'),
+    logger: quarantineLogger,
     gatewayPrefix: layout.gatewayPrefix,
     guard: promptGuard,
     listStored: fleet.listGatewayEntries,
--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -251,6 +251,29 @@
     }
   })
 
+  describe('a response that ends in order inside an event', () => {
+    it('is resumed after the last whole event', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'] })
+      const first = harness.start()
+      first.sendEvent(1)
+      first.sendBytes('id: 2\nda')
+      first.end()
+      expect(harness.attempts[1]?.lastEventId).to.equal('1')
+      harness.attempts[1]?.sendEvent(2)
+      harness.attempts[1]?.end()
+      expect(harness.response).to.include({ isEnded: true, destroyed: false, body: 'id: 1\ndata: token\n\nid: 2\ndata: token\n\n' })
+    })
+
+    it('is broken off for the client when it cannot be resumed', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { isResumable: false } })
+      const first = harness.start()
+      first.sendEvent(1)
+      first.sendBytes('id: 2\nda')
+      first.end()
+      expect(harness.response).to.include({ isEnded: false, destroyed: true, body: 'id: 1\ndata: token\n\n' })
+    })
+  })
+
   describe('a stream whose prompt has a part under which servers ended', () => {
     const serverIds = ['a', 'b', 'c', 'd', 'e', 'f']
     const route = { maxAttempts: 3, objectiveMs: 2000 }
--- a/src/protocol/prompt-messages.test.ts
+++ b/src/protocol/prompt-messages.test.ts
@@ -23,6 +23,8 @@
       '{}',
       JSON.stringify({ kind: PromptMessageKind.Trial, partIds: parts(33, 1) }),
       JSON.stringify({ kind: PromptMessageKind.Trial, partIds: parts(1, 65) }),
+      JSON.stringify({ ...messages[3], partIds: [] }),
+      JSON.stringify({ ...messages[3], partIds: [''] }),
       JSON.stringify({ ...messages[0], sentAgoMs: -1 }),
       JSON.stringify({ ...messages[3], probeCount: 0.5 })
     ]) expect(decodePromptMessage(text), text).to.equal(undefined)
--- a/src/protocol/prompt-messages.ts
+++ b/src/protocol/prompt-messages.ts
@@ -12,7 +12,8 @@
   Quarantine = 'promptQuarantine'
 }
 
-const partIdsSchema = z.array(z.string().max(64)).max(32)
+// A quarantine entry without parts would match all requests.
+const partIdsSchema = z.array(z.string().min(1).max(64)).min(1).max(32)
 const promptMessageSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal(PromptMessageKind.Crash),
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -31,7 +31,8 @@
   /** Begins the response without an event. */
   sendHead (): void
   sendEvent (id: number): void
-  /** Ends the stream after a complete event. */
+  sendBytes (text: string): void
+  /** Ends the response in order. */
   end (): void
   reset (): void
   /** Refuses the request with 503, stating that it was not executed. */
@@ -109,6 +110,7 @@
       isAborted: false,
       sendHead: () => { if (!attempt.isAborted) chunk(200, '') },
       sendEvent: id => { if (!attempt.isAborted) chunk(200, `id: ${id}\ndata: token\n\n`) },
+      sendBytes: text => { if (!attempt.isAborted) chunk(200, text) },
       end: () => { if (!attempt.isAborted) listener.onEnd() },
       reset: () => { if (!attempt.isAborted) listener.onFailure({ kind: ExchangeFailureKind.Lost, reason: 'reset' } as never) },
       refuse () {
