Count a crash 30 ms after the last one when its request was sent in between

Cause: an engine there ends 32 ms after a request arrives, and ends within 50 ms of each other counted as one, so that the second attempt of a request told nothing. Now a crash counts when its request was sent after the last one and ran for 20 ms; a new unit test failed before ([], [], []).

--- a/src/coordination/quarantine/crash-evidence.test.ts
+++ b/src/coordination/quarantine/crash-evidence.test.ts
@@ -47,12 +47,22 @@
     })
   })
 
+  it('finds a part that ends each server 30 ms after the request arrives there', () => {
+    const atFault = [1030, 1060, 1090].map(lostAtMs => evidence.recordCrash({ serverKey: `s${lostAtMs}`, partIds: ['p'], isEarly: true, sentAtMs: lostAtMs - 30, lostAtMs }, lostAtMs + 2))
+    expect(atFault).to.deep.equal([[], [], ['p']])
+  })
+
   describe('crashes that count once', () => {
     it('are those of one process, whoever saw them', () => {
       for (const lostAtMs of [1000, 1100, 2000]) evidence.recordCrash({ serverKey: 's', partIds: ['p'], isEarly: true, sentAtMs: lostAtMs - 50, lostAtMs }, lostAtMs)
       expect(evidence.countCrashes('p')).to.equal(1)
     })
 
+    it('are those of servers that end together under requests that were in progress', () => {
+      for (const index of [0, 1, 2]) evidence.recordCrash({ serverKey: `s${index}`, partIds: ['p'], isEarly: true, sentAtMs: 900, lostAtMs: 1000 + 20 * index }, 1100)
+      expect(evidence.countCrashes('p')).to.equal(1)
+    })
+
     it('are those of servers that end together with one to which the request was sent again', () => {
       for (const index of [0, 1, 2]) evidence.recordCrash({ serverKey: `s${index}`, partIds: ['p'], isEarly: true, sentAtMs: 1000 + index, lostAtMs: 1005 + index }, 1010)
       expect(evidence.countCrashes('p')).to.equal(1)
--- a/src/coordination/quarantine/crash-evidence.ts
+++ b/src/coordination/quarantine/crash-evidence.ts
@@ -50,8 +50,10 @@
 export const faultCrashCount = 6
 /** Crashes at any point after which requests with the part go to servers one at a time. */
 const suspectCrashCount = 4
-/** Servers that end within this time end together. A prompt takes longer to end the next one, and messages of other gateways are faster. */
+/** Servers that end within this time end together, unless the request was sent after the first of them ended. */
 const minCrashIntervalMs = 50
+/** A request that was lost sooner found a server that was ending already. Also bounds by how much times of other gateways are off. */
+const minRunTimeMs = 20
 /** While other requests with the part are served this frequently, its first crash changes nothing for them. */
 const recentCompletionMs = 2000
 /** Without another crash a part is no longer suspected after this time. */
@@ -82,7 +84,7 @@
     }
   }
 
-  function addCrash (partId: string, { serverKey, isEarly, lostAtMs }: CrashSign, nowMs: number): void {
+  function addCrash (partId: string, { serverKey, isEarly, sentAtMs, lostAtMs }: CrashSign, nowMs: number): void {
     const record = suspects.get(partId) ?? { crashes: [], lastCrashAtMs: -Infinity }
     const known = record.crashes.find(crash => crash.serverKey === serverKey)
     if (known !== undefined) {
@@ -90,7 +92,8 @@
       return
     }
     // Of servers that end together, as in a power loss, one counts.
-    if (lostAtMs < record.lastCrashAtMs + minCrashIntervalMs) return
+    const hasRunSince = isEarly && sentAtMs >= record.lastCrashAtMs - minRunTimeMs && lostAtMs >= sentAtMs + minRunTimeMs
+    if (lostAtMs < record.lastCrashAtMs + minCrashIntervalMs && !hasRunSince) return
     record.crashes.push({ serverKey, isEarly })
     record.lastCrashAtMs = lostAtMs
     suspects.delete(partId)
