--- /dev/null
+++ b/review/standins/server.mjs
@@ -0,0 +1,187 @@
+// Stand-ins of backend servers (PROTOCOL.md, "Servers"): servers of a plain service and model servers.
+import { randomBytes } from 'node:crypto'
+import http from 'node:http'
+
+import { sleep } from './gateway.mjs'
+
+const heartbeatMs = 1200
+
+/**
+ * Starts a server and registers it in the store. `respond(request, response, body)` may answer a request in its place; it
+ * returns true if it has.
+ */
+export async function startServer ({ store, service, zone = 'z1', domain, slots = 18, id = `i-${randomBytes(4).toString('hex')}`, workMs = 10, eventCount = 10, eventIntervalMs = 20, joinMs = 100, openMs = 50, respond, onEvent = () => {} }) {
+  const born = Date.now()
+  const arrivals = []
+  const orders = []
+  let state = 'ready'
+  let beats = 0
+  let isListed = true
+  let group
+  let models = []
+  let staged = []
+  let highestToken = 0
+  let highestEpoch = 0
+  let seq = 0
+  const listOfEpoch = new Map()
+
+  function describe () {
+    return { backend: service, address: `127.0.0.1:${server.address().port}`, zone, version: 'v1', slots, state, coldRemainingMs: 0, seq: beats, born, ...(domain === undefined ? {} : { domain, staged, models, stage: 'both', group: group ?? null }) }
+  }
+
+  function publish () {
+    if (isListed) store.put(`servers/${id}`, describe())
+  }
+
+  function setGroup (next) {
+    group = next
+    onEvent({ atMs: Date.now(), serverId: id, group: group === undefined ? undefined : { ...group } })
+    publish()
+  }
+
+  function takeOrder (order) {
+    if (order.fencingToken !== undefined && order.fencingToken < highestToken) return 412
+    if (order.expected !== undefined && order.expected !== seq) return 409
+    highestToken = Math.max(highestToken, order.fencingToken ?? 0)
+    const isOwnGroup = group !== undefined && group.name === order.group && group.epoch === order.epoch
+    switch (order.operation) {
+      case 'join': {
+        const key = `${order.group}/${order.epoch}`
+        const list = order.members.join(',')
+        if (order.epoch < highestEpoch || (listOfEpoch.has(key) && listOfEpoch.get(key) !== list)) return 412
+        highestEpoch = order.epoch
+        listOfEpoch.set(key, list)
+        seq += 1
+        const joined = { name: order.group, epoch: order.epoch, rank: order.members.indexOf(id), state: 'joining', members: order.members }
+        setGroup(joined)
+        setTimeout(() => {
+          if (group?.name !== joined.name || group.epoch !== joined.epoch || group.state !== 'joining') return
+          staged = [order.model]
+          models = [{ name: order.model, version: 1, adapters: [] }]
+          setGroup({ ...joined, state: 'ready' })
+        }, joinMs)
+        return 202
+      }
+      case 'open': {
+        if (!isOwnGroup || group.rank !== 0) return 409
+        if (group.state === 'open') return 200
+        if (group.state !== 'ready') return 409
+        seq += 1
+        const { name, epoch } = group
+        setTimeout(() => {
+          if (group?.name === name && group.epoch === epoch && group.state === 'ready') setGroup({ ...group, state: 'open' })
+        }, openMs)
+        return 202
+      }
+      case 'close': {
+        if (!isOwnGroup) return 409
+        seq += 1
+        setGroup({ ...group, state: 'ready' })
+        return 202
+      }
+      case 'leave': {
+        if (!isOwnGroup) return 409
+        seq += 1
+        setGroup(undefined)
+        return 202
+      }
+      case 'stage': {
+        seq += 1
+        staged = [order.model]
+        publish()
+        return 202
+      }
+      default:
+        return 400
+    }
+  }
+
+  function handle (request, response, body) {
+    if (request.url === '/report') {
+      response.writeHead(200, { 'Content-Type': 'application/json' })
+      response.end(JSON.stringify({ stage: 'both', models, busy: false, seq, queued: 0, running: 0, kvUsed: 0, kvTotal: 1_000_000, handles: 0, pace: 1, group: group ?? null, domain, staged, born }))
+      return
+    }
+    const attemptId = request.headers['x-attempt-id']
+    const expected = request.headers['x-expect-instance']
+    if (expected !== undefined && expected !== id) {
+      response.writeHead(421, { 'X-Not-Executed': '1', 'Content-Length': '0', ...(attemptId === undefined ? {} : { 'X-Attempt-Id': attemptId }) }).end()
+      return
+    }
+    if (request.url === '/order') {
+      const order = JSON.parse(body)
+      const status = takeOrder(order)
+      orders.push({ atMs: Date.now(), status, order })
+      response.writeHead(status, { 'Content-Length': '0' }).end()
+      return
+    }
+    if (attemptId === undefined) {
+      response.writeHead(400, { 'X-Not-Executed': '1', 'Content-Length': '0' }).end()
+      return
+    }
+    if (domain !== undefined && (group?.state !== 'open' || group.rank !== 0)) {
+      response.writeHead(421, { 'X-Not-Executed': '1', 'X-Attempt-Id': attemptId, 'Content-Length': '0' }).end()
+      return
+    }
+    arrivals.push({ atMs: Date.now(), attemptId, url: request.url, method: request.method, headers: request.headers, body })
+    if (respond?.(request, response, body) === true) return
+    if (domain === undefined) answerPlain(response, attemptId)
+    else answerStream(request, response, attemptId)
+  }
+
+  function answerPlain (response, attemptId) {
+    setTimeout(() => {
+      const text = `answer of ${id} to ${attemptId}`
+      response.writeHead(200, { 'X-Attempt-Id': attemptId, 'X-Response-Stamp': `${id}.${attemptId}`, 'Content-Length': String(text.length) })
+      response.end(text)
+    }, workMs)
+  }
+
+  async function answerStream (request, response, attemptId) {
+    response.writeHead(200, { 'X-Attempt-Id': attemptId, 'X-Response-Stamp': `${id}.${attemptId}`, 'Content-Type': 'text/event-stream', 'X-Weight-Versions': '1' })
+    for (let event = Number(request.headers['last-event-id'] ?? 0) + 1; event <= eventCount; event += 1) {
+      await sleep(eventIntervalMs)
+      if (response.destroyed) return
+      response.write(`id: ${event}\ndata: ${id} ${attemptId} ${event}\n\n`)
+    }
+    response.end()
+  }
+
+  const server = http.createServer({ keepAliveTimeout: 15_000 }, (request, response) => {
+    const chunks = []
+    request.on('data', chunk => chunks.push(chunk))
+    request.on('error', () => {})
+    request.on('end', () => handle(request, response, Buffer.concat(chunks).toString()))
+  })
+  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
+  publish()
+  const timer = setInterval(() => {
+    beats += 1
+    publish()
+  }, heartbeatMs)
+
+  return {
+    id,
+    arrivals,
+    orders,
+    getGroup: () => group,
+    /** Reports that it is draining. */
+    drain () {
+      state = 'draining'
+      publish()
+    },
+    /** Leaves without having reported it: its entry is removed, and it goes on serving. Returns the time of the ack. */
+    leave () {
+      isListed = false
+      clearInterval(timer)
+      store.remove(`servers/${id}`)
+      return Date.now()
+    },
+    stop () {
+      isListed = false
+      clearInterval(timer)
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
