Show that streams run on more servers than maxAttempts when a head leaves

Seen: when the entry of a group's head is removed while the head goes on serving, the gateway orders a member to leave, the streams stand still, and 0.5 s later each is sent to another group, although the route allows one server.

--- a/review/standins/server.mjs
+++ b/review/standins/server.mjs
@@ -8,15 +8,17 @@
 
 /**
  * Starts a server and registers it in the store. `respond(request, response, body)` may answer a request in its place; it
- * returns true if it has.
+ * returns true if it has. `fleet` holds the servers by id: the head of a group stands still when a member of it has died, left
+ * or joined another group, and breaks after `stallMs`.
  */
-export async function startServer ({ store, service, zone = 'z1', domain, slots = 18, id = `i-${randomBytes(4).toString('hex')}`, workMs = 10, eventCount = 10, eventIntervalMs = 20, joinMs = 100, openMs = 50, respond, onEvent = () => {} }) {
+export async function startServer ({ store, service, zone = 'z1', domain, slots = 18, id = `i-${randomBytes(4).toString('hex')}`, workMs = 10, eventCount = 10, eventIntervalMs = 20, joinMs = 100, openMs = 50, stallMs = 5000, fleet = new Map(), respond, onEvent = () => {} }) {
   const born = Date.now()
   const arrivals = []
   const orders = []
   let state = 'ready'
   let beats = 0
   let isListed = true
+  let isAlive = true
   let group
   let models = []
   let staged = []
@@ -137,11 +139,30 @@
     }, workMs)
   }
 
+  function hasWholeGroup (own) {
+    return own.members.every(memberId => {
+      const member = fleet.get(memberId)
+      const current = member?.getGroup()
+      return fleet.size === 0 || (member?.isAlive() === true && current?.name === own.name && current.epoch === own.epoch)
+    })
+  }
+
   async function answerStream (request, response, attemptId) {
+    const own = group
+    let stoodStillFromMs
     response.writeHead(200, { 'X-Attempt-Id': attemptId, 'X-Response-Stamp': `${id}.${attemptId}`, 'Content-Type': 'text/event-stream', 'X-Weight-Versions': '1' })
     for (let event = Number(request.headers['last-event-id'] ?? 0) + 1; event <= eventCount; event += 1) {
       await sleep(eventIntervalMs)
       if (response.destroyed) return
+      if (!hasWholeGroup(own)) {
+        stoodStillFromMs ??= Date.now()
+        if (Date.now() - stoodStillFromMs >= stallMs) {
+          request.socket.resetAndDestroy()
+          return
+        }
+        event -= 1
+        continue
+      }
       response.write(`id: ${event}\ndata: ${id} ${attemptId} ${event}\n\n`)
     }
     response.end()
@@ -160,11 +181,12 @@
     publish()
   }, heartbeatMs)
 
-  return {
+  const self = {
     id,
     arrivals,
     orders,
     getGroup: () => group,
+    isAlive: () => isAlive,
     /** Reports that it is draining. */
     drain () {
       state = 'draining'
@@ -179,9 +201,12 @@
     },
     stop () {
       isListed = false
+      isAlive = false
       clearInterval(timer)
       server.close()
       server.closeAllConnections()
     }
   }
+  fleet.set(id, self)
+  return self
 }
