Show that requests with a revoked key run after the store comes back from a copy

Seen: a gateway that is added while the store holds a copy from before a key was taken away says that it is ready and passes requests with that key on, more than revokeMs after the ack, until the operator has written its configuration again. Rule: CONFIG, strictRevoke, which holds for all machines, in touch or not.

--- a/review/standins/gateway.mjs
+++ b/review/standins/gateway.mjs
@@ -69,9 +69,8 @@
 }
 
 /** Starts one gateway process. */
-export async function startGateway ({ name = 'front-1', zone = 'z1', storeAddress, bounds = {} }) {
+export async function startGateway ({ name = 'front-1', zone = 'z1', storeAddress, bounds = {}, address = chooseAddress() }) {
   const folder = mkdtempSync(join(tmpdir(), 'review-'))
-  const address = chooseAddress()
   const settingsPath = join(folder, 'settings.toml')
   writeFileSync(settingsPath, formatSettings({ name, zone, storeAddress, address, bounds }))
   const [program, ...words] = readRunWords()
--- a/review/standins/store.mjs
+++ b/review/standins/store.mjs
@@ -4,7 +4,8 @@
 const historyMs = 20_000
 
 /** Starts a store. `era` is the value of the header Store-Era; it is left out when undefined. */
-export async function startStore ({ era } = {}) {
+export async function startStore ({ era: firstEra } = {}) {
+  let era = firstEra
   const items = new Map()
   const leases = new Map()
   const history = []
@@ -13,6 +14,8 @@
   let leaseCount = 0
   const cutsAtMs = []
   let lastPruneMs = Date.now()
+  let isAway = false
+  const sockets = new Set()
 
   function encode ({ key, value, revision, createdRev, lease }) {
     return { key, value: Buffer.from(value).toString('base64'), revision, createdRev, lease }
@@ -153,14 +156,21 @@
       handle(request, response, text === '' ? {} : JSON.parse(text))
     })
   })
+  server.on('connection', socket => {
+    sockets.add(socket)
+    socket.on('close', () => sockets.delete(socket))
+  })
   await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address()
 
   return {
-    address: `127.0.0.1:${server.address().port}`,
-    /** The operator or a server writes an item; the return is the ack. */
+    address: `127.0.0.1:${port}`,
+    /** The operator or a server writes an item; the return is the ack, false while the store is away. */
     put (key, value) {
+      if (isAway) return false
       revision += 1
       set(key, typeof value === 'string' ? value : JSON.stringify(value), 0, revision)
+      return true
     },
     /** An entry is removed; the return is the ack. */
     remove (key) {
@@ -178,6 +188,32 @@
     async waitForCut () {
       while (cutsAtMs.length === 0) await new Promise(resolve => setTimeout(resolve, 5))
     },
+    /** Makes a copy of all that the store holds. */
+    copy: () => ({ items: [...items.values()], revision, leases: [...leases].map(([id, { ttlMs }]) => ({ id, ttlMs })), leaseCount }),
+    /** The store is away: it takes no channels, and those that were open are reset. Nobody can write. */
+    goAway () {
+      isAway = true
+      server.close()
+      for (const socket of sockets) socket.resetAndDestroy()
+    },
+    /** The store comes back from the copy, in the next era. */
+    async comeBack (copied) {
+      era += 1
+      revision = copied.revision
+      leaseCount = copied.leaseCount
+      history.length = 0
+      items.clear()
+      for (const item of copied.items) items.set(item.key, item)
+      for (const { timer } of leases.values()) clearTimeout(timer)
+      leases.clear()
+      for (const { id, ttlMs } of copied.leases) {
+        leases.set(id, { ttlMs, timer: undefined })
+        renewLease(id)
+      }
+      await new Promise(resolve => server.listen(port, '127.0.0.1', resolve))
+      isAway = false
+    },
+    isAway: () => isAway,
     listKeys: () => [...items.keys()],
     getValue: key => items.get(key)?.value,
     stop () {
