Show that open groups are ended by a gateway that starts on an older copy of the store

Seen: a gateway that is added when the store has come back from a copy without the groups becomes the planner at once, takes all servers for free and orders them into new groups, while their heads are open and serve streams.

--- a/review/standins/server.mjs
+++ b/review/standins/server.mjs
@@ -11,13 +11,14 @@
  * returns true if it has. `fleet` holds the servers by id: the head of a group stands still when a member of it has died, left
  * or joined another group, and breaks after `stallMs`.
  */
-export async function startServer ({ store, service, zone = 'z1', domain, slots = 18, id = `i-${randomBytes(4).toString('hex')}`, workMs = 10, eventCount = 10, eventIntervalMs = 20, joinMs = 100, openMs = 50, stallMs = 5000, fleet = new Map(), respond, onEvent = () => {} }) {
+export async function startServer ({ store, service, zone = 'z1', domain, slots = 18, id = `i-${randomBytes(4).toString('hex')}`, workMs = 10, eventCount = 10, eventIntervalMs = 20, joinMs = 100, openMs = 50, stallMs = 5000, fleet = new Map(), respond, onEvent = () => {}, onJoin = () => {} }) {
   const born = Date.now()
   const arrivals = []
   const orders = []
   let state = 'ready'
   let beats = 0
   let isListed = true
+  let writesFromMs = 0
   let isAlive = true
   let group
   let models = []
@@ -32,7 +33,7 @@
   }
 
   function publish () {
-    if (isListed) store.put(`servers/${id}`, describe())
+    if (isListed && Date.now() >= writesFromMs) store.put(`servers/${id}`, describe())
   }
 
   function setGroup (next) {
@@ -51,6 +52,7 @@
         const key = `${order.group}/${order.epoch}`
         const list = order.members.join(',')
         if (order.epoch < highestEpoch || (listOfEpoch.has(key) && listOfEpoch.get(key) !== list)) return 412
+        if (group !== undefined && !isOwnGroup) onJoin({ id, from: group, to: order, head: fleet.get(group.members[0]) })
         highestEpoch = order.epoch
         listOfEpoch.set(key, list)
         seq += 1
@@ -187,6 +189,11 @@
     orders,
     getGroup: () => group,
     isAlive: () => isAlive,
+    /** Writes nothing in the store until then, and writes its entry at that time. */
+    holdWrites (untilMs) {
+      writesFromMs = untilMs
+      setTimeout(publish, Math.max(0, untilMs - Date.now()))
+    },
     /** Reports that it is draining. */
     drain () {
       state = 'draining'
