Order the cases by gravity

The issue asks for the gravest first. TWO (open groups are ended) is 1, MIXED (another team's answer) 2, CONFIG (a revoked key) 3, DRAIN 4 and BUDGET (maxAttempts) 5; they were 5, 2, 4, 1 and 3.

--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,4 +1,4 @@
-// A server leaves without reporting it, shortly after the store has cut a watch that waited. See claim.txt.
+// The store comes back from a copy that is older than the groups, and a gateway is added just then. See claim.txt.
 import { fileURLToPath } from 'node:url'
 
 import { createClient } from '../standins/client.mjs'
@@ -7,16 +7,11 @@
 import { startStore } from '../standins/store.mjs'
 
 const hasTrouble = process.env.TROUBLE !== '0'
-const drainMs = 2000
-const stableWindowMs = 3000
-/** Watches that the store cuts, and the time between two of them. */
-const cutCount = Number(process.env.CUTS ?? 3)
-const cutIntervalMs = 1500
-/** The server leaves this long after the first cut. */
-const leaveAfterCutMs = Number(process.env.LEAVE_AFTER_CUT_MS ?? 100)
-const requestIntervalMs = 10
-/** The server serves for drainMs after its entry was removed, and some seconds longer. */
-const servesAfterLeavingMs = drainMs + 5000
+const groupSize = 3
+const serverCount = 9
+const awayMs = 1000
+/** Servers write their entries again this long after the return. */
+const writtenAgainAfterMs = 1800
 
 await runCase(fileURLToPath(new URL('.', import.meta.url)), async ({ record, addCleanup }) => {
   const store = await startStore({ era: 1 })
@@ -24,71 +19,62 @@
   store.put('op/config', {
     version: 1,
     routes: [
-      { name: 'orders', hostname: 'h.example', prefix: '/orders/', routeType: 'unsafe', timeoutMs: 1500, targetLatencyMs: 150, priority: 2, backend: 'orders', maxAttempts: 1 },
-      { name: 'sheets', hostname: 'h.example', prefix: '/sheets/', routeType: 'safe', timeoutMs: 1500, targetLatencyMs: 150, priority: 2, backend: 'orders', maxAttempts: 2 }
+      { name: 'drafts', hostname: 'h.example', prefix: '/drafts/', routeType: 'stream', timeoutMs: 8000, targetLatencyMs: 400, gapTargetMs: 250, priority: 1, backend: 'llm', maxAttempts: 2, streamResume: true, sessionAffinity: true }
     ],
-    services: [{ name: 'orders', maxConnections: 100 }],
+    services: [{ name: 'llm', maxConnections: 100, engine: { slots: 18, models: [{ name: 'm0', size: groupSize, share: 1, pace: 1, loadS: 1, warmS: 0.2 }], step_ms: 6.45, per_seq_ms: 0.1, read_per_s: 56_100, stride: 6, loadsPerS: 5, loads_at_once: 8, retains: 1, formMs: 50 } }],
     limits: { maxHeaderBytes: 16384, maxBodyBytes: 4194304, headerTimeoutMs: 5000, idleTimeoutMs: 15000 },
     tenants: [{ name: 'team-a', apiKeys: ['key-a'] }]
   })
-  const servers = []
-  for (let index = 0; index < 3; index += 1) {
-    const server = await startServer({ store, service: 'orders' })
+  const fleet = new Map()
+  let violationCount = 0
+  function checkJoin ({ id, from, to, head }) {
+    const headGroup = head?.getGroup()
+    const isHeadOpen = head?.isAlive() === true && headGroup?.name === from.name && headGroup.epoch === from.epoch && (headGroup.state === 'open' || headGroup.state === 'closing')
+    if (isHeadOpen) violationCount += 1
+    record.write(`${id} of group ${from.name} takes a join of ${to.group} with fencingToken ${to.fencingToken}${isHeadOpen ? `, WHILE ITS HEAD ${head.id} IS ${headGroup.state}` : ''}`)
+  }
+  for (let index = 0; index < serverCount; index += 1) {
+    const server = await startServer({ store, service: 'llm', domain: 0, fleet, eventCount: 20, eventIntervalMs: 40, onJoin: checkJoin, onEvent: ({ serverId, group }) => record.write(`${serverId} ${group === undefined ? 'is in no group' : `is ${group.state} in ${group.name}, rank ${group.rank}`}`) })
     addCleanup(() => server.stop())
-    servers.push(server)
   }
-  const gateway = await startGateway({ storeAddress: store.address })
-  addCleanup(() => gateway.stop())
-  await gateway.waitUntilReady()
-  const client = createClient({ address: gateway.address, port: gateway.frontPort, host: 'h.example', key: 'key-a' })
-
+  const copied = store.copy()
+  const first = await startGateway({ name: 'front-1', storeAddress: store.address })
+  addCleanup(() => first.stop())
+  await first.waitUntilReady()
+  const endMs = Date.now() + 20_000
+  while ([...fleet.values()].filter(server => server.getGroup()?.state === 'open').length < serverCount / groupSize) {
+    if (Date.now() > endMs) throw new Error('no groups were opened')
+    await sleep(50)
+  }
+  const client = createClient({ address: first.address, port: first.frontPort, host: 'h.example', key: 'key-a' })
   const answers = []
   const traffic = setInterval(() => {
-    const isOrder = answers.length % 2 === 0
-    answers.push(client.send({ method: isOrder ? 'POST' : 'GET', path: isOrder ? '/orders/a' : '/sheets/a', deadlineMs: 1500, body: isOrder ? 'two blocks' : undefined }))
-  }, requestIntervalMs)
+    answers.push(client.send({ path: '/drafts/a', deadlineMs: 8000, headers: { 'X-Model': 'm0', 'X-Token-Count': '700,120', 'X-Prompt-Prefix': `5c1e07a2:40,${answers.length.toString(16)}91bd3f06:660` }, body: 'a letter' }))
+  }, 50)
   addCleanup(() => clearInterval(traffic))
-
-  async function cutWatches () {
-    for (let count = 0; count < cutCount; count += 1) {
-      if (count > 0) await sleep(cutIntervalMs)
-      await store.cutWatch()
-      record.write('the store cuts the watch that waits')
-    }
-  }
-
-  /** The gateway prefers the server that answers fastest: the one that leaves is the one that gets most of the requests. */
-  function findBusiest () {
-    const countRecent = ({ arrivals }) => arrivals.filter(({ atMs }) => Date.now() - atMs < 500).length
-    return servers.reduce((best, server) => countRecent(server) > countRecent(best) ? server : best)
+  await sleep(2000)
+  if (hasTrouble) {
+    store.goAway()
+    record.write('the store is away')
   }
-
-  // The machine has been in touch, and the store without impairment, for more than stableWindowMs.
-  await sleep(stableWindowMs + 2000)
+  await sleep(awayMs)
   if (hasTrouble) {
-    const cutting = cutWatches()
-    addCleanup(() => cutting)
-    await store.waitForCut()
+    for (const server of fleet.values()) server.holdWrites(Date.now() + writtenAgainAfterMs)
+    await store.comeBack(copied)
+    record.write(`the store is back, from a copy without ${store.listKeys().some(key => key.endsWith('planner')) ? '' : 'a planner and '}groups`)
   }
-  await sleep(leaveAfterCutMs)
-  const leaving = findBusiest()
-  const leftAtMs = leaving.leave()
-  record.write(`the entry of server ${leaving.id} is removed; it goes on serving`)
-  await sleep(servesAfterLeavingMs)
+  const second = await startGateway({ name: 'front-2', storeAddress: store.address })
+  addCleanup(() => second.stop())
+  record.write('front-2 is started')
+  await sleep(8000)
   clearInterval(traffic)
   const received = await Promise.all(answers)
-
-  const sentAtMs = new Map(received.map(answer => [answer.id, answer.sentAtMs]))
-  for (const answer of received) record.write(`request ${answer.id} sent at ${answer.sentAtMs - record.startedAtMs}: status ${answer.status}`)
-  for (const { atMs, attemptId } of leaving.arrivals) {
-    if (atMs > leftAtMs) record.write(`request ${attemptId} reached server ${leaving.id} ${atMs - leftAtMs} ms after its entry was removed; its requester had sent it ${sentAtMs.get(attemptId) - leftAtMs} ms after`)
+  for (const gateway of [first, second]) {
+    for (const line of gateway.logLines) if (line.includes('"part":"planner"') && line.includes('planner.')) record.write(`${gateway.name}: ${line}`)
   }
-  // Those that the requester had sent before that time count as well; they are left out here to be sure.
-  const late = leaving.arrivals.filter(({ attemptId }) => (sentAtMs.get(attemptId) ?? 0) > leftAtMs + drainMs)
-  const lastMs = Math.max(0, ...leaving.arrivals.map(({ atMs }) => atMs - leftAtMs))
-  const summary = `${late.length} requests that were sent later than drainMs (${drainMs} ms) after the ack of its leaving ran at the server; the last one arrived ${lastMs} ms after the ack`
+  const failedCount = received.filter(({ status, isWhole }) => status !== 200 || !isWhole).length
+  const summary = `${violationCount} servers took a join of another group while the head of their group was open; ${failedCount} of ${received.length} streams failed`
   record.write(summary)
   console.log(summary)
-  record.write(`statuses: ${[...new Set(received.map(({ status }) => status))].map(status => `${status}: ${received.filter(answer => answer.status === status).length}`).join(', ')}`)
-  return late.length > 0
+  return violationCount > 0
 })
