--- a/review/standins/server.mjs
+++ b/review/standins/server.mjs
@@ -8,10 +8,10 @@
 
 /**
  * Starts a server and registers it in the store. `respond(request, response, body)` may answer a request in its place; it
- * returns true if it has. `fleet` holds the servers by id: the head of a group stands still when a member of it has died, left
+ * returns true if it has. `fleet` holds the servers by id; with it the head of a group stands still when a member of it has died, left
  * or joined another group, and breaks after `stallMs`.
  */
-export async function startServer ({ store, service, zone = 'z1', domain, slots = 18, id = `i-${randomBytes(4).toString('hex')}`, workMs = 10, eventCount = 10, eventIntervalMs = 20, joinMs = 100, openMs = 50, stallMs = 5000, fleet = new Map(), respond, onEvent = () => {}, onJoin = () => {} }) {
+export async function startServer ({ store, service, zone = 'z1', domain, slots = 18, id = `i-${randomBytes(4).toString('hex')}`, workMs = 10, eventCount = 10, eventIntervalMs = 20, joinMs = 100, openMs = 50, stallMs = 5000, fleet, respond, onEvent = () => {}, onJoin = () => {} }) {
   const born = Date.now()
   const arrivals = []
   const orders = []
@@ -52,7 +52,7 @@
         const key = `${order.group}/${order.epoch}`
         const list = order.members.join(',')
         if (order.epoch < highestEpoch || (listOfEpoch.has(key) && listOfEpoch.get(key) !== list)) return 412
-        if (group !== undefined && !isOwnGroup) onJoin({ id, from: group, to: order, head: fleet.get(group.members[0]) })
+        if (group !== undefined && !isOwnGroup) onJoin({ id, from: group, to: order, head: fleet?.get(group.members[0]) })
         highestEpoch = order.epoch
         listOfEpoch.set(key, list)
         seq += 1
@@ -142,10 +142,10 @@
   }
 
   function hasWholeGroup (own) {
-    return own.members.every(memberId => {
+    return fleet === undefined || own.members.every(memberId => {
       const member = fleet.get(memberId)
       const current = member?.getGroup()
-      return fleet.size === 0 || (member?.isAlive() === true && current?.name === own.name && current.epoch === own.epoch)
+      return member?.isAlive() === true && current?.name === own.name && current.epoch === own.epoch
     })
   }
 
@@ -214,6 +214,6 @@
       server.closeAllConnections()
     }
   }
-  fleet.set(id, self)
+  fleet?.set(id, self)
   return self
 }
