Show that a model is never served again after two of its three servers were replaced

Seen: in a domain of nine servers for a group of six and one of three, two members of the group of three leave on a spot notice and two empty servers come. No request for that model is served from then on, in 80 s; the planner has the new servers load the other model and then waits forever.

--- a/review/standins/server.mjs
+++ b/review/standins/server.mjs
@@ -9,9 +9,10 @@
 /**
  * Starts a server and registers it in the store. `respond(request, response, body)` may answer a request in its place; it
  * returns true if it has. `fleet` holds the servers by id; with it the head of a group stands still when a member of it has died, left
- * or joined another group, and breaks after `stallMs`.
+ * or joined another group, and breaks after `stallMs`. With `loads`, the times of each model by its name (`loadMs`, `warmMs`), a model that
+ * isn't staged on the host is loaded from the shared store first; without it all models are at hand.
  */
-export async function startServer ({ store, service, zone = 'z1', domain, slots = 18, id = `i-${randomBytes(4).toString('hex')}`, workMs = 10, eventCount = 10, eventIntervalMs = 20, joinMs = 100, openMs = 50, stallMs = 5000, fleet, respond, onEvent = () => {}, onJoin = () => {} }) {
+export async function startServer ({ store, service, zone = 'z1', domain, slots = 18, id = `i-${randomBytes(4).toString('hex')}`, workMs = 10, eventCount = 10, eventIntervalMs = 20, joinMs = 100, loads, openMs = 50, stallMs = 5000, fleet, respond, onEvent = () => {}, onJoin = () => {} }) {
   const born = Date.now()
   const arrivals = []
   const orders = []
@@ -23,6 +24,7 @@
   let group
   let models = []
   let staged = []
+  let stagedAtMs = 0
   let highestToken = 0
   let highestEpoch = 0
   let seq = 0
@@ -42,6 +44,27 @@
     publish()
   }
 
+  /** Loads the model onto the host, after any staging that is under way; the host keeps one. */
+  function stage (model, then) {
+    const startsMs = Math.max(Date.now(), stagedAtMs)
+    stagedAtMs = startsMs + (loads?.[model].loadMs ?? 0)
+    const finish = () => {
+      staged = [model]
+      if (isAlive) publish()
+      then()
+    }
+    if (stagedAtMs <= Date.now()) finish()
+    else setTimeout(finish, stagedAtMs - Date.now())
+  }
+
+  /** Calls back once the model is ready to serve: after 0.2 s if the server has it loaded, after `warmMs` if it is staged, else after a load. */
+  function afterLoad (model, then) {
+    if (loads === undefined) setTimeout(then, joinMs)
+    else if (models[0]?.name === model) setTimeout(then, 200)
+    else if (staged.includes(model)) setTimeout(then, loads[model].warmMs)
+    else stage(model, () => setTimeout(then, loads[model].warmMs))
+  }
+
   function takeOrder (order) {
     if (order.fencingToken !== undefined && order.fencingToken < highestToken) return 412
     if (order.expected !== undefined && order.expected !== seq) return 409
@@ -58,12 +81,12 @@
         seq += 1
         const joined = { name: order.group, epoch: order.epoch, rank: order.members.indexOf(id), state: 'joining', members: order.members }
         setGroup(joined)
-        setTimeout(() => {
-          if (group?.name !== joined.name || group.epoch !== joined.epoch || group.state !== 'joining') return
+        afterLoad(order.model, () => {
+          if (!isAlive || group?.name !== joined.name || group.epoch !== joined.epoch || group.state !== 'joining') return
           staged = [order.model]
           models = [{ name: order.model, version: 1, adapters: [] }]
           setGroup({ ...joined, state: 'ready' })
-        }, joinMs)
+        })
         return 202
       }
       case 'open': {
@@ -91,8 +114,7 @@
       }
       case 'stage': {
         seq += 1
-        staged = [order.model]
-        publish()
+        stage(order.model, () => {})
         return 202
       }
       default:
