--- a/review/standins/server.mjs
+++ b/review/standins/server.mjs
@@ -209,6 +209,7 @@
     id,
     arrivals,
     orders,
+    domain,
     getGroup: () => group,
     isAlive: () => isAlive,
     /** Writes nothing in the store until then, and writes its entry at that time. */
