--- a/review/new-a/run.mjs
+++ b/review/left-out/foreign-failure/run.mjs
@@ -1,10 +1,10 @@
 // An extra answer of a server, a copy of its own 500 to an earlier request, comes where the answer to the next request is expected.
 import { fileURLToPath } from 'node:url'
 
-import { createClient } from '../standins/client.mjs'
-import { runCase, sleep, startGateway } from '../standins/gateway.mjs'
-import { startServer } from '../standins/server.mjs'
-import { startStore } from '../standins/store.mjs'
+import { createClient } from '../../standins/client.mjs'
+import { runCase, sleep, startGateway } from '../../standins/gateway.mjs'
+import { startServer } from '../../standins/server.mjs'
+import { startStore } from '../../standins/store.mjs'
 
 const isTrouble = process.env.TROUBLE !== '0'
 const model = 'daka510000'
--- a/review/new-b/run.mjs
+++ b/review/left-out/restart-on-copy/run.mjs
@@ -2,9 +2,9 @@
 // becomes the planner and orders servers that are members of open groups into new groups.
 import { fileURLToPath } from 'node:url'
 
-import { runCase, sleep, startGateway } from '../standins/gateway.mjs'
-import { startServer } from '../standins/server.mjs'
-import { startStore } from '../standins/store.mjs'
+import { runCase, sleep, startGateway } from '../../standins/gateway.mjs'
+import { startServer } from '../../standins/server.mjs'
+import { startStore } from '../../standins/store.mjs'
 
 const isTrouble = process.env.TROUBLE !== '0'
 const model = 'daka510000'
--- a/review/new-c/run.mjs
+++ b/review/left-out/revoked-on-copy/run.mjs
@@ -2,10 +2,10 @@
 // configuration for the newest and lets requests with the revoked key through.
 import { fileURLToPath } from 'node:url'
 
-import { createClient } from '../standins/client.mjs'
-import { runCase, sleep, startGateway } from '../standins/gateway.mjs'
-import { startServer } from '../standins/server.mjs'
-import { startStore } from '../standins/store.mjs'
+import { createClient } from '../../standins/client.mjs'
+import { runCase, sleep, startGateway } from '../../standins/gateway.mjs'
+import { startServer } from '../../standins/server.mjs'
+import { startStore } from '../../standins/store.mjs'
 
 const isTrouble = process.env.TROUBLE !== '0'
 const revokedKey = 'n2ctnfzs989anu6wsjnb'
