Compare the request ID of a stream's response whatever its status

A refusal of another request was taken for one of this stream, up to a 503 that says "not run".

Cause: `handleHead` of stream-attempt.ts compared the ID only for status 200. A faulty server sends an earlier response once more on a kept connection; with any other status it was taken for the response to this request.

Ruled out: a mix-up of connections inside the gateway. The new log line names the request that the response belongs to, and its status; the stand-in's server sends just these bytes.

Change: the ID is compared at the head. A foreign response ends the attempt as lost and closes the connection, and nothing that it says of the server is recorded. New log line and counter `foreign_response`.

A first form of the refusal's test with processes did not fail before the change, since the stream found a sound connection each time; it was replaced by the one in virtual time.

--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -129,6 +129,23 @@
   }
 }
 
+/** The reason of an attempt that got a response to another request. */
+export const foreignResponseReason = 'the response belongs to another request'
+
+/**
+ * Whether a response belongs to another request, whatever its status. A faulty server may send an earlier response once
+ * more where the next one on its connection is due. It says nothing of the call, which the server may be running.
+ */
+export function isForeignResponse (dependencies: CallDependencies, call: Call, server: BackendServer, head: ResponseHead): boolean {
+  const { requestId } = dependencies.codec.readServerResponse(head.statusCode, head.headers)
+  if (requestId === call.clientInfo.requestId) return false
+  dependencies.metrics.countEvent(MetricEvent.ForeignResponse)
+  dependencies.logger.warn('A server sent a response that belongs to another request.', {
+    requestId: call.clientInfo.requestId ?? '', serverId: server.id, responseId: requestId ?? '', statusCode: head.statusCode
+  })
+  return true
+}
+
 /**
  * Reads the headers of a server's response, and records what the server says of itself there: that it is leaving, or
  * that it wants no requests for some time.
--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -3,7 +3,7 @@
 import type { BackendServer } from '../state/backend-server.js'
 import type { Replica } from '../state/replica.js'
 import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
-import { buildBackendRequest, readServerHead, type Call, type CallDependencies } from './call-context.js'
+import { buildBackendRequest, foreignResponseReason, isForeignResponse, readServerHead, type Call, type CallDependencies } from './call-context.js'
 import type { ServerResponseInfo } from './wire-codec.js'
 
 /** Why an attempt at one replica ended before the end of the stream. The values are logged. */
@@ -125,10 +125,14 @@
   }
 
   function handleHead (received: ResponseHead): void {
+    if (isForeignResponse(dependencies, call, leader, received)) {
+      lose(foreignResponseReason)
+      return
+    }
     head = received
     info = readServerHead(dependencies, leader, received)
     if (received.statusCode !== successStatus) return
-    if (info.requestId !== call.clientInfo.requestId || !info.isStamped || info.isEncoded) lose('the response is not a valid response to this request')
+    if (!info.isStamped || info.isEncoded) lose('the response has no server stamp, or a content encoding that was not requested')
   }
 
   function handleData (chunk: Buffer): void {
--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -10,6 +10,17 @@
 const silenceMs = 600
 
 describe('forwardStream', () => {
+  describe('a refusal of another request', () => {
+    // Guards against telling a client "not run" for a stream that a server may be running (REFUSED).
+    it('is no refusal of the stream', () => {
+      const harness = createStreamHarness({ serverIds: ['a'] })
+      harness.start().refuse('another request')
+      harness.timers.advance(3000)
+      expect(harness.attempts[0]?.isAborted).to.equal(true)
+      expect(harness.response).to.include({ isEnded: true, statusCode: 502 })
+    })
+  })
+
   describe('the wait of a stream in progress for a replica', () => {
     it('begins when the last attempt fails, not at the last event before a silence', () => {
       const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { pauseObjectiveMs: 500 } })
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -31,6 +31,8 @@
   ServerHold = 'server_hold',
   /** A server announced that it is leaving. */
   ServerLeaving = 'server_leaving',
+  /** A server sent a response that belongs to another request. */
+  ForeignResponse = 'foreign_response',
   /** The store came back from an older copy. */
   StoreEraChange = 'store_era_change',
   /** A server ended under a request whose prompt has parts. Each request counts. */
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -35,8 +35,8 @@
   /** Ends the response in order. */
   end (): void
   reset (): void
-  /** Refuses the request with 503, stating that it was not executed. */
-  refuse (): void
+  /** Refuses the request with 503, stating that it was not executed; `responseId` is the request that the refusal belongs to. */
+  refuse (responseId?: string): void
 }
 
 export interface StreamHarnessOptions {
@@ -97,8 +97,8 @@
   })
 
   function open ({ port, rawHeaders }: { readonly port: number, readonly rawHeaders: readonly string[] }, listener: ExchangeListener) {
-    const chunk = (statusCode: number, text: string) => {
-      if (!isHeadSent) listener.onHead({ statusCode, statusMessage: '', rawHeaders: [], headers: {} } as never)
+    const chunk = (statusCode: number, text: string, responseId = requestId) => {
+      if (!isHeadSent) listener.onHead({ statusCode, statusMessage: '', rawHeaders: [], headers: { responseId } } as never)
       isHeadSent = true
       if (text !== '') listener.onData(Buffer.from(text))
     }
@@ -113,10 +113,10 @@
       sendBytes: text => { if (!attempt.isAborted) chunk(200, text) },
       end: () => { if (!attempt.isAborted) listener.onEnd() },
       reset: () => { if (!attempt.isAborted) listener.onFailure({ kind: ExchangeFailureKind.Lost, reason: 'reset' } as never) },
-      refuse () {
+      refuse (responseId) {
         if (attempt.isAborted) return
-        chunk(503, '')
-        listener.onEnd()
+        chunk(503, '', responseId)
+        if (!attempt.isAborted) listener.onEnd()
       }
     }
     attempts.push(attempt)
@@ -138,7 +138,7 @@
     },
     codec: {
       buildServerHeaders: (_headers: unknown, { lastEventId }: { lastEventId: string | undefined }) => lastEventId === undefined ? [] : [lastEventId],
-      readServerResponse: (statusCode: number) => ({ requestId, isNotExecuted: statusCode === 503, isStamped: true, isEncoded: false, isLeaving: false }),
+      readServerResponse: (statusCode: number, headers: { readonly responseId: string }) => ({ requestId: headers.responseId, isNotExecuted: statusCode === 503, isStamped: true, isEncoded: false, isLeaving: false }),
       buildGatewayHeaders: () => ({})
     },
     connections: { open, close () {} },
