Compare the request ID of a plain response before its refusal, and close the connection of a foreign one

When the own response came later than the foreign one, each later call on that connection got 502.

Cause: `classifyResponse` looked at X-Not-Executed before the request ID, and both only once the whole response had arrived; the connection then went back to the pool while the call's own response was due on it.

Ruled out: orders and other calls that must not be repeated. They use a connection of their own; their test passed before the change.

Failing before: foreign-responses.test.ts "are no refusal of the next request": 503 in place of 502; "do not cost the requests after the next one their responses": 502 in place of 200. After: all four pass.

--- a/src/gateway/plain-attempt.ts
+++ b/src/gateway/plain-attempt.ts
@@ -2,7 +2,7 @@
 import type { BackendServer } from '../state/backend-server.js'
 import { RouteKind } from '../state/serving-config.js'
 import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
-import { buildBackendRequest, getRemainingMs, promisesNotExecuted, readServerHead, type Call, type CallDependencies } from './call-context.js'
+import { buildBackendRequest, foreignResponseReason, getRemainingMs, isForeignResponse, promisesNotExecuted, readServerHead, type Call, type CallDependencies } from './call-context.js'
 import type { ServerResponseInfo } from './wire-codec.js'
 
 export enum PlainResultKind {
@@ -99,6 +99,11 @@
   const isDedicated = call.route.kind !== RouteKind.Safe
   const exchange = dependencies.connections.open(buildBackendRequest(dependencies, call, server, { isDedicated, lastEventId: call.clientInfo.lastEventId }), {
     onHead (received) {
+      if (isForeignResponse(dependencies, call, server, received)) {
+        // Closes the connection, on which the response to this request may still arrive.
+        abandon(PlainResultKind.Lost, foreignResponseReason)
+        return
+      }
       head = received
       info = readServerHead(dependencies, server, received)
     },
@@ -108,7 +113,7 @@
       if (size > maxResponseBytes) abandon(PlainResultKind.Lost, `the response is larger than ${maxResponseBytes} bytes`)
     },
     onEnd () {
-      settle(head === undefined || info === undefined ? { kind: PlainResultKind.Lost, reason: 'no response' } : classifyResponse(call, head, info, Buffer.concat(chunks)))
+      settle(head === undefined || info === undefined ? { kind: PlainResultKind.Lost, reason: 'no response' } : classifyResponse(head, info, Buffer.concat(chunks)))
     },
     onFailure ({ kind, reason }) {
       hasConnectionEnded = kind === ExchangeFailureKind.Lost
@@ -127,10 +132,9 @@
   }
 }
 
-/** Decides whether a response can be forwarded: it must be the server's own response to this request. */
-function classifyResponse (call: Call, head: ResponseHead, response: ServerResponseInfo, body: Buffer): PlainResult {
+/** Decides whether a response to this request can be forwarded: it must be the server's own. */
+function classifyResponse (head: ResponseHead, response: ServerResponseInfo, body: Buffer): PlainResult {
   if (response.isNotExecuted) return { kind: PlainResultKind.NotExecuted, reason: `the server refused the request with status ${head.statusCode}` }
-  if (response.requestId !== call.clientInfo.requestId) return { kind: PlainResultKind.Lost, reason: 'the response belongs to another request' }
   if (response.isEncoded) return { kind: PlainResultKind.Lost, reason: 'the response has a content encoding that was not requested' }
   const isSuccess = head.statusCode >= 200 && head.statusCode < 300
   if (isSuccess && !response.isStamped) return { kind: PlainResultKind.Lost, reason: 'the response has no server stamp' }
