Reset the connection of an HTTP/1.0 client whose stream cannot be completed

What callers would see: a stream that broke off after events ended, for an HTTP/1.0 client, like a complete one (MIXED).

Cause: a response in progress was ended by closing its connection in order, also at the end of a process. Without chunks the client takes that for the end of the response.

Failing before: "resets the connection of an HTTP/1.0 client": expected false to equal true; "... when the gateway stops before the stream is complete": the connection was still open at the end of the process.

--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 
 import type { TimerService } from '../shared/timer-service.js'
+import { breakOffResponse } from './break-off-response.js'
 
 /** Who ended a connection on which a request has no complete response. The values are logged. */
 export enum ConnectionEnd {
@@ -254,6 +255,8 @@
       if (last !== undefined && !last.response.headersSent) last.response.shouldKeepAlive = false
       for (const { response, mustComplete } of exchanges) {
         if (!response.headersSent) respondWithoutBody(response, mustComplete === undefined ? 503 : 504)
+        // The end of the process closes the connection in order.
+        else if (!response.chunkedEncoding && !response.writableEnded) breakOffResponse(response)
       }
     },
     checkProgress () {
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -14,6 +14,7 @@
 import { listReplicas, type Replica } from '../state/replica.js'
 import type { EngineProfile } from '../state/serving-config.js'
 import type { ResponseHead } from '../transport/backend-connection-pool.js'
+import { breakOffResponse } from './break-off-response.js'
 import { filterResponseHeaders } from './response-headers.js'
 import type { ReplicatedService } from './fleet-view.js'
 import { sendGatewayResponse, CallOutcome, getRemainingMs, promisesNotExecuted, recordOutcome, type Call, type CallDependencies } from './call-context.js'
@@ -287,7 +288,7 @@
   function finishIncomplete (reason: string, { unavailableMs, explanation }: Pick<NoAttempt, 'unavailableMs' | 'explanation'>): void {
     if (call.response.headersSent) {
       finish(CallOutcome.Broken, reason)
-      call.response.destroy()
+      breakOffResponse(call.response)
       return
     }
     if (record.listExecutions().length === 0) {
@@ -305,7 +306,7 @@
     if (timers.nowMs() >= call.deadlineAtMs) {
       const isStarted = call.response.headersSent
       finish(CallOutcome.TimedOut)
-      if (isStarted) call.response.destroy()
+      if (isStarted) breakOffResponse(call.response)
       else sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 504)
       return
     }
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -71,6 +71,7 @@
 
   const response = Object.assign(new EventEmitter(), {
     headersSent: false,
+    chunkedEncoding: true,
     destroyed: false,
     isEnded: false,
     statusCode: 0,
