Forward no success without its server's stamp as the response to a stream

Found by reading the paths of a status other than 200.

Cause: stamp and content encoding were looked at only for status 200; every other response was forwarded as the server's failure.

Change: as for plain calls, a success needs the stamp and no encoded body is forwarded.

Failing before: gateway.test.ts "does not forward a success without the stamp of its server as the response to a stream": 202 in place of 502. After: passes.

--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -95,6 +95,11 @@
 
 const notExecutedStatuses: readonly number[] = [408, 421, 429, 503]
 
+/** Whether the status is one of success; such a response is forwarded only with the stamp of its server. */
+export function isSuccess (statusCode: number): boolean {
+  return statusCode >= 200 && statusCode < 300
+}
+
 /** Time left until the final response is due. */
 export function getRemainingMs (dependencies: CallDependencies, call: Call): number {
   return call.deadlineAtMs - dependencies.timers.nowMs()
--- a/src/gateway/plain-attempt.ts
+++ b/src/gateway/plain-attempt.ts
@@ -2,7 +2,7 @@
 import type { BackendServer } from '../state/backend-server.js'
 import { RouteKind } from '../state/serving-config.js'
 import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
-import { buildBackendRequest, foreignResponseReason, getRemainingMs, isForeignResponse, promisesNotExecuted, readServerHead, type Call, type CallDependencies } from './call-context.js'
+import { buildBackendRequest, foreignResponseReason, getRemainingMs, isForeignResponse, isSuccess, promisesNotExecuted, readServerHead, type Call, type CallDependencies } from './call-context.js'
 import type { ServerResponseInfo } from './wire-codec.js'
 
 export enum PlainResultKind {
@@ -136,8 +136,7 @@
 function classifyResponse (head: ResponseHead, response: ServerResponseInfo, body: Buffer): PlainResult {
   if (response.isNotExecuted) return { kind: PlainResultKind.NotExecuted, reason: `the server refused the request with status ${head.statusCode}` }
   if (response.isEncoded) return { kind: PlainResultKind.Lost, reason: 'the response has a content encoding that was not requested' }
-  const isSuccess = head.statusCode >= 200 && head.statusCode < 300
-  if (isSuccess && !response.isStamped) return { kind: PlainResultKind.Lost, reason: 'the response has no server stamp' }
+  if (isSuccess(head.statusCode) && !response.isStamped) return { kind: PlainResultKind.Lost, reason: 'the response has no server stamp' }
   if (promisesNotExecuted(head.statusCode)) return { kind: PlainResultKind.Lost, reason: `the server responded with status ${head.statusCode} but did not state whether it executed the request` }
   return { kind: PlainResultKind.Responded, head, body }
 }
--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -3,7 +3,7 @@
 import type { BackendServer } from '../state/backend-server.js'
 import type { Replica } from '../state/replica.js'
 import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
-import { buildBackendRequest, foreignResponseReason, isForeignResponse, readServerHead, type Call, type CallDependencies } from './call-context.js'
+import { buildBackendRequest, foreignResponseReason, isForeignResponse, isSuccess, readServerHead, type Call, type CallDependencies } from './call-context.js'
 import type { ServerResponseInfo } from './wire-codec.js'
 
 /** Why an attempt at one replica ended before the end of the stream. The values are logged. */
@@ -19,7 +19,7 @@
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind
   readonly reason: string
-  /** The server's whole response with an error status. */
+  /** The server's whole response with another status than that of a stream, if it can be forwarded. */
   readonly errorResponse?: { readonly head: ResponseHead, readonly body: Buffer } | undefined
 }
 
@@ -191,7 +191,8 @@
       fail({ kind: AttemptFailureKind.NotExecuted, reason: `the server refused the request with status ${head.statusCode}` })
     } else {
       const reason = `the server responded with status ${head.statusCode}${isWhole ? '' : ` and more than ${maxErrorBodyBytes} bytes`}`
-      fail({ kind: AttemptFailureKind.ServerFailure, reason, errorResponse: isWhole ? { head, body: Buffer.concat(errorBody) } : undefined })
+      const canForward = isWhole && !info.isEncoded && (info.isStamped || !isSuccess(head.statusCode))
+      fail({ kind: AttemptFailureKind.ServerFailure, reason, errorResponse: canForward ? { head, body: Buffer.concat(errorBody) } : undefined })
     }
   }
 
