--- a/src/shared/network-address.ts
+++ b/src/shared/network-address.ts
@@ -5,11 +5,11 @@
 }
 
 const maxPort = 65535
+const addressPattern = /^([^\s\0]{1,253}):(\d{1,5})$/
 
-/** Parses `host:port`; undefined for any other text and for ports outside 1 to 65535. */
+/** Parses `host:port`; undefined for any other text, also for ports outside 1 to 65535 and for text that no host name has. */
 export function parseAddress (text: string): NetworkAddress | undefined {
-  const separator = text.lastIndexOf(':')
-  const port = Number(text.slice(separator + 1))
-  if (separator <= 0 || !Number.isInteger(port) || port <= 0 || port > maxPort) return undefined
-  return { host: text.slice(0, separator), port }
+  const [, host, digits] = addressPattern.exec(text) ?? []
+  const port = Number(digits)
+  return host === undefined || port === 0 || port > maxPort ? undefined : { host, port }
 }
--- a/src/transport/backend-connection-pool.test.ts
+++ b/src/transport/backend-connection-pool.test.ts
@@ -7,10 +7,10 @@
 import { createBackendConnectionPool, ExchangeFailureKind, type BackendConnectionPool } from './backend-connection-pool.js'
 
 /** Sends one request to the test's server and returns the calls of the listener in order. */
-async function exchangeWith (connections: BackendConnectionPool, port: number, isDedicated = true): Promise<string[]> {
+async function exchangeWith (connections: BackendConnectionPool, port: number, isDedicated = true, rawHeaders: readonly string[] = ['Host', 'test']): Promise<string[]> {
   return new Promise(resolve => {
     const calls: string[] = []
-    connections.open({ host: '127.0.0.1', port, method: 'GET', path: '/', rawHeaders: ['Host', 'test'], body: undefined, isDedicated }, {
+    connections.open({ host: '127.0.0.1', port, method: 'GET', path: '/', rawHeaders, body: undefined, isDedicated }, {
       onHead: head => calls.push(`head ${head.statusCode}`),
       onData: chunk => calls.push(`data ${chunk.toString()}`),
       onEnd: () => resolve([...calls, 'end']),
@@ -73,6 +73,11 @@
 
   const getPort = () => (server.address() as net.AddressInfo).port
 
+  // Guards against the end of the process for a value that no header can hold.
+  it('fails an exchange whose headers cannot be sent', async () => {
+    expect(await exchangeWith(connections, getPort(), true, ['X-Tenant', 'Hořice'])).to.deep.equal([ExchangeFailureKind.NotSent])
+  })
+
   describe('a response without a length', () => {
     it('is complete when the connection closes in order', async () => {
       handleRequest = socket => socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole')
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -2,6 +2,7 @@
 import http from 'node:http'
 import type { Socket } from 'node:net'
 
+import { failure, success, type Result } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
 import { maxBytesWithoutBody, maxInformationalResponseCount } from './response-limits.js'
 
@@ -80,7 +81,10 @@
   const dedicated = new http.Agent({ keepAlive: false, maxSockets: Infinity })
 
   return {
-    open: (request, listener) => openExchange(timers, request.isDedicated ? dedicated : pooled, request, listener),
+    open (request, listener) {
+      const created = createClientRequest(request.isDedicated ? dedicated : pooled, request)
+      return created.isOk ? openExchange(timers, created.value, request, listener) : failExchange(created.error, listener)
+    },
     close () {
       pooled.destroy()
       dedicated.destroy()
@@ -88,6 +92,29 @@
   }
 }
 
+/** Returns a reason when Node.js rejects a part of the request, such as a header with a character that none can hold. */
+function createClientRequest (agent: http.Agent, request: BackendRequest): Result<http.ClientRequest, string> {
+  try {
+    return success(http.request({
+      agent,
+      host: request.host,
+      port: request.port,
+      method: request.method,
+      path: request.path,
+      headers: request.rawHeaders as unknown as http.OutgoingHttpHeaders,
+      setHost: false
+    }))
+  } catch (error) {
+    return failure((error as Error).message)
+  }
+}
+
+/** An exchange whose request cannot be sent. */
+function failExchange (reason: string, listener: ExchangeListener): BackendExchange {
+  const timer = setImmediate(() => listener.onFailure({ kind: ExchangeFailureKind.NotSent, reason }))
+  return { abort: () => clearImmediate(timer), pause () {}, resume () {} }
+}
+
 const resetSockets = new WeakSet<Socket>()
 const watchedSockets = new WeakSet<Socket>()
 
@@ -121,7 +148,7 @@
   byteWatchers.set(socket, watcher)
 }
 
-function openExchange (timers: TimerService, agent: http.Agent, request: BackendRequest, listener: ExchangeListener): BackendExchange {
+function openExchange (timers: TimerService, clientRequest: http.ClientRequest, request: BackendRequest, listener: ExchangeListener): BackendExchange {
   let isFinished = false
   let isConnected = false
   let currentResponse: http.IncomingMessage | undefined
@@ -130,16 +157,6 @@
   let knownBodyByteCount = 0
   let byteCountWithoutBody = 0
 
-  const clientRequest = http.request({
-    agent,
-    host: request.host,
-    port: request.port,
-    method: request.method,
-    path: request.path,
-    headers: request.rawHeaders as unknown as http.OutgoingHttpHeaders,
-    setHost: false
-  })
-
   const connectTimer = timers.subscribeOnce(connectTimeoutMs, () => {
     if (!isConnected) fail(`no connection to ${request.host}:${request.port} within ${connectTimeoutMs} ms`)
   })
