Reject relayed positions and counts that are no exact whole numbers

Cause: the schemas of relay messages and load reports asked for numbers of any size. A revision of 1e300 stays the highest one for good.

Ruled out: very deep nesting, rejected before the change (relay-messages.test.ts).

Failing before: relay-messages.test.ts, the four on numbers (1e300, 2^53, -1, 0.5). After: all pass, relay.test.ts and load-sharing.test.ts too.

--- /dev/null
+++ b/src/protocol/relay-messages.test.ts
@@ -0,0 +1,35 @@
+import { expect } from 'chai'
+
+import { decodeLoadReport, decodeRelayRequest, relayResponseSchema } from './relay-messages.js'
+
+const report = { nodeId: 'n', sequence: 1, streamCounts: { r: 2 }, stalledIds: [], quietIds: [] }
+const request = { after: { era: 1, revision: 5 }, waitMs: 100, wantsLargeValues: false, loads: report }
+const response = { isWhole: false, era: 1, asOfRevision: 5, ageMs: 0, isStoreBack: false, items: [{ key: 'k', revision: 5, value: 'v' }], omittedKeys: [], carriedOverKeys: [], loads: report }
+const nested = '['.repeat(30_000) + ']'.repeat(30_000)
+const oddNumbers: readonly number[] = [1e300, 2 ** 53, -1, 0.5]
+
+describe('relay messages', () => {
+  it('are decoded', () => {
+    expect(decodeLoadReport(JSON.stringify(report))).to.deep.equal(report)
+    expect(decodeRelayRequest(JSON.stringify(request))).to.deep.equal(request)
+    expect(relayResponseSchema.safeParse(response).success).to.equal(true)
+  })
+
+  it('are rejected when they are nested very deeply', () => {
+    expect(decodeLoadReport(nested)).to.equal(undefined)
+    expect(decodeRelayRequest(JSON.stringify({ ...request, loads: 'x' }).replace('"x"', nested))).to.equal(undefined)
+    expect(relayResponseSchema.safeParse(JSON.parse(nested)).success).to.equal(false)
+  })
+
+  // Each guards against a position or a sequence that no later one exceeds, so that the gateway no longer follows the list.
+  for (const number of oddNumbers) {
+    it(`are rejected when they count with ${number}`, () => {
+      expect(decodeLoadReport(JSON.stringify({ ...report, sequence: number }))).to.equal(undefined)
+      expect(decodeLoadReport(JSON.stringify({ ...report, streamCounts: { r: number } }))).to.equal(undefined)
+      expect(decodeRelayRequest(JSON.stringify({ ...request, after: { era: number, revision: 5 } }))).to.equal(undefined)
+      expect(relayResponseSchema.safeParse({ ...response, asOfRevision: number }).success).to.equal(false)
+      expect(relayResponseSchema.safeParse({ ...response, era: number }).success).to.equal(false)
+      expect(relayResponseSchema.safeParse({ ...response, items: [{ key: 'k', revision: number, value: 'v' }] }).success).to.equal(false)
+    })
+  }
+})
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -7,17 +7,20 @@
 /** HTTP path on which a gateway that reads the store serves the store's content to other gateways. */
 export const relayPath = '/fleet'
 
+/** Counters of the store and of a node's reports, and numbers of streams. A larger number than a double holds exactly would stay the highest one for good. */
+const counterSchema = z.int().nonnegative()
+
 const loadReportSchema = z.object({
   nodeId: z.string(),
-  sequence: z.number(),
-  streamCounts: z.record(z.string(), z.number()),
+  sequence: counterSchema,
+  streamCounts: z.record(z.string(), counterSchema),
   stalledIds: z.array(z.string()),
   quietIds: z.array(z.string()),
   leavingServers: z.record(z.string(), z.number()).optional()
 })
 
 const relayRequestSchema = z.object({
-  after: z.object({ era: z.number(), revision: z.number() }).optional(),
+  after: z.object({ era: counterSchema, revision: counterSchema }).optional(),
   /** Longest time that the relay may wait for a change. */
   waitMs: z.number(),
   /** Asks also for the values that a relay otherwise leaves out, see `omittedKeys`. */
@@ -31,12 +34,12 @@
  */
 export const relayResponseSchema = z.object({
   isWhole: z.boolean(),
-  era: z.number(),
-  asOfRevision: z.number(),
+  era: counterSchema,
+  asOfRevision: counterSchema,
   ageMs: z.number().nonnegative(),
   /** The store recently came back, so that entries may be missing that are about to return. */
   isStoreBack: z.boolean(),
-  items: z.array(z.object({ key: z.string(), revision: z.number(), value: z.string().optional() })),
+  items: z.array(z.object({ key: z.string(), revision: counterSchema, value: z.string().optional() })),
   /** Keys whose values are left out because they are large; gateways read them from the store. */
   omittedKeys: z.array(z.string()),
   /** Keys of a whole content that nobody has written since the store came back from a copy. */
