Take a response without a length for complete only if its server outlives it

On our stand-ins clients also got the first two of six events as a complete stream.

Cause: the kernel closes the connections of a process that ends in order. For a response with neither a length nor chunks that is also the end of the response: the crash counted as a served request, cleared the part and lifted its entry.

Ruled out: chunked responses (a loss, contained before) and restarts alone (the existing test has them).

A server whose end is planned is excepted. A first event counts as progress 50 ms later.

--- a/src/coordination/quarantine/prompt-guard.test.ts
+++ b/src/coordination/quarantine/prompt-guard.test.ts
@@ -112,6 +112,58 @@
     ])
   })
 
+  describe('a response that ended with its connection', () => {
+    // Guards against counting the end of a process as a served request, which clears the part and lifts its entry (BUDGET).
+    it('is a crash when its server has ended', async () => {
+      const { guard, entries, refuted, begin, timers } = createSample()
+      for (let index = 0; index < 3; index += 1) {
+        const attempt = begin(['p', `own-${index}`])
+        await timers.advanceAsync(requestMs)
+        attempt.recordProgress()
+        await timers.advanceAsync(2)
+        expect(await attempt.confirmEnd(true)).to.equal(false)
+      }
+      expect(entries).to.deep.equal([{ partIds: ['p'], probeCount: 0 }])
+      expect(await begin(['p']).confirmEnd(true)).to.equal(false)
+      expect(refuted).to.deep.equal([])
+      expect(guard.check(['p']).kind).to.equal(AdmissionKind.Quarantined)
+    })
+
+    it('serves its request when the server lives, and nothing counts twice', async () => {
+      const { guard, messages, refuted, begin } = createSample({ isListening: true })
+      guard.addEntry({ partIds: ['p'], probeCount: 1 }, 'the store')
+      const attempt = begin(['p', 'q'])
+      expect(await attempt.confirmEnd(true)).to.equal(true)
+      attempt.complete()
+      attempt.recordLoss(true)
+      expect(refuted.length).to.equal(1)
+      expect(messages).to.deep.equal([])
+    })
+
+    it('lifts nothing when it does not serve its request', async () => {
+      const { guard, refuted, begin } = createSample({ isListening: true })
+      guard.addEntry({ partIds: ['p'], probeCount: 1 }, 'the store')
+      expect(await begin(['p']).confirmEnd(false)).to.equal(true)
+      expect(refuted).to.deep.equal([])
+    })
+
+    it('is asked for without parts of a prompt too', async () => {
+      expect(await createSample().begin([]).confirmEnd(true)).to.equal(false)
+      expect(await createSample({ isListening: true }).begin([]).confirmEnd(true)).to.equal(true)
+    })
+  })
+
+  it('takes a first event for progress once the server has outlived it', async () => {
+    const { messages, lose, begin, timers } = createSample()
+    await lose(['p'])
+    const attempt = begin(['p'])
+    attempt.recordProgress()
+    await timers.advanceAsync(30)
+    expect(countKind(messages, PromptMessageKind.Cleared)).to.equal(0)
+    await timers.advanceAsync(30)
+    expect(countKind(messages, PromptMessageKind.Cleared)).to.equal(1)
+  })
+
   it('lifts an entry when a request with its parts is served', async () => {
     const { guard, refuted, begin } = createSample()
     guard.addEntry({ partIds: ['p'], probeCount: 1 }, 'the store')
--- a/src/coordination/quarantine/prompt-guard.ts
+++ b/src/coordination/quarantine/prompt-guard.ts
@@ -2,17 +2,22 @@
 import type { Logger } from '../../observability/log.js'
 import { MetricEvent, type Metrics } from '../../observability/metrics.js'
 import { PromptMessageKind, type PromptMessage } from '../../protocol/prompt-messages.js'
-import type { TimerService } from '../../shared/timer-service.js'
+import type { TimerService, TimerSubscription } from '../../shared/timer-service.js'
 import type { BackendServer } from '../../state/backend-server.js'
 import type { CrashSign } from './crash-evidence.js'
 import { createPromptQuarantine, type Admission, type QuarantineEntry } from './prompt-quarantine.js'
 
-/** A request at one server. Each attempt ends with one of `end`, `complete` and `recordLoss`. */
+/** A request at one server. Each attempt ends with one of `end`, `complete`, `confirmEnd` and `recordLoss`; what is called after that has no effect. */
 export interface GuardedAttempt {
   /** The response delivered its first event. */
   recordProgress (): void
   /** The request has been served. */
   complete (): void
+  /**
+   * The response, which has no length, ended with its connection. Returns whether it was complete: its server lives. Else the
+   * end of the connection was that of the server, and counts as a loss. `isServed` tells whether a complete response serves the request.
+   */
+  confirmEnd (isServed: boolean): Promise<boolean>
   /** The connection to the server ended within the response. `hasHead` tells whether the response had begun. */
   recordLoss (hasHead: boolean): void
   /** The attempt ended in a way that says nothing of the prompt. */
@@ -53,7 +58,8 @@
 const repeatAfterMs = 150
 /** Bounds the parts whose clearing is announced. */
 const maxSharedPartCount = 2000
-const unguarded: GuardedAttempt = { recordProgress () {}, complete () {}, recordLoss () {}, end () {} }
+/** A process that writes the first event and ends has made no progress. */
+const progressDelayMs = 50
 
 /** Creates the guard with no part under suspicion. */
 export function createPromptGuard ({ timers, logger, metrics, isListening, sendMessage, onEntry, onRefuted }: PromptGuardOptions): PromptGuard {
@@ -107,12 +113,15 @@
     })
   }
 
-  async function recordLoss (partIds: readonly string[], server: BackendServer, isEarly: boolean, sentAtMs: number): Promise<void> {
+  /** Returns whether the server lives. */
+  async function recordLoss (partIds: readonly string[], server: BackendServer, isEarly: boolean, sentAtMs: number): Promise<boolean> {
     const sign = { serverKey: `${server.id}/${server.startedAtMs}`, partIds, isEarly, sentAtMs, lostAtMs: timers.nowMs() }
-    if (await isListening(server)) {
-      quarantine.endTrial(partIds, sentAtMs)
-      return
-    }
+    if (await isListening(server)) return true
+    recordCrash(sign)
+    return false
+  }
+
+  function recordCrash (sign: CrashSign): void {
     metrics.countEvent(MetricEvent.ServerCrash)
     const entry = quarantine.recordCrash(sign, timers.nowMs())
     shareCrash(sign)
@@ -129,33 +138,64 @@
   return {
     check: partIds => quarantine.check(partIds, timers.nowMs()),
     begin (partIds, server) {
-      if (partIds.length === 0) return unguarded
+      if (partIds.length === 0) return { recordProgress () {}, complete () {}, confirmEnd: () => isListening(server), recordLoss () {}, end () {} }
       const sentAtMs = timers.nowMs()
       const suspects = quarantine.begin(partIds, sentAtMs)
       if (suspects.length > 0) sendMessage({ kind: PromptMessageKind.Trial, partIds: suspects })
       let isSilent = true
+      let isSettled = false
+      let progressTimer: TimerSubscription | undefined
       countSilent(partIds, 1)
-      const endSilence = () => {
+
+      function endSilence (): void {
         if (isSilent) countSilent(partIds, -1)
         isSilent = false
       }
+
+      function applyProgress (): void {
+        if (!isSilent) return
+        endSilence()
+        announceCleared(quarantine.recordProgress(partIds), false)
+      }
+
+      /** Returns whether the attempt was silent until now, and undefined when it is settled. */
+      function settle (): boolean | undefined {
+        if (isSettled) return undefined
+        isSettled = true
+        progressTimer?.cancel()
+        return isSilent
+      }
+
       return {
         recordProgress () {
-          if (!isSilent) return
-          endSilence()
-          announceCleared(quarantine.recordProgress(partIds), false)
+          if (isSilent && !isSettled) progressTimer ??= timers.subscribeOnce(progressDelayMs, applyProgress)
         },
         complete () {
+          if (settle() === undefined) return
+          if (progressTimer !== undefined) applyProgress()
           endSilence()
           recordCompletion(partIds)
         },
+        async confirmEnd (isServed) {
+          const wasSilent = settle()
+          if (wasSilent === undefined) return true
+          endSilence()
+          const isComplete = await recordLoss(partIds, server, wasSilent, sentAtMs)
+          if (isComplete && isServed) recordCompletion(partIds)
+          return isComplete
+        },
         recordLoss (hasHead) {
-          const isEarly = hasHead && isSilent
+          const wasSilent = settle()
+          if (wasSilent === undefined) return
           endSilence()
-          void recordLoss(partIds, server, isEarly, sentAtMs)
+          void recordLoss(partIds, server, hasHead && wasSilent, sentAtMs).then(isAlive => {
+            if (isAlive) quarantine.endTrial(partIds, sentAtMs)
+          })
         },
         end () {
-          if (isSilent) quarantine.endTrial(partIds, sentAtMs)
+          const wasSilent = settle()
+          if (wasSilent === undefined) return
+          if (wasSilent) quarantine.endTrial(partIds, sentAtMs)
           endSilence()
         }
       }
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -12,7 +12,7 @@
 import type { SharedTicker } from '../shared/shared-ticker.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { Route, Team } from '../state/serving-config.js'
-import type { BackendServer } from '../state/backend-server.js'
+import { ServerState, type BackendServer } from '../state/backend-server.js'
 import type { BackendConnectionPool, BackendRequest, ResponseHead } from '../transport/backend-connection-pool.js'
 import type { FleetView } from './fleet-view.js'
 import type { ClientRequestInfo, ServerResponseInfo, WireCodec } from './wire-codec.js'
@@ -169,6 +169,23 @@
   return response
 }
 
+/** Whether the end of the server's process is planned, so that its last response may end with the process. */
+export function isEndPlanned (dependencies: CallDependencies, server: BackendServer, { isLeaving }: ServerResponseInfo): boolean {
+  const isReady = ({ id, startedAtMs, state }: BackendServer) => id === server.id && startedAtMs === server.startedAtMs && state === ServerState.Ready
+  return isLeaving || !dependencies.fleet.getServers(server.serviceName).some(isReady)
+}
+
+/** Logs a response that has no length and whose connection ended with its server's process. */
+export function logUnconfirmedEnd (dependencies: CallDependencies, call: Call, server: BackendServer): void {
+  dependencies.metrics.countEvent(MetricEvent.UnconfirmedEnd)
+  dependencies.logger.info('A response without a length ended with its server, and counts as broken off.', {
+    requestId: call.clientInfo.requestId ?? '', serverId: server.id, startedAtMs: server.startedAtMs
+  })
+}
+
+/** The reason of an attempt whose response ended in that way. */
+export const unconfirmedEndReason = 'the server ended with the response'
+
 /** Logs how a call ended, in one line, and counts it. */
 export function recordOutcome (dependencies: CallDependencies, call: Call, outcome: CallOutcome, fields: LogFields): void {
   dependencies.metrics.countRequest(call.route.kind, outcome)
--- a/src/gateway/plain-attempt.ts
+++ b/src/gateway/plain-attempt.ts
@@ -2,7 +2,10 @@
 import type { BackendServer } from '../state/backend-server.js'
 import { RouteKind } from '../state/serving-config.js'
 import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
-import { buildBackendRequest, foreignResponseReason, getRemainingMs, isForeignResponse, isSuccess, promisesNotExecuted, readServerHead, type Call, type CallDependencies } from './call-context.js'
+import {
+  buildBackendRequest, foreignResponseReason, getRemainingMs, isEndPlanned, isForeignResponse, isSuccess, logUnconfirmedEnd, promisesNotExecuted, readServerHead,
+  unconfirmedEndReason, type Call, type CallDependencies
+} from './call-context.js'
 import type { ServerResponseInfo } from './wire-codec.js'
 
 export enum PlainResultKind {
@@ -87,6 +90,13 @@
     settle({ kind, reason })
   }
 
+  /** The connection may have ended with the process of the server, within the body. */
+  async function confirmEnd (responded: PlainResult, { statusCode }: ResponseHead): Promise<void> {
+    const isComplete = await guarded.confirmEnd(!isServerError(statusCode))
+    if (!isComplete) logUnconfirmedEnd(dependencies, call, server)
+    settle(isComplete ? responded : { kind: PlainResultKind.Lost, reason: unconfirmedEndReason })
+  }
+
   function onClientDisconnect (): void {
     // A request that must not be repeated is left to finish at the server.
     if (call.route.kind === RouteKind.Safe) abandon(PlainResultKind.ClientDisconnected, 'the client disconnected')
@@ -113,7 +123,13 @@
       if (size > maxResponseBytes) abandon(PlainResultKind.Lost, `the response is larger than ${maxResponseBytes} bytes`)
     },
     onEnd () {
-      settle(head === undefined || info === undefined ? { kind: PlainResultKind.Lost, reason: 'no response' } : classifyResponse(head, info, Buffer.concat(chunks)))
+      if (head === undefined || info === undefined) {
+        settle({ kind: PlainResultKind.Lost, reason: 'no response' })
+        return
+      }
+      const classified = classifyResponse(head, info, Buffer.concat(chunks))
+      if (classified.kind === PlainResultKind.Responded && head.endsWithConnection && !isEndPlanned(dependencies, server, info)) void confirmEnd(classified, head)
+      else settle(classified)
     },
     onFailure ({ kind, reason }) {
       hasConnectionEnded = kind === ExchangeFailureKind.Lost
--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -3,7 +3,10 @@
 import type { BackendServer } from '../state/backend-server.js'
 import type { Replica } from '../state/replica.js'
 import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
-import { buildBackendRequest, foreignResponseReason, isForeignResponse, isSuccess, readServerHead, type Call, type CallDependencies } from './call-context.js'
+import {
+  buildBackendRequest, foreignResponseReason, isEndPlanned, isForeignResponse, isSuccess, logUnconfirmedEnd, readServerHead, unconfirmedEndReason,
+  type Call, type CallDependencies
+} from './call-context.js'
 import type { ServerResponseInfo } from './wire-codec.js'
 
 /** Why an attempt at one replica ended before the end of the stream. The values are logged. */
@@ -170,12 +173,23 @@
       handleErrorResponse(true)
     } else if (framer.hasPartialEvent() || !hasEvents) {
       breakOff('the stream ended with an incomplete event or without any')
+    } else if (head.endsWithConnection && info !== undefined && !isEndPlanned(dependencies, leader, info)) {
+      void confirmEnd()
     } else if (end()) {
       guarded.complete()
       listener.onEnd()
     }
   }
 
+  /** The connection may have ended with the process of the server, between two events. */
+  async function confirmEnd (): Promise<void> {
+    const isComplete = await guarded.confirmEnd(true)
+    if (!isComplete) logUnconfirmedEnd(dependencies, call, leader)
+    if (!end()) return
+    if (isComplete) listener.onEnd()
+    else listener.onFailure({ kind: AttemptFailureKind.Lost, reason: unconfirmedEndReason })
+  }
+
   function handleErrorChunk (chunk: Buffer): void {
     errorBodyBytes += chunk.length
     if (errorBodyBytes > maxErrorBodyBytes) handleErrorResponse(false)
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -33,6 +33,8 @@
   ServerLeaving = 'server_leaving',
   /** A server sent a response that belongs to another request. */
   ForeignResponse = 'foreign_response',
+  /** A response without a length ended with its server's process. */
+  UnconfirmedEnd = 'unconfirmed_end',
   /** The store came back from an older copy. */
   StoreEraChange = 'store_era_change',
   /** A server ended under a request whose prompt has parts. Each request counts. */
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -25,6 +25,8 @@
   readonly statusMessage: string
   readonly rawHeaders: readonly string[]
   readonly headers: http.IncomingHttpHeaders
+  /** The end of the connection marks that of the response, which may be the end of the server's process instead. */
+  readonly endsWithConnection: boolean
 }
 
 /** Whether the request of a failed exchange may have reached the server. */
@@ -44,7 +46,7 @@
 export interface ExchangeListener {
   onHead (head: ResponseHead): void
   onData (chunk: Buffer): void
-  /** The complete response has arrived. */
+  /** The complete response has arrived, as far as its head tells. */
   onEnd (): void
   onFailure (failure: ExchangeFailure): void
 }
@@ -216,7 +218,8 @@
       statusCode: response.statusCode ?? 0,
       statusMessage: response.statusMessage ?? '',
       rawHeaders: response.rawHeaders,
-      headers: response.headers
+      headers: response.headers,
+      endsWithConnection: isCloseDelimited(response)
     })
     response.on('data', (chunk: Buffer) => {
       deliveredByteCount += chunk.length
