Lift a refuted entry of the quarantine at all gateways, and let it not come back

Cause: an entry that a served request refutes before the gateway's view shows it came back with the next view, since the release was forgotten; the gateway that had made it wrote it again if it was removed between two of its views; the others refused until their views showed the removal.

Change: a refuted entry is ignored for 3 s and removed once the view shows it; a maker whose view is newer than its write takes a missing entry for removed; the gateway that serves a request with the parts of an entry tells the others.

--- a/src/coordination/quarantine/prompt-guard.ts
+++ b/src/coordination/quarantine/prompt-guard.ts
@@ -50,8 +50,8 @@
   sendMessage (message: PromptMessage): void
   /** Called with each entry that this gateway makes. */
   onEntry (entry: QuarantineEntry): void
-  /** Called when a request was served although it has the parts of the entry. */
-  onRefuted (entry: QuarantineEntry): void
+  /** Called when a request was served, here or at another gateway, although it has the parts of the entry. */
+  onRefuted (entry: QuarantineEntry, isServedHere: boolean): void
 }
 
 /** Messages on crashes are sent twice, since datagrams are lost occasionally. */
@@ -132,7 +132,20 @@
 
   function recordCompletion (partIds: readonly string[]): void {
     announceCleared(quarantine.recordCompletion(partIds, timers.nowMs()), true)
-    for (const entry of quarantine.findEntries(partIds)) onRefuted(entry)
+    for (const entry of quarantine.findEntries(partIds)) {
+      sendMessage({ kind: PromptMessageKind.Cleared, partIds: [...entry.partIds], isCompletion: true })
+      onRefuted(entry, true)
+    }
+  }
+
+  function applyCleared (partIds: readonly string[], isCompletion: boolean): void {
+    for (const partId of partIds) sharedPartIds.delete(partId)
+    if (!isCompletion) {
+      quarantine.recordProgress(partIds)
+      return
+    }
+    quarantine.recordCompletion(partIds, timers.nowMs())
+    for (const entry of quarantine.findEntries(partIds)) onRefuted(entry, false)
   }
 
   return {
@@ -215,9 +228,7 @@
           quarantine.recordTrial(message.partIds, nowMs)
           return
         case PromptMessageKind.Cleared:
-          for (const partId of message.partIds) sharedPartIds.delete(partId)
-          if (message.isCompletion) quarantine.recordCompletion(message.partIds, nowMs)
-          else quarantine.recordProgress(message.partIds)
+          applyCleared(message.partIds, message.isCompletion)
           return
         case PromptMessageKind.Quarantine:
           if (quarantine.add({ partIds: message.partIds, probeCount: message.probeCount }, nowMs)) reportEntry(message, 'another gateway')
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -155,7 +155,7 @@
     isListening: createListeningCheck(timers),
     sendMessage: message => loadSharing.sendPromptMessage(message),
     onEntry: entry => quarantineStore.publish(entry),
-    onRefuted: entry => quarantineStore.release(entry)
+    onRefuted: (entry, isServedHere) => quarantineStore.release(entry, isServedHere)
   })
   const quarantineStore = createQuarantineStore({
     store,
@@ -166,6 +166,7 @@
     guard: promptGuard,
     listStored: fleet.listGatewayEntries,
     isPlanner,
+    getViewAgeMs: fleet.getViewAgeMs,
     countGateways: presence.countGateways,
     announce: entry => loadSharing.sendPromptMessage({ kind: PromptMessageKind.Quarantine, partIds: [...entry.partIds], probeCount: entry.probeCount })
   })
