Let only a response of success clear prompt parts and lift entries

What callers would see: requests with a quarantined part go to servers again after a plain call in flight with it got an error of the client (BUDGET).

Cause: every whole plain response below 500 counted as served, a 404 too.

Failing before: plain-prompts.test.ts "stay refused when a request in flight gets an error of the client": 404 in place of 503. After: passes.

--- a/src/gateway/plain-attempt.ts
+++ b/src/gateway/plain-attempt.ts
@@ -78,7 +78,7 @@
     timeout.cancel()
     call.response.off('close', onClientDisconnect)
     recordScore(settled)
-    if (settled.kind === PlainResultKind.Responded && !isServerError(settled.head.statusCode)) guarded.complete()
+    if (settled.kind === PlainResultKind.Responded && isSuccess(settled.head.statusCode)) guarded.complete()
     else if (hasConnectionEnded) guarded.recordLoss(false)
     else guarded.end()
     resolveResult(settled)
@@ -92,7 +92,7 @@
 
   /** The connection may have ended with the process of the server, within the body. */
   async function confirmEnd (responded: PlainResult, { statusCode }: ResponseHead): Promise<void> {
-    const isComplete = await guarded.confirmEnd(!isServerError(statusCode))
+    const isComplete = await guarded.confirmEnd(isSuccess(statusCode))
     if (!isComplete) logUnconfirmedEnd(dependencies, call, server)
     settle(isComplete ? responded : { kind: PlainResultKind.Lost, reason: unconfirmedEndReason })
   }
