Count a server that ends within the response to a plain call as an early crash

What callers would see: six servers end under plain calls with one part before such calls are refused, where the rule counts arrivals after the fifth (BUDGET).

Cause: plain calls reported each loss as one before the head of the response.

Failing before: plain-prompts.test.ts "come into quarantine after three servers that ended within the response": 502 in place of 503. After: passes. A first form with responses without a length passed before the change, as the confirmation of their end counts early; the test uses chunks.

--- a/src/gateway/plain-attempt.ts
+++ b/src/gateway/plain-attempt.ts
@@ -79,7 +79,7 @@
     call.response.off('close', onClientDisconnect)
     recordScore(settled)
     if (settled.kind === PlainResultKind.Responded && isSuccess(settled.head.statusCode)) guarded.complete()
-    else if (hasConnectionEnded) guarded.recordLoss(false)
+    else if (hasConnectionEnded) guarded.recordLoss(head !== undefined)
     else guarded.end()
     resolveResult(settled)
   }
