--- a/src/coordination/quarantine/prompt-guard.ts
+++ b/src/coordination/quarantine/prompt-guard.ts
@@ -59,7 +59,7 @@
 /** Bounds the parts whose clearing is announced. */
 const maxSharedPartCount = 2000
 /** A process that writes the first event and ends has made no progress. */
-const progressDelayMs = 50
+const progressDelayMs = 20
 
 /** Creates the guard with no part under suspicion. */
 export function createPromptGuard ({ timers, logger, metrics, isListening, sendMessage, onEntry, onRefuted }: PromptGuardOptions): PromptGuard {
