Quarantine a part after five crashes at any point of the responses

What callers would see: servers that end before a head or well after the first event end six times in a row before their part is refused, where the rule counts arrivals after the fifth (BUDGET).

Ruled out: four.

Failing before: crash-evidence.test.ts "is at fault after five crashes at any point of the responses": 6 in place of at most 5. After: the quarantine's 58 unit tests and the 13 of the simulated fleet pass.

Open, in the design note: crashes before a verdict are in memory only, so that restarts of all gateways between them count from the beginning.

--- a/src/coordination/quarantine/crash-evidence.test.ts
+++ b/src/coordination/quarantine/crash-evidence.test.ts
@@ -28,7 +28,9 @@
       expect(recordCrashes(evidence, 1, { fromMs: 9000 })).to.deep.equal(['p'])
     })
 
-    it('is at fault after six crashes at any point of the responses', () => {
+    // Guards against a verdict behind the fifth crash, from which on only a few requests may arrive at servers (BUDGET).
+    it('is at fault after five crashes at any point of the responses', () => {
+      expect(faultCrashCount).to.be.at.most(5)
       expect(recordCrashes(evidence, faultCrashCount - 1, { isEarly: false })).to.deep.equal([])
       expect(recordCrashes(evidence, 1, { isEarly: false, fromMs: 9000 })).to.deep.equal(['p'])
     })
--- a/src/coordination/quarantine/crash-evidence.ts
+++ b/src/coordination/quarantine/crash-evidence.ts
@@ -47,7 +47,7 @@
 /** Servers that end in a row, before the first event, under one part. */
 export const faultEarlyCrashCount = 3
 /** The same for crashes at any point of a response, under which most streams of the server are. */
-export const faultCrashCount = 6
+export const faultCrashCount = 5
 /** Crashes at any point after which requests with the part go to servers one at a time. */
 const suspectCrashCount = 4
 /** Servers that end within this time end together, unless the request was sent after the first of them ended. */
