--- a/src/fuzz/quarantine-fleet.test.ts
+++ b/src/fuzz/quarantine-fleet.test.ts
@@ -27,4 +27,17 @@
       }
     }).timeout(120_000)
   }
+
+  // Guards against sound parts that stay refused beside a part at fault when gateways learn of crashes late (LOST).
+  for (const [faultRate, gatewayCount] of [[0.5, 8], [2, 40], [4, 8]] as const) {
+    it(`keeps serving sound requests beside it when checks and messages are slow, ${faultRate} a second at ${gatewayCount} gateways`, async () => {
+      for (const seed of seeds) {
+        const { requestCount, soundRefusedCount, lateFaultArrivalCount } = await playQuarantineFleet({
+          seed, trouble: FleetTrouble.None, gatewayCount, durationMs, sessionRates, faultRate, maxCheckMs: 300, maxMessageDelayMs: 60
+        })
+        expect(soundRefusedCount / requestCount, `seed ${seed}`).to.be.lessThan(0.01)
+        expect(lateFaultArrivalCount, `seed ${seed}`).to.be.at.most(3)
+      }
+    }).timeout(120_000)
+  }
 })
