Complete a stream to which another server has nothing to add after an unconfirmed end

What callers would see: a stream without a length whose events have all arrived breaks off, since its server ends by chance within 100 ms after it (LOST).

Change: after an end that was not confirmed, a complete response without any more events completes the stream.

Failing before: broken-streams.test.ts "is complete when another server has nothing to add after its last event": isWhole false. After: the five tests on responses without a length pass.

--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -22,6 +22,8 @@
 export interface AttemptFailure {
   readonly kind: AttemptFailureKind
   readonly reason: string
+  /** The response ended after a whole event, with the process of its server: nothing may be left of the stream. */
+  readonly isEndUnconfirmed?: boolean
   /** The server's whole response with another status than that of a stream, if it can be forwarded. */
   readonly errorResponse?: { readonly head: ResponseHead, readonly body: Buffer } | undefined
 }
@@ -40,6 +42,8 @@
   readonly leader: BackendServer
   /** ID of the last event that the client has been sent; it changes while other attempts of the call run. */
   getLastEventId (): string | undefined
+  /** The last event may be the end of the stream, so that a response without any more events completes it. */
+  mayBeComplete (): boolean
 }
 
 /** An attempt in progress. */
@@ -67,7 +71,7 @@
 /** Sends the call to the replica's leader; a stream that may be resumed goes on after the call's last event. */
 export function startStreamAttempt (dependencies: CallDependencies, call: Call, options: StreamAttemptOptions, listener: StreamAttemptListener): StreamAttempt {
   const { timers, loads } = dependencies
-  const { replica, leader, getLastEventId } = options
+  const { replica, leader, getLastEventId, mayBeComplete } = options
   const framer = createSseFramer({ maxEventBytes })
   const guarded = dependencies.promptGuard.begin(call.clientInfo.sharedPartIds, leader)
   const errorBody: Buffer[] = []
@@ -171,7 +175,7 @@
   function handleEnd (): void {
     if (head === undefined || head.statusCode !== successStatus) {
       handleErrorResponse(true)
-    } else if (framer.hasPartialEvent() || !hasEvents) {
+    } else if (framer.hasPartialEvent() || (!hasEvents && !mayBeComplete())) {
       breakOff('the stream ended with an incomplete event or without any')
     } else if (head.endsWithConnection && info !== undefined && !isEndPlanned(dependencies, leader, info)) {
       void confirmEnd()
@@ -187,7 +191,7 @@
     if (!isComplete) logUnconfirmedEnd(dependencies, call, leader)
     if (!end()) return
     if (isComplete) listener.onEnd()
-    else listener.onFailure({ kind: AttemptFailureKind.Lost, reason: unconfirmedEndReason })
+    else listener.onFailure({ kind: AttemptFailureKind.Lost, reason: unconfirmedEndReason, isEndUnconfirmed: true })
   }
 
   function handleErrorChunk (chunk: Buffer): void {
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -74,6 +74,7 @@
   /** When the last attempt in progress failed or was refused, since the last event. */
   let lostAtMs: number | undefined
   let isFinished = false
+  let mayBeComplete = false
   let lastFailure: AttemptFailure | undefined
   let lastEngine: EngineProfile | undefined
   retryBudget.recordRequest()
@@ -172,7 +173,7 @@
     // The budget allowed it just before.
     if (record.listReplicaIds().length > 0) retryBudget.trySpend()
     record.start(replica.id, leader)
-    const attempt = startStreamAttempt(dependencies, call, { replica, leader, getLastEventId: () => lastEventId }, {
+    const attempt = startStreamAttempt(dependencies, call, { replica, leader, getLastEventId: () => lastEventId, mayBeComplete: () => mayBeComplete }, {
       onEvent: (event, head) => forwardEvent(attempt, event, head),
       onEnd () {
         call.response.end()
@@ -190,6 +191,7 @@
     const hasWriteCapacity = call.response.write(event.bytes)
     eventCount += 1
     lastEventId = event.id ?? lastEventId
+    mayBeComplete = false
     lostAtMs = undefined
     isClientReading = hasWriteCapacity
     if (!hasWriteCapacity) attempt.pause()
@@ -220,6 +222,7 @@
   function handleFailure (attempt: StreamAttempt, failure: AttemptFailure): void {
     attempts.delete(attempt)
     lastFailure = failure
+    mayBeComplete ||= failure.isEndUnconfirmed === true
     if (failure.kind === AttemptFailureKind.NotExecuted) {
       record.refuse(attempt.replica.id, timers.nowMs())
     } else {
