Confirm the end of a stream without a length that adds no event, also at a server that leaves

Cause: a stream may be completed by a response without any more events since. At a server whose end is planned such a response was not confirmed, so that one that ends after the head could complete a stream that is not.

--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -177,7 +177,7 @@
       handleErrorResponse(true)
     } else if (framer.hasPartialEvent() || (!hasEvents && !mayBeComplete())) {
       breakOff('the stream ended with an incomplete event or without any')
-    } else if (head.endsWithConnection && info !== undefined && !isEndPlanned(dependencies, leader, info)) {
+    } else if (head.endsWithConnection && info !== undefined && (!hasEvents || !isEndPlanned(dependencies, leader, info))) {
       void confirmEnd()
     } else if (end()) {
       guarded.complete()
