Log and count the limits that servers state

Change: the codec reads the header, a record keeps the last statement of each server process, and three log lines and a gauge show when a limit is first heard, changes or ends, with the requests that this gateway sent meanwhile. No decision uses it. A response without a limit ends one only if its request was sent after the limit was heard: heads of streams may be older. What is not a decimal number is logged and leaves what was known; of several values the lowest holds.

--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
 import type { ServerHolds } from '../coordination/dispatch/server-holds.js'
+import { StatementSource, type ServerLimits } from '../coordination/limits/server-limits.js'
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
 import type { PromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
@@ -29,6 +30,7 @@
   readonly connections: BackendConnectionPool
   readonly scores: ServerScores
   readonly holds: ServerHolds
+  readonly limits: ServerLimits
   readonly promptGuard: PromptGuard
   readonly loads: ReplicaLoads
   readonly metrics: Metrics
@@ -93,6 +95,7 @@
   return notExecutedStatuses.includes(statusCode)
 }
 
+const misdirectedStatus = 421
 const notExecutedStatuses: readonly number[] = [408, 421, 429, 503]
 
 /** Whether the status is one of success; such a response is forwarded only with the stamp of its server. */
@@ -152,10 +155,10 @@
 }
 
 /**
- * Reads the headers of a server's response, and records what the server says of itself there: that it is leaving, or
- * that it wants no requests for some time.
+ * Reads the headers of a server's response, and records what the server says of itself there: that it is leaving, that it
+ * wants no requests for some time, or how many it takes. `sentAtMs` is when the request was sent.
  */
-export function readServerHead (dependencies: CallDependencies, server: BackendServer, head: ResponseHead): ServerResponseInfo {
+export function readServerHead (dependencies: CallDependencies, server: BackendServer, head: ResponseHead, sentAtMs: number): ServerResponseInfo {
   const response = dependencies.codec.readServerResponse(head.statusCode, head.headers)
   if (response.isLeaving) dependencies.noteLeaving(server)
   if (response.holdMs !== undefined) {
@@ -166,9 +169,27 @@
   if (response.invalidHold !== undefined) {
     dependencies.logger.warn('A server stated a time without requests that is not a number of seconds; it is ignored.', { serverId: server.id, value: response.invalidHold })
   }
+  recordLimit(dependencies, server, response, sentAtMs, isMisdirected(head.statusCode))
   return response
 }
 
+function recordLimit (dependencies: CallDependencies, server: BackendServer, { limitPerSecond, invalidLimit }: ServerResponseInfo, sentAtMs: number, isFromOther: boolean): void {
+  const { limits, timers } = dependencies
+  if (isFromOther) return
+  if (invalidLimit !== undefined) {
+    dependencies.logger.warn('A server stated a limit that is not a decimal number; what was known of it stays.', { serverId: server.id, value: invalidLimit })
+  } else if (limitPerSecond !== undefined) {
+    limits.record(server, limitPerSecond, timers.nowMs(), StatementSource.Response)
+  } else {
+    limits.recordEnd(server, sentAtMs, StatementSource.Response)
+  }
+}
+
+/** Whether another server than the expected one has responded. */
+function isMisdirected (statusCode: number): boolean {
+  return statusCode === misdirectedStatus
+}
+
 /** Whether the end of the server's process is planned, so that its last response may end with the process. */
 export function isEndPlanned (dependencies: CallDependencies, server: BackendServer, { isLeaving }: ServerResponseInfo): boolean {
   const isReady = ({ id, startedAtMs, state }: BackendServer) => id === server.id && startedAtMs === server.startedAtMs && state === ServerState.Ready
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import { computeConnectionLimit } from '../coordination/dispatch/connection-limit.js'
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
+import { createServerLimits } from '../coordination/limits/server-limits.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerControl } from '../coordination/ports/server-control.js'
@@ -79,6 +80,8 @@
 const incompleteLogLinesPerSecond = 20
 /** The same for the lines on prompts, of which a server that ends causes one for each suspicious request. */
 const quarantineLogLinesPerSecond = 20
+/** The same for the lines on limits that servers state. */
+const limitLogLinesPerSecond = 20
 const incompleteEvents = {
   [ConnectionEnd.Gateway]: MetricEvent.IncompleteByGateway,
   [ConnectionEnd.Client]: MetricEvent.IncompleteByClient,
@@ -170,6 +173,7 @@
     countGateways: presence.countGateways,
     announce: entry => loadSharing.sendPromptMessage({ kind: PromptMessageKind.Quarantine, partIds: [...entry.partIds], probeCount: entry.probeCount })
   })
+  const limits = createServerLimits({ timers, logger: createRateLimitedLogger(createLogger('limits'), timers, limitLogLinesPerSecond) })
   const retryBudgets = new Map<string, ServiceRetryBudget>()
   const dependencies: CallDependencies = {
     zone: settings.zone,
@@ -182,6 +186,7 @@
     connections: createBackendConnectionPool({ timers, maxIdleConnectionsPerServer }),
     scores: createServerScores(timers),
     holds: createServerHolds(timers),
+    limits,
     loads,
     promptGuard,
     metrics,
@@ -245,6 +250,7 @@
     metrics.setGauge(MetricGauge.CompleteGroupCount, countServingReplicas())
     metrics.setGauge(MetricGauge.QuarantineEntryCount, promptGuard.listEntries().length)
     metrics.setGauge(MetricGauge.SuspectPartCount, promptGuard.countSuspects())
+    metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
   }
 
--- a/src/gateway/plain-attempt.ts
+++ b/src/gateway/plain-attempt.ts
@@ -106,6 +106,7 @@
   const timeout = timers.subscribeOnce(timeoutMs, () => abandon(PlainResultKind.TimedOut, `no response within ${Math.round(timeoutMs)} ms`))
   call.response.on('close', onClientDisconnect)
   scores.beginRequest(server.id)
+  dependencies.limits.countRequest(server)
   const isDedicated = call.route.kind !== RouteKind.Safe
   const exchange = dependencies.connections.open(buildBackendRequest(dependencies, call, server, { isDedicated, lastEventId: call.clientInfo.lastEventId }), {
     onHead (received) {
@@ -115,7 +116,7 @@
         return
       }
       head = received
-      info = readServerHead(dependencies, server, received)
+      info = readServerHead(dependencies, server, received, sentAtMs)
     },
     onData (chunk) {
       size += chunk.length
--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -79,7 +79,8 @@
   let head: ResponseHead | undefined
   let info: ServerResponseInfo | undefined
   let hasEvents = false
-  let lastEventAtMs = timers.nowMs()
+  const sentAtMs = timers.nowMs()
+  let lastEventAtMs = sentAtMs
   let isCountedActive = false
   let isPaused = false
   let isEnded = false
@@ -137,7 +138,7 @@
       return
     }
     head = received
-    info = readServerHead(dependencies, leader, received)
+    info = readServerHead(dependencies, leader, received, sentAtMs)
     if (received.statusCode !== successStatus) return
     if (!info.isStamped || info.isEncoded) lose('the response has no server stamp, or a content encoding that was not requested')
   }
@@ -215,6 +216,7 @@
   }
 
   loads.beginStream(replica.id)
+  dependencies.limits.countRequest(leader)
   const exchange = dependencies.connections.open(buildBackendRequest(dependencies, call, leader, { isDedicated: !call.route.isResumable, lastEventId: getLastEventId() }), {
     onHead: handleHead,
     onData: handleData,
--- a/src/gateway/wire-codec.ts
+++ b/src/gateway/wire-codec.ts
@@ -45,6 +45,10 @@
   readonly holdMs: number | undefined
   /** The server's statement of that time when it can't be read. */
   readonly invalidHold: string | undefined
+  /** Requests a second that the server takes from all gateways together; undefined when it states none, or none that can be read. */
+  readonly limitPerSecond: number | undefined
+  /** The server's statement of that limit when it can't be read. */
+  readonly invalidLimit: string | undefined
 }
 
 /** Reads and writes the headers of the deployment's protocol. */
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -65,7 +65,9 @@
   /** Entries of the quarantine of prompts. */
   QuarantineEntryCount = 'quarantine_entry_count',
   /** Parts of prompts under suspicion. */
-  SuspectPartCount = 'suspect_part_count'
+  SuspectPartCount = 'suspect_part_count',
+  /** Backend servers that state a limit on their requests. */
+  LimitedServerCount = 'limited_server_count'
 }
 
 const microsecondsPerMillisecond = 1000
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -3,6 +3,7 @@
 
 import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
+import { createServerLimits } from '../coordination/limits/server-limits.js'
 import { createServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createPromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { Call, CallDependencies } from '../gateway/call-context.js'
@@ -131,6 +132,7 @@
     loads,
     streamTicker: createSharedTicker(timers, streamCheckIntervalMs),
     holds: createServerHolds(timers),
+    limits: createServerLimits({ timers, logger: silentLogger }),
     promptGuard,
     fleet: {
       getServers: listServers,
