Send servers that state a limit no more than it allows, over all gateways

Ruled out: second attempts (one of 4091 calls). Not taken: equal parts, as an uneven load leaves most of them unused. Change: three gateways a server, named by rendezvous hash, issue permits for a third of its limit each; a request to such a server uses one. Gateways ask when they have a request, keep a permit for 400 ms and return it unused. A choice prefers servers that may be sent a request; with none, a call waits up to two objectives, the most urgent first, or is refused with a true Retry-After. Statements and their ends are told onwards to four gateways each. A new issuer begins without permits; one wrong view adds a third at most.

--- a/src/coordination/dispatch/replica-choice.test.ts
+++ b/src/coordination/dispatch/replica-choice.test.ts
@@ -47,7 +47,7 @@
 
   function choose (servers: readonly BackendServer[], excluded: readonly string[] = [], maxOwnStreamCount = 50) {
     const replicas: Replica[] = listReplicas(servers, sampleEngine)
-    return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, maxLocalStreamCount: maxOwnStreamCount, excludedIds: new Set(excluded), getHoldMs: server => holdsMs.get(server.id) ?? 0 }, loads, random)
+    return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, maxLocalStreamCount: maxOwnStreamCount, excludedIds: new Set(excluded), getHoldMs: server => holdsMs.get(server.id) ?? 0, maySend: () => true }, loads, random)
   }
 
   it('skips a replica that lacks a member or is not open', () => {
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -19,6 +19,8 @@
   readonly mayBeStalled?: boolean
   /** Time for which the server wants no requests, in milliseconds; 0 when it takes them. */
   getHoldMs (server: BackendServer): number
+  /** Whether the limit that the server states, if any, lets a request be sent now. */
+  maySend (server: BackendServer): boolean
 }
 
 /** Result of the choice. */
@@ -28,6 +30,8 @@
   Full = 'full',
   /** Every replica that could serve the model wants no requests for some time. */
   Held = 'held',
+  /** Every replica that could take the stream has a leader whose limit lets no request be sent now. */
+  Limited = 'limited',
   /** No usable replica serves the model. */
   Absent = 'absent'
 }
@@ -35,7 +39,9 @@
 /** A chosen replica with its current stream count, or why there is none. Streams of all gateways are counted. */
 export type ReplicaChoice =
   /** `isHealthy`: the replica has a free slot and is not quiet. */
-  | { readonly kind: ReplicaChoiceKind.Chosen, readonly replica: Replica, readonly streamCount: number, readonly isHealthy: boolean }
+  | { readonly kind: ReplicaChoiceKind.Chosen, readonly replica: Replica, readonly streamCount: number, readonly isHealthy: boolean, readonly limitedLeaders: readonly BackendServer[] }
+  /** `limitedLeaders`: the leaders with free slots that may be sent no request now, the one with the lowest cost first. */
+  | { readonly kind: ReplicaChoiceKind.Limited, readonly limitedLeaders: readonly BackendServer[] }
   | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number }
   /** `holdMs`: the time after which the first of them takes requests. */
   | { readonly kind: ReplicaChoiceKind.Held, readonly holdMs: number }
@@ -78,12 +84,19 @@
   const free = rated.filter(candidate => candidate.streamCount < input.slotCount * (1 + maxQueuedFraction) &&
     loads.getLocalStreamCount(candidate.replica.id) < input.maxLocalStreamCount)
   if (free.length === 0) return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)) }
-  const steady = free.filter(candidate => candidate.isSteady && candidate.streamCount < input.slotCount)
+  const permitted = free.filter(({ replica: { leader } }) => leader === undefined || input.maySend(leader))
+  const limitedLeaders = permitted.length === free.length ? [] : listLeaders(free.filter(candidate => !permitted.includes(candidate)))
+  if (permitted.length === 0) return { kind: ReplicaChoiceKind.Limited, limitedLeaders }
+  const steady = permitted.filter(candidate => candidate.isSteady && candidate.streamCount < input.slotCount)
   const inSameZone = steady.filter(candidate => candidate.isInSameZone && candidate.streamCount < input.slotCount * sameZoneFillFraction)
   const preferred = inSameZone.length > 0 ? inSameZone : steady
-  const { replica, streamCount } = preferred.length > 0 ? pickFromSample(preferred, input.gatewayCount, random) : pickCheapest(free)
+  const { replica, streamCount } = preferred.length > 0 ? pickFromSample(preferred, input.gatewayCount, random) : pickCheapest(permitted)
   const isHealthy = streamCount < input.slotCount && !loads.isQuiet(replica.id)
-  return { kind: ReplicaChoiceKind.Chosen, replica, streamCount, isHealthy }
+  return { kind: ReplicaChoiceKind.Chosen, replica, streamCount, isHealthy, limitedLeaders }
+}
+
+function listLeaders (candidates: readonly RatedReplica[]): BackendServer[] {
+  return [...candidates].sort((left, right) => left.cost - right.cost).flatMap(({ replica: { leader } }) => leader ?? [])
 }
 
 function rate (replica: Replica, zone: string, loads: ReplicaLoads, random: RandomSource): RatedReplica {
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -3,6 +3,7 @@
 
 import type { ServerHolds } from '../coordination/dispatch/server-holds.js'
 import { StatementSource, type ServerLimits } from '../coordination/limits/server-limits.js'
+import type { ServerPermits } from '../coordination/limits/server-permits.js'
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
 import type { PromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
@@ -31,6 +32,7 @@
   readonly scores: ServerScores
   readonly holds: ServerHolds
   readonly limits: ServerLimits
+  readonly permits: ServerPermits
   readonly promptGuard: PromptGuard
   readonly loads: ReplicaLoads
   readonly metrics: Metrics
@@ -128,7 +130,7 @@
       remainingMs: getClientRemainingMs(dependencies, call),
       serverId: server.id,
       teamName: call.team?.name,
-      priority: call.team?.priority ?? call.route.priority,
+      priority: getPriority(call),
       lastEventId: options.lastEventId,
       bodyLength: call.body?.length
     }),
@@ -174,15 +176,40 @@
 }
 
 function recordLimit (dependencies: CallDependencies, server: BackendServer, { limitPerSecond, invalidLimit }: ServerResponseInfo, sentAtMs: number, isFromOther: boolean): void {
-  const { limits, timers } = dependencies
+  const { limits, permits, timers } = dependencies
   if (isFromOther) return
   if (invalidLimit !== undefined) {
     dependencies.logger.warn('A server stated a limit that is not a decimal number; what was known of it stays.', { serverId: server.id, value: invalidLimit })
-  } else if (limitPerSecond !== undefined) {
-    limits.record(server, limitPerSecond, timers.nowMs(), StatementSource.Response)
-  } else {
-    limits.recordEnd(server, sentAtMs, StatementSource.Response)
+    return
   }
+  const isNew = limitPerSecond === undefined
+    ? limits.recordEnd(server, sentAtMs, StatementSource.Response)
+    : limits.record(server, limitPerSecond, timers.nowMs(), StatementSource.Response)
+  if (isNew) permits.announce(server)
+}
+
+/** A call waits for a permit of a server with a limit for this many times its latency objective at most. */
+const permitWaitObjectiveCount = 2
+/** And for this fraction of the time that it has, so that its client can still turn to another gateway. */
+const permitWaitFraction = 1 / 3
+/** Servers that are asked for at the same moment for one call. */
+const maxRequestedServerCount = 2
+
+/** Asks for permits of the first servers that may have some, and returns the time after which one of the servers may. */
+export function requestPermits ({ permits }: CallDependencies, servers: readonly BackendServer[]): number {
+  for (const server of servers.filter(candidate => permits.getWaitMs(candidate) === 0).slice(0, maxRequestedServerCount)) permits.request(server)
+  return servers.length === 0 ? 0 : Math.min(...servers.map(permits.getWaitMs))
+}
+
+/** Whether a call that has not been sent may wait for a permit that is not to be had before `unavailableMs`. */
+export function mayWaitForPermit ({ timers }: CallDependencies, { arrivedAtMs, deadlineAtMs, route }: Call, unavailableMs: number): boolean {
+  const maxWaitMs = Math.min(permitWaitObjectiveCount * route.objectiveMs, (deadlineAtMs - arrivedAtMs) * permitWaitFraction)
+  return timers.nowMs() + unavailableMs < arrivedAtMs + maxWaitMs
+}
+
+/** 0 is the most urgent. */
+export function getPriority ({ team, route }: Call): number {
+  return team?.priority ?? route.priority
 }
 
 /** Whether another server than the expected one has responded. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerLimits } from '../coordination/limits/server-limits.js'
+import { createServerPermits } from '../coordination/limits/server-permits.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerControl } from '../coordination/ports/server-control.js'
@@ -95,6 +96,8 @@
   const random = createRandomSource(createProcessSeed())
   let { bounds } = settings
   let totalReportSequence = 0
+  let listedGateways: readonly ListedGateway[] = []
+  let gatewayIds: readonly string[] = []
   const metrics = createMetrics({ includesProcessMetrics: false })
   // The parts below refer to each other in closures, which run only after all parts have been created.
   const isPlanner = () => plannerLease.getFencingToken() !== undefined
@@ -174,6 +177,15 @@
     announce: entry => loadSharing.sendPromptMessage({ kind: PromptMessageKind.Quarantine, partIds: [...entry.partIds], probeCount: entry.probeCount })
   })
   const limits = createServerLimits({ timers, logger: createRateLimitedLogger(createLogger('limits'), timers, limitLogLinesPerSecond) })
+  const permits = createServerPermits({
+    nodeId: settings.nodeId,
+    timers,
+    random,
+    limits,
+    listGatewayIds,
+    countGateways: presence.countGateways,
+    send: (message, nodeId) => loadSharing.sendLimitMessage(message, nodeId)
+  })
   const retryBudgets = new Map<string, ServiceRetryBudget>()
   const dependencies: CallDependencies = {
     zone: settings.zone,
@@ -187,6 +199,7 @@
     scores: createServerScores(timers),
     holds: createServerHolds(timers),
     limits,
+    permits,
     loads,
     promptGuard,
     metrics,
@@ -215,6 +228,7 @@
     onLeavingServer: (serverId, startedAtMs) => { fleet.markLeaving(serverId, startedAtMs) },
     onDeliveryAnswer: inquiries.applyAnswer,
     onPromptMessage: promptGuard.applyMessage,
+    onLimitMessage: permits.applyMessage,
     onSuspectReplica: replicaId => planner.checkReplica(replicaId)
   })
   const incompleteLogger = createRateLimitedLogger(createLogger('connections'), timers, incompleteLogLinesPerSecond)
@@ -250,6 +264,7 @@
     metrics.setGauge(MetricGauge.CompleteGroupCount, countServingReplicas())
     metrics.setGauge(MetricGauge.QuarantineEntryCount, promptGuard.listEntries().length)
     metrics.setGauge(MetricGauge.SuspectPartCount, promptGuard.countSuspects())
+    metrics.setGauge(MetricGauge.IssuedLimitPerSecond, permits.getIssuedPerSecond())
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
   }
@@ -278,6 +293,16 @@
     return toAddresses(relayPlans.listRelays())
   }
 
+  /** Returns the same array until the list of gateways changes. */
+  function listGatewayIds (): readonly string[] {
+    const gateways = presence.listGateways()
+    if (gateways !== listedGateways) {
+      listedGateways = gateways
+      gatewayIds = gateways.map(gateway => gateway.nodeId)
+    }
+    return gatewayIds
+  }
+
   /** Returns the addresses of the other gateways in the list. */
   function toAddresses (gateways: readonly ListedGateway[]): NetworkAddress[] {
     return gateways.filter(gateway => gateway.nodeId !== settings.nodeId).flatMap(gateway => parseAddress(gateway.address) ?? [])
--- a/src/gateway/load-sharing.test.ts
+++ b/src/gateway/load-sharing.test.ts
@@ -22,6 +22,7 @@
   onLeavingServer () {},
   onDeliveryAnswer () {},
   onPromptMessage () {},
+  onLimitMessage () {},
   onSuspectReplica () {}
 }
 
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -6,6 +6,7 @@
 import type { DeliveryAnswer, DeliveryInquiry } from '../coordination/replicas/delivery-inquiries.js'
 import type { Logger } from '../observability/log.js'
 import { DeliveryMessageKind, type DeliveryMessage } from '../protocol/delivery-messages.js'
+import type { LimitMessage } from '../protocol/limit-messages.js'
 import type { PromptMessage } from '../protocol/prompt-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import type { RandomSource } from '../shared/random-source.js'
@@ -35,6 +36,8 @@
   onDeliveryAnswer (answer: DeliveryAnswer): void
   /** Called when another gateway tells something of the parts of prompts. */
   onPromptMessage (message: PromptMessage): void
+  /** Called when another gateway tells something of the limits of servers, or asks for permits. */
+  onLimitMessage (message: LimitMessage): void
   /** Called when a replica is quiet here, or when another gateway reports it as quiet or stalled. */
   onSuspectReplica (replicaId: string): void
 }
@@ -80,6 +83,7 @@
     },
     onDeliveryMessage: handleDeliveryMessage,
     onPromptMessage: options.onPromptMessage,
+    onLimitMessage: options.onLimitMessage,
     onError: reason => logger.debug('A load report could not be sent or decoded.', { reason })
   })
 
@@ -152,6 +156,11 @@
     sendInquiries (inquiries: readonly DeliveryInquiry[]): void {
       reportSocket.sendDeliveryMessage({ kind: DeliveryMessageKind.Inquiry, nodeId: settings.nodeId, inquiries }, listAskedGateways())
     },
+    /** Tells one other gateway something of the limits of servers. */
+    sendLimitMessage (message: LimitMessage, nodeId: string): void {
+      const address = options.findAddress(nodeId)
+      if (address !== undefined) reportSocket.sendLimitMessage(message, [address])
+    },
     /** Tells all other gateways something of the parts of prompts. */
     sendPromptMessage (message: PromptMessage): void {
       reportSocket.sendPromptMessage(message, options.listGatewayAddresses())
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -9,7 +9,9 @@
 import type { ResponseHead } from '../transport/backend-connection-pool.js'
 import { isServerError, PlainResultKind, startPlainAttempt, type PlainAttempt, type PlainResult } from './plain-attempt.js'
 import { filterResponseHeaders } from './response-headers.js'
-import { sendGatewayResponse, CallOutcome, getRemainingMs, recordOutcome, type Call, type CallDependencies } from './call-context.js'
+import {
+  CallOutcome, getPriority, getRemainingMs, mayWaitForPermit, recordOutcome, requestPermits, sendGatewayResponse, type Call, type CallDependencies
+} from './call-context.js'
 
 /** A server that has not responded after this many times the route's latency objective counts as silent. */
 const silenceObjectiveFactor = 1.5
@@ -20,6 +22,10 @@
 /** Shortest Retry-After of a refused request: a few times the usual processing time, after which a server may have capacity. */
 const minPlainRetryAfterMs = 150
 const plainRetryAfterSpreadMs = 350
+/** A call that waits for a permit also looks again after this time, since a server may have come that states no limit. */
+const permitCheckIntervalMs = 50
+
+const limitReason = 'all servers have got the requests that their limits allow'
 
 interface EndedAttempt {
   readonly attempt: PlainAttempt
@@ -38,6 +44,8 @@
   const isRepeatable = call.route.kind === RouteKind.Safe
   const silenceMs = Math.max(minSilenceMs, call.route.objectiveMs * silenceObjectiveFactor)
   let silentAtMs = Infinity
+  /** Set when only servers with a limit were left, which may not be sent a request now: the time after which one may. */
+  let permitWaitMs: number | undefined
   let possibleExecutionCount = 0
   let notExecutedCount = 0
   let lastFailure: EndedAttempt | undefined
@@ -56,8 +64,13 @@
   /** Starts an attempt where that is allowed, and returns it. */
   function startAttempt (): PlainAttempt | undefined {
     if (!mayStartAttempt()) return undefined
-    const server = chooseServer(dependencies, call, triedServerIds)
+    const { server, limitedServers } = chooseServer(dependencies, call, triedServerIds)
+    permitWaitMs = server === undefined && limitedServers.length > 0 ? requestPermits(dependencies, limitedServers) : undefined
     if (server === undefined || (triedServerIds.size > 0 && !retryBudget.trySpend())) return undefined
+    // Permits that arrive later serve the next calls.
+    requestPermits(dependencies, limitedServers.slice(0, 1))
+    if (limitedServers.length > 0) dependencies.metrics.countEvent(MetricEvent.LimitedElsewhere)
+    dependencies.permits.take(server)
     triedServerIds.add(server.id)
     const attempt = startPlainAttempt(dependencies, call, server)
     running.add(attempt)
@@ -90,8 +103,17 @@
     if (kind !== PlainResultKind.TimedOut) startAttempt()
   }
 
+  function mayWait (): boolean {
+    return permitWaitMs !== undefined && running.size === 0 && possibleExecutionCount === 0 && mayStartAttempt() && mayWaitForPermit(dependencies, call, permitWaitMs)
+  }
+
   startAttempt()
-  while (running.size > 0) {
+  while (running.size > 0 || mayWait()) {
+    if (running.size === 0) {
+      await waitForPermit(dependencies, call)
+      startAttempt()
+      continue
+    }
     const ended = await waitForEnd(timers, running, silentAtMs - timers.nowMs())
     if (ended === undefined) {
       handleSilence()
@@ -110,7 +132,20 @@
     }
     handleFailure(ended)
   }
-  finishWithoutSuccess(dependencies, call, { possibleExecutionCount, lastFailure, triedServerIds, admission })
+  finishWithoutSuccess(dependencies, call, { possibleExecutionCount, lastFailure, triedServerIds, admission, permitWaitMs })
+}
+
+/** Waits until a permit may have arrived. */
+function waitForPermit ({ permits, timers }: CallDependencies, call: Call): Promise<void> {
+  return new Promise(resolve => {
+    const end = () => {
+      timer.cancel()
+      unsubscribe()
+      resolve()
+    }
+    const timer = timers.subscribeOnce(permitCheckIntervalMs, end)
+    const unsubscribe = permits.subscribe({ priority: getPriority(call), arrivedAtMs: call.arrivedAtMs, wake: end })
+  })
 }
 
 /** Waits until one of the attempts has ended; returns undefined if none has within the time. */
@@ -132,10 +167,12 @@
   readonly triedServerIds: ReadonlySet<string>
   /** The last answer to whether the call may go to a server. */
   readonly admission: Admission
+  /** Time after which a server with a limit may take the call; undefined when limits were not the reason. */
+  readonly permitWaitMs: number | undefined
 }
 
 /** Ends the call after the last attempt: forwards a server's error response, or responds with 502, 503 or 504. */
-function finishWithoutSuccess (dependencies: CallDependencies, call: Call, { possibleExecutionCount, lastFailure, triedServerIds, admission }: UnsuccessfulEnd): void {
+function finishWithoutSuccess (dependencies: CallDependencies, call: Call, { possibleExecutionCount, lastFailure, triedServerIds, admission, permitWaitMs }: UnsuccessfulEnd): void {
   const fields = { serverIds: [...triedServerIds].join(' '), ranCount: possibleExecutionCount }
   const result = lastFailure?.result
   if (lastFailure !== undefined && result?.kind === PlainResultKind.Responded) {
@@ -146,9 +183,11 @@
     const isAdmitted = admission.kind === AdmissionKind.Admitted
     const explanation = isAdmitted ? undefined : describeAdmission(admission)
     if (!isAdmitted) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
-    const minRetryAfterMs = Math.max(minPlainRetryAfterMs, getShortestHoldMs(dependencies, call.serviceName), isAdmitted ? 0 : admission.waitMs)
+    if (permitWaitMs !== undefined) dependencies.metrics.countEvent(MetricEvent.LimitRefused)
+    const reason = explanation ?? (permitWaitMs === undefined ? undefined : limitReason)
+    const minRetryAfterMs = Math.max(minPlainRetryAfterMs, getShortestHoldMs(dependencies, call.serviceName), permitWaitMs ?? 0, isAdmitted ? 0 : admission.waitMs)
     const retryAfterMs = Math.round(minRetryAfterMs + plainRetryAfterSpreadMs * dependencies.random.nextFloat())
-    recordOutcome(dependencies, call, CallOutcome.Refused, { ...fields, retryAfterMs, ...(explanation === undefined ? {} : { reason: explanation }) })
+    recordOutcome(dependencies, call, CallOutcome.Refused, { ...fields, retryAfterMs, ...(reason === undefined ? {} : { reason }) })
     sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, retryAfterMs, explanation)
     return
   }
@@ -174,18 +213,22 @@
   return holdsMs.length === 0 ? 0 : Math.min(...holdsMs)
 }
 
-function chooseServer (dependencies: CallDependencies, call: Call, triedServerIds: ReadonlySet<string>): BackendServer | undefined {
-  let best: BackendServer | undefined
-  let bestCost = Infinity
+/** The server for one more attempt, and those that could take it but for the limits that they state, the cheapest first. */
+interface ServerChoice {
+  readonly server: BackendServer | undefined
+  readonly limitedServers: readonly BackendServer[]
+}
+
+function chooseServer (dependencies: CallDependencies, call: Call, triedServerIds: ReadonlySet<string>): ServerChoice {
+  const candidates: Array<{ readonly server: BackendServer, readonly cost: number }> = []
   const maxInFlightCount = dependencies.getConnectionLimit(call.serviceName)
   for (const server of dependencies.fleet.getServers(call.serviceName)) {
     if (server.state !== ServerState.Ready || triedServerIds.has(server.id)) continue
     if (dependencies.scores.countInFlight(server.id) >= maxInFlightCount || dependencies.holds.getRemainingMs(server) > 0) continue
     // The random part, below 1 ms, breaks ties.
     const cost = dependencies.scores.getCost(server.id) + (server.zone === dependencies.zone ? 0 : crossZoneCostMs) + dependencies.random.nextFloat()
-    if (cost >= bestCost) continue
-    best = server
-    bestCost = cost
+    candidates.push({ server, cost })
   }
-  return best
+  const sorted = candidates.sort((left, right) => left.cost - right.cost).map(candidate => candidate.server)
+  return { server: sorted.find(dependencies.permits.maySend), limitedServers: sorted.filter(server => !dependencies.permits.maySend(server)) }
 }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -17,7 +17,9 @@
 import { breakOffResponse } from './break-off-response.js'
 import { filterResponseHeaders } from './response-headers.js'
 import type { ReplicatedService } from './fleet-view.js'
-import { sendGatewayResponse, CallOutcome, getRemainingMs, promisesNotExecuted, recordOutcome, type Call, type CallDependencies } from './call-context.js'
+import {
+  CallOutcome, getPriority, getRemainingMs, mayWaitForPermit, promisesNotExecuted, recordOutcome, requestPermits, sendGatewayResponse, type Call, type CallDependencies
+} from './call-context.js'
 import { AttemptFailureKind, startStreamAttempt, type AttemptFailure, type StreamAttempt } from './stream-attempt.js'
 
 /** The replica for one more attempt, or why there is none. */
@@ -39,6 +41,8 @@
   readonly unavailableMs: number
   /** What the client is told when the call is refused. */
   readonly explanation?: string
+  /** A permit of a server that states a limit may let the call go on. */
+  readonly waitsForPermit?: boolean
 }
 
 /** Interval of the checks of all streams. */
@@ -50,6 +54,7 @@
   switch (choice.kind) {
     case ReplicaChoiceKind.Full: return `all replicas are full; the least loaded has ${choice.streamCount} streams`
     case ReplicaChoiceKind.Held: return `all replicas want no requests; the first for ${Math.round(choice.holdMs)} ms more`
+    case ReplicaChoiceKind.Limited: return 'all replicas with free slots have got the requests that their limits allow'
     case ReplicaChoiceKind.Absent: return `no ${isFirst ? '' : 'other '}replica of the service serves the model`
   }
 }
@@ -76,6 +81,7 @@
   let isFinished = false
   let mayBeComplete = false
   let lastFailure: AttemptFailure | undefined
+  let stopWaiting: (() => void) | undefined
   let lastEngine: EngineProfile | undefined
   retryBudget.recordRequest()
 
@@ -83,6 +89,7 @@
     if (isFinished) return
     isFinished = true
     checkTimer.cancel()
+    endWait()
     call.response.off('close', onClientDisconnect)
     call.response.off('drain', resumeAttempts)
     abortAttempts()
@@ -119,7 +126,8 @@
       zone: dependencies.zone,
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
-      getHoldMs: dependencies.holds.getRemainingMs
+      getHoldMs: dependencies.holds.getRemainingMs,
+      maySend: dependencies.permits.maySend
     }
     const excludedIds = record.listExcludedIds(timers.nowMs())
     const choice: ReplicaChoice = scope === AttemptScope.AnyServer
@@ -160,11 +168,18 @@
     const isFirst = record.listReplicaIds().length === 0
     if (!isFirst && !retryBudget.canSpend()) return { isAllowed: false, isFinal: false, reason: 'the retry budget is used up', unavailableMs: 0 }
     const choice = chooseNextReplica(scope)
+    if (choice.kind === ReplicaChoiceKind.Limited) {
+      const unavailableMs = requestPermits(dependencies, choice.limitedLeaders)
+      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs, waitsForPermit: true }
+    }
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
       return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
     }
     const { replica, isHealthy } = choice
     const { leader } = replica
+    // Permits that arrive later serve the next calls.
+    requestPermits(dependencies, choice.limitedLeaders.slice(0, 1))
+    if (choice.limitedLeaders.length > 0) dependencies.metrics.countEvent(MetricEvent.LimitedElsewhere)
     if (leader === undefined) return { isAllowed: false, isFinal: false, reason: 'the replica has no leader', unavailableMs: 0 }
     return { isAllowed: true, replica, leader, isHealthy }
   }
@@ -172,6 +187,8 @@
   function startAttempt ({ replica, leader }: AllowedAttempt): void {
     // The budget allowed it just before.
     if (record.listReplicaIds().length > 0) retryBudget.trySpend()
+    dependencies.permits.take(leader)
+    endWait()
     record.start(replica.id, leader)
     const attempt = startStreamAttempt(dependencies, call, { replica, leader, getLastEventId: () => lastEventId, mayBeComplete: () => mayBeComplete }, {
       onEvent: (event, head) => forwardEvent(attempt, event, head),
@@ -246,20 +263,35 @@
   }
 
   /** Starts an attempt, since none is left; waits for a replica when none can take the stream now. */
-  function resumeOrFinish (failure: AttemptFailure, next: NextAttempt): void {
+  function resumeOrFinish (failure: AttemptFailure | undefined, next: NextAttempt): void {
     if (next.isAllowed) startAttempt(next)
-    else if (!mayWait(next)) finishFailed(failure, next)
+    else if (mayWait(next)) waitForPermit(next)
+    else if (failure === undefined) finishIncomplete(next.reason, next)
+    else finishFailed(failure, next)
+  }
+
+  function waitForPermit ({ waitsForPermit }: NoAttempt): void {
+    if (waitsForPermit === true) stopWaiting ??= dependencies.permits.subscribe({ priority: getPriority(call), arrivedAtMs: call.arrivedAtMs, wake: checkWait })
+  }
+
+  function endWait (): void {
+    stopWaiting?.()
+    stopWaiting = undefined
   }
 
   /** Looks again for a replica of a stream that waits for one. */
-  function checkWait (failure: AttemptFailure): void {
+  function checkWait (): void {
+    if (isFinished || attempts.size > 0 || (!mayRepeat && record.listExecutions().length > 0)) return
+    const failure = lastFailure
     const next = findNextAttempt()
-    if (next.isAllowed) logLine('A stream goes on after a wait for a replica.', { group: next.replica.id, serverId: next.leader.id, waitedMs: Math.round(timers.nowMs() - (lostAtMs ?? previousEventAtMs)) })
+    if (next.isAllowed && failure !== undefined) logLine('A stream goes on after a wait for a replica.', { group: next.replica.id, serverId: next.leader.id, waitedMs: Math.round(timers.nowMs() - (lostAtMs ?? previousEventAtMs)) })
     resumeOrFinish(failure, next)
   }
 
   function mayWait (next: NoAttempt): boolean {
-    if (!mayRepeat || next.isFinal) return false
+    if (next.isFinal) return false
+    if (next.waitsForPermit === true && record.listExecutions().length === 0) return mayWaitForPermit(dependencies, call, next.unavailableMs)
+    if (!mayRepeat) return false
     if (!call.response.headersSent) return mayWaitForFirstEvent()
     return timers.nowMs() < getWaitEndMs({
       lostAtMs: lostAtMs ?? previousEventAtMs,
@@ -288,7 +320,7 @@
   }
 
   /** Ends the call without a complete stream. */
-  function finishIncomplete (reason: string, { unavailableMs, explanation }: Pick<NoAttempt, 'unavailableMs' | 'explanation'>): void {
+  function finishIncomplete (reason: string, { unavailableMs, explanation, waitsForPermit }: Omit<NoAttempt, 'isAllowed' | 'isFinal'>): void {
     if (call.response.headersSent) {
       finish(CallOutcome.Broken, reason)
       breakOffResponse(call.response)
@@ -296,6 +328,7 @@
     }
     if (record.listExecutions().length === 0) {
       finish(CallOutcome.Refused, reason)
+      if (waitsForPermit === true) dependencies.metrics.countEvent(MetricEvent.LimitRefused)
       if (explanation !== undefined) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
       sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs), explanation)
       return
@@ -313,9 +346,8 @@
       else sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 504)
       return
     }
-    if (!mayRepeat) return
-    if (attempts.size === 0 && lastFailure !== undefined) checkWait(lastFailure)
-    checkProgress()
+    checkWait()
+    if (mayRepeat) checkProgress()
   }
 
   /** Starts one more attempt when all those in progress are silent. */
@@ -348,7 +380,5 @@
   call.response.on('close', onClientDisconnect)
   call.response.on('drain', resumeAttempts)
   const checkTimer = dependencies.streamTicker.subscribe(checkDeadlines)
-  const first = findNextAttempt()
-  if (first.isAllowed) startAttempt(first)
-  else finishIncomplete(first.reason, first)
+  resumeOrFinish(undefined, findNextAttempt())
 }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -29,6 +29,10 @@
 export enum MetricEvent {
   /** A server asked for no requests for some time. */
   ServerHold = 'server_hold',
+  /** A request went to another server, since the limit of a server with free slots let none be sent there. */
+  LimitedElsewhere = 'limited_elsewhere',
+  /** A request was refused for the limits of all servers that could have taken it. */
+  LimitRefused = 'limit_refused',
   /** A server announced that it is leaving. */
   ServerLeaving = 'server_leaving',
   /** A server sent a response that belongs to another request. */
@@ -67,7 +71,9 @@
   /** Parts of prompts under suspicion. */
   SuspectPartCount = 'suspect_part_count',
   /** Backend servers that state a limit on their requests. */
-  LimitedServerCount = 'limited_server_count'
+  LimitedServerCount = 'limited_server_count',
+  /** Requests a second, over all servers with a limit, for which this gateway issues permits. */
+  IssuedLimitPerSecond = 'issued_limit_per_second'
 }
 
 const microsecondsPerMillisecond = 1000
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -4,6 +4,7 @@
 import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerLimits } from '../coordination/limits/server-limits.js'
+import { createServerPermits } from '../coordination/limits/server-permits.js'
 import { createServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createPromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { Call, CallDependencies } from '../gateway/call-context.js'
@@ -68,6 +69,7 @@
     onEntry () {},
     onRefuted () {}
   })
+  const limits = createServerLimits({ timers, logger: silentLogger })
   const listServers = () => [...servers.values()]
 
   const response = Object.assign(new EventEmitter(), {
@@ -132,7 +134,8 @@
     loads,
     streamTicker: createSharedTicker(timers, streamCheckIntervalMs),
     holds: createServerHolds(timers),
-    limits: createServerLimits({ timers, logger: silentLogger }),
+    limits,
+    permits: createServerPermits({ nodeId: 'n1', timers, random, limits, listGatewayIds: () => ['n1'], countGateways: () => 1, send () {} }),
     promptGuard,
     fleet: {
       getServers: listServers,
--- a/src/transport/load-report-socket.ts
+++ b/src/transport/load-report-socket.ts
@@ -2,6 +2,7 @@
 
 import type { LoadReport } from '../coordination/dispatch/replica-loads.js'
 import { decodeDeliveryMessage, encodeDeliveryMessage, type DeliveryMessage } from '../protocol/delivery-messages.js'
+import { decodeLimitMessage, encodeLimitMessage, type LimitMessage } from '../protocol/limit-messages.js'
 import { decodePromptMessage, encodePromptMessage, type PromptMessage } from '../protocol/prompt-messages.js'
 import { decodeLoadReport, encodeLoadReport } from '../protocol/relay-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
@@ -16,6 +17,8 @@
   sendDeliveryMessage (message: DeliveryMessage, peers: readonly NetworkAddress[]): void
   /** The same for a message about the parts of prompts. */
   sendPromptMessage (message: PromptMessage, peers: readonly NetworkAddress[]): void
+  /** The same for a message about the limits of servers. */
+  sendLimitMessage (message: LimitMessage, peers: readonly NetworkAddress[]): void
   stop (): void
 }
 
@@ -24,11 +27,12 @@
   onReport (report: LoadReport): void
   onDeliveryMessage (message: DeliveryMessage): void
   onPromptMessage (message: PromptMessage): void
+  onLimitMessage (message: LimitMessage): void
   onError (reason: string): void
 }
 
 /** Creates the socket, which `start` binds. */
-export function createLoadReportSocket ({ address, onReport, onDeliveryMessage, onPromptMessage, onError }: LoadReportSocketOptions): LoadReportSocket {
+export function createLoadReportSocket ({ address, onReport, onDeliveryMessage, onPromptMessage, onLimitMessage, onError }: LoadReportSocketOptions): LoadReportSocket {
   let socket: Socket | undefined
 
   function receive (bytes: Buffer): void {
@@ -36,9 +40,11 @@
     const report = decodeLoadReport(text)
     const message = report === undefined ? decodeDeliveryMessage(text) : undefined
     const promptMessage = report === undefined && message === undefined ? decodePromptMessage(text) : undefined
+    const limitMessage = report === undefined && message === undefined && promptMessage === undefined ? decodeLimitMessage(text) : undefined
     if (report !== undefined) onReport(report)
     else if (message !== undefined) onDeliveryMessage(message)
     else if (promptMessage !== undefined) onPromptMessage(promptMessage)
+    else if (limitMessage !== undefined) onLimitMessage(limitMessage)
     else onError('received a datagram of an unknown kind')
   }
 
@@ -65,6 +71,7 @@
     }),
     send: (report, peers) => sendText(encodeLoadReport(report), peers),
     sendDeliveryMessage: (message, peers) => sendText(encodeDeliveryMessage(message), peers),
+    sendLimitMessage: (message, peers) => sendText(encodeLimitMessage(message), peers),
     sendPromptMessage: (message, peers) => sendText(encodePromptMessage(message), peers),
     stop () {
       socket?.close()
