Use the whole limit of a server, and drop what was issued under a higher one

Ruled out: longer waits at the gateways, which change nothing while issuers lose permits. Change: issuers save 0.7 s, one to two permits at the least; notices go to one more than the logarithm of the gateways; a change drops permits in hand, a fall empties an issuer's store; an ask is tried three times; answers leave out what the asker knows.

--- a/src/bench/index.ts
+++ b/src/bench/index.ts
@@ -3,6 +3,7 @@
 import { runPathBenchmark } from './path-benchmark.js'
 import { runGroupsBenchmark } from './groups-benchmark.js'
 import { runGroupSlopesBenchmark } from './group-slopes-benchmark.js'
+import { runLimitsBenchmark } from './limits/limits-benchmark.js'
 import { runMembershipBenchmark } from './membership-benchmark.js'
 import { runPlacingBenchmark } from './placing/placing-benchmark.js'
 import { runServingSlopesBenchmark } from './serving/serving-slopes-benchmark.js'
@@ -15,6 +16,7 @@
   path: runPathBenchmark,
   'group-slopes': runGroupSlopesBenchmark,
   groups: runGroupsBenchmark,
+  limits: runLimitsBenchmark,
   membership: runMembershipBenchmark,
   orders: runOrdersBenchmark,
   placing: runPlacingBenchmark,
--- a/src/coordination/limits/permit-issuer.ts
+++ b/src/coordination/limits/permit-issuer.ts
@@ -36,6 +36,7 @@
   readonly server: ServerProcess
   tokenCount: number
   refilledAtMs: number
+  ratePerSecond: number
   readonly asks: DecayingCounter
   /** Mean time after which askers without a permit ask again. */
   askIntervalMs: number
@@ -43,11 +44,14 @@
 
 /** A server that states 0 or next to nothing gets this many requests a second, which show when it takes more again. */
 export const minLimitPerSecond = 0.25
-/** Permits that were not asked for can be saved up for this time; one permit in any case. */
-const saveMs = 250
+/** Permits that were not asked for can be saved up for this time. */
+const saveMs = 700
+/** And up to two in any case where the server takes this many requests a second; where it takes none, up to one. */
+const twoSavedLimitPerSecond = 4
 const millisecondsPerSecond = 1000
-/** Asks for each permit that is issued: with fewer, permits stay unused while clients wait. */
-const asksPerPermit = 3
+/** Asks for each permit that is issued. With fewer, permits beyond those that can be saved are lost while clients wait. */
+const asksPerPermit = 6
+const minAsksPerPermit = 1.5
 const askWindowMs = 2000
 const askIntervalStep = 1.1
 const maxAskIntervalMs = 60_000
@@ -70,13 +74,14 @@
   }
 
   function getCapacity (ratePerSecond: number): number {
-    return Math.max(1, ratePerSecond * saveMs / millisecondsPerSecond)
+    const limitPerSecond = ratePerSecond * countIssuers()
+    return Math.max(1 + Math.min(1, limitPerSecond / twoSavedLimitPerSecond), ratePerSecond * saveMs / millisecondsPerSecond)
   }
 
   function findBucket (server: ServerProcess): Bucket {
     const known = buckets.get(server.id)
     if (known?.server.startedAtMs === server.startedAtMs) return known
-    const created = { server, tokenCount: 0, refilledAtMs: timers.nowMs(), asks: createDecayingCounter(timers, askWindowMs), askIntervalMs: 0 }
+    const created = { server, tokenCount: 0, refilledAtMs: timers.nowMs(), ratePerSecond: getRate(server), asks: createDecayingCounter(timers, askWindowMs), askIntervalMs: 0 }
     buckets.set(server.id, created)
     return created
   }
@@ -85,16 +90,20 @@
     const ratePerSecond = getRate(bucket.server)
     const elapsedMs = timers.nowMs() - bucket.refilledAtMs
     bucket.refilledAtMs = timers.nowMs()
+    // Permits that were saved under a higher limit would be too many under this one.
+    if (ratePerSecond < bucket.ratePerSecond) bucket.tokenCount = 0
+    bucket.ratePerSecond = ratePerSecond
     bucket.tokenCount = Math.min(getCapacity(ratePerSecond), bucket.tokenCount + ratePerSecond * elapsedMs / millisecondsPerSecond)
     return ratePerSecond
   }
 
   /** Adapts the interval between asks to the number of askers. */
-  function paceAsks (bucket: Bucket, permitIntervalMs: number): void {
+  function paceAsks (bucket: Bucket, permitIntervalMs: number, capacity: number): void {
+    const targetCount = Math.max(minAsksPerPermit, asksPerPermit / Math.max(1, (capacity / 2) ** 2))
     bucket.asks.increment()
     const asksPerInterval = bucket.asks.getCount() / askWindowMs * permitIntervalMs
-    const changed = asksPerInterval > asksPerPermit ? bucket.askIntervalMs * askIntervalStep : bucket.askIntervalMs / askIntervalStep
-    bucket.askIntervalMs = Math.min(maxAskIntervalMs, Math.max(permitIntervalMs / asksPerPermit, changed))
+    const changed = asksPerInterval > targetCount ? bucket.askIntervalMs * askIntervalStep : bucket.askIntervalMs / askIntervalStep
+    bucket.askIntervalMs = Math.min(maxAskIntervalMs, Math.max(permitIntervalMs / targetCount, changed))
   }
 
   function issueNow (server: ServerProcess, count: number): PermitAnswer {
@@ -103,7 +112,7 @@
     const bucket = findBucket(server)
     const ratePerSecond = refill(bucket)
     const permitIntervalMs = millisecondsPerSecond / ratePerSecond
-    paceAsks(bucket, permitIntervalMs)
+    paceAsks(bucket, permitIntervalMs, getCapacity(ratePerSecond))
     const issuedCount = Math.min(count, Math.floor(bucket.tokenCount))
     bucket.tokenCount -= issuedCount
     if (issuedCount > 0) return { count: issuedCount, waitMs: 0 }
--- a/src/coordination/limits/server-limits.ts
+++ b/src/coordination/limits/server-limits.ts
@@ -9,7 +9,6 @@
 /** How a statement reached this gateway; the values are logged. */
 export enum StatementSource {
   Response = 'response',
-  Report = 'report',
   OtherGateway = 'other gateway'
 }
 
--- a/src/coordination/limits/server-permits.ts
+++ b/src/coordination/limits/server-permits.ts
@@ -71,12 +71,12 @@
 const validityMs = 400
 /** Longer than a datagram there and back and a busy event loop take. */
 const answerTimeoutMs = 80
-const maxTryCount = 2
+const maxTryCount = 3
 /** An issuer that has not answered is not asked for this time. */
-const silentIssuerMs = 500
+const silentIssuerMs = 1500
 const maxAskedCount = 4
-/** Gateways that a notice goes to, from each gateway to which it is new. */
-const noticeFanout = 4
+/** A notice goes to one more than the logarithm of the gateways, from each gateway to which it is new: nearly all get it, also when some are lost. */
+const extraNoticeFanout = 1
 const maxHopCount = 8
 /** A notice may have been on its way for this time: one of an end counts as that much older. */
 const maxNoticeDelayMs = 500
@@ -211,21 +211,20 @@
 
   function answerRequest ({ serverId, startedAtMs, limitPerSecond, ageMs, nodeId: askerId, requestId, count }: PermitRequest): void {
     const server = { id: serverId, startedAtMs }
-    if (limitPerSecond !== undefined) limits.record(server, limitPerSecond, timers.nowMs() - ageMs, StatementSource.OtherGateway)
+    if (limitPerSecond !== undefined) applyStatement(server, limitPerSecond, timers.nowMs() - ageMs)
     const answer = issuer.issue(askerId, requestId, server, count)
     const statement = limits.getStatement(server)
     send({
       kind: LimitMessageKind.Grant,
       serverId,
       startedAtMs,
-      nodeId,
       requestId,
       ...answer,
-      statement: statement === undefined ? undefined : { limitPerSecond: statement.limitPerSecond, ageMs: getAgeMs(statement.statedAtMs) }
+      statement: statement === undefined || statement.limitPerSecond === limitPerSecond ? undefined : { limitPerSecond: statement.limitPerSecond, ageMs: getAgeMs(statement.statedAtMs) }
     }, askerId)
   }
 
-  function applyGrant ({ serverId, startedAtMs, nodeId: issuerId, requestId, statement, ...answer }: PermitGrant): void {
+  function applyGrant ({ serverId, startedAtMs, requestId, statement, ...answer }: PermitGrant): void {
     const state = states.get(serverId)
     const pending = state?.pending
     if (state === undefined || pending === undefined || state.server.startedAtMs !== startedAtMs || pending.requestId !== requestId) return
@@ -233,13 +232,22 @@
     state.pending = undefined
     // The issuer answered after the ask was sent, so that its statement is at least as new as this time.
     if (statement !== undefined) applyStatement(state.server, statement.limitPerSecond, pending.sentAtMs - statement.ageMs)
-    applyAnswer(state, issuerId, answer, pending.sentAtMs)
+    applyAnswer(state, pending.issuerId, answer, pending.sentAtMs)
   }
 
   function applyStatement (server: ServerProcess, limitPerSecond: number | undefined, statedAtMs: number): boolean {
-    return limitPerSecond === undefined
+    const isNew = limitPerSecond === undefined
       ? limits.recordEnd(server, statedAtMs, StatementSource.OtherGateway)
       : limits.record(server, limitPerSecond, statedAtMs, StatementSource.OtherGateway)
+    if (isNew) dropPermits(server)
+    return isNew
+  }
+
+  /** Drops permits that were issued under another limit. */
+  function dropPermits (server: ServerProcess): void {
+    const state = findState(server)
+    for (const { expiry } of state.permits) expiry.cancel()
+    state.permits = []
   }
 
   function applyNotice ({ serverId, startedAtMs, limitPerSecond, ageMs, hopCount }: LimitNotice): void {
@@ -266,8 +274,9 @@
 
   function pickOthers (): string[] {
     const others = options.listGatewayIds().filter(id => id !== nodeId)
-    if (others.length <= noticeFanout) return others
-    return Array.from({ length: noticeFanout }, () => others[random.nextInt(others.length)] as string)
+    const fanout = Math.ceil(Math.log(others.length + 1)) + extraNoticeFanout
+    if (others.length <= fanout) return others
+    return Array.from({ length: fanout }, () => others[random.nextInt(others.length)] as string)
   }
 
   return {
@@ -302,6 +311,7 @@
       }
     },
     announce (server) {
+      dropPermits(server)
       sendNotice(server, 0)
       scheduleWake()
     },
--- a/src/protocol/limit-messages.ts
+++ b/src/protocol/limit-messages.ts
@@ -27,12 +27,11 @@
   z.object({
     kind: z.literal(LimitMessageKind.Grant),
     ...serverFields,
-    nodeId: z.string(),
     requestId: z.int().nonnegative(),
     count: countSchema,
     /** Without permits: the issuer need not be asked again in this time. */
     waitMs: z.number().nonnegative(),
-    /** What the issuer knows of the server; left out when it knows nothing. */
+    /** What the issuer knows of the server; left out when it is what the asker stated. */
     statement: z.object(statementFields).optional()
   }),
   z.object({ kind: z.literal(LimitMessageKind.Return), ...serverFields, count: countSchema })
