Let a stream in progress wait for the limits of the servers left

Such a stream now waits for a permit from its loss on, as long as a new one, and before new ones. src/gateway/stream-forwarding.test.ts, 'take over a stream that was silent for long ...' failed before.

--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -201,10 +201,10 @@
   return servers.length === 0 ? 0 : Math.min(...servers.map(permits.getWaitMs))
 }
 
-/** Whether a call that has not been sent may wait for a permit that is not to be had before `unavailableMs`. */
-export function mayWaitForPermit ({ timers }: CallDependencies, { arrivedAtMs, deadlineAtMs, route }: Call, unavailableMs: number): boolean {
-  const maxWaitMs = Math.min(permitWaitObjectiveCount * route.objectiveMs, (deadlineAtMs - arrivedAtMs) * permitWaitFraction)
-  return timers.nowMs() + unavailableMs < arrivedAtMs + maxWaitMs
+/** Whether a call that has waited since `sinceMs` may wait for a permit that is not to be had before `unavailableMs`. */
+export function mayWaitForPermit ({ timers }: CallDependencies, { arrivedAtMs, deadlineAtMs, route }: Call, unavailableMs: number, sinceMs = arrivedAtMs): boolean {
+  const maxWaitMs = Math.min(permitWaitObjectiveCount * route.objectiveMs, (deadlineAtMs - sinceMs) * permitWaitFraction)
+  return timers.nowMs() + unavailableMs < sinceMs + maxWaitMs
 }
 
 /** 0 is the most urgent. */
--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 
+import { StatementSource } from '../coordination/limits/server-limits.js'
 import type { BackendServer } from '../state/backend-server.js'
 import type { Route } from '../state/serving-config.js'
 import { createStreamHarness, type ReceivedAttempt } from '../testing/stream-harness.js'
@@ -87,6 +88,50 @@
     })
   })
 
+  describe('servers that state a limit', () => {
+    function stateLimit (harness: Harness, serverId: string, limitPerSecond: number): void {
+      harness.limits.record(harness.servers.get(serverId) as BackendServer, limitPerSecond, harness.timers.nowMs(), StatementSource.Response)
+    }
+
+    it('get no stream while another server takes it', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'] })
+      stateLimit(harness, 'a', 5)
+      expect(harness.start().serverId).to.equal('b')
+    })
+
+    it('get a stream that has waited for a permit', () => {
+      const harness = createStreamHarness({ serverIds: ['a'] })
+      stateLimit(harness, 'a', 5)
+      harness.start()
+      expect(harness.attempts).to.have.length(0)
+      harness.timers.advance(500)
+      expect(harness.attempts).to.have.length(1)
+    })
+
+    it('refuse a stream at once that no permit can serve in time', () => {
+      const harness = createStreamHarness({ serverIds: ['a'] })
+      stateLimit(harness, 'a', 0)
+      harness.start()
+      expect(harness.response).to.include({ isEnded: true, statusCode: 503 })
+    })
+
+    // Guards against streams that break off beside servers that could take them a moment later (seed 3 of the soak).
+    it('take over a stream that was silent for long before its server was lost', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { objectiveMs: 600, pauseObjectiveMs: 300 } })
+      const other = harness.servers.get('b') as BackendServer
+      harness.servers.delete('b')
+      const first = harness.start()
+      first.sendEvent(1)
+      harness.timers.advance(2500)
+      harness.servers.set('b', other)
+      stateLimit(harness, 'b', 5)
+      first.reset()
+      expect(harness.response.destroyed).to.equal(false)
+      harness.timers.advance(700)
+      expect(harness.listAttempts('b').map(({ lastEventId }) => lastEventId)).to.deep.equal(['1'])
+    })
+  })
+
   describe('the return to a silent replica that was replaced', () => {
     /** Starts a stream whose first replica falls silent after an event, and whose replacement delivers one. */
     function playReplacement (harness: Harness): { readonly first: ReceivedAttempt, readonly replacement: ReceivedAttempt } {
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -49,6 +49,8 @@
 export const streamCheckIntervalMs = 50
 /** A silent attempt, its replacement and one more when that is silent too: each server reads the whole prompt. */
 const maxConcurrentAttemptCount = 3
+/** Streams in progress get permits before new ones, whatever their priority. */
+const inProgressPriority = -1
 
 function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>, isFirst: boolean): string {
   switch (choice.kind) {
@@ -271,7 +273,7 @@
   }
 
   function waitForPermit ({ waitsForPermit }: NoAttempt): void {
-    if (waitsForPermit === true) stopWaiting ??= dependencies.permits.subscribe({ priority: getPriority(call), arrivedAtMs: call.arrivedAtMs, wake: checkWait })
+    if (waitsForPermit === true) stopWaiting ??= dependencies.permits.subscribe({ priority: call.response.headersSent ? inProgressPriority : getPriority(call), arrivedAtMs: call.arrivedAtMs, wake: checkWait })
   }
 
   function endWait (): void {
@@ -293,6 +295,8 @@
     if (next.waitsForPermit === true && record.listExecutions().length === 0) return mayWaitForPermit(dependencies, call, next.unavailableMs)
     if (!mayRepeat) return false
     if (!call.response.headersSent) return mayWaitForFirstEvent()
+    // A stream that has lost its server waits for a permit even if it was silent before, as a client that waits may still be served.
+    if (next.waitsForPermit === true && mayWaitForPermit(dependencies, call, next.unavailableMs, lostAtMs)) return true
     return timers.nowMs() < getWaitEndMs({
       lostAtMs: lostAtMs ?? previousEventAtMs,
       clientWaitsSinceMs: isClientReading ? Math.max(previousEventAtMs, clientReadAtMs) : timers.nowMs(),
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -162,6 +162,7 @@
   return {
     timers,
     loads,
+    limits,
     promptGuard,
     servers,
     attempts,
