Log and count attempts that the gateway ends itself, and second attempts

New line of the part "quarantine", events attempt_abandoned, retry_spent and retry_refused, gauge retry_budget_available. No decision changes: an abandoned attempt still ends as before. 179 tests of the gateway and of the quarantine pass.

--- a/src/coordination/dispatch/service-retry-budget.ts
+++ b/src/coordination/dispatch/service-retry-budget.ts
@@ -16,6 +16,8 @@
   canSpend (): boolean
   /** Spends one second attempt; false when none is left. */
   trySpend (): boolean
+  /** Second attempts that the budget allows now. */
+  getAvailableCount (): number
 }
 
 /** Fraction of the limit that gateways use. Servers count requests and attempts at slightly other times, so a margin is needed. */
@@ -73,6 +75,10 @@
       refill()
       return availableCount >= 1
     },
+    getAvailableCount () {
+      refill()
+      return availableCount
+    },
     trySpend () {
       refill()
       if (availableCount < 1) return false
--- a/src/coordination/quarantine/prompt-guard.ts
+++ b/src/coordination/quarantine/prompt-guard.ts
@@ -7,7 +7,7 @@
 import type { CrashSign } from './crash-evidence.js'
 import { createPromptQuarantine, type Admission, type QuarantineEntry } from './prompt-quarantine.js'
 
-/** A request at one server. Each attempt ends with one of `end`, `complete`, `confirmEnd` and `recordLoss`; what is called after that has no effect. */
+/** A request at one server. Each attempt ends with one of `end`, `abandon`, `complete`, `confirmEnd` and `recordLoss`; what is called after that has no effect. */
 export interface GuardedAttempt {
   /** The response delivered its first event. */
   recordProgress (): void
@@ -20,8 +20,10 @@
   confirmEnd (isServed: boolean): Promise<boolean>
   /** The connection to the server ended within the response. `hasHead` tells whether the response had begun. */
   recordLoss (hasHead: boolean): void
-  /** The attempt ended in a way that says nothing of the prompt. */
+  /** The attempt ended in a way that says nothing of the prompt, and the server works on it no longer. */
   end (): void
+  /** This gateway ended the attempt, for the reason given, while the server may still work on it. */
+  abandon (reason: string): void
 }
 
 export interface PromptGuard {
@@ -151,7 +153,7 @@
   return {
     check: partIds => quarantine.check(partIds, timers.nowMs()),
     begin (partIds, server) {
-      if (partIds.length === 0) return { recordProgress () {}, complete () {}, confirmEnd: () => isListening(server), recordLoss () {}, end () {} }
+      if (partIds.length === 0) return { recordProgress () {}, complete () {}, confirmEnd: () => isListening(server), recordLoss () {}, end () {}, abandon () {} }
       const sentAtMs = timers.nowMs()
       const suspects = quarantine.begin(partIds, sentAtMs)
       if (suspects.length > 0) sendMessage({ kind: PromptMessageKind.Trial, partIds: suspects })
@@ -179,6 +181,13 @@
         return isSilent
       }
 
+      function end (): void {
+        const wasSilent = settle()
+        if (wasSilent === undefined) return
+        if (wasSilent) quarantine.endTrial(partIds, sentAtMs)
+        endSilence()
+      }
+
       return {
         recordProgress () {
           if (isSilent && !isSettled) progressTimer ??= timers.subscribeOnce(progressDelayMs, applyProgress)
@@ -205,11 +214,14 @@
             if (isAlive) quarantine.endTrial(partIds, sentAtMs)
           })
         },
-        end () {
-          const wasSilent = settle()
-          if (wasSilent === undefined) return
-          if (wasSilent) quarantine.endTrial(partIds, sentAtMs)
-          endSilence()
+        end,
+        abandon (reason) {
+          if (isSettled) return
+          end()
+          metrics.countEvent(MetricEvent.AttemptAbandoned)
+          logger.info('An attempt was ended while its server may have been working on it.', {
+            serverId: server.id, startedAtMs: server.startedAtMs, parts: partIds.join(' '), elapsedMs: Math.round(timers.nowMs() - sentAtMs), reason
+          })
         }
       }
     },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -264,6 +264,7 @@
     metrics.setGauge(MetricGauge.CompleteGroupCount, countServingReplicas())
     metrics.setGauge(MetricGauge.QuarantineEntryCount, promptGuard.listEntries().length)
     metrics.setGauge(MetricGauge.SuspectPartCount, promptGuard.countSuspects())
+    metrics.setGauge(MetricGauge.RetryBudgetAvailable, [...retryBudgets.values()].reduce((sum, budget) => sum + budget.getAvailableCount(), 0))
     metrics.setGauge(MetricGauge.IssuedLimitPerSecond, permits.getIssuedPerSecond())
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
--- a/src/gateway/plain-attempt.ts
+++ b/src/gateway/plain-attempt.ts
@@ -72,7 +72,8 @@
     }
   }
 
-  function settle (settled: PlainResult): void {
+  /** `isAbandoned` when the server may still work on the request. */
+  function settle (settled: PlainResult, isAbandoned = false): void {
     if (isSettled) return
     isSettled = true
     timeout.cancel()
@@ -80,6 +81,7 @@
     recordScore(settled)
     if (settled.kind === PlainResultKind.Responded && isSuccess(settled.head.statusCode)) guarded.complete()
     else if (hasConnectionEnded) guarded.recordLoss(head !== undefined)
+    else if (isAbandoned && 'reason' in settled) guarded.abandon(settled.reason)
     else guarded.end()
     resolveResult(settled)
   }
@@ -87,7 +89,7 @@
   function abandon (kind: Exclude<PlainResultKind, PlainResultKind.Responded>, reason: string): void {
     if (isSettled) return
     exchange.abort()
-    settle({ kind, reason })
+    settle({ kind, reason }, true)
   }
 
   /** The connection may have ended with the process of the server, within the body. */
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -61,12 +61,18 @@
     return executionCount === 0 || (isRepeatable && executionCount < call.route.maxAttempts)
   }
 
+  function spendRetry (): boolean {
+    const isAllowed = retryBudget.trySpend()
+    dependencies.metrics.countEvent(isAllowed ? MetricEvent.RetrySpent : MetricEvent.RetryRefused)
+    return isAllowed
+  }
+
   /** Starts an attempt where that is allowed, and returns it. */
   function startAttempt (): PlainAttempt | undefined {
     if (!mayStartAttempt()) return undefined
     const { server, limitedServers } = chooseServer(dependencies, call, triedServerIds)
     permitWaitMs = server === undefined && limitedServers.length > 0 ? requestPermits(dependencies, limitedServers) : undefined
-    if (server === undefined || (triedServerIds.size > 0 && !retryBudget.trySpend())) return undefined
+    if (server === undefined || (triedServerIds.size > 0 && !spendRetry())) return undefined
     // Permits that arrive later serve the next calls.
     requestPermits(dependencies, limitedServers.slice(0, 1))
     if (limitedServers.length > 0) dependencies.metrics.countEvent(MetricEvent.LimitedElsewhere)
--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -53,8 +53,8 @@
   hasEvents (): boolean
   /** Time since the last event, or since the start. A pause is no wait for the server: the time starts anew when it ends. */
   getWaitedMs (): number
-  /** Closes the connection; the listener is not called again. */
-  abort (): void
+  /** Closes the connection, for a reason that is logged; the listener is not called again. */
+  abort (reason: string): void
   /** Stops reading until `resume`, since the client does not read. */
   pause (): void
   resume (): void
@@ -115,6 +115,7 @@
     exchange.resume()
   }
 
+  /** The server has finished with the request, or never got it. */
   function fail (failure: AttemptFailure): void {
     if (!end()) return
     guarded.end()
@@ -128,8 +129,11 @@
     listener.onFailure({ kind: AttemptFailureKind.Lost, reason })
   }
 
+  /** The response is unusable; the server may go on with it. */
   function lose (reason: string): void {
-    fail({ kind: AttemptFailureKind.Lost, reason })
+    if (!end()) return
+    guarded.abandon(reason)
+    listener.onFailure({ kind: AttemptFailureKind.Lost, reason })
   }
 
   function handleHead (received: ResponseHead): void {
@@ -231,8 +235,8 @@
     leader,
     hasEvents: () => hasEvents,
     getWaitedMs: () => isPaused ? 0 : timers.nowMs() - lastEventAtMs,
-    abort () {
-      if (end()) guarded.end()
+    abort (reason) {
+      if (end()) guarded.abandon(reason)
     },
     pause,
     resume
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -61,6 +61,15 @@
   }
 }
 
+/** Why the attempts of a stream that ends in this way are ended with it. */
+function describeAbort (outcome: CallOutcome): string {
+  switch (outcome) {
+    case CallOutcome.ClientDisconnected: return 'the client disconnected'
+    case CallOutcome.TimedOut: return 'the deadline has passed'
+    default: return 'the stream has ended'
+  }
+}
+
 /**
  * Forwards a stream event by event. When its replica fails, it is resumed at another one after the last event. A silent
  * replica may go on: its attempt stays beside the replacement until one of them delivers the next event.
@@ -82,6 +91,7 @@
   let lostAtMs: number | undefined
   let isFinished = false
   let mayBeComplete = false
+  let wasRetryRefused = false
   let lastFailure: AttemptFailure | undefined
   let stopWaiting: (() => void) | undefined
   let lastEngine: EngineProfile | undefined
@@ -94,7 +104,7 @@
     endWait()
     call.response.off('close', onClientDisconnect)
     call.response.off('drain', resumeAttempts)
-    abortAttempts()
+    abortAttempts(describeAbort(outcome))
     recordOutcome(dependencies, call, outcome, {
       model: call.clientInfo.model ?? '',
       groups: record.listReplicaIds().join(' '),
@@ -105,10 +115,10 @@
     })
   }
 
-  function abortAttempts (kept?: StreamAttempt): void {
+  function abortAttempts (reason: string, kept?: StreamAttempt): void {
     for (const attempt of attempts) {
       if (attempt === kept) continue
-      attempt.abort()
+      attempt.abort(reason)
       attempts.delete(attempt)
       record.replace(attempt.replica.id)
     }
@@ -168,7 +178,11 @@
       return { isAllowed: false, isFinal: true, reason: 'the limit on attempts', unavailableMs: 0 }
     }
     const isFirst = record.listReplicaIds().length === 0
-    if (!isFirst && !retryBudget.canSpend()) return { isAllowed: false, isFinal: false, reason: 'the retry budget is used up', unavailableMs: 0 }
+    if (!isFirst && !retryBudget.canSpend()) {
+      if (!wasRetryRefused) dependencies.metrics.countEvent(MetricEvent.RetryRefused)
+      wasRetryRefused = true
+      return { isAllowed: false, isFinal: false, reason: 'the retry budget is used up', unavailableMs: 0 }
+    }
     const choice = chooseNextReplica(scope)
     if (choice.kind === ReplicaChoiceKind.Limited) {
       const unavailableMs = requestPermits(dependencies, choice.limitedLeaders)
@@ -188,7 +202,7 @@
 
   function startAttempt ({ replica, leader }: AllowedAttempt): void {
     // The budget allowed it just before.
-    if (record.listReplicaIds().length > 0) retryBudget.trySpend()
+    if (record.listReplicaIds().length > 0 && retryBudget.trySpend()) dependencies.metrics.countEvent(MetricEvent.RetrySpent)
     dependencies.permits.take(leader)
     endWait()
     record.start(replica.id, leader)
@@ -204,7 +218,7 @@
   }
 
   function forwardEvent (attempt: StreamAttempt, event: FramedSseEvent, head: ResponseHead): void {
-    abortAttempts(attempt)
+    abortAttempts('another server delivered', attempt)
     recordEventTiming()
     if (!call.response.headersSent) writeHead(head)
     const hasWriteCapacity = call.response.write(event.bytes)
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -41,6 +41,12 @@
   UnconfirmedEnd = 'unconfirmed_end',
   /** The store came back from an older copy. */
   StoreEraChange = 'store_era_change',
+  /** This gateway ended an attempt whose server may still have been working on it. */
+  AttemptAbandoned = 'attempt_abandoned',
+  /** A request was sent to a second server, within the retry budget of its service. */
+  RetrySpent = 'retry_spent',
+  /** A request was not sent to a second server, since the retry budget was used up. */
+  RetryRefused = 'retry_refused',
   /** A server ended under a request whose prompt has parts. Each request counts. */
   ServerCrash = 'server_crash',
   /** Parts of prompts came into quarantine, by this or another gateway. */
@@ -70,6 +76,8 @@
   QuarantineEntryCount = 'quarantine_entry_count',
   /** Parts of prompts under suspicion. */
   SuspectPartCount = 'suspect_part_count',
+  /** Second attempts that the budgets of this gateway allow now, over all services. */
+  RetryBudgetAvailable = 'retry_budget_available',
   /** Backend servers that state a limit on their requests. */
   LimitedServerCount = 'limited_server_count',
   /** Requests a second, over all servers with a limit, for which this gateway issues permits. */
