--- a/src/coordination/dispatch/service-retry-budget.test.ts
+++ b/src/coordination/dispatch/service-retry-budget.test.ts
@@ -114,4 +114,60 @@
       expect(count(spentAtMs, startMs)).to.be.at.most(settings.ratio * requestCount + settings.slackCount)
     }
   })
+
+  // Guards against parts of the budget that are granted anew: to processes that start, or while the list of gateways is short (BUDGET).
+  describe('stays below the limit for all gateways together', () => {
+    const listedCount = 8
+
+    interface Disturbance {
+      readonly name: string
+      readonly restartIntervalMs?: number
+      getListedCount (nowMs: number): number
+    }
+
+    const disturbances: readonly Disturbance[] = [
+      { name: 'while one of them starts again each second', restartIntervalMs: 1000, getListedCount: () => listedCount },
+      { name: 'while one of them starts again each half second', restartIntervalMs: 500, getListedCount: () => listedCount },
+      { name: 'while processes that start know no other gateway for a second', restartIntervalMs: 1000, getListedCount: ageMs => ageMs < 1000 ? 0 : listedCount },
+      { name: 'while the list shows one gateway for 20 s', getListedCount: ageMs => ageMs > 30_000 && ageMs < 50_000 ? 1 : listedCount },
+      { name: 'while the list shows one gateway from a time on', getListedCount: ageMs => ageMs > 30_000 ? 1 : listedCount },
+      { name: 'while the list comes and goes each second', getListedCount: ageMs => ageMs % 2000 < 1000 ? 1 : listedCount }
+    ]
+
+    for (const requestsPerSecond of [1, 25]) {
+      for (const { name, restartIntervalMs = Infinity, getListedCount } of disturbances) {
+        it(`${name}, at ${requestsPerSecond} requests a second each`, () => {
+          const timers = createVirtualTimerService()
+          const start = () => {
+            const startedAtMs = timers.nowMs()
+            return createServiceRetryBudget(timers, () => ({ ...settings, slackCount: 134 }), () => getListedCount(timers.nowMs() - startedAtMs))
+          }
+          const budgets = Array.from({ length: listedCount }, start)
+          const spentAtMs: number[] = []
+          const requestedAtMs: number[] = []
+          const stepMs = 40
+          for (let step = 0; step < 60_000 / stepMs; step += 1) {
+            const nowMs = timers.nowMs()
+            if (nowMs > 0 && nowMs % restartIntervalMs < stepMs) budgets[Math.floor(nowMs / restartIntervalMs) % listedCount] = start()
+            for (const budget of budgets) {
+              if (step % (1000 / stepMs / requestsPerSecond) === 0) {
+                budget.recordRequest()
+                requestedAtMs.push(nowMs)
+              }
+              for (let attempt = 0; attempt < 20; attempt += 1) {
+                if (budget.trySpend()) spentAtMs.push(nowMs)
+              }
+            }
+            timers.advance(stepMs)
+          }
+          const count = (times: readonly number[], startMs: number) => times.filter(atMs => atMs >= startMs && atMs < startMs + settings.windowMs).length
+          for (let startMs = 0; startMs <= 50_000; startMs += 500) {
+            const requestCount = Math.max(...[0, 0.5, 1].map(windows => count(requestedAtMs, startMs - windows * settings.windowMs)))
+            expect(count(spentAtMs, startMs), `from ${startMs} ms on`).to.be.at.most(settings.ratio * requestCount + 134)
+          }
+          expect(spentAtMs.length).to.be.greaterThan(0)
+        })
+      }
+    }
+  })
 })
