Grant no part of the retry budget anew to processes that start or see a short list

Cause: each process began with its whole saved part, and the part was divided by the gateways that happen to be listed. Now a process begins with nothing saved and saves from its start on, and the highest number of gateways of the last ten minutes divides; all cases hold. The fixtures that spend at once state the age of their process; the check of the property test against twice the slack still fails as it must. 141 tests of the budget and the gateway pass.

--- a/src/coordination/dispatch/service-retry-budget.test.ts
+++ b/src/coordination/dispatch/service-retry-budget.test.ts
@@ -20,7 +20,7 @@
 function assertBound (usedSettings: ServiceRetryBudgetSettings): void {
   fc.assert(fc.property(fc.array(gatewayStep, { minLength: 100, maxLength: 200 }), steps => {
     const timers = createVirtualTimerService()
-    const budgets = Array.from({ length: gatewayCount }, () => createServiceRetryBudget(timers, () => usedSettings, () => gatewayCount))
+    const budgets = Array.from({ length: gatewayCount }, () => createServiceRetryBudget(timers, () => usedSettings, () => gatewayCount, -usedSettings.windowMs))
     const spentAtMs: number[] = []
     const requestedAtMs: number[] = []
     for (const { gateway, requestCount, attemptCount, pauseMs } of steps) {
@@ -70,6 +70,13 @@
     })
   }
 
+  it('saves from the start of the process on, although the service is asked for later', () => {
+    const timers = createVirtualTimerService()
+    timers.advance(settings.windowMs)
+    expect(createServiceRetryBudget(timers, () => settings, () => gatewayCount, 0).canSpend()).to.equal(true)
+    expect(createServiceRetryBudget(timers, () => settings, () => gatewayCount).canSpend()).to.equal(false)
+  })
+
   it('lets one gateway spend several saved attempts at once, as when a replica with several of its streams is lost', () => {
     const timers = createVirtualTimerService()
     const budget = createServiceRetryBudget(timers, () => ({ ...settings, slackCount: 312 }), () => 80)
--- a/src/coordination/dispatch/service-retry-budget.ts
+++ b/src/coordination/dispatch/service-retry-budget.ts
@@ -22,6 +22,8 @@
 
 /** Fraction of the limit that gateways use. Servers count requests and attempts at slightly other times, so a margin is needed. */
 const usableFraction = 0.8
+/** A shorter list of gateways counts after this time: longer than outages of the store, after which the list may be short. */
+const gatewayRetentionMs = 600_000
 /** Resolution of the request count. */
 const bucketsPerWindow = 20
 
@@ -34,19 +36,32 @@
  * Creates the budget of one gateway. Each request earns half of the usable `ratio`, and earned attempts can be saved for
  * one window. The attempts of a window come from the requests of that window and the one before, so they stay below
  * `ratio` times the larger of both. Each gateway gets an equal part of the usable `slackCount`: half of it can be saved
- * up, the other half is refilled over one window.
+ * up, the other half is refilled over one window. A process begins with nothing saved, since the one before it may have
+ * spent its part. A gateway that is no longer listed may still run: the parts grow when it has been gone for long.
  */
-export function createServiceRetryBudget (timers: TimerService, getSettings: () => ServiceRetryBudgetSettings, getGatewayCount: () => number): ServiceRetryBudget {
-  let availableCount = Infinity
-  let refilledAtMs = timers.nowMs()
+export function createServiceRetryBudget (timers: TimerService, getSettings: () => ServiceRetryBudgetSettings, getGatewayCount: () => number, processStartedAtMs = timers.nowMs()): ServiceRetryBudget {
+  let availableCount = 0
+  let highestGatewayCount = 1
+  let highestAtMs = timers.nowMs()
+  let refilledAtMs = processStartedAtMs
   let buckets: RequestBucket[] = []
 
   function getEarnedCount (requestCount: number): number {
     return requestCount * getSettings().ratio * usableFraction / 2
   }
 
+  /** The highest recent number of gateways. */
+  function countSharers (): number {
+    const count = getGatewayCount()
+    if (count >= highestGatewayCount || timers.nowMs() - highestAtMs > gatewayRetentionMs) {
+      highestGatewayCount = Math.max(1, count)
+      highestAtMs = timers.nowMs()
+    }
+    return highestGatewayCount
+  }
+
   function getHalfSlackCount (): number {
-    return getSettings().slackCount * usableFraction / 2 / Math.max(1, getGatewayCount())
+    return getSettings().slackCount * usableFraction / 2 / countSharers()
   }
 
   function countRecentRequests (): number {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -95,6 +95,7 @@
   const { settings, timers, store, layout, codec, createLogger } = options
   const log = createLogger('gateway')
   const random = createRandomSource(createProcessSeed())
+  const startedAtMs = timers.nowMs()
   let { bounds } = settings
   let totalReportSequence = 0
   let listedGateways: readonly ListedGateway[] = []
@@ -318,7 +319,7 @@
     if (existing !== undefined) return existing
     const created = createServiceRetryBudget(timers, () => ({
       ratio: bounds.retryRatio, slackCount: bounds.retrySlackCount, windowMs: bounds.retryWindowMs
-    }), presence.countGateways)
+    }), presence.countGateways, startedAtMs)
     retryBudgets.set(serviceName, created)
     return created
   }
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -25,6 +25,8 @@
 const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
 const engine: EngineProfile = { ...sampleEngine, models: [{ name: 'm', groupSize: 1, pace: 1, share: 1, loadMs: 1, warmLoadMs: 1 }] }
 
+const retryWindowMs = 10_000
+
 /** An attempt of the stream as its server sees it. */
 export interface ReceivedAttempt {
   readonly serverId: string
@@ -60,7 +62,7 @@
   const route = makeRoute(routeChanges)
   const servers = new Map<string, BackendServer>(serverIds.map((id, index) =>
     [id, makeBackendServer({ id, serviceName, port: index, group: { groupName: `m.${id}`, epoch: 1, rank: 0, state: MemberState.Open }, loadedModels: ['m'] })]))
-  const retryBudget = createServiceRetryBudget(timers, () => ({ ratio: 0, slackCount: retrySlackCount, windowMs: 10_000 }), () => 1)
+  const retryBudget = createServiceRetryBudget(timers, () => ({ ratio: 0, slackCount: retrySlackCount, windowMs: retryWindowMs }), () => 1, timers.nowMs() - retryWindowMs)
   const promptGuard = createPromptGuard({
     timers,
     logger: silentLogger,
