--- a/src/coordination/quarantine/crash-evidence.test.ts
+++ b/src/coordination/quarantine/crash-evidence.test.ts
@@ -85,7 +85,15 @@
       expect(evidence.listSuspects(['p'], 1900)).to.deep.equal(['p'])
     })
 
-    it('begins with the fourth crash at any point', () => {
+    it('begins with the third crash at any point of a part that is not served otherwise', () => {
+      recordCrashes(evidence, 2, { isEarly: false })
+      expect(evidence.listSuspects(['p'], 9000)).to.deep.equal([])
+      recordCrashes(evidence, 1, { isEarly: false, fromMs: 9000 })
+      expect(evidence.listSuspects(['p'], 9500)).to.deep.equal(['p'])
+    })
+
+    it('begins with the fourth one while other requests with the part are served', () => {
+      evidence.recordCompletion(['p'], 8500)
       recordCrashes(evidence, 3, { isEarly: false })
       expect(evidence.listSuspects(['p'], 9000)).to.deep.equal([])
       recordCrashes(evidence, 1, { isEarly: false, fromMs: 9000 })
--- a/src/coordination/quarantine/crash-evidence.ts
+++ b/src/coordination/quarantine/crash-evidence.ts
@@ -30,9 +30,11 @@
   forget (partIds: readonly string[]): void
   /** Lists those of the parts whose requests go to servers one at a time. */
   listSuspects (partIds: readonly string[], nowMs: number): string[]
+  /** Servers that ended under the part since a request with it was last served. */
   /** Lists those of the parts under which a server ended, and of which no request was served recently. */
   listUncleared (partIds: readonly string[], nowMs: number): string[]
-  /** Servers that ended under the part since a request with it was last served. */
+  /** Whether a server ended under the part after its first event, so that an event says little of the next one. */
+  mayEndAnyTime (partId: string): boolean
   countCrashes (partId: string): number
   countSuspects (): number
 }
@@ -54,6 +56,8 @@
 export const faultCrashCount = 5
 /** Crashes at any point after which requests with the part go to servers one at a time. */
 const suspectCrashCount = 4
+/** The same for a part of which no request was served recently: two requests may be in progress when the third crash is known. */
+const suspectUnservedCrashCount = 3
 /** Servers that end within this time end together, unless the request was sent after the first of them ended. */
 const minCrashIntervalMs = 50
 /** A request that was lost sooner found a server that was ending already. Also bounds by how much times of other gateways are off. */
@@ -83,7 +87,7 @@
     if (record === undefined || record.crashes.length === 0) return false
     const earlyCount = countEarly(record)
     if (earlyCount > 1 || record.crashes.length >= suspectCrashCount) return true
-    return earlyCount === 1 && !wasServedRecently(partId, nowMs)
+    return (earlyCount === 1 || record.crashes.length >= suspectUnservedCrashCount) && !wasServedRecently(partId, nowMs)
   }
 
   function wasServedRecently (partId: string, nowMs: number): boolean {
@@ -171,6 +175,7 @@
     },
     listSuspects: (partIds, nowMs) => partIds.filter(partId => isPartSuspect(partId, nowMs)),
     listUncleared: (partIds, nowMs) => partIds.filter(partId => isPartSuspect(partId, nowMs) || (suspects.has(partId) && !wasServedRecently(partId, nowMs))),
+    mayEndAnyTime: partId => suspects.get(partId)?.crashes.some(({ isEarly }) => !isEarly) === true,
     countCrashes: partId => suspects.get(partId)?.crashes.length ?? 0,
     countSuspects: () => suspects.size
   }
--- a/src/coordination/quarantine/prompt-guard.test.ts
+++ b/src/coordination/quarantine/prompt-guard.test.ts
@@ -90,6 +90,29 @@
     expect(guard.check(['p']).kind).to.equal(AdmissionKind.Admitted)
   })
 
+  it('keeps the trial of a request with events while its part has ended servers after their first events', async () => {
+    const { guard, timers, lose, begin } = createSample()
+    for (let index = 0; index < 3; index += 1) await lose(['p'], false)
+    const attempt = begin(['p'])
+    attempt.recordProgress()
+    await timers.advanceAsync(100)
+    expect(guard.check(['p']).kind).to.equal(AdmissionKind.OnTrial)
+    attempt.complete()
+    expect(guard.check(['p']).kind).to.equal(AdmissionKind.Admitted)
+  })
+
+  it('lets a lost request with a suspected part wait until it is known whether its server has ended', async () => {
+    const { guard, timers, begin } = createSample({ isListening: true })
+    const other = createSample({ name: 'other', timers, onMessage: message => guard.applyMessage(message) })
+    for (let index = 0; index < 3; index += 1) await other.lose(['p'], false)
+    const attempt = begin(['p'])
+    await timers.advanceAsync(requestMs)
+    attempt.recordLoss(true)
+    expect(guard.check(['p']).kind).to.equal(AdmissionKind.OnTrial)
+    await timers.advanceAsync(1)
+    expect(guard.check(['p']).kind).to.equal(AdmissionKind.Admitted)
+  })
+
   it('counts a request that was sent again before the crash was confirmed as the trial', async () => {
     const { guard, messages, timers, begin } = createSample()
     const first = begin(['p'])
--- a/src/coordination/quarantine/prompt-guard.ts
+++ b/src/coordination/quarantine/prompt-guard.ts
@@ -128,10 +128,9 @@
     const sign = { serverKey: formatServerKey(server), partIds, isEarly, sentAtMs, lostAtMs: timers.nowMs() }
     // Until it is known, the lost request does not end another server: it waits like others with the suspected parts.
     quarantine.recordTrial(partIds, sign.lostAtMs)
-    if (await isListening(server)) {
-      quarantine.endTrial(partIds, sign.lostAtMs)
-      return true
-    }
+    const isAlive = await isListening(server)
+    quarantine.endTrial(partIds, sign.lostAtMs)
+    if (isAlive) return true
     recordCrash(sign, false)
     return false
   }
--- a/src/coordination/quarantine/prompt-quarantine.ts
+++ b/src/coordination/quarantine/prompt-quarantine.ts
@@ -151,8 +151,8 @@
     },
     recordSurvival: evidence.recordSurvival,
     recordProgress (partIds) {
+      endTrial(partIds.filter(partId => !evidence.mayEndAnyTime(partId)))
       const cleared = evidence.recordProgress(partIds)
-      endTrial(partIds)
       return cleared
     },
     recordCompletion (partIds, nowMs) {
