Bound the memory of what servers and clients send, and forward large responses as they arrive

Cause: the sum of the lengths of one body was bounded, not the memory that its chunks take nor what all bodies hold together, and a body was read before its key was looked at. Now two budgets from limits.memoryMb bound both ways; the owner that holds most loses its largest body; chunks are copied together; responses above 64 KB are forwarded; 401, 404 and 503 come from the head; a server with three such responses is held for 5 s; connections, and those that read on while they close, are limited.

--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
 import type { ServerHolds } from '../coordination/dispatch/server-holds.js'
+import type { ServerOverruns } from '../coordination/dispatch/server-overruns.js'
 import { StatementSource, type ServerLimits } from '../coordination/limits/server-limits.js'
 import type { ServerPermits } from '../coordination/limits/server-permits.js'
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
@@ -10,6 +11,7 @@
 import type { ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import type { LogFields, Logger } from '../observability/log.js'
 import { MetricEvent, type Metrics } from '../observability/metrics.js'
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import type { RandomSource } from '../shared/random-source.js'
 import type { SharedTicker } from '../shared/shared-ticker.js'
 import type { TimerService } from '../shared/timer-service.js'
@@ -29,8 +31,13 @@
   readonly fleet: FleetView
   readonly codec: WireCodec
   readonly connections: BackendConnectionPool
+  /** Memory for the bodies of requests, until their calls have ended. */
+  readonly requestBuffers: BufferBudget
+  /** Memory for what servers send, until clients have taken it. */
+  readonly responseBuffers: BufferBudget
   readonly scores: ServerScores
   readonly holds: ServerHolds
+  readonly overruns: ServerOverruns
   readonly limits: ServerLimits
   readonly permits: ServerPermits
   readonly promptGuard: PromptGuard
@@ -139,6 +146,9 @@
   }
 }
 
+/** The reason of an attempt whose response was given up, as its server sent more than others. */
+export const noMemoryReason = 'the memory for responses is used up'
+
 /** The reason of an attempt that got a response to another request. */
 export const foreignResponseReason = 'the response belongs to another request'
 
--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -22,6 +22,13 @@
   getLatestEndMs (): number
 }
 
+/** What the configuration says of a request that may go to a server. */
+interface Admitted {
+  readonly route: Route
+  readonly team: Team | undefined
+  readonly deadlineAtMs: number
+}
+
 /** Shortest Retry-After while the gateway has no configuration that is fresh enough, or the route has no service. */
 const minUnavailableRetryAfterMs = 300
 /** Random part on top, so that the refused clients don't retry together. */
@@ -53,56 +60,76 @@
     refuse(request, response, 503, reason, Math.round(minUnavailableRetryAfterMs + unavailableRetryAfterSpreadMs * random.nextFloat()))
   }
 
-  async function handle ({ request, response, arrivedAtMs, setMustComplete }: ClientExchange): Promise<void> {
-    response.on('error', error => dependencies.logger.debug('A client connection failed.', { reason: error.message }))
-    const limits = fleet.getConfig()?.limits
-    if (countHeaderBytes(request) > (limits?.maxHeaderBytes ?? Infinity)) {
-      response.shouldKeepAlive = false
-      refuse(request, response, 431, `the headers are larger than ${limits?.maxHeaderBytes} bytes`)
-      return
-    }
-    const body = await readRequestBody(request, limits?.maxBodyBytes ?? defaultMaxBodyBytes)
-    if (body.kind === BodyResultKind.TooLarge) {
-      response.shouldKeepAlive = false
-      refuse(request, response, 413, `the body is larger than ${limits?.maxBodyBytes ?? defaultMaxBodyBytes} bytes`)
-      return
-    }
-    if (body.kind !== BodyResultKind.Whole || response.destroyed || response.headersSent) return
+  /** Decides by the head of a request, under the configuration in force, whether it may go to a server. Refuses it otherwise. */
+  function admit ({ request, response, arrivedAtMs }: ClientExchange, clientInfo: ClientRequestInfo): Admitted | undefined {
     const routes = fleet.getRoutes()
     if (routes === undefined) {
       refuseWithRetryAfter(request, response, 'no configuration has been loaded yet')
-      return
+      return undefined
     }
     const route = routes.findRoute(request.headers.host ?? '', request.url ?? '')
     if (route === undefined) {
       refuse(request, response, 404, 'no route matches')
-      return
+      return undefined
     }
-    const clientInfo = codec.readClientRequest(request.headers)
     let team: Team | undefined
     if (!route.isPublic && routes.needsKeys()) {
       if (fleet.getConfigAgeMs() > getMaxConfigAgeMs()) {
         refuseWithRetryAfter(request, response, 'the configuration is too old to verify API keys')
-        return
+        return undefined
       }
       team = routes.findTeam(clientInfo.apiKey ?? '')
       if (team === undefined) {
         refuse(request, response, 401, 'the API key is unknown')
-        return
+        return undefined
       }
     }
-    const serviceName = pickTarget(route.targets, random.nextFloat())?.serviceName
-    if (serviceName === undefined) {
-      refuseWithRetryAfter(request, response, 'the route has no service')
-      return
-    }
     const deadlineAtMs = arrivedAtMs + Math.min(route.timeoutMs, clientInfo.clientTimeoutMs ?? route.timeoutMs)
     if (deadlineAtMs <= timers.nowMs()) {
       refuseWithRetryAfter(request, response, 'the time for a response had passed before the whole request arrived')
-      return
+      return undefined
     }
     if (deadlineAtMs > getLatestEndMs()) {
       refuseWithRetryAfter(request, response, 'the gateway ends before the response may')
+      return undefined
+    }
+    return { route, team, deadlineAtMs }
+  }
+
+  async function handle (exchange: ClientExchange): Promise<void> {
+    const { request, response, arrivedAtMs, setMustComplete } = exchange
+    response.on('error', error => dependencies.logger.debug('A client connection failed.', { reason: error.message }))
+    const limits = fleet.getConfig()?.limits
+    if (countHeaderBytes(request) > (limits?.maxHeaderBytes ?? Infinity)) {
+      response.shouldKeepAlive = false
+      refuse(request, response, 431, `the headers are larger than ${limits?.maxHeaderBytes} bytes`)
+      return
+    }
+    const clientInfo = codec.readClientRequest(request.headers)
+    // A request that is refused keeps no body: Node.js reads and drops it. What was refused once stays refused.
+    if (admit(exchange, clientInfo) === undefined) return
+    const maxBytes = limits?.maxBodyBytes ?? defaultMaxBodyBytes
+    const { result, release } = readRequestBody(request, { maxBytes, budget: dependencies.requestBuffers })
+    response.once('close', release)
+    const body = await result
+    if (body.kind === BodyResultKind.TooLarge) {
+      response.shouldKeepAlive = false
+      refuse(request, response, 413, `the body is larger than ${maxBytes} bytes, or in too many chunks`)
+      return
+    }
+    if (body.kind === BodyResultKind.NoMemory) {
+      response.shouldKeepAlive = false
+      refuseWithRetryAfter(request, response, 'the memory for bodies of requests is used up')
+      return
+    }
+    if (body.kind !== BodyResultKind.Whole || response.destroyed || response.headersSent) return
+    // The configuration may have changed while the body arrived.
+    const admitted = admit(exchange, clientInfo)
+    if (admitted === undefined) return
+    const { route, team, deadlineAtMs } = admitted
+    const serviceName = pickTarget(route.targets, random.nextFloat())?.serviceName
+    if (serviceName === undefined) {
+      refuseWithRetryAfter(request, response, 'the route has no service')
       return
     }
     setMustComplete(route.kind === RouteKind.Unsafe)
--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -43,6 +43,9 @@
   readonly timers: TimerService
   /** Whether responses ask clients to close their connections. */
   isDraining (): boolean
+  /** Lets the connection read and drop what its client still sends; false when enough others do. */
+  tryLinger (): boolean
+  endLinger (): void
   handle (exchange: ClientExchange): void
   onIncomplete (incomplete: IncompleteResponse): void
 }
@@ -76,6 +79,10 @@
 const idleMarginMs = 2000
 /** After the last response the rest of what the client sends is read for this time; a reset could overtake the response. Longer than a round trip. */
 const lingerMs = 2000
+/** The same time where nothing more is read, since many other connections are read so. */
+const shortLingerMs = 200
+/** Pause between two reads, so that many such connections take little memory and time. */
+const lingerReadPauseMs = 5
 /** Limit on the bytes read meanwhile, twice the usual limit of a body. */
 const maxLingerBytes = 8 * 1024 * 1024
 /** Requests that may wait on a connection for the responses before theirs; then no more is read. Clients rarely send two. */
@@ -177,8 +184,17 @@
     socket.on('data', (chunk: Buffer) => {
       discardedBytes += chunk.length
       if (discardedBytes > maxLingerBytes) socket.destroy()
+      socket.pause()
+      timers.subscribeOnce(lingerReadPauseMs, () => socket.resume())
     })
-    socket.resume()
+    if (options.tryLinger()) {
+      socket.once('close', options.endLinger)
+      socket.resume()
+    } else {
+      // The client can read the response until the connection is closed.
+      socket.pause()
+      timers.subscribeOnce(shortLingerMs, () => socket.destroy())
+    }
     socket.once('finish', () => { lingerEndsAtMs = timers.nowMs() + lingerMs })
     socket.end()
   }
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -27,6 +27,8 @@
 export interface ClientServerOptions {
   readonly address: NetworkAddress
   readonly maxHeaderBytes: number
+  /** Further connections are closed at once. */
+  readonly maxConnectionCount?: number
   readonly timers: TimerService
   /** Time for a body to arrive, beside the limit on the head. */
   readonly bodyLimitMs?: number
@@ -35,6 +37,8 @@
   handle (exchange: ClientExchange): void
   /** Called for each request whose response was not completed. */
   onIncomplete (incomplete: IncompleteResponse): void
+  /** Called for each connection beyond `maxConnectionCount`. */
+  onDropped? (): void
 }
 
 const backlogLength = 1024
@@ -45,6 +49,8 @@
 const checkIntervalMs = 500
 /** For bodies and for responses; no client of the platform waits as long for a response. */
 const defaultTransferLimitMs = 30_000
+/** Connections that read and drop megabytes at the same time; each read takes memory until it is collected. */
+const maxLingeringCount = 16
 /** `Keep-Alive` states whole seconds. */
 const shortestStatedIdleMs = 1000
 /** Status lines by Node.js error code; any other client error is answered with 400. */
@@ -55,7 +61,7 @@
 
 /** Creates the server; it listens after `start`. */
 export function createClientServer ({
-  address, maxHeaderBytes, timers, handle, onIncomplete, bodyLimitMs = defaultTransferLimitMs, sendStallLimitMs = defaultTransferLimitMs
+  address, maxHeaderBytes, maxConnectionCount, timers, handle, onIncomplete, onDropped, bodyLimitMs = defaultTransferLimitMs, sendStallLimitMs = defaultTransferLimitMs
 }: ClientServerOptions): ClientServer {
   const connections = new Map<Socket, ClientConnection>()
   const ticker = createSharedTicker(timers, checkIntervalMs)
@@ -63,6 +69,7 @@
   let isDraining = false
   let quietLimitMs = Infinity
   let hasReceivedRequest = false
+  let lingeringCount = 0
   /** Undefined until a configuration is known. */
   let headerLimitMs: number | undefined
   let lowering: { readonly limitMs: number, readonly appliesAtMs: number, readonly timer: TimerSubscription } | undefined
@@ -73,6 +80,8 @@
   }, receive)
   server.requestTimeout = defaultHeaderLimitMs + bodyLimitMs
   server.timeout = sendStallLimitMs
+  if (maxConnectionCount !== undefined) server.maxConnections = maxConnectionCount
+  server.on('drop', () => onDropped?.())
   // The end of the sending half alone does not end the connection.
   Object.assign(server, { httpAllowHalfOpen: true })
   server.on('connection', track)
@@ -85,8 +94,14 @@
     connections.get(socket)?.refuse(statusByErrorCode[error.code ?? ''] ?? '400 Bad Request', error)
   })
 
+  function tryLinger (): boolean {
+    if (lingeringCount >= maxLingeringCount) return false
+    lingeringCount += 1
+    return true
+  }
+
   function track (socket: Socket): void {
-    const connection = createClientConnection({ socket, timers, isDraining: () => isDraining, handle: handleExchange, onIncomplete })
+    const connection = createClientConnection({ socket, timers, isDraining: () => isDraining, tryLinger, endLinger: () => { lingeringCount -= 1 }, handle: handleExchange, onIncomplete })
     connections.set(socket, connection)
     // After a suspension, what has arrived is read before its connection counts as idle.
     const subscription = ticker.subscribe(() => setImmediate(checkConnection, connection))
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import { computeConnectionLimit } from '../coordination/dispatch/connection-limit.js'
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
+import { createServerOverruns } from '../coordination/dispatch/server-overruns.js'
 import { createServerLimits } from '../coordination/limits/server-limits.js'
 import { createServerPermits } from '../coordination/limits/server-permits.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
@@ -38,6 +39,7 @@
 import type { GatewayBounds, GatewaySettings } from './gateway-settings.js'
 import { createLoadSharing } from './load-sharing.js'
 import { createPresence } from './presence.js'
+import { maxParsedHeaderBytes, type ProcessBuffers } from './process-buffers.js'
 import { createRelayHandler } from './relay-handler.js'
 import { createMetricsServer, createReadinessServer, createRelayServer } from './internal-servers.js'
 import { streamCheckIntervalMs } from './stream-forwarding.js'
@@ -52,6 +54,7 @@
   readonly layout: StoreLayout
   readonly codec: WireCodec
   readonly createLogger: LoggerFactory
+  readonly buffers: ProcessBuffers
 }
 
 /** One process that forwards requests of clients to backend servers. */
@@ -71,11 +74,6 @@
 const revocationMarginMs = 300
 /** Idle connections kept for each server. Requests in flight have their own limit, from what the server accepts in all. */
 const maxIdleConnectionsPerServer = 8
-/**
- * Node.js fixes this limit when the server is created, and refuses requests above it before they are read. The
- * configuration's limit, `limits.maxHeaderBytes`, is checked for each request and applies below it.
- */
-const maxParsedHeaderBytes = 65_536
 /** Limits the log volume under load; lines above it are counted and dropped. */
 const requestLogLinesPerSecond = 60
 /** The same for the lines of responses that were not completed, which the lines of other requests cannot displace. */
@@ -84,6 +82,8 @@
 const quarantineLogLinesPerSecond = 20
 /** The same for the lines on limits that servers state. */
 const limitLogLinesPerSecond = 20
+/** The same for the lines on servers that send too much. */
+const bufferLogLinesPerSecond = 10
 const incompleteEvents = {
   [ConnectionEnd.Gateway]: MetricEvent.IncompleteByGateway,
   [ConnectionEnd.Client]: MetricEvent.IncompleteByClient,
@@ -92,7 +92,7 @@
 
 /** Creates a gateway; it serves after `start`. */
 export function createGateway (options: GatewayOptions): Gateway {
-  const { settings, timers, store, layout, codec, createLogger } = options
+  const { settings, timers, store, layout, codec, createLogger, buffers } = options
   const log = createLogger('gateway')
   const random = createRandomSource(createProcessSeed())
   const startedAtMs = timers.nowMs()
@@ -151,7 +151,7 @@
     serverControl: options.serverControl,
     inquiries,
     getStallLimitMs: () => bounds.stallLimitMs,
-    isHeld: server => dependencies.holds.getRemainingMs(server) > 0,
+    isHeld: server => holds.getRemainingMs(server) > 0,
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
     listServices: fleet.listReplicatedServices
   })
@@ -181,6 +181,7 @@
     countGateways: presence.countGateways,
     announce: entry => loadSharing.sendPromptMessage({ kind: PromptMessageKind.Quarantine, partIds: [...entry.partIds], probeCount: entry.probeCount })
   })
+  const holds = createServerHolds(timers)
   const limits = createServerLimits({ timers, logger: createRateLimitedLogger(createLogger('limits'), timers, limitLogLinesPerSecond) })
   const permits = createServerPermits({
     nodeId: settings.nodeId,
@@ -201,8 +202,11 @@
     fleet,
     codec,
     connections: createBackendConnectionPool({ timers, maxIdleConnectionsPerServer }),
+    requestBuffers: buffers.requests,
+    responseBuffers: buffers.responses,
     scores: createServerScores(timers),
-    holds: createServerHolds(timers),
+    holds,
+    overruns: createServerOverruns({ timers, holds, logger: createRateLimitedLogger(createLogger('buffers'), timers, bufferLogLinesPerSecond) }),
     limits,
     permits,
     loads,
@@ -238,10 +242,18 @@
   })
   const incompleteLogger = createRateLimitedLogger(createLogger('connections'), timers, incompleteLogLinesPerSecond)
   const callIntake = createCallIntake({ dependencies, claimProbe: quarantineStore.claimProbe, getMaxConfigAgeMs, getLatestEndMs: () => drain.getLatestEndMs() })
-  const clientServer = createClientServer({ address: settings.clientAddress, maxHeaderBytes: maxParsedHeaderBytes, timers, handle: callIntake.handle, onIncomplete: recordIncomplete })
+  const clientServer = createClientServer({
+    address: settings.clientAddress,
+    maxHeaderBytes: maxParsedHeaderBytes,
+    maxConnectionCount: buffers.maxConnectionCount,
+    timers,
+    handle: callIntake.handle,
+    onIncomplete: recordIncomplete,
+    onDropped: () => metrics.countEvent(MetricEvent.ConnectionDropped)
+  })
   const readinessServer = createReadinessServer(settings.readinessAddress, isReady)
   const metricsServer = createMetricsServer(settings.metricsAddress, metrics, refreshGauges)
-  const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), log)
+  const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), buffers.requests, log)
   const drain = createDrain({ timers, logger: log, clientServer, getShutdownLimitMs: () => bounds.shutdownLimitMs })
 
   function noteLeaving (server: BackendServer): void {
@@ -270,6 +282,8 @@
     metrics.setGauge(MetricGauge.QuarantineEntryCount, promptGuard.listEntries().length)
     metrics.setGauge(MetricGauge.SuspectPartCount, promptGuard.countSuspects())
     metrics.setGauge(MetricGauge.RetryBudgetAvailable, [...retryBudgets.values()].reduce((sum, budget) => sum + budget.getAvailableCount(), 0))
+    metrics.setGauge(MetricGauge.HeldRequestBytes, buffers.requests.getHeldByteCount())
+    metrics.setGauge(MetricGauge.HeldResponseBytes, buffers.responses.getHeldByteCount())
     metrics.setGauge(MetricGauge.IssuedLimitPerSecond, permits.getIssuedPerSecond())
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
@@ -334,6 +348,7 @@
   }
 
   function observeFleet (): void {
+    buffers.observeEvictions(() => metrics.countEvent(MetricEvent.BufferEvicted))
     void options.serverControl.leavingServers.messages.observe(noteLeaving)
     void fleet.events.messages.observe(event => {
       if (event === FleetEvent.Config) {
--- a/src/gateway/internal-servers.test.ts
+++ b/src/gateway/internal-servers.test.ts
@@ -5,10 +5,12 @@
 
 import { createMetrics } from '../observability/metrics.js'
 import { findFreePorts } from '../testing/free-ports.js'
+import { createBufferBudget } from '../shared/buffer-budget.js'
 import { createMetricsServer, createReadinessServer, createRelayServer } from './internal-servers.js'
 import type { RelayHandler } from './relay-handler.js'
 
 const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
+const budget = createBufferBudget({ maxByteCount: 8_000_000, smallByteCount: 0, onEvicted () {} })
 
 describe('internal servers', () => {
   let port = 0
@@ -71,7 +73,7 @@
   })
 
   it('refuse a relay request that is too large or has no end, and close its connection', async () => {
-    server = createRelayServer({ host: '127.0.0.1', port }, { handle: request => handle(request) }, silentLogger)
+    server = createRelayServer({ host: '127.0.0.1', port }, { handle: request => handle(request) }, budget, silentLogger)
     await server.start()
     for (const head of [
       'POST /fleet HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n',
@@ -85,7 +87,7 @@
 
   it('let a relay request wait for its response for as long as gateways ask', async () => {
     handle = () => new Promise(resolve => { setTimeout(() => resolve(undefined), 2500) })
-    server = createRelayServer({ host: '127.0.0.1', port }, { handle: request => handle(request) }, silentLogger)
+    server = createRelayServer({ host: '127.0.0.1', port }, { handle: request => handle(request) }, budget, silentLogger)
     await server.start()
     const body = JSON.stringify({ waitMs: 2000, wantsLargeValues: false, loads: { nodeId: 'n', sequence: 1, streamCounts: {}, stalledIds: [], quietIds: [] } })
     // A relay without a view of the store.
--- a/src/gateway/internal-servers.ts
+++ b/src/gateway/internal-servers.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '../observability/metrics.js'
 import { decodeRelayRequest, encodeRelayResponse, relayPath } from '../protocol/relay-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import type { RelayHandler } from './relay-handler.js'
 import { BodyResultKind, readRequestBody } from './request-body.js'
 
@@ -40,9 +41,11 @@
 }
 
 /** Creates the server of relay requests, with which other gateways read the store's content. */
-export function createRelayServer (address: NetworkAddress, handler: RelayHandler, logger: Logger) {
+export function createRelayServer (address: NetworkAddress, handler: RelayHandler, budget: BufferBudget, logger: Logger) {
   async function handleRequest (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const body = await readRequestBody(request, maxRelayRequestBytes)
+    const { result, release } = readRequestBody(request, { maxBytes: maxRelayRequestBytes, budget })
+    const body = await result
+    release()
     const relayRequest = body.kind === BodyResultKind.Whole ? decodeRelayRequest(body.body?.toString('utf8') ?? '') : undefined
     if (request.url !== relayPath || relayRequest === undefined) {
       logger.warn('A relay request is invalid; it was refused with status 400.', { path: request.url ?? '', from: request.socket.remoteAddress ?? '' })
--- a/src/gateway/plain-attempt.ts
+++ b/src/gateway/plain-attempt.ts
@@ -1,9 +1,11 @@
 /** One attempt of a plain call at one server. */
+import { createByteCollector } from '../shared/byte-collector.js'
 import type { BackendServer } from '../state/backend-server.js'
 import { RouteKind } from '../state/serving-config.js'
 import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
+import { breakOffResponse } from './break-off-response.js'
 import {
-  buildBackendRequest, foreignResponseReason, getRemainingMs, isEndPlanned, isForeignResponse, isSuccess, logUnconfirmedEnd, promisesNotExecuted, readServerHead,
+  buildBackendRequest, foreignResponseReason, getRemainingMs, isEndPlanned, isForeignResponse, isSuccess, logUnconfirmedEnd, noMemoryReason, promisesNotExecuted, readServerHead,
   unconfirmedEndReason, type Call, type CallDependencies
 } from './call-context.js'
 import type { ServerResponseInfo } from './wire-codec.js'
@@ -24,9 +26,25 @@
 
 /** How an attempt ended. */
 export type PlainResult =
-  | { readonly kind: PlainResultKind.Responded, readonly head: ResponseHead, readonly body: Buffer }
+  | { readonly kind: PlainResultKind.Responded, readonly head: ResponseHead, readonly body: Buffer, readonly rest?: ResponseRest }
   | { readonly kind: Exclude<PlainResultKind, PlainResultKind.Responded>, readonly reason: string }
 
+/** The rest of a large response, which is forwarded as it arrives. */
+export interface ResponseRest {
+  /** To be called once. Either `onEnd` or `onFailure` is called last, and nothing after an abort. */
+  forward (listener: RestListener): void
+  pause (): void
+  resume (): void
+  /** Closes the connection to the server. */
+  abort (reason: string): void
+}
+
+export interface RestListener {
+  onData (chunk: Buffer): void
+  onEnd (): void
+  onFailure (reason: string): void
+}
+
 /** An attempt in progress. */
 export interface PlainAttempt {
   readonly server: BackendServer
@@ -38,8 +56,10 @@
   supersede (): void
 }
 
-/** A larger response is not buffered; the attempt counts as lost. */
+/** A larger response breaks off. */
 const maxResponseBytes = 8 * 1024 * 1024
+/** A response is forwarded as it arrives once it is larger, when its server can no longer be replaced by another one. Most are far smaller. */
+const maxCollectedBytes = 65_536
 const serverErrorStatus = 500
 
 export function isServerError (statusCode: number): boolean {
@@ -51,8 +71,13 @@
   const { timers, scores } = dependencies
   const sentAtMs = timers.nowMs()
   const guarded = dependencies.promptGuard.begin(call.clientInfo.sharedPartIds, server)
-  const chunks: Buffer[] = []
+  const account = dependencies.responseBuffers.open({ owner: server.id, evict: giveUp })
+  const collector = createByteCollector(maxResponseBytes, account)
   let size = 0
+  /** Set once the response is forwarded as it arrives. */
+  let isForwarding = false
+  let restListener: RestListener | undefined
+  let earlyFailure: string | undefined
   let head: ResponseHead | undefined
   let info: ServerResponseInfo | undefined
   let isSettled = false
@@ -78,20 +103,77 @@
     isSettled = true
     timeout.cancel()
     call.response.off('close', onClientDisconnect)
+    if (isForwarding || settled.kind !== PlainResultKind.Responded) account.close()
+    else call.response.once('close', account.close)
     recordScore(settled)
     if (settled.kind === PlainResultKind.Responded && isSuccess(settled.head.statusCode)) guarded.complete()
     else if (hasConnectionEnded) guarded.recordLoss(head !== undefined)
     else if (isAbandoned && 'reason' in settled) guarded.abandon(settled.reason)
     else guarded.end()
-    resolveResult(settled)
+    if (isForwarding) endRest(settled)
+    else resolveResult(settled)
   }
 
+  function endRest (settled: PlainResult): void {
+    if (settled.kind === PlainResultKind.Responded) restListener?.onEnd()
+    else if (restListener === undefined) earlyFailure = settled.reason
+    else restListener.onFailure(settled.reason)
+  }
+
+  /** Ends the attempt from this side. */
   function abandon (kind: Exclude<PlainResultKind, PlainResultKind.Responded>, reason: string): void {
     if (isSettled) return
     exchange.abort()
     settle({ kind, reason }, true)
   }
 
+  /** Gives up the response, also one that the client does not take. */
+  function giveUp (): void {
+    if (isSettled) breakOffResponse(call.response)
+    else overrun(noMemoryReason)
+  }
+
+  /** The server sent more than a response may hold. */
+  function overrun (reason: string): void {
+    dependencies.overruns.record(server, reason)
+    abandon(PlainResultKind.Lost, reason)
+  }
+
+  /** Hands out a large response, whose end is not known yet. */
+  function forwardRest (responded: Extract<PlainResult, { readonly kind: PlainResultKind.Responded }>): void {
+    exchange.pause()
+    isForwarding = true
+    const rest: ResponseRest = {
+      forward (listener) {
+        restListener = listener
+        if (earlyFailure === undefined) exchange.resume()
+        else listener.onFailure(earlyFailure)
+      },
+      pause: () => exchange.pause(),
+      resume: () => exchange.resume(),
+      abort (reason) {
+        restListener = undefined
+        abandon(PlainResultKind.ClientDisconnected, reason)
+      }
+    }
+    resolveResult({ ...responded, rest })
+  }
+
+  /** Keeps a chunk, or forwards it if the response is large. */
+  function handleData (chunk: Buffer): void {
+    size += chunk.length
+    if (size > maxResponseBytes) {
+      overrun(`the response is larger than ${maxResponseBytes} bytes`)
+    } else if (restListener !== undefined) {
+      restListener.onData(chunk)
+    } else if (!collector.append(chunk)) {
+      overrun(noMemoryReason)
+    } else if (size > maxCollectedBytes && !isForwarding && head !== undefined && info !== undefined) {
+      const classified = classifyResponse(head, info, collector.toBuffer())
+      if (classified.kind === PlainResultKind.Responded && !isServerError(head.statusCode)) forwardRest(classified)
+    }
+  }
+
   /** The connection may have ended with the process of the server, within the body. */
   async function confirmEnd (responded: PlainResult, { statusCode }: ResponseHead): Promise<void> {
     const isComplete = await guarded.confirmEnd(isSuccess(statusCode))
@@ -120,21 +202,18 @@
       head = received
       info = readServerHead(dependencies, server, received, sentAtMs)
     },
-    onData (chunk) {
-      size += chunk.length
-      chunks.push(chunk)
-      if (size > maxResponseBytes) abandon(PlainResultKind.Lost, `the response is larger than ${maxResponseBytes} bytes`)
-    },
+    onData: handleData,
     onEnd () {
       if (head === undefined || info === undefined) {
         settle({ kind: PlainResultKind.Lost, reason: 'no response' })
         return
       }
-      const classified = classifyResponse(head, info, Buffer.concat(chunks))
+      const classified = classifyResponse(head, info, collector.toBuffer())
       if (classified.kind === PlainResultKind.Responded && head.endsWithConnection && !isEndPlanned(dependencies, server, info)) void confirmEnd(classified, head)
       else settle(classified)
     },
-    onFailure ({ kind, reason }) {
+    onFailure ({ kind, reason, isOverrun }) {
+      if (isOverrun === true) dependencies.overruns.record(server, reason)
       hasConnectionEnded = kind === ExchangeFailureKind.Lost
       settle({ kind: kind === ExchangeFailureKind.NotSent ? PlainResultKind.NotExecuted : PlainResultKind.Lost, reason })
     }
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -7,7 +7,8 @@
 import { RouteKind } from '../state/serving-config.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { ResponseHead } from '../transport/backend-connection-pool.js'
-import { isServerError, PlainResultKind, startPlainAttempt, type PlainAttempt, type PlainResult } from './plain-attempt.js'
+import { isServerError, PlainResultKind, startPlainAttempt, type PlainAttempt, type PlainResult, type ResponseRest } from './plain-attempt.js'
+import { breakOffResponse } from './break-off-response.js'
 import { filterResponseHeaders } from './response-headers.js'
 import {
   CallOutcome, getPriority, getRemainingMs, mayWaitForPermit, recordOutcome, requestPermits, sendGatewayResponse, type Call, type CallDependencies
@@ -133,7 +134,8 @@
     }
     if (result.kind === PlainResultKind.Responded && !isServerError(result.head.statusCode)) {
       for (const other of running) other.supersede()
-      sendServerResponse(dependencies, call, attempt.server, result.head, result.body)
+      if (result.rest === undefined) sendServerResponse(dependencies, call, attempt.server, result.head, result.body)
+      else forwardLargeResponse(dependencies, call, attempt.server, { ...result, rest: result.rest })
       return
     }
     handleFailure(ended)
@@ -213,6 +215,44 @@
   call.response.end(body)
 }
 
+/** Forwards a response as it arrives. One that cannot be completed breaks off, so that it does not look complete. */
+function forwardLargeResponse (dependencies: CallDependencies, call: Call, server: BackendServer, { head, body, rest }: { readonly head: ResponseHead, readonly body: Buffer, readonly rest: ResponseRest }): void {
+  const { response } = call
+
+  function finish (outcome: CallOutcome, reason = ''): void {
+    response.off('close', onClientDisconnect)
+    response.off('drain', rest.resume)
+    recordOutcome(dependencies, call, outcome, { serverId: server.id, statusCode: head.statusCode, ...(reason === '' ? {} : { reason }) })
+  }
+
+  function onClientDisconnect (): void {
+    rest.abort('the client disconnected')
+    finish(CallOutcome.ClientDisconnected)
+  }
+
+  if (response.destroyed) {
+    onClientDisconnect()
+    return
+  }
+  response.on('close', onClientDisconnect)
+  response.on('drain', rest.resume)
+  response.writeHead(head.statusCode, head.statusMessage, filterResponseHeaders(head.rawHeaders, true) as never)
+  response.write(body)
+  rest.forward({
+    onData (chunk) {
+      if (!response.write(chunk)) rest.pause()
+    },
+    onEnd () {
+      finish(CallOutcome.Served)
+      response.end()
+    },
+    onFailure (reason) {
+      finish(CallOutcome.Broken, reason)
+      breakOffResponse(response)
+    }
+  })
+}
+
 /** Time until the first of the service's servers takes requests; 0 if one does now, or if there is none. */
 function getShortestHoldMs (dependencies: CallDependencies, serviceName: string): number {
   const holdsMs = dependencies.fleet.getServers(serviceName).filter(server => server.state === ServerState.Ready).map(dependencies.holds.getRemainingMs)
--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -1,10 +1,11 @@
 /** One attempt of a stream at one replica: its exchange, its events and its loads. */
+import { createByteCollector } from '../shared/byte-collector.js'
 import { createSseFramer, type FramedSseEvent } from '../protocol/sse-framer.js'
 import type { BackendServer } from '../state/backend-server.js'
 import type { Replica } from '../state/replica.js'
 import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
 import {
-  buildBackendRequest, foreignResponseReason, isEndPlanned, isForeignResponse, isSuccess, logUnconfirmedEnd, readServerHead, unconfirmedEndReason,
+  buildBackendRequest, foreignResponseReason, isEndPlanned, isForeignResponse, isSuccess, logUnconfirmedEnd, noMemoryReason, readServerHead, unconfirmedEndReason,
   type Call, type CallDependencies
 } from './call-context.js'
 import type { ServerResponseInfo } from './wire-codec.js'
@@ -72,10 +73,10 @@
 export function startStreamAttempt (dependencies: CallDependencies, call: Call, options: StreamAttemptOptions, listener: StreamAttemptListener): StreamAttempt {
   const { timers, loads } = dependencies
   const { replica, leader, getLastEventId, mayBeComplete } = options
-  const framer = createSseFramer({ maxEventBytes })
+  const account = dependencies.responseBuffers.open({ owner: leader.id, evict: () => overrun(noMemoryReason) })
+  const framer = createSseFramer({ maxEventBytes, account })
   const guarded = dependencies.promptGuard.begin(call.clientInfo.sharedPartIds, leader)
-  const errorBody: Buffer[] = []
-  let errorBodyBytes = 0
+  const errorBody = createByteCollector(maxErrorBodyBytes, account)
   let head: ResponseHead | undefined
   let info: ServerResponseInfo | undefined
   let hasEvents = false
@@ -88,6 +89,7 @@
   function end (): boolean {
     if (isEnded) return false
     isEnded = true
+    account.close()
     exchange.abort()
     loads.endStream(replica.id)
     countActive(false)
@@ -136,6 +138,12 @@
     listener.onFailure({ kind: AttemptFailureKind.Lost, reason })
   }
 
+  /** The server sent more than a response may hold. */
+  function overrun (reason: string): void {
+    dependencies.overruns.record(leader, reason)
+    lose(reason)
+  }
+
   function handleHead (received: ResponseHead): void {
     if (isForeignResponse(dependencies, call, leader, received)) {
       lose(foreignResponseReason)
@@ -156,7 +164,7 @@
       if (isEnded) return
       handleEvent(event, head)
     }
-    if (framer.isTooLarge()) lose(`an event is larger than ${maxEventBytes} bytes`)
+    if (framer.isTooLarge()) overrun(`an event is larger than ${maxEventBytes} bytes`)
   }
 
   function handleEvent (event: FramedSseEvent, responseHead: ResponseHead): void {
@@ -200,9 +208,7 @@
   }
 
   function handleErrorChunk (chunk: Buffer): void {
-    errorBodyBytes += chunk.length
-    if (errorBodyBytes > maxErrorBodyBytes) handleErrorResponse(false)
-    else errorBody.push(chunk)
+    if (!errorBody.append(chunk)) handleErrorResponse(false)
   }
 
   function handleErrorResponse (isWhole: boolean): void {
@@ -215,7 +221,7 @@
     } else {
       const reason = `the server responded with status ${head.statusCode}${isWhole ? '' : ` and more than ${maxErrorBodyBytes} bytes`}`
       const canForward = isWhole && !info.isEncoded && (info.isStamped || !isSuccess(head.statusCode))
-      fail({ kind: AttemptFailureKind.ServerFailure, reason, errorResponse: canForward ? { head, body: Buffer.concat(errorBody) } : undefined })
+      fail({ kind: AttemptFailureKind.ServerFailure, reason, errorResponse: canForward ? { head, body: errorBody.toBuffer() } : undefined })
     }
   }
 
@@ -225,7 +231,8 @@
     onHead: handleHead,
     onData: handleData,
     onEnd: handleEnd,
-    onFailure ({ kind, reason }) {
+    onFailure ({ kind, reason, isOverrun }) {
+      if (isOverrun === true) dependencies.overruns.record(leader, reason)
       if (kind === ExchangeFailureKind.NotSent) fail({ kind: AttemptFailureKind.NotExecuted, reason })
       else breakOff(reason)
     }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -41,6 +41,10 @@
   UnconfirmedEnd = 'unconfirmed_end',
   /** The store came back from an older copy. */
   StoreEraChange = 'store_era_change',
+  /** A body was given up, since the memory for bodies was used up. */
+  BufferEvicted = 'buffer_evicted',
+  /** A client's connection was closed at once, since there were too many. */
+  ConnectionDropped = 'connection_dropped',
   /** This gateway ended an attempt whose server may still have been working on it. */
   AttemptAbandoned = 'attempt_abandoned',
   /** A request was sent to a second server, within the retry budget of its service. */
@@ -76,6 +80,10 @@
   QuarantineEntryCount = 'quarantine_entry_count',
   /** Parts of prompts under suspicion. */
   SuspectPartCount = 'suspect_part_count',
+  /** Bytes of bodies of requests that are kept. */
+  HeldRequestBytes = 'held_request_bytes',
+  /** Bytes of responses of servers that are kept. */
+  HeldResponseBytes = 'held_response_bytes',
   /** Second attempts that the budgets of this gateway allow now, over all services. */
   RetryBudgetAvailable = 'retry_budget_available',
   /** Backend servers that state a limit on their requests. */
--- a/src/protocol/sse-framer.ts
+++ b/src/protocol/sse-framer.ts
@@ -1,3 +1,4 @@
+import type { BufferAccount } from '../shared/buffer-budget.js'
 import { createByteCollector, type ByteCollector } from '../shared/byte-collector.js'
 
 const lineFeed = 0x0a
@@ -22,6 +23,8 @@
 
 export interface SseFramerOptions {
   readonly maxEventBytes?: number
+  /** Counts the bytes of an incomplete event. An event that it may not hold counts as too large. */
+  readonly account?: BufferAccount
 }
 
 /** Bytes before a chunk that can be part of an event's end, which is a line feed, perhaps a carriage return, and a line feed. */
@@ -31,14 +34,14 @@
 const noBytes = Buffer.alloc(0)
 
 /** Creates a framer at the beginning of a stream. Each byte is searched and copied a bounded number of times, however small the chunks are. */
-export function createSseFramer ({ maxEventBytes = defaultMaxEventBytes }: SseFramerOptions = {}): SseFramer {
+export function createSseFramer ({ maxEventBytes = defaultMaxEventBytes, account }: SseFramerOptions = {}): SseFramer {
   let pending: ByteCollector | undefined
   let isTooLarge = false
 
   /** Keeps bytes of an incomplete event. */
   function keep (bytes: Buffer): void {
     if (bytes.length === 0) return
-    pending ??= createByteCollector(maxEventBytes)
+    pending ??= createByteCollector(maxEventBytes, account)
     isTooLarge = !pending.append(bytes)
     // What is kept only stands for the event that is too large.
     if (isTooLarge) pending = undefined
@@ -56,6 +59,7 @@
       }
       const bytes = pendingBytes.length === 0 ? chunk : Buffer.concat([pendingBytes, chunk])
       pending = undefined
+      account?.resize(0)
       const events: FramedSseEvent[] = []
       let start = 0
       for (let end = pendingBytes.length - context.length + firstEnd; end > 0; end = findEventEnd(bytes, start)) {
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -13,6 +13,7 @@
 import type { LogFields } from '../observability/log.js'
 import { createRandomSource } from '../shared/random-source.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
+import { createBufferBudget } from '../shared/buffer-budget.js'
 import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
 import { MemberState, type BackendServer } from '../state/backend-server.js'
 import { listReplicas } from '../state/replica.js'
@@ -139,6 +140,8 @@
     loads,
     streamTicker: createSharedTicker(timers, streamCheckIntervalMs),
     holds: createServerHolds(timers),
+    overruns: { record () {} },
+    responseBuffers: createBufferBudget({ maxByteCount: 25_000_000, smallByteCount: 0, onEvicted () {} }),
     limits,
     permits: createServerPermits({ nodeId: 'n1', timers, random, limits, listGatewayIds: () => ['n1'], countGateways: () => 1, send () {} }),
     promptGuard,
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -4,7 +4,7 @@
 
 import { failure, success, type Result } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
-import { maxBytesWithoutBody, maxInformationalResponseCount } from './response-limits.js'
+import { framingBytesPerChunk, maxBytesWithoutBody, maxFramingBytes, maxInformationalResponseCount } from './response-limits.js'
 
 /** A request to a backend server, forwarded with its headers as given. */
 export interface BackendRequest {
@@ -40,6 +40,8 @@
 export interface ExchangeFailure {
   readonly kind: ExchangeFailureKind
   readonly reason: string
+  /** The server sent more than a response may hold. */
+  readonly isOverrun?: boolean
 }
 
 /** Called in order: `onHead`, then `onData`, then either `onEnd` or `onFailure`. A failure may come at any point. */
@@ -158,6 +160,7 @@
   let deliveredByteCount = 0
   let knownBodyByteCount = 0
   let byteCountWithoutBody = 0
+  let chunkCount = 0
 
   const connectTimer = timers.subscribeOnce(connectTimeoutMs, () => {
     if (!isConnected) fail(`no connection to ${request.host}:${request.port} within ${connectTimeoutMs} ms`)
@@ -170,10 +173,10 @@
     return true
   }
 
-  function fail (reason: string): void {
+  function fail (reason: string, isOverrun = false): void {
     if (!finish()) return
     clientRequest.destroy()
-    listener.onFailure({ kind: isConnected ? ExchangeFailureKind.Lost : ExchangeFailureKind.NotSent, reason })
+    listener.onFailure({ kind: isConnected ? ExchangeFailureKind.Lost : ExchangeFailureKind.NotSent, reason, isOverrun })
   }
 
   function watchArrivingBytes (socket: Socket, byteCount: number): void {
@@ -185,7 +188,7 @@
     const bodyByteCount = deliveredByteCount + (currentResponse?.readableLength ?? 0)
     if (bodyByteCount > knownBodyByteCount) byteCountWithoutBody = 0
     knownBodyByteCount = bodyByteCount
-    if (byteCountWithoutBody > maxBytesWithoutBody) fail(`more than ${maxBytesWithoutBody} bytes arrived that are no body`)
+    if (byteCountWithoutBody > maxBytesWithoutBody) fail(`more than ${maxBytesWithoutBody} bytes arrived that are no body`, true)
     byteCountWithoutBody += byteCount
   }
 
@@ -223,6 +226,9 @@
     })
     response.on('data', (chunk: Buffer) => {
       deliveredByteCount += chunk.length
+      chunkCount += 1
+      const framingByteCount = response.headers['transfer-encoding'] === undefined ? 0 : chunkCount * framingBytesPerChunk
+      if (framingByteCount > maxFramingBytes + deliveredByteCount) fail(`more than ${maxFramingBytes} bytes of chunk sizes arrived with a small body`, true)
       if (!isFinished) listener.onData(chunk)
     })
     response.on('end', () => {
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -4,6 +4,7 @@
 
 import { failure, success, type Result } from '../shared/result.js'
 import { createSystemTimerService, type TimerService } from '../shared/timer-service.js'
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import { createByteCollector } from '../shared/byte-collector.js'
 import { createReadGuard, type ReadGuard } from './read-guard.js'
 import { maxInformationalResponseCount } from './response-limits.js'
@@ -31,6 +32,8 @@
 
 export interface HttpClientOptions {
   readonly timers?: TimerService
+  /** Counts the bodies of responses while they arrive. */
+  readonly bufferBudget?: BufferBudget
   /** False opens a new connection for each call, which rules out a reused one that the server has just closed. */
   readonly reusesConnections?: boolean
   /** Replaces the function that opens connections; for tests. */
@@ -56,14 +59,25 @@
     pipelining: options.reusesConnections === false ? 0 : 1
   })
   return {
-    send: request => sendOnce(agent, guard, timers, request),
+    send: request => sendOnce({ agent, guard, timers, bufferBudget: options.bufferBudget }, request),
     close: () => agent.destroy()
   }
 }
 
-function sendOnce (agent: Agent, guard: ReadGuard, timers: TimerService, request: HttpClientRequest): Promise<Result<HttpClientResponse, TransportError>> {
+const noMemoryReason = 'the memory for responses is used up'
+
+interface SendDependencies {
+  readonly agent: Agent
+  readonly guard: ReadGuard
+  readonly timers: TimerService
+  readonly bufferBudget: BufferBudget | undefined
+}
+
+function sendOnce ({ agent, guard, timers, bufferBudget }: SendDependencies, request: HttpClientRequest): Promise<Result<HttpClientResponse, TransportError>> {
   return new Promise(resolve => {
-    const body = createByteCollector(request.maxResponseBytes)
+    const account = bufferBudget?.open({ owner: request.origin, evict: () => stop(noMemoryReason) })
+    const body = createByteCollector(request.maxResponseBytes, account)
+    let receivedByteCount = 0
     let informationalCount = 0
     let statusCode = 0
     let headers: IncomingHttpHeaders = {}
@@ -74,6 +88,7 @@
       if (isFinished) return
       isFinished = true
       timeout.cancel()
+      account?.close()
       resolve(result)
     }
 
@@ -115,7 +130,9 @@
       },
       onResponseData (_controller, chunk) {
         guard.recordProgress()
-        if (!body.append(chunk)) stop(`the response is larger than ${request.maxResponseBytes} bytes`)
+        receivedByteCount += chunk.length
+        if (body.append(chunk)) return
+        stop(receivedByteCount > request.maxResponseBytes ? `the response is larger than ${request.maxResponseBytes} bytes` : noMemoryReason)
       },
       onResponseEnd () {
         guard.recordProgress()
