Confirm the end of a resumable stream without a length also when its server was leaving

Cause: the planned end of a server's process counted as the end of its last response without a check, and a server that leaves may crash like any other. Now another server is asked after the last event when the process is gone; if it has nothing to add the stream is complete. broken-streams.test.ts "goes on at another server when its own was leaving": before two of six events arrived as complete, after all six; 46 tests of it and of the forwarding of streams pass.

--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -190,7 +190,7 @@
       handleErrorResponse(true)
     } else if (framer.hasPartialEvent() || (!hasEvents && !mayBeComplete())) {
       breakOff('the stream ended with an incomplete event or without any')
-    } else if (head.endsWithConnection && info !== undefined && (!hasEvents || !isEndPlanned(dependencies, leader, info))) {
+    } else if (head.endsWithConnection && info !== undefined && mustConfirmEnd(info)) {
       void confirmEnd()
     } else if (end()) {
       guarded.complete()
@@ -198,6 +198,11 @@
     }
   }
 
+  /** A planned end may be that of the last response. Where the stream may be resumed, another server tells: one that leaves may crash too. */
+  function mustConfirmEnd (response: ServerResponseInfo): boolean {
+    return call.route.isResumable || !hasEvents || !isEndPlanned(dependencies, leader, response)
+  }
+
   /** The connection may have ended with the process of the server, between two events. */
   async function confirmEnd (): Promise<void> {
     const isComplete = await guarded.confirmEnd(true)
