--- a/src/testing/free-ports.ts
+++ b/src/testing/free-ports.ts
@@ -1,3 +1,4 @@
+import { createSocket } from 'node:dgram'
 import { createServer } from 'node:net'
 
 const firstPort = 20_000
@@ -7,7 +8,7 @@
 let nextPortOffset = (process.pid * 101) % portCount
 
 /**
- * Finds TCP ports that are free now. They are below the system's range for outgoing connections, so that no such
+ * Finds ports that are free now, for TCP and UDP. They are below the system's range for outgoing connections, so that no such
  * connection takes one before the program binds it.
  */
 export async function findFreePorts (count: number): Promise<number[]> {
@@ -15,15 +16,26 @@
   while (ports.length < count) {
     const port = firstPort + nextPortOffset
     nextPortOffset = (nextPortOffset + 1) % portCount
-    if (await isPortFree(port)) ports.push(port)
+    if (await isTcpPortFree(port) && await isUdpPortFree(port)) ports.push(port)
   }
   return ports
 }
 
-function isPortFree (port: number): Promise<boolean> {
+function isTcpPortFree (port: number): Promise<boolean> {
   return new Promise(resolve => {
     const server = createServer()
     server.once('error', () => resolve(false))
     server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
   })
 }
+
+function isUdpPortFree (port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const socket = createSocket('udp4')
+    socket.once('error', () => {
+      socket.close()
+      resolve(false)
+    })
+    socket.bind(port, '127.0.0.1', () => socket.close(() => resolve(true)))
+  })
+}
