Decide in one module whether a request may go to a server

Placement and both kinds of forwarding asked the holds and the permits each in their own way, so that a new reason to send nothing would have to be added in four places. Ruled out: one check per source in placement, as the number of sources grows.

server-admission.ts joins both behind check, take, request and subscribe; placement calls check once for each candidate. Behaviour is unchanged.

The fixtures of replica-choice and stream-forwarding get the module in place of the two functions; no expectation changed.

--- a/src/bench/placing/placing-run.ts
+++ b/src/bench/placing/placing-run.ts
@@ -184,7 +184,7 @@
     case PlacingPolicy.TwoChoices: return pickLeast([random.pick(replicas), random.pick(replicas)] as Replica[], replica => gateway.loads.getStreamCount(replica.id))
     case PlacingPolicy.Production: {
       const choice = chooseReplica({
-        replicas, model: model.name, slotCount: engine.slotCount, zone: gateway.zone, excludedIds: new Set(), gatewayCount: gateways.length, maxLocalStreamCount: Infinity, getHoldMs: () => 0, maySend: () => true
+        replicas, model: model.name, slotCount: engine.slotCount, zone: gateway.zone, excludedIds: new Set(), gatewayCount: gateways.length, maxLocalStreamCount: Infinity, check: () => ({ isAllowed: true })
       }, gateway.loads, random)
       return choice.kind === ReplicaChoiceKind.Chosen ? choice.replica : undefined
     }
--- a/src/coordination/dispatch/replica-choice.test.ts
+++ b/src/coordination/dispatch/replica-choice.test.ts
@@ -5,6 +5,7 @@
 import { MemberState, ServerState, type BackendServer } from '../../state/backend-server.js'
 import { listReplicas, type Replica } from '../../state/replica.js'
 import { sampleEngine } from '../../testing/serving-samples.js'
+import { BlockReason, type ServerCheck } from '../servers/server-admission.js'
 import { chooseReplica, ReplicaChoiceKind } from './replica-choice.js'
 import { createReplicaLoads, type ReplicaLoads } from './replica-loads.js'
 
@@ -45,9 +46,14 @@
     expect(choose(servers)).to.deep.equal({ kind: ReplicaChoiceKind.Held, holdMs: 400 })
   })
 
+  function check ({ id }: BackendServer): ServerCheck {
+    const waitMs = holdsMs.get(id) ?? 0
+    return waitMs > 0 ? { isAllowed: false, reason: BlockReason.Held, waitMs } : { isAllowed: true }
+  }
+
   function choose (servers: readonly BackendServer[], excluded: readonly string[] = [], maxOwnStreamCount = 50) {
     const replicas: Replica[] = listReplicas(servers, sampleEngine)
-    return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, maxLocalStreamCount: maxOwnStreamCount, excludedIds: new Set(excluded), getHoldMs: server => holdsMs.get(server.id) ?? 0, maySend: () => true }, loads, random)
+    return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, maxLocalStreamCount: maxOwnStreamCount, excludedIds: new Set(excluded), check }, loads, random)
   }
 
   it('skips a replica that lacks a member or is not open', () => {
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -1,6 +1,7 @@
 import type { RandomSource } from '../../shared/random-source.js'
 import { ServerState, type BackendServer } from '../../state/backend-server.js'
 import type { Replica } from '../../state/replica.js'
+import { needsPermit, type ServerCheck } from '../servers/server-admission.js'
 import type { ReplicaLoads } from './replica-loads.js'
 
 /** What the choice of a replica for one stream depends on. */
@@ -17,10 +18,8 @@
   readonly excludedIds: ReadonlySet<string>
   /** Whether a replica that is marked as stalled may be chosen; false when undefined. */
   readonly mayBeStalled?: boolean
-  /** Time for which the server wants no requests, in milliseconds; 0 when it takes them. */
-  getHoldMs (server: BackendServer): number
-  /** Whether the limit that the server states, if any, lets a request be sent now. */
-  maySend (server: BackendServer): boolean
+  /** Whether a request may go to the server now; called once for each candidate. */
+  check (server: BackendServer): ServerCheck
 }
 
 /** Result of the choice. */
@@ -77,14 +76,14 @@
   const candidates = input.replicas.filter(replica => replica.model?.name === input.model && replica.isOpen &&
     !input.excludedIds.has(replica.id) && (input.mayBeStalled === true || !loads.isStalled(replica.id)) && hasAllMembersAndReadyLeader(replica))
   if (candidates.length === 0) return { kind: ReplicaChoiceKind.Absent }
-  const getHoldMs = ({ leader }: Replica) => leader === undefined ? 0 : input.getHoldMs(leader)
-  const usable = candidates.filter(replica => getHoldMs(replica) === 0)
-  if (usable.length === 0) return { kind: ReplicaChoiceKind.Held, holdMs: Math.min(...candidates.map(getHoldMs)) }
+  const checks = new Map(candidates.map(replica => [replica.id, replica.leader === undefined ? undefined : input.check(replica.leader)]))
+  const usable = candidates.filter(replica => mayTakeWithPermit(checks.get(replica.id)))
+  if (usable.length === 0) return { kind: ReplicaChoiceKind.Held, holdMs: Math.min(...candidates.map(replica => getWaitMs(checks.get(replica.id)))) }
   const rated = usable.map(replica => rate(replica, input.zone, loads, random))
   const free = rated.filter(candidate => candidate.streamCount < input.slotCount * (1 + maxQueuedFraction) &&
     loads.getLocalStreamCount(candidate.replica.id) < input.maxLocalStreamCount)
   if (free.length === 0) return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)) }
-  const permitted = free.filter(({ replica: { leader } }) => leader === undefined || input.maySend(leader))
+  const permitted = free.filter(({ replica }) => checks.get(replica.id)?.isAllowed !== false)
   const limitedLeaders = permitted.length === free.length ? [] : listLeaders(free.filter(candidate => !permitted.includes(candidate)))
   if (permitted.length === 0) return { kind: ReplicaChoiceKind.Limited, limitedLeaders }
   const steady = permitted.filter(candidate => candidate.isSteady && candidate.streamCount < input.slotCount)
@@ -95,6 +94,15 @@
   return { kind: ReplicaChoiceKind.Chosen, replica, streamCount, isHealthy, limitedLeaders }
 }
 
+/** Whether the server of the check takes requests now, or as soon as there is a permit. */
+function mayTakeWithPermit (check: ServerCheck | undefined): boolean {
+  return check === undefined || check.isAllowed || needsPermit(check.reason)
+}
+
+function getWaitMs (check: ServerCheck | undefined): number {
+  return check === undefined || check.isAllowed ? 0 : check.waitMs
+}
+
 function listLeaders (candidates: readonly RatedReplica[]): BackendServer[] {
   return [...candidates].sort((left, right) => left.cost - right.cost).flatMap(({ replica: { leader } }) => leader ?? [])
 }
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -5,6 +5,7 @@
 import type { ServerOverruns } from '../coordination/dispatch/server-overruns.js'
 import { StatementSource, type ServerLimits } from '../coordination/limits/server-limits.js'
 import type { ServerPermits } from '../coordination/limits/server-permits.js'
+import type { ServerAdmission } from '../coordination/servers/server-admission.js'
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
 import type { PromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
@@ -40,6 +41,7 @@
   readonly overruns: ServerOverruns
   readonly limits: ServerLimits
   readonly permits: ServerPermits
+  readonly admission: ServerAdmission
   readonly promptGuard: PromptGuard
   readonly loads: ReplicaLoads
   readonly metrics: Metrics
@@ -206,9 +208,13 @@
 const maxRequestedServerCount = 2
 
 /** Asks for permits of the first servers that may have some, and returns the time after which one of the servers may. */
-export function requestPermits ({ permits }: CallDependencies, servers: readonly BackendServer[]): number {
-  for (const server of servers.filter(candidate => permits.getWaitMs(candidate) === 0).slice(0, maxRequestedServerCount)) permits.request(server)
-  return servers.length === 0 ? 0 : Math.min(...servers.map(permits.getWaitMs))
+export function requestPermits ({ admission }: CallDependencies, servers: readonly BackendServer[]): number {
+  const getWaitMs = (server: BackendServer) => {
+    const check = admission.check(server)
+    return check.isAllowed ? 0 : check.waitMs
+  }
+  for (const server of servers.filter(candidate => getWaitMs(candidate) === 0).slice(0, maxRequestedServerCount)) admission.request(server)
+  return servers.length === 0 ? 0 : Math.min(...servers.map(getWaitMs))
 }
 
 /** Whether a call that has waited since `sinceMs` may wait for a permit that is not to be had before `unavailableMs`. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import { createServerOverruns } from '../coordination/dispatch/server-overruns.js'
 import { createServerLimits } from '../coordination/limits/server-limits.js'
 import { createServerPermits } from '../coordination/limits/server-permits.js'
+import { createServerAdmission } from '../coordination/servers/server-admission.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerControl } from '../coordination/ports/server-control.js'
@@ -192,6 +193,7 @@
     countGateways: presence.countGateways,
     send: (message, nodeId) => loadSharing.sendLimitMessage(message, nodeId)
   })
+  const admission = createServerAdmission({ holds, permits })
   const retryBudgets = new Map<string, ServiceRetryBudget>()
   const dependencies: CallDependencies = {
     zone: settings.zone,
@@ -209,6 +211,7 @@
     overruns: createServerOverruns({ timers, holds, logger: createRateLimitedLogger(createLogger('buffers'), timers, bufferLogLinesPerSecond) }),
     limits,
     permits,
+    admission,
     loads,
     promptGuard,
     metrics,
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,5 +1,6 @@
 /** Forwards requests to plain services, whose responses are not streams. */
 import { maxNotExecutedRetryCount } from '../coordination/dispatch/attempt-limits.js'
+import { needsPermit } from '../coordination/servers/server-admission.js'
 import { describeAdmission } from '../coordination/quarantine/describe-admission.js'
 import { AdmissionKind, type Admission } from '../coordination/quarantine/prompt-quarantine.js'
 import { MetricEvent } from '../observability/metrics.js'
@@ -77,7 +78,7 @@
     // Permits that arrive later serve the next calls.
     requestPermits(dependencies, limitedServers.slice(0, 1))
     if (limitedServers.length > 0) dependencies.metrics.countEvent(MetricEvent.LimitedElsewhere)
-    dependencies.permits.take(server)
+    dependencies.admission.take(server)
     triedServerIds.add(server.id)
     const attempt = startPlainAttempt(dependencies, call, server)
     running.add(attempt)
@@ -144,7 +145,7 @@
 }
 
 /** Waits until a permit may have arrived. */
-function waitForPermit ({ permits, timers }: CallDependencies, call: Call): Promise<void> {
+function waitForPermit ({ admission, timers }: CallDependencies, call: Call): Promise<void> {
   return new Promise(resolve => {
     const end = () => {
       timer.cancel()
@@ -152,7 +153,7 @@
       resolve()
     }
     const timer = timers.subscribeOnce(permitCheckIntervalMs, end)
-    const unsubscribe = permits.subscribe({ priority: getPriority(call), arrivedAtMs: call.arrivedAtMs, wake: end })
+    const unsubscribe = admission.subscribe({ priority: getPriority(call), arrivedAtMs: call.arrivedAtMs, wake: end })
   })
 }
 
@@ -193,7 +194,7 @@
     if (!isAdmitted) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
     if (permitWaitMs !== undefined) dependencies.metrics.countEvent(MetricEvent.LimitRefused)
     const reason = explanation ?? (permitWaitMs === undefined ? undefined : limitReason)
-    const minRetryAfterMs = Math.max(minPlainRetryAfterMs, getShortestHoldMs(dependencies, call.serviceName), permitWaitMs ?? 0, isAdmitted ? 0 : admission.waitMs)
+    const minRetryAfterMs = Math.max(minPlainRetryAfterMs, getShortestBlockMs(dependencies, call.serviceName), permitWaitMs ?? 0, isAdmitted ? 0 : admission.waitMs)
     const retryAfterMs = Math.round(minRetryAfterMs + plainRetryAfterSpreadMs * dependencies.random.nextFloat())
     recordOutcome(dependencies, call, CallOutcome.Refused, { ...fields, retryAfterMs, ...(reason === undefined ? {} : { reason }) })
     sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, retryAfterMs, explanation)
@@ -253,10 +254,13 @@
   })
 }
 
-/** Time until the first of the service's servers takes requests; 0 if one does now, or if there is none. */
-function getShortestHoldMs (dependencies: CallDependencies, serviceName: string): number {
-  const holdsMs = dependencies.fleet.getServers(serviceName).filter(server => server.state === ServerState.Ready).map(dependencies.holds.getRemainingMs)
-  return holdsMs.length === 0 ? 0 : Math.min(...holdsMs)
+/** Time until the first of the service's servers takes requests, with or without a permit; 0 if one does now, or if there is none. */
+function getShortestBlockMs ({ fleet, admission }: CallDependencies, serviceName: string): number {
+  const blocksMs = fleet.getServers(serviceName).filter(server => server.state === ServerState.Ready).map(server => {
+    const check = admission.check(server)
+    return check.isAllowed || needsPermit(check.reason) ? 0 : check.waitMs
+  })
+  return blocksMs.length === 0 ? 0 : Math.min(...blocksMs)
 }
 
 /** The server for one more attempt, and those that could take it but for the limits that they state, the cheapest first. */
@@ -266,15 +270,17 @@
 }
 
 function chooseServer (dependencies: CallDependencies, call: Call, triedServerIds: ReadonlySet<string>): ServerChoice {
-  const candidates: Array<{ readonly server: BackendServer, readonly cost: number }> = []
+  const candidates: Array<{ readonly server: BackendServer, readonly cost: number, readonly isAllowed: boolean }> = []
   const maxInFlightCount = dependencies.getConnectionLimit(call.serviceName)
   for (const server of dependencies.fleet.getServers(call.serviceName)) {
     if (server.state !== ServerState.Ready || triedServerIds.has(server.id)) continue
-    if (dependencies.scores.countInFlight(server.id) >= maxInFlightCount || dependencies.holds.getRemainingMs(server) > 0) continue
+    if (dependencies.scores.countInFlight(server.id) >= maxInFlightCount) continue
+    const check = dependencies.admission.check(server)
+    if (!check.isAllowed && !needsPermit(check.reason)) continue
     // The random part, below 1 ms, breaks ties.
     const cost = dependencies.scores.getCost(server.id) + (server.zone === dependencies.zone ? 0 : crossZoneCostMs) + dependencies.random.nextFloat()
-    candidates.push({ server, cost })
+    candidates.push({ server, cost, isAllowed: check.isAllowed })
   }
-  const sorted = candidates.sort((left, right) => left.cost - right.cost).map(candidate => candidate.server)
-  return { server: sorted.find(dependencies.permits.maySend), limitedServers: sorted.filter(server => !dependencies.permits.maySend(server)) }
+  const sorted = candidates.sort((left, right) => left.cost - right.cost)
+  return { server: sorted.find(({ isAllowed }) => isAllowed)?.server, limitedServers: sorted.filter(({ isAllowed }) => !isAllowed).map(({ server }) => server) }
 }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -138,8 +138,7 @@
       zone: dependencies.zone,
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
-      getHoldMs: dependencies.holds.getRemainingMs,
-      maySend: dependencies.permits.maySend
+      check: dependencies.admission.check
     }
     const excludedIds = record.listExcludedIds(timers.nowMs())
     const choice: ReplicaChoice = scope === AttemptScope.AnyServer
@@ -203,7 +202,7 @@
   function startAttempt ({ replica, leader }: AllowedAttempt): void {
     // The budget allowed it just before.
     if (record.listReplicaIds().length > 0 && retryBudget.trySpend()) dependencies.metrics.countEvent(MetricEvent.RetrySpent)
-    dependencies.permits.take(leader)
+    dependencies.admission.take(leader)
     endWait()
     record.start(replica.id, leader)
     const attempt = startStreamAttempt(dependencies, call, { replica, leader, getLastEventId: () => lastEventId, mayBeComplete: () => mayBeComplete }, {
@@ -287,7 +286,7 @@
   }
 
   function waitForPermit ({ waitsForPermit }: NoAttempt): void {
-    if (waitsForPermit === true) stopWaiting ??= dependencies.permits.subscribe({ priority: call.response.headersSent ? inProgressPriority : getPriority(call), arrivedAtMs: call.arrivedAtMs, wake: checkWait })
+    if (waitsForPermit === true) stopWaiting ??= dependencies.admission.subscribe({ priority: call.response.headersSent ? inProgressPriority : getPriority(call), arrivedAtMs: call.arrivedAtMs, wake: checkWait })
   }
 
   function endWait (): void {
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -5,6 +5,7 @@
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerLimits } from '../coordination/limits/server-limits.js'
 import { createServerPermits } from '../coordination/limits/server-permits.js'
+import { createServerAdmission } from '../coordination/servers/server-admission.js'
 import { createServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { ServerFate } from '../coordination/ports/server-fate.js'
 import { createPromptGuard } from '../coordination/quarantine/prompt-guard.js'
@@ -76,6 +77,8 @@
     onRefuted () {}
   })
   const limits = createServerLimits({ timers, logger: silentLogger })
+  const holds = createServerHolds(timers)
+  const permits = createServerPermits({ nodeId: 'n1', timers, random, limits, listGatewayIds: () => ['n1'], countGateways: () => 1, send () {} })
   const listServers = () => [...servers.values()]
 
   const response = Object.assign(new EventEmitter(), {
@@ -139,11 +142,12 @@
     random,
     loads,
     streamTicker: createSharedTicker(timers, streamCheckIntervalMs),
-    holds: createServerHolds(timers),
+    holds,
     overruns: { record () {} },
     responseBuffers: createBufferBudget({ maxByteCount: 25_000_000, smallByteCount: 0, onEvicted () {} }),
     limits,
-    permits: createServerPermits({ nodeId: 'n1', timers, random, limits, listGatewayIds: () => ['n1'], countGateways: () => 1, send () {} }),
+    permits,
+    admission: createServerAdmission({ holds, permits }),
     promptGuard,
     fleet: {
       getServers: listServers,
