Add the pace of servers, off unless EGRETPADDLE_PACE is on

Change: src/coordination/pace records attempts, first events, times between events, refusals and breaks for each replica, and gives a stream limit and a pace factor. The gateway creates the module only with the setting. Ruled out: a field in the settings file, which the platform writes from a fixed list. Nothing is measured yet.

--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -21,6 +21,10 @@
   getHoldMs (server: BackendServer): number
   /** Whether the limit that the server states, if any, lets a request be sent now. */
   maySend (server: BackendServer): boolean
+  /** Streams of all gateways up to which the replica may get new ones now; `slotCount` for no limit of its own. */
+  readonly getStreamLimit?: ((replica: Replica, slotCount: number) => number) | undefined
+  /** Time that the replica takes over the usual one of its model. */
+  readonly getPaceFactor?: ((replica: Replica) => number) | undefined
 }
 
 /** Result of the choice. */
@@ -67,6 +71,8 @@
   readonly isInSameZone: boolean
   /** Is not quiet, and none of its servers is leaving. */
   readonly isSteady: boolean
+  readonly streamLimit: number
+  readonly paceFactor: number
 }
 
 /**
@@ -80,16 +86,21 @@
   const getHoldMs = ({ leader }: Replica) => leader === undefined ? 0 : input.getHoldMs(leader)
   const usable = candidates.filter(replica => getHoldMs(replica) === 0)
   if (usable.length === 0) return { kind: ReplicaChoiceKind.Held, holdMs: Math.min(...candidates.map(getHoldMs)) }
-  const rated = usable.map(replica => rate(replica, input.zone, loads, random))
-  const free = rated.filter(candidate => candidate.streamCount < input.slotCount * (1 + maxQueuedFraction) &&
+  const rated = usable.map(replica => rate(replica, input, loads, random))
+  const isPaced = (candidate: RatedReplica) => candidate.streamLimit < input.slotCount
+  // Where all replicas are paced, none is known to be better, and a refusal would serve nobody.
+  const withinPace = rated.every(isPaced) ? rated : rated.filter(candidate => !isPaced(candidate) || candidate.streamCount < candidate.streamLimit)
+  const free = withinPace.filter(candidate => candidate.streamCount < input.slotCount * (1 + maxQueuedFraction) &&
     loads.getLocalStreamCount(candidate.replica.id) < input.maxLocalStreamCount)
   if (free.length === 0) return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)) }
   const permitted = free.filter(({ replica: { leader } }) => leader === undefined || input.maySend(leader))
   const limitedLeaders = permitted.length === free.length ? [] : listLeaders(free.filter(candidate => !permitted.includes(candidate)))
   if (permitted.length === 0) return { kind: ReplicaChoiceKind.Limited, limitedLeaders }
   const steady = permitted.filter(candidate => candidate.isSteady && candidate.streamCount < input.slotCount)
+  // Few gateways may send to a replica that has yet to prove itself, and those prefer it, or it would stay idle.
+  const rising = steady.filter(candidate => isPaced(candidate) && candidate.streamCount < candidate.streamLimit && candidate.paceFactor === 1)
   const inSameZone = steady.filter(candidate => candidate.isInSameZone && candidate.streamCount < input.slotCount * sameZoneFillFraction)
-  const preferred = inSameZone.length > 0 ? inSameZone : steady
+  const preferred = [rising, inSameZone, steady].find(candidates => candidates.length > 0) ?? []
   const { replica, streamCount } = preferred.length > 0 ? pickFromSample(preferred, input.gatewayCount, random) : pickCheapest(permitted)
   const isHealthy = streamCount < input.slotCount && !loads.isQuiet(replica.id)
   return { kind: ReplicaChoiceKind.Chosen, replica, streamCount, isHealthy, limitedLeaders }
@@ -99,12 +110,15 @@
   return [...candidates].sort((left, right) => left.cost - right.cost).flatMap(({ replica: { leader } }) => leader ?? [])
 }
 
-function rate (replica: Replica, zone: string, loads: ReplicaLoads, random: RandomSource): RatedReplica {
+function rate (replica: Replica, input: ReplicaChoiceInput, loads: ReplicaLoads, random: RandomSource): RatedReplica {
   const streamCount = loads.getStreamCount(replica.id)
-  const isInSameZone = replica.leader?.zone === zone
+  const isInSameZone = replica.leader?.zone === input.zone
   const isSteady = replica.isComplete && !loads.isQuiet(replica.id)
-  const cost = streamCount + (isInSameZone ? 0 : crossZonePenaltyStreamCount) + (isSteady ? 0 : unsteadyPenaltyStreamCount) + random.nextFloat()
-  return { replica, streamCount, cost, isInSameZone, isSteady }
+  const streamLimit = input.getStreamLimit?.(replica, input.slotCount) ?? input.slotCount
+  const paceFactor = input.getPaceFactor?.(replica) ?? 1
+  // A stream takes the time of those that are there, and its own, as many times longer as the replica is slower.
+  const cost = (streamCount + 1) * paceFactor - 1 + (isInSameZone ? 0 : crossZonePenaltyStreamCount) + (isSteady ? 0 : unsteadyPenaltyStreamCount) + random.nextFloat()
+  return { replica, streamCount, cost, isInSameZone, isSteady, streamLimit, paceFactor }
 }
 
 function pickFromSample (candidates: readonly RatedReplica[], gatewayCount: number, random: RandomSource): RatedReplica {
--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -1,4 +1,5 @@
 import type { TimerService } from '../../shared/timer-service.js'
+import { mergePaceStatements, type PaceStatement, type PaceStatements } from '../pace/pace-statement.js'
 
 /** What one gateway, or a relay for several gateways, reports on the replicas. */
 export interface LoadReport {
@@ -16,6 +17,8 @@
    * ID. Sent to the planner only.
    */
   readonly leavingServers?: Readonly<Record<string, number>> | undefined
+  /** Replicas below their full stream limit, or slow, by the gateways' own attempts; missing where pacing is off. */
+  readonly pace?: PaceStatements | undefined
 }
 
 /**
@@ -47,6 +50,8 @@
   /** The same for a replica that another gateway has reported. Such a mark is not reported again, or marks would renew each other. */
   markReportedStalled (replicaId: string): void
   isStalled (replicaId: string): boolean
+  /** The lowest recent statement of other gateways on the pace of the replica. */
+  getPaceStatement (replicaId: string): PaceStatement | undefined
   /** Reports this gateway's own streams, for the relay that serves it. */
   createOwnReport (nodeId: string): LoadReport
   /** Reports the streams of this gateway and of those that use it as their relay, for the other relays. */
@@ -80,8 +85,8 @@
 /** Node ID under which a relay's total is stored; the next relay's total replaces it. */
 export const totalNodeId = 'total'
 
-/** Creates the record with no streams and no reports. */
-export function createReplicaLoads (timers: TimerService): ReplicaLoads {
+/** Creates the record with no streams and no reports. `listOwnPace` returns what this gateway states of the pace of replicas. */
+export function createReplicaLoads (timers: TimerService, listOwnPace: () => PaceStatements | undefined = () => undefined): ReplicaLoads {
   const localCounts = new Map<string, number>()
   const peers = new Map<string, ReceivedReport>()
   const relayedReports = new Map<string, ReceivedReport>()
@@ -134,7 +139,9 @@
 
   function createOwnReport (nodeId: string): LoadReport {
     sequence += 1
-    return { nodeId, sequence, streamCounts: Object.fromEntries(localCounts), stalledIds: listStalled(), quietIds: listLocallyQuiet() }
+    const pace = listOwnPace()
+    const report = { nodeId, sequence, streamCounts: Object.fromEntries(localCounts), stalledIds: listStalled(), quietIds: listLocallyQuiet() }
+    return pace === undefined ? report : { ...report, pace }
   }
 
   /** Adds the stream counts of `reports` and the quiet replicas of `recent` to a report. */
@@ -143,7 +150,9 @@
     for (const report of reports) {
       for (const [id, count] of Object.entries(report.streamCounts)) streamCounts[id] = (streamCounts[id] ?? 0) + count
     }
-    return { ...base, streamCounts, quietIds: [...new Set([...base.quietIds, ...recent.flatMap(report => report.quietIds)])] }
+    const pace = mergePaceStatements([base.pace, ...reports.map(report => report.pace)])
+    const merged = { ...base, streamCounts, quietIds: [...new Set([...base.quietIds, ...recent.flatMap(report => report.quietIds)])] }
+    return pace === undefined ? merged : { ...merged, pace }
   }
 
   function storeReport (reports: Map<string, ReceivedReport>, report: LoadReport): void {
@@ -192,6 +201,11 @@
       reportedStalledUntilMs.set(replicaId, timers.nowMs() + stalledHoldMs)
     },
     isStalled,
+    getPaceStatement (replicaId) {
+      const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)]
+      const sources = reports.flatMap(({ pace }) => pace?.[replicaId] === undefined ? [] : [{ [replicaId]: pace[replicaId] }])
+      return mergePaceStatements(sources)?.[replicaId]
+    },
     createOwnReport,
     createReport: nodeId =>
       addReports(createOwnReport(nodeId), listRecent(relayedReports, reportMaxAgeMs), listRecent(relayedReports, quietReportMaxAgeMs)),
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -6,6 +6,7 @@
 import { StatementSource, type ServerLimits } from '../coordination/limits/server-limits.js'
 import type { ServerPermits } from '../coordination/limits/server-permits.js'
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
+import type { ServerPace } from '../coordination/pace/server-pace.js'
 import type { PromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
@@ -42,6 +43,8 @@
   readonly permits: ServerPermits
   readonly promptGuard: PromptGuard
   readonly loads: ReplicaLoads
+  /** Undefined where pacing is off. */
+  readonly pace?: ServerPace | undefined
   readonly metrics: Metrics
   readonly logger: Logger
   countGateways (): number
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -14,6 +14,8 @@
   /** The shortest lease that the store grants. */
   readonly minLeaseMs: number
   readonly bounds: GatewayBounds
+  /** Whether replicas that have just opened or that answer late get fewer streams than they have slots; false when undefined. */
+  readonly hasPace?: boolean
 }
 
 /** Bounds of the deployment; they can change while the gateway runs. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,9 @@
 import { createServerLimits } from '../coordination/limits/server-limits.js'
 import { createServerPermits } from '../coordination/limits/server-permits.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
+import { createGatewayRanks } from '../coordination/pace/gateway-ranks.js'
+import { PaceReason } from '../coordination/pace/replica-pace.js'
+import { createServerPace, type ServerPace } from '../coordination/pace/server-pace.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerControl } from '../coordination/ports/server-control.js'
 import type { RelayLink } from '../coordination/ports/relay-link.js'
@@ -84,6 +87,8 @@
 const limitLogLinesPerSecond = 20
 /** The same for the lines on servers that send too much. */
 const bufferLogLinesPerSecond = 10
+/** The same for the lines on stream limits of replicas, of which a zone that comes back causes several for each. */
+const paceLogLinesPerSecond = 10
 const incompleteEvents = {
   [ConnectionEnd.Gateway]: MetricEvent.IncompleteByGateway,
   [ConnectionEnd.Client]: MetricEvent.IncompleteByClient,
@@ -115,7 +120,7 @@
     getStoreViewAgeMs: () => fleet.getViewAgeMs()
   })
   const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring() })
-  const loads = createReplicaLoads(timers)
+  const loads = createReplicaLoads(timers, () => pace?.listStatements())
   const presence = createPresence({
     store,
     timers,
@@ -192,6 +197,16 @@
     countGateways: presence.countGateways,
     send: (message, nodeId) => loadSharing.sendLimitMessage(message, nodeId)
   })
+  const pace: ServerPace | undefined = settings.hasPace === true
+    ? createServerPace({
+      timers,
+      logger: createRateLimitedLogger(createLogger('pace'), timers, paceLogLinesPerSecond),
+      getRank: createGatewayRanks(settings.nodeId, listGatewayIds),
+      getStreamCount: loads.getStreamCount,
+      getStatement: loads.getPaceStatement,
+      hasTraffic: () => clientServer.hasReceivedRequest()
+    })
+    : undefined
   const retryBudgets = new Map<string, ServiceRetryBudget>()
   const dependencies: CallDependencies = {
     zone: settings.zone,
@@ -210,6 +225,7 @@
     limits,
     permits,
     loads,
+    pace,
     promptGuard,
     metrics,
     logger: createRateLimitedLogger(createLogger('calls'), timers, requestLogLinesPerSecond),
@@ -220,6 +236,7 @@
     reportStall (replicaId) {
       if (loads.hasRecentEvent(replicaId, recentEventMs)) return
       loads.markStalled(replicaId)
+      pace?.restart(replicaId, PaceReason.Stalled)
       planner.checkReplica(replicaId)
     }
   }
@@ -355,6 +372,7 @@
         const limits = fleet.getConfig()?.limits
         if (limits !== undefined) clientServer.applyLimits(limits)
       }
+      if (event === FleetEvent.Servers || event === FleetEvent.Config) pace?.observeServices(fleet.listReplicatedServices())
       if (event === FleetEvent.Era) quarantineStore.forgetView()
       if (event === FleetEvent.Gateways) quarantineStore.applyView()
       if (event !== FleetEvent.Servers) plannerLease.checkNow()
--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a stream at one replica: its exchange, its events and its loads. */
 import { createByteCollector } from '../shared/byte-collector.js'
 import { createSseFramer, type FramedSseEvent } from '../protocol/sse-framer.js'
+import { PacedResult } from '../coordination/pace/server-pace.js'
 import type { BackendServer } from '../state/backend-server.js'
 import type { Replica } from '../state/replica.js'
 import { ExchangeFailureKind, type ResponseHead } from '../transport/backend-connection-pool.js'
@@ -86,9 +87,10 @@
   let isPaused = false
   let isEnded = false
 
-  function end (): boolean {
+  function end (result = PacedResult.Neutral): boolean {
     if (isEnded) return false
     isEnded = true
+    paced?.end(result)
     account.close()
     exchange.abort()
     loads.endStream(replica.id)
@@ -107,6 +109,7 @@
     isPaused = true
     // Its silence would make the replica look quiet.
     countActive(false)
+    paced?.pause()
     exchange.pause()
   }
 
@@ -114,19 +117,20 @@
     if (!isPaused) return
     isPaused = false
     lastEventAtMs = timers.nowMs()
+    paced?.resume()
     exchange.resume()
   }
 
   /** The server has finished with the request, or never got it. */
   function fail (failure: AttemptFailure): void {
-    if (!end()) return
+    if (!end(failure.kind === AttemptFailureKind.NotExecuted ? PacedResult.Refused : PacedResult.Neutral)) return
     guarded.end()
     listener.onFailure(failure)
   }
 
   /** The connection ended within the response; the server may have ended with it. */
   function breakOff (reason: string): void {
-    if (!end()) return
+    if (!end(PacedResult.Broken)) return
     guarded.recordLoss(head?.statusCode === successStatus)
     listener.onFailure({ kind: AttemptFailureKind.Lost, reason })
   }
@@ -182,6 +186,7 @@
     if (!isPaused) countActive(true)
     lastEventAtMs = timers.nowMs()
     loads.recordEvent(replica.id)
+    paced?.recordEvent()
     listener.onEvent(event, responseHead)
   }
 
@@ -231,6 +236,7 @@
   }
 
   loads.beginStream(replica.id)
+  const paced = dependencies.pace?.beginAttempt(replica)
   dependencies.limits.countRequest(leader)
   const exchange = dependencies.connections.open(buildBackendRequest(dependencies, call, leader, { isDedicated: !call.route.isResumable, lastEventId: getLastEventId() }), {
     onHead: handleHead,
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -139,7 +139,9 @@
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
       getHoldMs: dependencies.holds.getRemainingMs,
-      maySend: dependencies.permits.maySend
+      maySend: dependencies.permits.maySend,
+      getStreamLimit: dependencies.pace?.getStreamLimit,
+      getPaceFactor: dependencies.pace?.getPaceFactor
     }
     const excludedIds = record.listExcludedIds(timers.nowMs())
     const choice: ReplicaChoice = scope === AttemptScope.AnyServer
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -1,6 +1,7 @@
 import { z } from 'zod'
 
 import type { LoadReport } from '../coordination/dispatch/replica-loads.js'
+import { maxStatedReplicaCount } from '../coordination/pace/pace-statement.js'
 import type { SourceResponse } from '../coordination/ports/fleet-source.js'
 import type { RelayResponse, RelayRequest } from '../coordination/ports/relay-link.js'
 
@@ -10,13 +11,24 @@
 /** Counters of the store and of a node's reports, and numbers of streams. A larger number than a double holds exactly would stay the highest one for good. */
 const counterSchema = z.int().nonnegative()
 
+/** A limit below 0 or above 100 percent, or an endless factor, comes from no gateway of ours. */
+const maxFactorPercent = 1_000_000
+
+const paceStatementSchema = z.object({
+  limitPercent: z.number().min(0).max(100),
+  factorPercent: z.number().min(0).max(maxFactorPercent),
+  isFallen: z.boolean()
+})
+
 const loadReportSchema = z.object({
   nodeId: z.string(),
   sequence: counterSchema,
   streamCounts: z.record(z.string(), counterSchema),
   stalledIds: z.array(z.string()),
   quietIds: z.array(z.string()),
-  leavingServers: z.record(z.string(), z.number()).optional()
+  leavingServers: z.record(z.string(), z.number()).optional(),
+  // A gateway that states more than allowed sends something else; its stream counts are still of use.
+  pace: z.record(z.string(), paceStatementSchema).refine(pace => Object.keys(pace).length <= maxStatedReplicaCount).optional().catch(undefined)
 })
 
 const relayRequestSchema = z.object({
