--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -7,6 +7,7 @@
 import type { ServerPermits } from '../coordination/limits/server-permits.js'
 import type { ServerAdmission } from '../coordination/servers/server-admission.js'
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
+import type { ServerPace } from '../coordination/pace/server-pace.js'
 import type { PromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
@@ -44,6 +45,8 @@
   readonly admission: ServerAdmission
   readonly promptGuard: PromptGuard
   readonly loads: ReplicaLoads
+  /** Undefined where pacing is off. */
+  readonly pace?: ServerPace | undefined
   readonly metrics: Metrics
   readonly logger: Logger
   countGateways (): number
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -138,7 +138,9 @@
       zone: dependencies.zone,
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
-      check: dependencies.admission.check
+      check: dependencies.admission.check,
+      getStreamLimit: dependencies.pace?.getStreamLimit,
+      getPaceFactor: dependencies.pace?.getPaceFactor
     }
     const excludedIds = record.listExcludedIds(timers.nowMs())
     const choice: ReplicaChoice = scope === AttemptScope.AnyServer
