Send nothing to the servers of an evacuated zone

Operators ask with op/evacuate/ZONE that a zone gets no requests until the key is removed. The gateways did not read the key: with a zone evacuated twice, 88 requests reached its servers.

The fleet view keeps the evacuated zones beside the configuration and the servers: through watches, relays and full reads, through outages of the store, and for 2 s after the store came back from an older copy; then the copy's keys count. Server admission blocks their servers, and with that new requests, further attempts, resumed streams, replacements of silent attempts and probes of the quarantine, which all ask it. Streams in progress go on. If all candidates are evacuated, a call is refused at once with 503 and Retry-After, and the reason is logged.

The planner keeps the groups of such a zone, sends its servers no new joins, and does not count its groups as supply. Ruled out: dissolving them, as their streams would end and their models would be loaded again afterwards.

No expectation of an existing test changed.

--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -29,6 +29,8 @@
   Full = 'full',
   /** Every replica that could serve the model wants no requests for some time. */
   Held = 'held',
+  /** Every replica that could serve the model is in a zone that is being evacuated. */
+  Evacuated = 'evacuated',
   /** Every replica that could take the stream has a leader whose limit lets no request be sent now. */
   Limited = 'limited',
   /** No usable replica serves the model. */
@@ -44,7 +46,7 @@
   | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number }
   /** `holdMs`: the time after which the first of them takes requests. */
   | { readonly kind: ReplicaChoiceKind.Held, readonly holdMs: number }
-  | { readonly kind: ReplicaChoiceKind.Absent }
+  | { readonly kind: ReplicaChoiceKind.Absent | ReplicaChoiceKind.Evacuated }
 
 /** Streams that may queue in a replica's engine beyond its slots, as a fraction of the slots. */
 const maxQueuedFraction = 0.25
@@ -78,7 +80,10 @@
   if (candidates.length === 0) return { kind: ReplicaChoiceKind.Absent }
   const checks = new Map(candidates.map(replica => [replica.id, replica.leader === undefined ? undefined : input.check(replica.leader)]))
   const usable = candidates.filter(replica => mayTakeWithPermit(checks.get(replica.id)))
-  if (usable.length === 0) return { kind: ReplicaChoiceKind.Held, holdMs: Math.min(...candidates.map(replica => getWaitMs(checks.get(replica.id)))) }
+  if (usable.length === 0) {
+    const holdMs = Math.min(...candidates.map(replica => getWaitMs(checks.get(replica.id))))
+    return holdMs === Infinity ? { kind: ReplicaChoiceKind.Evacuated } : { kind: ReplicaChoiceKind.Held, holdMs }
+  }
   const rated = usable.map(replica => rate(replica, input.zone, loads, random))
   const free = rated.filter(candidate => candidate.streamCount < input.slotCount * (1 + maxQueuedFraction) &&
     loads.getLocalStreamCount(candidate.replica.id) < input.maxLocalStreamCount)
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -30,6 +30,8 @@
   getStallLimitMs (): number
   /** Whether the server wants no requests for some time; it gets no health checks then, and counts as reachable. */
   isHeld (server: BackendServer): boolean
+  /** Whether operators want no requests sent to the servers of the zone. */
+  isZoneEvacuated (zone: string): boolean
   /** Whether client requests have arrived at any gateway. */
   hasTraffic (): boolean
   /** Returns the services with replicas. */
@@ -98,7 +100,7 @@
   }
 
   function toPlannerInput ({ engine, servers, replicas }: PlannedService): PlannerInput {
-    return { nowMs: timers.nowMs(), engine, servers, replicas, hasTraffic: options.hasTraffic() }
+    return { nowMs: timers.nowMs(), engine, servers, replicas, hasTraffic: options.hasTraffic(), isZoneEvacuated: options.isZoneEvacuated }
   }
 
   function logSummary (planner: ReplicaPlanner, service: PlannedService): void {
--- a/src/coordination/replicas/planner-types.ts
+++ b/src/coordination/replicas/planner-types.ts
@@ -17,6 +17,8 @@
   readonly replicas: readonly Replica[]
   /** Whether client requests have arrived. */
   readonly hasTraffic: boolean
+  /** Whether operators want no requests sent to the servers of the zone: its replicas stay and are no supply. */
+  isZoneEvacuated (zone: string): boolean
 }
 
 export interface PlannerSettings {
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -239,13 +239,16 @@
     const spares: BackendServer[] = []
     // Members of a replica that is being dissolved are free soon and need no fetch, so no other server fetches meanwhile.
     const dissolvingDomains = new Set(input.replicas.filter(replica => dissolving.has(replica.id)).map(replica => replica.domain))
-    for (const [domain, members] of listServersByDomain(free)) {
+    const isInEvacuatedZone = ({ members }: Pick<Replica, 'members'>) => members.some(({ zone }) => input.isZoneEvacuated(zone))
+    const countSupply = () => countServersByModel(
+      listExisting(input.replicas).filter(replica => !isInEvacuatedZone(replica)), [...forming.values()].filter(replica => !isInEvacuatedZone(replica)))
+    for (const [domain, members] of listServersByDomain(free.filter(({ zone }) => !input.isZoneEvacuated(zone)))) {
       let remaining = members
       while (settledDomains.has(domain)) {
         const next = chooseNewReplica({
           models: input.engine.models,
           free: remaining,
-          serverCounts: countServersByModel(listExisting(input.replicas), [...forming.values()]),
+          serverCounts: countSupply(),
           canFetch: !dissolvingDomains.has(domain),
           // Keeps one spare per model, except before the first request, when all servers may form replicas.
           spareCount: hasTraffic ? input.engine.models.length : 0,
--- a/src/coordination/servers/server-admission.test.ts
+++ b/src/coordination/servers/server-admission.test.ts
@@ -13,15 +13,28 @@
 
 function createSample () {
   const timers = createVirtualTimerService()
+  const evacuated = new Set<string>()
   const holds = createServerHolds(timers)
   const limits = createServerLimits({ timers, logger: silentLogger })
   const permits = createServerPermits({
     nodeId: 'g', timers, random: createRandomSource(1), limits, listGatewayIds: () => ['g'], countGateways: () => 1, send () {}
   })
-  return { timers, holds, limits, admission: createServerAdmission({ holds, permits }) }
+  return { timers, holds, limits, evacuated, admission: createServerAdmission({ evacuatedZones: evacuated, holds, permits }) }
 }
 
 describe('server admission', () => {
+  // Guards against requests to evacuated servers (EVAC), also where a shorter time is known.
+  it('blocks a server of an evacuated zone without a known end, and allows it afterwards', () => {
+    const { holds, evacuated, admission } = createSample()
+    evacuated.add(server.zone)
+    holds.record(server, 700)
+    expect(admission.check(server)).to.deep.equal({ isAllowed: false, reason: BlockReason.Evacuated, waitMs: Infinity })
+    expect(admission.take(server)).to.equal(false)
+    expect(admission.check(makeBackendServer({ id: 't', zone: 'other' })).isAllowed).to.equal(true)
+    evacuated.clear()
+    expect(admission.check(server)).to.deep.include({ reason: BlockReason.Held })
+  })
+
   // Guards against requests to a server that has asked for none (BUDGET).
   it('blocks a server that is held for the rest of the time, whatever its limit', () => {
     const { timers, holds, limits, admission } = createSample()
--- a/src/coordination/servers/server-admission.ts
+++ b/src/coordination/servers/server-admission.ts
@@ -1,10 +1,13 @@
 /** Decides whether a request may go to a server now; the only place where forwarding and placement ask. */
 import type { BackendServer } from '../../state/backend-server.js'
+import type { EvacuatedZones } from './evacuated-zones.js'
 import type { ServerHolds } from '../dispatch/server-holds.js'
 import type { PermitWaiter, ServerPermits } from '../limits/server-permits.js'
 
 /** Why a server gets no request now. The values are logged. */
 export enum BlockReason {
+  /** Operators want nothing sent to the servers of its zone. */
+  Evacuated = 'evacuated',
   /** It answered that it wants none for some time. */
   Held = 'held',
   /** The limit that it states lets none be sent without a permit. */
@@ -32,27 +35,30 @@
 }
 
 export interface ServerAdmissionOptions {
+  readonly evacuatedZones: Pick<EvacuatedZones, 'has'>
   readonly holds: Pick<ServerHolds, 'getRemainingMs'>
   readonly permits: Pick<ServerPermits, 'maySend' | 'take' | 'request' | 'getWaitMs' | 'subscribe'>
 }
 
 const allowed: ServerCheck = { isAllowed: true }
+const evacuated: ServerCheck = { isAllowed: false, reason: BlockReason.Evacuated, waitMs: Infinity }
 
 /** Whether a request may go to a server that is blocked for this reason as soon as there is a permit. */
 export function needsPermit (reason: BlockReason): boolean {
   return reason === BlockReason.Limited
 }
 
-/** Joins what is known of the servers: their holds, and their limits with the permits. */
-export function createServerAdmission ({ holds, permits }: ServerAdmissionOptions): ServerAdmission {
+/** Joins what is known of the servers: the evacuated zones, their holds, and their limits with the permits. */
+export function createServerAdmission ({ evacuatedZones, holds, permits }: ServerAdmissionOptions): ServerAdmission {
   return {
     check (server) {
+      if (evacuatedZones.has(server.zone)) return evacuated
       const holdMs = holds.getRemainingMs(server)
       if (holdMs > 0) return { isAllowed: false, reason: BlockReason.Held, waitMs: holdMs }
       if (permits.maySend(server)) return allowed
       return { isAllowed: false, reason: BlockReason.Limited, waitMs: permits.getWaitMs(server) }
     },
-    take: permits.take,
+    take: server => !evacuatedZones.has(server.zone) && permits.take(server),
     request: permits.request,
     subscribe: permits.subscribe
   }
--- a/src/gateway/fleet-view.test.ts
+++ b/src/gateway/fleet-view.test.ts
@@ -34,6 +34,7 @@
     layout: {
       configKey: 'op/config',
       serverPrefix: 'servers/',
+      evacuationPrefix: 'op/evacuate/',
       gatewayPrefix: 'own/',
       decodeConfig: text => Number(text) > 0 ? success(makeServingConfig({ version: Number(text) })) : failure('no number'),
       decodeServer: (id, text) => text in { ready: 1, draining: 1 } ? success(makeBackendServer({ id, state: text as ServerState })) : failure('another shape'),
@@ -111,7 +112,7 @@
         isReconfiguring: () => false,
         logger: { debug () {}, info () {}, warn () {}, error () {} },
         layout: {
-          configKey: 'op/config', serverPrefix: 'servers/', gatewayPrefix: 'own/', decodeConfig: () => success(makeServingConfig()), decodeServer: () => failure('none'), toComparable: (_key, text) => text
+          configKey: 'op/config', serverPrefix: 'servers/', evacuationPrefix: 'op/evacuate/', gatewayPrefix: 'own/', decodeConfig: () => success(makeServingConfig()), decodeServer: () => failure('none'), toComparable: (_key, text) => text
         }
       })
       view.start()
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -2,6 +2,7 @@
 import type { FleetSource, SourceResponse } from '../coordination/ports/fleet-source.js'
 import { StoreErrorKind, type StoreError, type StoredChange } from '../coordination/ports/revisioned-store.js'
 import type { StoreMirror } from '../coordination/relay/store-mirror.js'
+import type { EvacuatedZones } from '../coordination/servers/evacuated-zones.js'
 import { createRouteTable, type RouteTable } from '../coordination/dispatch/route-table.js'
 import type { Logger } from '../observability/log.js'
 import { createChannel, type Channel } from '../shared/channel.js'
@@ -12,11 +13,14 @@
 import { listReplicas, type Replica } from '../state/replica.js'
 import type { EngineProfile, ServingConfig } from '../state/serving-config.js'
 import { createServerEntries } from './server-entries.js'
+import { createZoneEvacuations } from './zone-evacuations.js'
 
 /** The store's keys that a gateway reads, and how their values are decoded. */
 export interface StoreLayout {
   readonly configKey: string
   readonly serverPrefix: string
+  /** Prefix of the keys with which operators evacuate zones; the rest of a key names the zone. */
+  readonly evacuationPrefix: string
   /** Prefix of the keys that the gateways write themselves. */
   readonly gatewayPrefix: string
   decodeConfig (text: string): Result<ServingConfig, string>
@@ -42,6 +46,8 @@
 export enum FleetEvent {
   Config = 'config',
   Servers = 'servers',
+  /** A zone is being evacuated, or no longer. */
+  Evacuations = 'evacuations',
   Gateways = 'own',
   /** The store came back from an older copy. */
   Era = 'era',
@@ -74,6 +80,7 @@
   markLeaving (serverId: string, startedAtMs: number): boolean
   /** Start times of the processes whose leaving was recorded within this time, by server ID. */
   listRecentlyLeaving (withinMs: number): Record<string, number>
+  readonly evacuatedZones: EvacuatedZones
   /** The gateways' own entries, by key without the prefix. Returns the same map until one of them changes. */
   listGatewayEntries (): ReadonlyMap<string, GatewayEntry>
   isStoreReachable (): boolean
@@ -119,6 +126,9 @@
   const servers = createServerEntries({ timers, logger, missingEntryGraceMs, decode: layout.decodeServer })
   // Replaced on each change and never mutated: readers compare references to decide whether derived data is stale.
   let gatewayEntries: ReadonlyMap<string, GatewayEntry> = new Map()
+  const evacuations = createZoneEvacuations({
+    timers, logger, mirror, prefix: layout.evacuationPrefix, isEraUnsettled: () => !isEraSettled(), listServerZones: () => new Set([...serversByService.values()].flat().map(({ zone }) => zone))
+  })
   const suspensionDetector = createSuspensionDetector(timers)
   let serversByService = new Map<string, BackendServer[]>()
   let replicatedServices: ReplicatedService[] | undefined
@@ -172,6 +182,8 @@
       else if (mirror.isCarriedOver(key)) hasUnusedEntries = true
       else servers.apply(id, value)
       changed.add(FleetEvent.Servers)
+    } else if (key.startsWith(layout.evacuationPrefix)) {
+      changed.add(FleetEvent.Evacuations)
     } else if (key.startsWith(layout.gatewayPrefix)) {
       const gatewayKey = key.slice(layout.gatewayPrefix.length)
       const others = [...gatewayEntries].filter(([key]) => key !== gatewayKey)
@@ -185,6 +197,7 @@
     const changed = new Set<FleetEvent>()
     for (const change of changes) applyChange(change, changed)
     if (changed.has(FleetEvent.Servers) || changed.has(FleetEvent.Config)) indexServers()
+    if (changed.has(FleetEvent.Evacuations) && !evacuations.refresh()) changed.delete(FleetEvent.Evacuations)
     for (const event of changed) events.send(event)
   }
 
@@ -261,6 +274,10 @@
     if (isEraSettled() && !isStoredConfigOlder) configConfirmedAtMs = Math.max(configConfirmedAtMs, requestedAtMs - ageMs)
   }
 
+  function settleEvacuations (): void {
+    if (evacuations.settle()) events.send(FleetEvent.Evacuations)
+  }
+
   /** The monotonic clock stands still while the process is suspended, so that time is added to the ages here. */
   function addSuspendedTime (): void {
     const suspendedMs = suspensionDetector.takeSuspendedMs()
@@ -312,6 +329,7 @@
     while (state.isRunning) {
       removeExpired()
       useUnknownEntries()
+      settleEvacuations()
       const hasResponse = await fetchOnce()
       if (!hasResponse) await delay(timers, retryMs)
       retryMs = hasResponse ? minRetryMs : Math.min(maxRetryMs, retryMs * retryBackoffFactor)
@@ -348,6 +366,7 @@
       return true
     },
     listRecentlyLeaving: servers.listRecentlyLeaving,
+    evacuatedZones: evacuations.zones,
     listGatewayEntries: () => gatewayEntries,
     isStoreReachable: () => isReachable,
     hasRecentStoreFailure: servers.hasRecentStoreFailure,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -153,6 +153,7 @@
     inquiries,
     getStallLimitMs: () => bounds.stallLimitMs,
     isHeld: server => holds.getRemainingMs(server) > 0,
+    isZoneEvacuated: fleet.evacuatedZones.has,
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
     listServices: fleet.listReplicatedServices
   })
@@ -193,7 +194,7 @@
     countGateways: presence.countGateways,
     send: (message, nodeId) => loadSharing.sendLimitMessage(message, nodeId)
   })
-  const admission = createServerAdmission({ holds, permits })
+  const admission = createServerAdmission({ evacuatedZones: fleet.evacuatedZones, holds, permits })
   const retryBudgets = new Map<string, ServiceRetryBudget>()
   const dependencies: CallDependencies = {
     zone: settings.zone,
@@ -289,6 +290,7 @@
     metrics.setGauge(MetricGauge.HeldResponseBytes, buffers.responses.getHeldByteCount())
     metrics.setGauge(MetricGauge.IssuedLimitPerSecond, permits.getIssuedPerSecond())
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
+    metrics.setGauge(MetricGauge.EvacuatedZoneCount, fleet.evacuatedZones.list().length)
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
   }
 
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,6 +1,7 @@
 /** Forwards requests to plain services, whose responses are not streams. */
 import { maxNotExecutedRetryCount } from '../coordination/dispatch/attempt-limits.js'
-import { needsPermit } from '../coordination/servers/server-admission.js'
+import { minRetryAfterMs } from '../coordination/dispatch/retry-after.js'
+import { needsPermit, type BlockedServer } from '../coordination/servers/server-admission.js'
 import { describeAdmission } from '../coordination/quarantine/describe-admission.js'
 import { AdmissionKind, type Admission } from '../coordination/quarantine/prompt-quarantine.js'
 import { MetricEvent } from '../observability/metrics.js'
@@ -193,9 +194,10 @@
     const explanation = isAdmitted ? undefined : describeAdmission(admission)
     if (!isAdmitted) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
     if (permitWaitMs !== undefined) dependencies.metrics.countEvent(MetricEvent.LimitRefused)
-    const reason = explanation ?? (permitWaitMs === undefined ? undefined : limitReason)
-    const minRetryAfterMs = Math.max(minPlainRetryAfterMs, getShortestBlockMs(dependencies, call.serviceName), permitWaitMs ?? 0, isAdmitted ? 0 : admission.waitMs)
-    const retryAfterMs = Math.round(minRetryAfterMs + plainRetryAfterSpreadMs * dependencies.random.nextFloat())
+    const block = findShortestBlock(dependencies, call.serviceName)
+    const reason = explanation ?? (permitWaitMs === undefined ? block && `all servers are blocked: ${block.reason}` : limitReason)
+    const waitMs = Math.max(minPlainRetryAfterMs, getMinRetryAfterMs(block), permitWaitMs ?? 0, isAdmitted ? 0 : admission.waitMs)
+    const retryAfterMs = Math.round(waitMs + plainRetryAfterSpreadMs * dependencies.random.nextFloat())
     recordOutcome(dependencies, call, CallOutcome.Refused, { ...fields, retryAfterMs, ...(reason === undefined ? {} : { reason }) })
     sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, retryAfterMs, explanation)
     return
@@ -254,13 +256,23 @@
   })
 }
 
-/** Time until the first of the service's servers takes requests, with or without a permit; 0 if one does now, or if there is none. */
-function getShortestBlockMs ({ fleet, admission }: CallDependencies, serviceName: string): number {
-  const blocksMs = fleet.getServers(serviceName).filter(server => server.state === ServerState.Ready).map(server => {
+/** The block that ends first when no ready server of the service takes requests, with or without a permit; otherwise undefined. */
+function findShortestBlock ({ fleet, admission }: CallDependencies, serviceName: string): BlockedServer | undefined {
+  let shortest: BlockedServer | undefined
+  for (const server of fleet.getServers(serviceName)) {
+    if (server.state !== ServerState.Ready) continue
     const check = admission.check(server)
-    return check.isAllowed || needsPermit(check.reason) ? 0 : check.waitMs
-  })
-  return blocksMs.length === 0 ? 0 : Math.min(...blocksMs)
+    if (check.isAllowed || needsPermit(check.reason)) return undefined
+    if (shortest === undefined || check.waitMs < shortest.waitMs) shortest = check
+  }
+  return shortest
+}
+
+/** Shortest time after which a client should retry that was refused for the block. */
+function getMinRetryAfterMs (block: BlockedServer | undefined): number {
+  if (block === undefined) return 0
+  // Nobody knows when operators end an evacuation. A server elsewhere may have room sooner.
+  return block.waitMs === Infinity ? minRetryAfterMs : block.waitMs
 }
 
 /** The server for one more attempt, and those that could take it but for the limits that they state, the cheapest first. */
--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -11,6 +11,40 @@
 const silenceMs = 600
 
 describe('forwardStream', () => {
+  describe('an evacuated zone', () => {
+    // Guards against requests to evacuated servers: new ones, further attempts and probes of the quarantine (EVAC).
+    for (const isProbe of [false, true]) {
+      it(`gets no ${isProbe ? 'probe' : 'new stream'}: it is refused at once with a time to retry`, () => {
+        const harness = createStreamHarness({ serverIds: ['a'] })
+        harness.evacuatedZones.add('z1')
+        expect(harness.start({ isProbe })).to.equal(undefined)
+        expect(harness.response).to.include({ isEnded: true, statusCode: 503, endedAtMs: harness.timers.nowMs() })
+        expect(harness.logLines.at(-1)?.fields.reason).to.contain('evacuated')
+      })
+    }
+
+    it('does not end a stream in progress, and does not resume one', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { pauseObjectiveMs: 500 } })
+      const first = harness.start()
+      first.sendEvent(1)
+      harness.evacuatedZones.add('z1')
+      harness.timers.advance(100)
+      first.sendEvent(2)
+      expect(harness.response.body).to.contain('id: 2')
+      first.reset()
+      harness.timers.advance(3000)
+      expect(harness.attempts).to.have.length(1)
+    })
+
+    it('gets no replacement for a silent attempt', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { pauseObjectiveMs: 500 } })
+      harness.start().sendEvent(1)
+      harness.evacuatedZones.add('z1')
+      harness.timers.advance(silenceMs + 2000)
+      expect(harness.attempts).to.have.length(1)
+    })
+  })
+
   describe('a refusal of another request', () => {
     // Guards against telling a client "not run" for a stream that a server may be running (REFUSED).
     it('is no refusal of the stream', () => {
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -56,6 +56,7 @@
   switch (choice.kind) {
     case ReplicaChoiceKind.Full: return `all replicas are full; the least loaded has ${choice.streamCount} streams`
     case ReplicaChoiceKind.Held: return `all replicas want no requests; the first for ${Math.round(choice.holdMs)} ms more`
+    case ReplicaChoiceKind.Evacuated: return 'all replicas are in zones that are being evacuated'
     case ReplicaChoiceKind.Limited: return 'all replicas with free slots have got the requests that their limits allow'
     case ReplicaChoiceKind.Absent: return `no ${isFirst ? '' : 'other '}replica of the service serves the model`
   }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -89,7 +89,9 @@
   /** Backend servers that state a limit on their requests. */
   LimitedServerCount = 'limited_server_count',
   /** Requests a second, over all servers with a limit, for which this gateway issues permits. */
-  IssuedLimitPerSecond = 'issued_limit_per_second'
+  IssuedLimitPerSecond = 'issued_limit_per_second',
+  /** Zones to whose servers operators want nothing sent. */
+  EvacuatedZoneCount = 'evacuated_zone_count'
 }
 
 const microsecondsPerMillisecond = 1000
--- a/src/testing/fake-group-servers.ts
+++ b/src/testing/fake-group-servers.ts
@@ -27,7 +27,7 @@
   readonly sent: ReadonlyArray<{ readonly serverId: string, readonly command: ServerCommand }>
   /** Returns the servers as the list shows them. */
   list (): BackendServer[]
-  add (id: string, domain: string): void
+  add (id: string, domain: string, zone?: string): void
   /** Stops the server; the list still shows it until its entry expires. */
   kill (id: string): void
   /** The server accepts connections and answers nothing for this time, and goes on then, with what it has received first. */
@@ -242,14 +242,14 @@
         .filter(server => server.isAlive || timers.nowMs() - server.diedAtMs < entryExpiryMs)
         .map(server => server.past.find(past => past.untilMs > timers.nowMs() - faults.listLagMs)?.entry ?? server.entry)
     },
-    add (id, domain) {
+    add (id, domain, zone = 'zone-1') {
       servers.set(id, {
         entry: {
           id,
           serviceName,
           host: '10.0.0.1',
           port: 80,
-          zone: 'zone-1',
+          zone,
           state: ServerState.Ready,
           slotCount: engine.slotCount,
           startedAtMs: timers.nowMs(),
--- a/src/testing/planner-fixture.ts
+++ b/src/testing/planner-fixture.ts
@@ -24,6 +24,7 @@
   let hasTraffic = false
   /** Servers that want no requests for some time. */
   const heldIds = new Set<string>()
+  const evacuatedZones = new Set<string>()
   /** Events that arrive at another gateway than the planner's. */
   const otherLoads = createReplicaLoads(timers)
 
@@ -61,6 +62,7 @@
       stop: async () => {}
     }
     task = createPlannerTask({
+      isZoneEvacuated: zone => evacuatedZones.has(zone),
       isHeld: server => heldIds.has(server.id),
       timers,
       logger: silentLogger,
@@ -81,6 +83,7 @@
     takeOver,
     streamElsewhere,
     heldIds,
+    evacuatedZones,
     beginTraffic: () => { hasTraffic = true },
     check: (replicaId: string) => task?.checkReplica(replicaId),
     listOpen: () => listReplicasNow().filter(replica => replica.isOpen && replica.isComplete),
--- a/src/testing/relay-nodes.ts
+++ b/src/testing/relay-nodes.ts
@@ -50,6 +50,7 @@
     layout: {
       configKey: 'op/config',
       serverPrefix: 'servers/',
+      evacuationPrefix: 'op/evacuate/',
       gatewayPrefix: 'own/',
       decodeConfig: text => success(makeServingConfig({ version: Number(text) })),
       decodeServer: (id, text) => success(makeBackendServer({ id, state: text.startsWith(ServerState.Draining) ? ServerState.Draining : ServerState.Ready })),
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -78,6 +78,7 @@
   })
   const limits = createServerLimits({ timers, logger: silentLogger })
   const holds = createServerHolds(timers)
+  const evacuatedZones = new Set<string>()
   const permits = createServerPermits({ nodeId: 'n1', timers, random, limits, listGatewayIds: () => ['n1'], countGateways: () => 1, send () {} })
   const listServers = () => [...servers.values()]
 
@@ -147,7 +148,7 @@
     responseBuffers: createBufferBudget({ maxByteCount: 25_000_000, smallByteCount: 0, onEvicted () {} }),
     limits,
     permits,
-    admission: createServerAdmission({ holds, permits }),
+    admission: createServerAdmission({ evacuatedZones: { has: zone => evacuatedZones.has(zone) }, holds, permits }),
     promptGuard,
     fleet: {
       getServers: listServers,
@@ -175,6 +176,7 @@
     timers,
     loads,
     limits,
+    evacuatedZones,
     promptGuard,
     servers,
     attempts,
