--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -158,6 +158,7 @@
     inquiries,
     getStallLimitMs: () => bounds.stallLimitMs,
     isHeld: server => holds.getRemainingMs(server) > 0,
+    isZoneEvacuated: fleet.evacuatedZones.has,
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
     listServices: fleet.listReplicatedServices
   })
@@ -198,7 +199,7 @@
     countGateways: presence.countGateways,
     send: (message, nodeId) => loadSharing.sendLimitMessage(message, nodeId)
   })
-  const admission = createServerAdmission({ holds, permits })
+  const admission = createServerAdmission({ evacuatedZones: fleet.evacuatedZones, holds, permits })
   const pace: ServerPace | undefined = settings.hasPace === true
     ? createServerPace({
       timers,
@@ -306,6 +307,7 @@
     metrics.setGauge(MetricGauge.HeldResponseBytes, buffers.responses.getHeldByteCount())
     metrics.setGauge(MetricGauge.IssuedLimitPerSecond, permits.getIssuedPerSecond())
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
+    metrics.setGauge(MetricGauge.EvacuatedZoneCount, fleet.evacuatedZones.list().length)
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
   }
 
