--- a/src/gateway/wire-codec.ts
+++ b/src/gateway/wire-codec.ts
@@ -13,6 +13,12 @@
   readonly sharedPartIds: readonly string[]
   /** The last event that the client has received; the stream resumes after it. */
   readonly lastEventId: string | undefined
+  /** Tokens of the prompt; undefined when the client states none, or none that can be read. */
+  readonly promptTokenCount?: number | undefined
+  /** Most tokens that the client takes as output. */
+  readonly maxAnswerTokenCount?: number | undefined
+  /** The client's estimate of the output, often far off. */
+  readonly answerTokenHint?: number | undefined
 }
 
 /** What the gateway adds to a request that it forwards to a server. */
--- a/src/state/serving-config.ts
+++ b/src/state/serving-config.ts
@@ -69,6 +69,35 @@
   readonly stagedModelLimit: number
   /** Time from the command to open a group until it serves. */
   readonly formMs: number
+  /** Time that each decoding request adds to a step for 1,000 tokens of its context; 0 when undefined. */
+  readonly contextMsPerThousandTokens?: number | undefined
+  /** Reading time for a million pairs of a prompt token and any earlier one; 0 when undefined. */
+  readonly attentionMsPerMillionPairs?: number | undefined
+  /** Prompt tokens that one step reads at most; no limit when undefined. */
+  readonly maxPromptTokensPerStep?: number | undefined
+  /** Tokens of context that a group holds at most; no limit when undefined. */
+  readonly contextCapacityTokenCount?: number | undefined
+  /** Factor on all durations of a group with members in several domains; 1 when undefined. */
+  readonly crossDomainSlowdown?: number | undefined
+  /** Age of what the servers report on themselves; 0 when undefined. */
+  readonly reportDelayMs?: number | undefined
+  /** Mean size of a request, over all work of the service. */
+  readonly usualWork?: EngineWork | undefined
+  /** One-way delays between zones; empty when undefined. */
+  readonly zoneDelays?: readonly ZoneDelay[] | undefined
+}
+
+/** Size of one request. */
+export interface EngineWork {
+  readonly promptTokenCount: number
+  readonly answerTokenCount: number
+}
+
+/** One-way delay between two zones, which holds in both directions unless the other one is listed too. */
+export interface ZoneDelay {
+  readonly fromZone: string
+  readonly toZone: string
+  readonly delayMs: number
 }
 
 /** A service of the serving configuration. */
