Queue a stream in a replica only where it can begin within its objective

Ruled out: a smaller constant, which refuses kinds with long objectives that could wait.

Now a call queues while the time since its arrival, the expected first event and its wait fit its objective, a quarter of the slots at most. The expected first event is the calculated one plus a mean and a mean deviation of what this gateway measured above it, over streams that found a free slot. Free slots are used whatever the objective, and streams that may have run may queue as before. A call that finds no such place is refused at once, with a reason and an event of its own (late_refused). Active where the configuration publishes the engine's times and the size of the work is known (`usual` or X-Token-Count). The choice takes getStreamLimit and getPaceFactor as optional functions.

Nothing was measured on a deployment yet.

--- a/src/coordination/dispatch/replica-choice.test.ts
+++ b/src/coordination/dispatch/replica-choice.test.ts
@@ -5,7 +5,7 @@
 import { MemberState, ServerState, type BackendServer } from '../../state/backend-server.js'
 import { listReplicas, type Replica } from '../../state/replica.js'
 import { sampleEngine } from '../../testing/serving-samples.js'
-import { chooseReplica, ReplicaChoiceKind } from './replica-choice.js'
+import { chooseReplica, ReplicaChoiceKind, type ReplicaChoiceInput } from './replica-choice.js'
 import { createReplicaLoads, type ReplicaLoads } from './replica-loads.js'
 
 function makeReplicaServers (name: string, zone: string, state = MemberState.Open, memberCount = 3): BackendServer[] {
@@ -90,6 +90,52 @@
     expect(getName()).to.equal('small.quiet')
   })
 
+  describe('queueing beyond the slots', () => {
+    // A place costs 1800 ms / 18 slots = 100 ms.
+    const expected = { firstEventMs: 200, slotTimeMs: 1800, objectiveLeftMs: 350 }
+    const chooseWith = (servers: readonly BackendServer[], changes: Partial<ReplicaChoiceInput>) => chooseReplica({
+      replicas: listReplicas(servers, sampleEngine), model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, maxLocalStreamCount: 50, excludedIds: new Set(), getHoldMs: () => 0, maySend: () => true, ...changes
+    }, loads, random)
+    const fill = (name: string, count: number) => {
+      for (let index = 0; index < count; index += 1) loads.beginStream(`small.${name}/1`)
+    }
+
+    it('is refused at once where the first event would come after the objective', () => {
+      const servers = makeReplicaServers('a', 'z1')
+      fill('a', 18)
+      expect(chooseWith(servers, { expected }).kind).to.equal(ReplicaChoiceKind.Chosen)
+      fill('a', 1)
+      expect(chooseWith(servers, { expected })).to.deep.equal({ kind: ReplicaChoiceKind.Full, streamCount: 19, isForObjective: true })
+      expect(chooseWith(servers, {}).kind).to.equal(ReplicaChoiceKind.Chosen)
+    })
+
+    it('goes to a replica in another zone that has room', () => {
+      fill('near', 19)
+      fill('far', 16)
+      const choice = chooseWith([...makeReplicaServers('near', 'z1'), ...makeReplicaServers('far', 'z2')], { expected })
+      expect(choice.kind === ReplicaChoiceKind.Chosen && choice.replica.groupName).to.equal('small.far')
+    })
+
+    it('is given up, but free slots are used, where no replica can meet the objective', () => {
+      const servers = makeReplicaServers('a', 'z1')
+      fill('a', 17)
+      const late = { ...expected, objectiveLeftMs: -100 }
+      expect(chooseWith(servers, { expected: late }).kind).to.equal(ReplicaChoiceKind.Chosen)
+      fill('a', 1)
+      expect(chooseWith(servers, { expected: late }).kind).to.equal(ReplicaChoiceKind.Full)
+    })
+
+    it('is shorter on a slow replica, and none on one whose streams are limited', () => {
+      const servers = makeReplicaServers('a', 'z1')
+      fill('a', 10)
+      expect(chooseWith(servers, { expected, getStreamLimit: () => 11 }).kind).to.equal(ReplicaChoiceKind.Chosen)
+      expect(chooseWith(servers, { expected, getStreamLimit: () => 10 }).kind).to.equal(ReplicaChoiceKind.Full)
+      fill('a', 8)
+      expect(chooseWith(servers, { expected, getPaceFactor: () => 1 }).kind).to.equal(ReplicaChoiceKind.Chosen)
+      expect(chooseWith(servers, { expected, getPaceFactor: () => 1.5 }).kind).to.equal(ReplicaChoiceKind.Full)
+    })
+  })
+
   it('skips a replica where this gateway has reached its own stream limit', () => {
     const servers = makeReplicaServers('a', 'z1')
     for (let index = 0; index < 3; index += 1) loads.beginStream('small.a/1')
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -1,6 +1,7 @@
 import type { RandomSource } from '../../shared/random-source.js'
 import { ServerState, type BackendServer } from '../../state/backend-server.js'
 import type { Replica } from '../../state/replica.js'
+import { computeQueueLimit, type ExpectedTimes } from './queue-limit.js'
 import type { ReplicaLoads } from './replica-loads.js'
 
 /** What the choice of a replica for one stream depends on. */
@@ -17,6 +18,12 @@
   readonly excludedIds: ReadonlySet<string>
   /** Whether a replica that is marked as stalled may be chosen; false when undefined. */
   readonly mayBeStalled?: boolean
+  /** What is expected of the call in a replica whose slots are in use; undefined for a call that may queue whatever its objective. */
+  readonly expected?: ExpectedTimes | undefined
+  /** Streams that all gateways together should have on the replica now, `slotCount` at most; that many when undefined. */
+  getStreamLimit? (replica: Replica, slotCount: number): number
+  /** How many times slower than its model's times the replica is; 1 when undefined. */
+  getPaceFactor? (replica: Replica): number
   /** Time for which the server wants no requests, in milliseconds; 0 when it takes them. */
   getHoldMs (server: BackendServer): number
   /** Whether the limit that the server states, if any, lets a request be sent now. */
@@ -26,7 +33,7 @@
 /** Result of the choice. */
 export enum ReplicaChoiceKind {
   Chosen = 'chosen',
-  /** Every replica of the model has reached its stream limit. */
+  /** Every replica of the model has reached its stream limit, which depends on the call's objective. */
   Full = 'full',
   /** Every replica that could serve the model wants no requests for some time. */
   Held = 'held',
@@ -42,13 +49,12 @@
   | { readonly kind: ReplicaChoiceKind.Chosen, readonly replica: Replica, readonly streamCount: number, readonly isHealthy: boolean, readonly limitedLeaders: readonly BackendServer[] }
   /** `limitedLeaders`: the leaders with free slots that may be sent no request now, the one with the lowest cost first. */
   | { readonly kind: ReplicaChoiceKind.Limited, readonly limitedLeaders: readonly BackendServer[] }
-  | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number }
+  /** `isForObjective`: a replica would take the stream if it could begin after its objective. */
+  | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number, readonly isForObjective: boolean }
   /** `holdMs`: the time after which the first of them takes requests. */
   | { readonly kind: ReplicaChoiceKind.Held, readonly holdMs: number }
   | { readonly kind: ReplicaChoiceKind.Absent }
 
-/** Streams that may queue in a replica's engine beyond its slots, as a fraction of the slots. */
-const maxQueuedFraction = 0.25
 /** Cost of a replica in another zone, in streams, for the latency and traffic between zones. */
 const crossZonePenaltyStreamCount = 2.5
 /** Cost, in streams, of a replica that is quiet or about to be replaced; it counts only when no steady replica has a free slot. */
@@ -81,9 +87,12 @@
   const usable = candidates.filter(replica => getHoldMs(replica) === 0)
   if (usable.length === 0) return { kind: ReplicaChoiceKind.Held, holdMs: Math.min(...candidates.map(getHoldMs)) }
   const rated = usable.map(replica => rate(replica, input.zone, loads, random))
-  const free = rated.filter(candidate => candidate.streamCount < input.slotCount * (1 + maxQueuedFraction) &&
-    loads.getLocalStreamCount(candidate.replica.id) < input.maxLocalStreamCount)
-  if (free.length === 0) return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)) }
+  const connectable = rated.filter(({ replica }) => loads.getLocalStreamCount(replica.id) < input.maxLocalStreamCount)
+  const free = connectable.filter(candidate => candidate.streamCount < getMaxStreamCount(input, candidate.replica, input.expected))
+  if (free.length === 0) {
+    const isForObjective = connectable.some(candidate => candidate.streamCount < getMaxStreamCount(input, candidate.replica, undefined))
+    return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)), isForObjective }
+  }
   const permitted = free.filter(({ replica: { leader } }) => leader === undefined || input.maySend(leader))
   const limitedLeaders = permitted.length === free.length ? [] : listLeaders(free.filter(candidate => !permitted.includes(candidate)))
   if (permitted.length === 0) return { kind: ReplicaChoiceKind.Limited, limitedLeaders }
@@ -95,6 +104,12 @@
   return { kind: ReplicaChoiceKind.Chosen, replica, streamCount, isHealthy, limitedLeaders }
 }
 
+/** The replica takes a stream while it has fewer than this many. One that is not at its full pace gets no queue. */
+function getMaxStreamCount ({ slotCount, getStreamLimit, getPaceFactor }: ReplicaChoiceInput, replica: Replica, expected: ExpectedTimes | undefined): number {
+  const streamLimit = getStreamLimit?.(replica, slotCount) ?? slotCount
+  return streamLimit < slotCount ? streamLimit : slotCount + computeQueueLimit(slotCount, expected, getPaceFactor?.(replica))
+}
+
 function listLeaders (candidates: readonly RatedReplica[]): BackendServer[] {
   return [...candidates].sort((left, right) => left.cost - right.cost).flatMap(({ replica: { leader } }) => leader ?? [])
 }
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -7,6 +7,7 @@
 import type { ServerPermits } from '../coordination/limits/server-permits.js'
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
 import type { PromptGuard } from '../coordination/quarantine/prompt-guard.js'
+import type { ModelTimings } from '../coordination/dispatch/model-timings.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import type { LogFields, Logger } from '../observability/log.js'
@@ -42,6 +43,7 @@
   readonly permits: ServerPermits
   readonly promptGuard: PromptGuard
   readonly loads: ReplicaLoads
+  readonly timings: ModelTimings
   readonly metrics: Metrics
   readonly logger: Logger
   countGateways (): number
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,6 @@
 /** Wires up a gateway: the view of the fleet, the planner, the exchange with other gateways and the servers. */
 import { recentEventMs, createReplicaLoads, totalNodeId, type LoadReport } from '../coordination/dispatch/replica-loads.js'
+import { createModelTimings } from '../coordination/dispatch/model-timings.js'
 import { computeConnectionLimit } from '../coordination/dispatch/connection-limit.js'
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
@@ -210,6 +211,7 @@
     limits,
     permits,
     loads,
+    timings: createModelTimings(),
     promptGuard,
     metrics,
     logger: createRateLimitedLogger(createLogger('calls'), timers, requestLogLinesPerSecond),
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -8,7 +8,7 @@
 import { describeAdmission } from '../coordination/quarantine/describe-admission.js'
 import { AdmissionKind } from '../coordination/quarantine/prompt-quarantine.js'
 import type { LogFields } from '../observability/log.js'
-import { DurationMetric, MetricEvent } from '../observability/metrics.js'
+import { MetricEvent } from '../observability/metrics.js'
 import type { FramedSseEvent } from '../protocol/sse-framer.js'
 import type { BackendServer } from '../state/backend-server.js'
 import { listReplicas, type Replica } from '../state/replica.js'
@@ -20,6 +20,7 @@
 import {
   CallOutcome, getPriority, getRemainingMs, mayWaitForPermit, promisesNotExecuted, recordOutcome, requestPermits, sendGatewayResponse, type Call, type CallDependencies
 } from './call-context.js'
+import { createStreamClock, estimateCallTimes } from './call-timing.js'
 import { AttemptFailureKind, startStreamAttempt, type AttemptFailure, type StreamAttempt } from './stream-attempt.js'
 
 /** The replica for one more attempt, or why there is none. */
@@ -43,6 +44,8 @@
   readonly explanation?: string
   /** A permit of a server that states a limit may let the call go on. */
   readonly waitsForPermit?: boolean
+  /** A replica would have taken the call if it could begin after its objective. */
+  readonly isForObjective?: boolean
 }
 
 /** Interval of the checks of all streams. */
@@ -54,7 +57,7 @@
 
 function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>, isFirst: boolean): string {
   switch (choice.kind) {
-    case ReplicaChoiceKind.Full: return `all replicas are full; the least loaded has ${choice.streamCount} streams`
+    case ReplicaChoiceKind.Full: return `all replicas are ${choice.isForObjective ? 'too full to begin the stream within its objective' : 'full'}; the least loaded has ${choice.streamCount} streams`
     case ReplicaChoiceKind.Held: return `all replicas want no requests; the first for ${Math.round(choice.holdMs)} ms more`
     case ReplicaChoiceKind.Limited: return 'all replicas with free slots have got the requests that their limits allow'
     case ReplicaChoiceKind.Absent: return `no ${isFirst ? '' : 'other '}replica of the service serves the model`
@@ -82,9 +85,7 @@
   const attempts = new Set<StreamAttempt>()
   let lastEventId = call.clientInfo.lastEventId
   let eventCount = 0
-  let firstEventMs: number | undefined
-  let longestPauseMs = 0
-  let previousEventAtMs = 0
+  const clock = createStreamClock(dependencies, call)
   let clientReadAtMs = 0
   let isClientReading = true
   /** When the last attempt in progress failed or was refused, since the last event. */
@@ -105,12 +106,13 @@
     call.response.off('close', onClientDisconnect)
     call.response.off('drain', resumeAttempts)
     abortAttempts(describeAbort(outcome))
+    const firstEventMs = clock.getFirstEventMs()
     recordOutcome(dependencies, call, outcome, {
       model: call.clientInfo.model ?? '',
       groups: record.listReplicaIds().join(' '),
       eventCount,
       firstEventMs: firstEventMs === undefined ? 'none' : Math.round(firstEventMs),
-      longestPauseMs: Math.round(longestPauseMs),
+      longestPauseMs: Math.round(clock.getLongestPauseMs()),
       reason
     })
   }
@@ -138,6 +140,8 @@
       zone: dependencies.zone,
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
+      // A stream that may have run can't be refused, so that it may queue whatever its objective.
+      expected: record.listExecutions().length === 0 ? estimateCallTimes(dependencies, call, service.engine) : undefined,
       getHoldMs: dependencies.holds.getRemainingMs,
       maySend: dependencies.permits.maySend
     }
@@ -189,7 +193,9 @@
       return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs, waitsForPermit: true }
     }
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
-      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs: choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0 }
+      const unavailableMs = choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0
+      const isForObjective = choice.kind === ReplicaChoiceKind.Full && choice.isForObjective
+      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs, isForObjective }
     }
     const { replica, isHealthy } = choice
     const { leader } = replica
@@ -200,15 +206,17 @@
     return { isAllowed: true, replica, leader, isHealthy }
   }
 
-  function startAttempt ({ replica, leader }: AllowedAttempt): void {
+  function startAttempt ({ replica, leader, isHealthy }: AllowedAttempt): void {
     // The budget allowed it just before.
     if (record.listReplicaIds().length > 0 && retryBudget.trySpend()) dependencies.metrics.countEvent(MetricEvent.RetrySpent)
     dependencies.permits.take(leader)
     endWait()
     record.start(replica.id, leader)
+    clock.start(replica, lastEngine, isHealthy)
     const attempt = startStreamAttempt(dependencies, call, { replica, leader, getLastEventId: () => lastEventId, mayBeComplete: () => mayBeComplete }, {
       onEvent: (event, head) => forwardEvent(attempt, event, head),
       onEnd () {
+        clock.recordEnd()
         call.response.end()
         finish(CallOutcome.Served)
       },
@@ -219,7 +227,7 @@
 
   function forwardEvent (attempt: StreamAttempt, event: FramedSseEvent, head: ResponseHead): void {
     abortAttempts('another server delivered', attempt)
-    recordEventTiming()
+    clock.recordEvent()
     if (!call.response.headersSent) writeHead(head)
     const hasWriteCapacity = call.response.write(event.bytes)
     eventCount += 1
@@ -227,7 +235,9 @@
     mayBeComplete = false
     lostAtMs = undefined
     isClientReading = hasWriteCapacity
-    if (!hasWriteCapacity) attempt.pause()
+    if (hasWriteCapacity) return
+    clock.recordBackPressure()
+    attempt.pause()
   }
 
   function resumeAttempts (): void {
@@ -236,18 +246,6 @@
     for (const attempt of attempts) attempt.resume()
   }
 
-  function recordEventTiming (): void {
-    const nowMs = timers.nowMs()
-    if (firstEventMs === undefined) {
-      firstEventMs = nowMs - call.arrivedAtMs
-      dependencies.metrics.recordDuration(DurationMetric.FirstToken, firstEventMs)
-    } else {
-      longestPauseMs = Math.max(longestPauseMs, nowMs - previousEventAtMs)
-      dependencies.metrics.recordDuration(DurationMetric.BetweenTokens, nowMs - previousEventAtMs)
-    }
-    previousEventAtMs = nowMs
-  }
-
   function writeHead (head: ResponseHead): void {
     call.response.writeHead(head.statusCode, head.statusMessage, filterResponseHeaders(head.rawHeaders, false) as never)
   }
@@ -300,7 +298,7 @@
     if (isFinished || attempts.size > 0 || (!mayRepeat && record.listExecutions().length > 0)) return
     const failure = lastFailure
     const next = findNextAttempt()
-    if (next.isAllowed && failure !== undefined) logLine('A stream goes on after a wait for a replica.', { group: next.replica.id, serverId: next.leader.id, waitedMs: Math.round(timers.nowMs() - (lostAtMs ?? previousEventAtMs)) })
+    if (next.isAllowed && failure !== undefined) logLine('A stream goes on after a wait for a replica.', { group: next.replica.id, serverId: next.leader.id, waitedMs: Math.round(timers.nowMs() - (lostAtMs ?? clock.getLastEventAtMs())) })
     resumeOrFinish(failure, next)
   }
 
@@ -312,8 +310,8 @@
     // A stream that has lost its server waits for a permit even if it was silent before, as a client that waits may still be served.
     if (next.waitsForPermit === true && mayWaitForPermit(dependencies, call, next.unavailableMs, lostAtMs)) return true
     return timers.nowMs() < getWaitEndMs({
-      lostAtMs: lostAtMs ?? previousEventAtMs,
-      clientWaitsSinceMs: isClientReading ? Math.max(previousEventAtMs, clientReadAtMs) : timers.nowMs(),
+      lostAtMs: lostAtMs ?? clock.getLastEventAtMs(),
+      clientWaitsSinceMs: isClientReading ? Math.max(clock.getLastEventAtMs(), clientReadAtMs) : timers.nowMs(),
       objectiveMs: call.route.objectiveMs,
       pauseObjectiveMs: call.route.pauseObjectiveMs
     })
@@ -338,7 +336,7 @@
   }
 
   /** Ends the call without a complete stream. */
-  function finishIncomplete (reason: string, { unavailableMs, explanation, waitsForPermit }: Omit<NoAttempt, 'isAllowed' | 'isFinal'>): void {
+  function finishIncomplete (reason: string, { unavailableMs, explanation, waitsForPermit, isForObjective }: Omit<NoAttempt, 'isAllowed' | 'isFinal'>): void {
     if (call.response.headersSent) {
       finish(CallOutcome.Broken, reason)
       breakOffResponse(call.response)
@@ -347,6 +345,7 @@
     if (record.listExecutions().length === 0) {
       finish(CallOutcome.Refused, reason)
       if (waitsForPermit === true) dependencies.metrics.countEvent(MetricEvent.LimitRefused)
+      if (isForObjective === true) dependencies.metrics.countEvent(MetricEvent.LateRefused)
       if (explanation !== undefined) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
       sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs), explanation)
       return
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -33,6 +33,8 @@
   LimitedElsewhere = 'limited_elsewhere',
   /** A request was refused for the limits of all servers that could have taken it. */
   LimitRefused = 'limit_refused',
+  /** A stream was refused that could only have begun after its objective. */
+  LateRefused = 'late_refused',
   /** A server announced that it is leaving. */
   ServerLeaving = 'server_leaving',
   /** A server sent a response that belongs to another request. */
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -1,7 +1,9 @@
 /** Plays streams through `forwardStream` in virtual time, with servers and a client that a test controls event by event. */
 import { EventEmitter } from 'node:events'
 
+import { createModelTimings } from '../coordination/dispatch/model-timings.js'
 import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import type { StatedWork } from '../coordination/dispatch/engine-timing.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerLimits } from '../coordination/limits/server-limits.js'
 import { createServerPermits } from '../coordination/limits/server-permits.js'
@@ -51,13 +53,16 @@
   readonly retrySlackCount?: number
   /** Parts of the prompt that other requests may share. */
   readonly partIds?: readonly string[]
+  /** Size that the client states. */
+  readonly work?: StatedWork
 }
 
 /** Creates one call of a stream route; each server is the leader of a replica that has no other member. */
-export function createStreamHarness ({ serverIds, route: routeChanges, retrySlackCount = 100, partIds = [] }: StreamHarnessOptions) {
+export function createStreamHarness ({ serverIds, route: routeChanges, retrySlackCount = 100, partIds = [], work = {} }: StreamHarnessOptions) {
   const timers = createVirtualTimerService()
   const random = createRandomSource(1)
   const loads = createReplicaLoads(timers)
+  const timings = createModelTimings()
   const attempts: ReceivedAttempt[] = []
   const logLines: Array<{ readonly message: string, readonly fields: LogFields }> = []
   const route = makeRoute(routeChanges)
@@ -138,6 +143,7 @@
     timers,
     random,
     loads,
+    timings,
     streamTicker: createSharedTicker(timers, streamCheckIntervalMs),
     holds: createServerHolds(timers),
     overruns: { record () {} },
@@ -170,6 +176,7 @@
   return {
     timers,
     loads,
+    timings,
     limits,
     promptGuard,
     servers,
@@ -182,7 +189,7 @@
       forwardStream(dependencies, {
         request: { method: 'POST', url: '/drafts/a', rawHeaders: [] },
         response,
-        clientInfo: { requestId, model: 'm', apiKey: undefined, clientTimeoutMs: undefined, sharedPartIds: partIds, lastEventId: undefined },
+        clientInfo: { requestId, model: 'm', apiKey: undefined, clientTimeoutMs: undefined, sharedPartIds: partIds, lastEventId: undefined, ...work },
         body: undefined,
         route,
         team: undefined,
