--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -2,6 +2,7 @@
 import { ServerState, type BackendServer } from '../../state/backend-server.js'
 import type { Replica } from '../../state/replica.js'
 import { needsPermit, type ServerCheck } from '../servers/server-admission.js'
+import { computeQueueLimit, type ExpectedTimes } from './queue-limit.js'
 import type { ReplicaLoads } from './replica-loads.js'
 
 /** What the choice of a replica for one stream depends on. */
@@ -18,6 +19,8 @@
   readonly excludedIds: ReadonlySet<string>
   /** Whether a replica that is marked as stalled may be chosen; false when undefined. */
   readonly mayBeStalled?: boolean
+  /** What is expected of the call in a replica whose slots are in use; undefined for a call that may queue whatever its objective. */
+  readonly expected?: ExpectedTimes | undefined
   /** Whether a request may go to the server now; called once for each candidate. */
   check (server: BackendServer): ServerCheck
   /** Streams of all gateways up to which the replica may get new ones now; `slotCount` for no limit of its own. */
@@ -29,7 +32,7 @@
 /** Result of the choice. */
 export enum ReplicaChoiceKind {
   Chosen = 'chosen',
-  /** Every replica of the model has reached its stream limit. */
+  /** Every replica of the model has reached its stream limit, which depends on the call's objective. */
   Full = 'full',
   /** Every replica that could serve the model wants no requests for some time. */
   Held = 'held',
@@ -47,13 +50,12 @@
   | { readonly kind: ReplicaChoiceKind.Chosen, readonly replica: Replica, readonly streamCount: number, readonly isHealthy: boolean, readonly limitedLeaders: readonly BackendServer[] }
   /** `limitedLeaders`: the leaders with free slots that may be sent no request now, the one with the lowest cost first. */
   | { readonly kind: ReplicaChoiceKind.Limited, readonly limitedLeaders: readonly BackendServer[] }
-  | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number }
+  /** `isForObjective`: a replica would take the stream if it could begin after its objective. */
+  | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number, readonly isForObjective: boolean }
   /** `holdMs`: the time after which the first of them takes requests. */
   | { readonly kind: ReplicaChoiceKind.Held, readonly holdMs: number }
   | { readonly kind: ReplicaChoiceKind.Absent | ReplicaChoiceKind.Evacuated }
 
-/** Streams that may queue in a replica's engine beyond its slots, as a fraction of the slots. */
-const maxQueuedFraction = 0.25
 /** Cost of a replica in another zone, in streams, for the latency and traffic between zones. */
 const crossZonePenaltyStreamCount = 2.5
 /** Cost, in streams, of a replica that is quiet or about to be replaced; it counts only when no steady replica has a free slot. */
@@ -94,9 +96,12 @@
   const isPaced = (candidate: RatedReplica) => candidate.streamLimit < input.slotCount
   // Where all replicas are paced, none is known to be better, and a refusal would serve nobody.
   const withinPace = rated.every(isPaced) ? rated : rated.filter(candidate => !isPaced(candidate) || candidate.streamCount < candidate.streamLimit)
-  const free = withinPace.filter(candidate => candidate.streamCount < input.slotCount * (1 + maxQueuedFraction) &&
-    loads.getLocalStreamCount(candidate.replica.id) < input.maxLocalStreamCount)
-  if (free.length === 0) return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)) }
+  const connectable = withinPace.filter(({ replica }) => loads.getLocalStreamCount(replica.id) < input.maxLocalStreamCount)
+  const free = connectable.filter(candidate => candidate.streamCount < getMaxStreamCount(input, candidate, input.expected))
+  if (free.length === 0) {
+    const isForObjective = connectable.some(candidate => candidate.streamCount < getMaxStreamCount(input, candidate, undefined))
+    return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)), isForObjective }
+  }
   const permitted = free.filter(({ replica }) => checks.get(replica.id)?.isAllowed !== false)
   const limitedLeaders = permitted.length === free.length ? [] : listLeaders(free.filter(candidate => !permitted.includes(candidate)))
   if (permitted.length === 0) return { kind: ReplicaChoiceKind.Limited, limitedLeaders }
@@ -110,6 +115,11 @@
   return { kind: ReplicaChoiceKind.Chosen, replica, streamCount, isHealthy, limitedLeaders }
 }
 
+/** The replica takes a stream while it has fewer than this many. One that is not at its full pace gets no queue. */
+function getMaxStreamCount ({ slotCount }: ReplicaChoiceInput, { streamLimit, paceFactor }: RatedReplica, expected: ExpectedTimes | undefined): number {
+  return streamLimit < slotCount ? slotCount : slotCount + computeQueueLimit(slotCount, expected, paceFactor)
+}
+
 /** Whether the server of the check takes requests now, or as soon as there is a permit. */
 function mayTakeWithPermit (check: ServerCheck | undefined): boolean {
   return check === undefined || check.isAllowed || needsPermit(check.reason)
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -9,6 +9,7 @@
 import type { ServerScores } from '../coordination/dispatch/server-scores.js'
 import type { ServerPace } from '../coordination/pace/server-pace.js'
 import type { PromptGuard } from '../coordination/quarantine/prompt-guard.js'
+import type { ModelTimings } from '../coordination/dispatch/model-timings.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import type { LogFields, Logger } from '../observability/log.js'
@@ -47,6 +48,7 @@
   readonly loads: ReplicaLoads
   /** Undefined where pacing is off. */
   readonly pace?: ServerPace | undefined
+  readonly timings: ModelTimings
   readonly metrics: Metrics
   readonly logger: Logger
   countGateways (): number
