Measure the demand for each model and report it with the loads

Each gateway now counts the arrivals for each model, with the group time that they need by the engine's published times and the sizes of the streams that ended there, in a window that decays within a second. Load reports carry it in an optional field; relays add up their gateways. Reports that go to the planner at once, and relays' totals, carry none, so that no gateway reaches the planner by two paths.

Relays send their reports to the planner also when it is no relay, and such a planner reports its own streams to the relays. Before, it heard of no other gateway's streams.

--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -1,4 +1,6 @@
 import type { TimerService } from '../../shared/timer-service.js'
+import { collectDemand, createDemandCollection, type CollectedDemand, type DemandCollection } from '../demand/demand-collection.js'
+import { addDemand, type DemandReport } from '../demand/demand-report.js'
 
 /** What one gateway, or a relay for several gateways, reports on the replicas. */
 export interface LoadReport {
@@ -16,6 +18,8 @@
    * ID. Sent to the planner only.
    */
   readonly leavingServers?: Readonly<Record<string, number>> | undefined
+  /** Demand at the gateways that the report covers; missing from gateways of earlier releases and from relays' totals, which the planner does not use. */
+  readonly demand?: DemandReport | undefined
 }
 
 /**
@@ -56,6 +60,8 @@
   applyReport (report: LoadReport): void
   /** Applies the report of a gateway that uses this one as its relay. */
   applyDependentReport (report: LoadReport): void
+  /** Demand at this gateway and at those whose reports have arrived. */
+  getDemand (): CollectedDemand
 }
 
 /** Reports older than this are left out of the counts. */
@@ -80,11 +86,16 @@
 /** Node ID under which a relay's total is stored; the next relay's total replaces it. */
 export const totalNodeId = 'total'
 
-/** Creates the record with no streams and no reports. */
-export function createReplicaLoads (timers: TimerService): ReplicaLoads {
+const noDemand: DemandReport = { gatewayCount: 1, services: {} }
+
+/** Creates the record with no streams and no reports. `createDemandReport` returns this gateway's own demand. */
+export function createReplicaLoads (timers: TimerService, createDemandReport = () => noDemand): ReplicaLoads {
   const localCounts = new Map<string, number>()
   const peers = new Map<string, ReceivedReport>()
   const relayedReports = new Map<string, ReceivedReport>()
+  // Kept apart from the reports, since a report that is sent to the planner at once has no demand.
+  const peerDemand = createDemandCollection(timers)
+  const relayedDemand = createDemandCollection(timers)
   const stalledUntilMs = new Map<string, number>()
   const reportedStalledUntilMs = new Map<string, number>()
   const lastEventAtMs = new Map<string, number>()
@@ -134,7 +145,7 @@
 
   function createOwnReport (nodeId: string): LoadReport {
     sequence += 1
-    return { nodeId, sequence, streamCounts: Object.fromEntries(localCounts), stalledIds: listStalled(), quietIds: listLocallyQuiet() }
+    return { nodeId, sequence, streamCounts: Object.fromEntries(localCounts), stalledIds: listStalled(), quietIds: listLocallyQuiet(), demand: createDemandReport() }
   }
 
   /** Adds the stream counts of `reports` and the quiet replicas of `recent` to a report. */
@@ -146,11 +157,13 @@
     return { ...base, streamCounts, quietIds: [...new Set([...base.quietIds, ...recent.flatMap(report => report.quietIds)])] }
   }
 
-  function storeReport (reports: Map<string, ReceivedReport>, report: LoadReport): void {
+  function storeReport (reports: Map<string, ReceivedReport>, demand: DemandCollection, report: LoadReport): void {
     const last = reports.get(report.nodeId)
     // A gateway that restarted begins again at 1. Its reports count once the last one before has expired.
     const isOutOfOrder = last !== undefined && report.sequence <= last.report.sequence && timers.nowMs() - last.receivedAtMs < reportMaxAgeMs
-    if (!isOutOfOrder) reports.set(report.nodeId, { report, receivedAtMs: timers.nowMs() })
+    if (isOutOfOrder) return
+    reports.set(report.nodeId, { report, receivedAtMs: timers.nowMs() })
+    if (report.demand !== undefined) demand.record(report.nodeId, report.demand)
   }
 
   return {
@@ -193,14 +206,18 @@
     },
     isStalled,
     createOwnReport,
-    createReport: nodeId =>
-      addReports(createOwnReport(nodeId), listRecent(relayedReports, reportMaxAgeMs), listRecent(relayedReports, quietReportMaxAgeMs)),
+    createReport (nodeId) {
+      const own = createOwnReport(nodeId)
+      const demand = addDemand([createDemandReport(), ...relayedDemand.listRecent()])
+      return { ...addReports(own, listRecent(relayedReports, reportMaxAgeMs), listRecent(relayedReports, quietReportMaxAgeMs)), demand }
+    },
     createTotalReport (askingNodeId) {
       const isOther = (report: LoadReport) => report.nodeId !== askingNodeId
       const list = (maxAgeMs: number) => [...listRecent(peers, maxAgeMs), ...listRecent(relayedReports, maxAgeMs)].filter(isOther)
-      return addReports(createOwnReport(totalNodeId), list(reportMaxAgeMs), list(quietReportMaxAgeMs))
+      return { ...addReports(createOwnReport(totalNodeId), list(reportMaxAgeMs), list(quietReportMaxAgeMs)), demand: undefined }
     },
-    applyReport: report => storeReport(peers, report),
-    applyDependentReport: report => storeReport(relayedReports, report)
+    applyReport: report => storeReport(peers, peerDemand, report),
+    applyDependentReport: report => storeReport(relayedReports, relayedDemand, report),
+    getDemand: () => collectDemand(createDemandReport(), [peerDemand, relayedDemand])
   }
 }
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -1,6 +1,7 @@
 /** The context of one client request, with the helpers that both kinds of forwarding use. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 
+import type { DemandMeter } from '../coordination/demand/demand-meter.js'
 import type { ServerHolds } from '../coordination/dispatch/server-holds.js'
 import type { ServerOverruns } from '../coordination/dispatch/server-overruns.js'
 import { StatementSource, type ServerLimits } from '../coordination/limits/server-limits.js'
@@ -41,6 +42,8 @@
   readonly limits: ServerLimits
   readonly permits: ServerPermits
   readonly promptGuard: PromptGuard
+  /** Demand of the clients of this gateway. */
+  readonly demand: DemandMeter
   readonly loads: ReplicaLoads
   readonly metrics: Metrics
   readonly logger: Logger
--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -147,8 +147,11 @@
   }
 
   async function forward (call: Call, route: Route): Promise<void> {
-    if (route.kind === RouteKind.Stream) forwardStream(dependencies, call)
-    else await forwardPlain(dependencies, call)
+    if (route.kind === RouteKind.Stream) {
+      const { model, promptTokenCount } = call.clientInfo
+      dependencies.demand.recordArrival({ serviceName: call.serviceName, model, promptTokenCount })
+      forwardStream(dependencies, call)
+    } else await forwardPlain(dependencies, call)
   }
 
   return {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,7 @@
 /** Wires up a gateway: the view of the fleet, the planner, the exchange with other gateways and the servers. */
 import { recentEventMs, createReplicaLoads, totalNodeId, type LoadReport } from '../coordination/dispatch/replica-loads.js'
 import { computeConnectionLimit } from '../coordination/dispatch/connection-limit.js'
+import { createDemandMeter } from '../coordination/demand/demand-meter.js'
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerOverruns } from '../coordination/dispatch/server-overruns.js'
@@ -115,7 +116,8 @@
     getStoreViewAgeMs: () => fleet.getViewAgeMs()
   })
   const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring() })
-  const loads = createReplicaLoads(timers)
+  const demand = createDemandMeter(timers, serviceName => fleet.getConfig()?.services.find(service => service.name === serviceName)?.engine)
+  const loads = createReplicaLoads(timers, demand.createReport)
   const presence = createPresence({
     store,
     timers,
@@ -209,6 +211,7 @@
     overruns: createServerOverruns({ timers, holds, logger: createRateLimitedLogger(createLogger('buffers'), timers, bufferLogLinesPerSecond) }),
     limits,
     permits,
+    demand,
     loads,
     promptGuard,
     metrics,
@@ -307,10 +310,16 @@
     loads.applyReport({ ...total, nodeId: totalNodeId, sequence: totalReportSequence })
   }
 
-  /** Relays exchange load reports by UDP. Other gateways send theirs with their relay requests, so their list is empty. */
+  /**
+   * Relays exchange load reports by UDP, with the planner too, which reads the store itself and may be no relay. Other
+   * gateways send theirs with their relay requests, so their list is empty.
+   */
   function listRelayPeers (): NetworkAddress[] {
-    if (!relayPlans.getPlan().readsStoreDirectly) return []
-    return toAddresses(relayPlans.listRelays())
+    if (!relayPlans.getPlan().readsStoreDirectly && !isPlanner()) return []
+    const relays = relayPlans.listRelays()
+    const plannerId = readPlannerNode(fleet.listGatewayEntries().get(plannerKey)?.value ?? '')
+    const planner = presence.listGateways().find(gateway => gateway.nodeId === plannerId)
+    return toAddresses(planner === undefined || relays.includes(planner) ? relays : [...relays, planner])
   }
 
   /** Returns the same array until the list of gateways changes. */
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -1,5 +1,5 @@
 /**
- * Exchanges load reports with other gateways by UDP: streams per replica, and the replicas that are quiet or stalled. Answers the planner's
+ * Exchanges load reports with other gateways by UDP: streams per replica, the replicas that are quiet or stalled, and the demand. Answers the planner's
  * inquiries about the events of replicas.
  */
 import { recentEventMs, type LoadReport, type ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
@@ -138,7 +138,8 @@
   }
 
   function sendToPlanner (planner: NetworkAddress, extra: Pick<LoadReport, 'leavingServers'>): void {
-    reportSocket.send({ ...loads.createOwnReport(settings.nodeId), streamCounts: {}, ...extra }, [planner])
+    // Without demand, which reaches the planner with the regular reports and would count twice.
+    reportSocket.send({ ...loads.createOwnReport(settings.nodeId), streamCounts: {}, demand: undefined, ...extra }, [planner])
   }
 
   function schedule (): void {
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -105,6 +105,7 @@
     call.response.off('close', onClientDisconnect)
     call.response.off('drain', resumeAttempts)
     abortAttempts(describeAbort(outcome))
+    if (outcome === CallOutcome.Served) dependencies.demand.recordStream(call.serviceName, call.clientInfo.model, eventCount)
     recordOutcome(dependencies, call, outcome, {
       model: call.clientInfo.model ?? '',
       groups: record.listReplicaIds().join(' '),
--- a/src/gateway/wire-codec.ts
+++ b/src/gateway/wire-codec.ts
@@ -9,6 +9,8 @@
   /** How long the client waits, counted from when it sent the request. */
   readonly clientTimeoutMs: number | undefined
   readonly model: string | undefined
+  /** Tokens of the prompt as the client states them; undefined when it states none, or none that can be read. */
+  readonly promptTokenCount?: number | undefined
   /** Parts of the prompt that other requests may share, in order; the part that belongs to this request alone is left out. */
   readonly sharedPartIds: readonly string[]
   /** The last event that the client has received; the stream resumes after it. */
--- a/src/protocol/relay-messages.test.ts
+++ b/src/protocol/relay-messages.test.ts
@@ -15,6 +15,20 @@
     expect(relayResponseSchema.safeParse(response).success).to.equal(true)
   })
 
+  it('are decoded with demand, and without it from gateways of earlier releases', () => {
+    const demand = { gatewayCount: 3, services: { drafting: { small: { arrivalsPerSecond: 2.5, busyServerCount: 0.4 } } } }
+    expect(decodeLoadReport(JSON.stringify({ ...report, demand }))).to.deep.equal({ ...report, demand })
+    expect(decodeLoadReport(JSON.stringify(report))?.demand).to.equal(undefined)
+  })
+
+  // Guards against sums that are not finite, and against a demand that only a faulty gateway can state.
+  for (const value of [-1, 1e300, null, 'x']) {
+    it(`are rejected when they state a demand of ${value}`, () => {
+      const demand = { gatewayCount: 1, services: { drafting: { small: { arrivalsPerSecond: value, busyServerCount: 1 } } } }
+      expect(decodeLoadReport(JSON.stringify({ ...report, demand }))).to.equal(undefined)
+    })
+  }
+
   it('are rejected when they are nested very deeply', () => {
     expect(decodeLoadReport(nested)).to.equal(undefined)
     expect(decodeRelayRequest(JSON.stringify({ ...request, loads: 'x' }).replace('"x"', nested))).to.equal(undefined)
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -10,13 +10,22 @@
 /** Counters of the store and of a node's reports, and numbers of streams. A larger number than a double holds exactly would stay the highest one for good. */
 const counterSchema = z.int().nonnegative()
 
+/** Requests per second, or servers. Far above what any deployment has, so that sums of reports stay finite. */
+const demandValueSchema = z.number().nonnegative().max(1e9)
+
+const demandReportSchema = z.object({
+  gatewayCount: counterSchema,
+  services: z.record(z.string(), z.record(z.string(), z.object({ arrivalsPerSecond: demandValueSchema, busyServerCount: demandValueSchema })))
+})
+
 const loadReportSchema = z.object({
   nodeId: z.string(),
   sequence: counterSchema,
   streamCounts: z.record(z.string(), counterSchema),
   stalledIds: z.array(z.string()),
   quietIds: z.array(z.string()),
-  leavingServers: z.record(z.string(), z.number()).optional()
+  leavingServers: z.record(z.string(), z.number()).optional(),
+  demand: demandReportSchema.optional()
 })
 
 const relayRequestSchema = z.object({
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -1,6 +1,7 @@
 /** Plays streams through `forwardStream` in virtual time, with servers and a client that a test controls event by event. */
 import { EventEmitter } from 'node:events'
 
+import { createDemandMeter } from '../coordination/demand/demand-meter.js'
 import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerLimits } from '../coordination/limits/server-limits.js'
@@ -145,6 +146,7 @@
     limits,
     permits: createServerPermits({ nodeId: 'n1', timers, random, limits, listGatewayIds: () => ['n1'], countGateways: () => 1, send () {} }),
     promptGuard,
+    demand: createDemandMeter(timers, () => engine),
     fleet: {
       getServers: listServers,
       getConfig: () => undefined,
