Split the servers between models by measured demand

The configured shares decided how many groups of each model there are, although a model may need half of its servers and the other twice as many. The planner now compares the demand that gateways report with the servers of each model. Where one model is half utilized or more, and another one would still be less utilized after giving up groups, it closes groups of the other one without ending their streams, and forms groups of the first from their servers.

During traffic a group whose members lack the weights is not closed; they stage them first, while at most half of the concurrent fetches are in use.

Free servers go to models by demand instead of configured shares once it is known. Survivors of a lost replica with the other model staged keep their own unless the other is short. The steps to dissolve a replica moved to a module of their own.

--- a/src/coordination/replicas/command-throttle.ts
+++ b/src/coordination/replicas/command-throttle.ts
@@ -1,4 +1,5 @@
 import type { BackendServer } from '../../state/backend-server.js'
+import { isAccepted, ServerCommandKind, type CommandOutcome, type ServerCommand } from '../ports/server-control.js'
 
 /** Allows one command in flight per server, with a pause after each. */
 export interface CommandThrottle {
@@ -11,6 +12,18 @@
   countInFlight (): number
 }
 
+/** Pause after a command that was not accepted, and after a close command. */
+const retryPauseMs = 300
+/** Pause after an open command; the leader reports within this time that it is open. */
+const openPauseMs = 1000
+
+/** Returns how long a server gets no further command, so that its report can show the effect of this one first. */
+export function getPauseMs (command: ServerCommand, outcome: CommandOutcome): number {
+  if (!isAccepted(outcome)) return retryPauseMs
+  if (command.kind === ServerCommandKind.Open) return openPauseMs
+  return command.kind === ServerCommandKind.Close ? retryPauseMs : 0
+}
+
 /** Creates a throttle without commands in flight. */
 export function createCommandThrottle (): CommandThrottle {
   const busy = new Set<string>()
--- a/src/coordination/replicas/domain-layout.ts
+++ b/src/coordination/replicas/domain-layout.ts
@@ -59,15 +59,18 @@
   const candidates = models.filter(model => free.length >= model.groupSize).map(model => {
     const members = pickMembers(free, model)
     const fetchCount = members.filter(member => needsWeightFetch(member, model.name)).length
-    return { model, members, fetchCount, serversPerShare: serversPerShareByModel.get(model) ?? 0 }
-  }).filter(({ model, fetchCount, serversPerShare }) => {
-    if (fetchCount === 0) return true
+    // Members that serve another model; their hosts have this one staged too.
+    const changingCount = members.filter(member => member.loadedModels.length > 0 && getUnreadiness(member, model.name) > 0).length
+    return { model, members, fetchCount, changingCount, serversPerShare: serversPerShareByModel.get(model) ?? 0 }
+  }).filter(({ model, fetchCount, changingCount, serversPerShare }) => {
+    // Survivors of a lost replica keep their model, whose next member may come soon, unless the other one is short.
+    if (fetchCount === 0) return changingCount === 0 || serversPerShare < maxServersPerShare
     // Such a replica mostly reuses members of a lost one, so it may use the spares.
     const needsFewFetches = fetchCount * 2 <= model.groupSize
     return canFetch && serversPerShare < getMaxServersPerShare(model) && (needsFewFetches || free.length - spareCount >= model.groupSize)
   })
   candidates.sort((left, right) => Math.sign(left.fetchCount) - Math.sign(right.fetchCount) ||
-    Number(right.model === dedicatedModel) - Number(left.model === dedicatedModel) ||
+    Math.sign(left.changingCount) - Math.sign(right.changingCount) || Number(right.model === dedicatedModel) - Number(left.model === dedicatedModel) ||
     left.serversPerShare - right.serversPerShare || right.model.groupSize - left.model.groupSize)
   const best = candidates[0]
   return best === undefined ? undefined : { model: best.model, members: best.members }
--- a/src/coordination/replicas/planner-task.ts
+++ b/src/coordination/replicas/planner-task.ts
@@ -4,12 +4,14 @@
 import { formatReplicaId, type Replica } from '../../state/replica.js'
 import type { EngineProfile } from '../../state/serving-config.js'
 import { isAccepted, CommandOutcome, ReportErrorKind, ServerCommandKind, type ServerControl } from '../ports/server-control.js'
+import type { ServiceDemand } from '../demand/demand-history.js'
 import { createCommandSequences } from './command-sequences.js'
 import type { DeliveryInquiries } from './delivery-inquiries.js'
 import type { PlannerLease } from './planner-lease.js'
 import type { PlannedCommand, PlannerInput, ReplicaPlanner } from './planner-types.js'
 import { createReplicaPlanner } from './replica-planner.js'
 import { createServerChecks } from './server-checks.js'
+import type { SupplyDecision } from './supply-changes.js'
 
 interface PlannedService {
   readonly name: string
@@ -34,6 +36,19 @@
   hasTraffic (): boolean
   /** Returns the services with replicas. */
   listServices (): readonly PlannedService[]
+  /** Demand for the models of a service at all gateways; undefined leaves the split between the models as it is. */
+  getDemand (serviceName: string): ServiceDemand | undefined
+  /** Streams of all gateways on a replica. */
+  getStreamCount (replicaId: string): number
+}
+
+/** Demand for a model and the servers that serve it. */
+export interface ModelSupply {
+  readonly service: string
+  readonly model: string
+  readonly arrivalsPerSecond: number
+  readonly busyServerCount: number
+  readonly serverCount: number
 }
 
 /** Runs the replica planner of each service and sends its commands while this gateway holds the planner lease. */
@@ -44,6 +59,8 @@
   checkReplica (replicaId: string): void
   /** Whether this gateway is the planner and needs new server reports soon; see `ReplicaPlanner.isReconfiguring`. */
   isReconfiguring (): boolean
+  /** Demand and supply of all models while this gateway is the planner, else nothing. */
+  listModelSupply (): ModelSupply[]
   /** Starts to plan at intervals, or plans at once if it has started. */
   start (): void
   stop (): void
@@ -67,6 +84,8 @@
   const checkedAtMs = new Map<string, number>()
   let plannersFencingToken: number | undefined
   const summaries = new Map<string, { readonly text: string, readonly loggedAtMs: number }>()
+  /** The last logged decision of each service on the split between its models. */
+  const loggedDecisions = new Map<string, string>()
   let planTimer: TimerSubscription | undefined
 
   function getPlanner (serviceName: string, fencingToken: number): ReplicaPlanner {
@@ -76,7 +95,7 @@
     }
     const existing = planners.get(serviceName)
     if (existing !== undefined) return existing
-    const created = createReplicaPlanner({ fencingToken, getStallLimitMs })
+    const created = createReplicaPlanner({ fencingToken, getStallLimitMs, onSupplyDecision: decision => logDecision(serviceName, decision) })
     planners.set(serviceName, created)
     return created
   }
@@ -97,8 +116,37 @@
     planTimer = timers.subscribeOnce(lease.getFencingToken() === undefined ? idleIntervalMs : planIntervalMs, runPlan)
   }
 
-  function toPlannerInput ({ engine, servers, replicas }: PlannedService): PlannerInput {
-    return { nowMs: timers.nowMs(), engine, servers, replicas, hasTraffic: options.hasTraffic() }
+  function toPlannerInput ({ name, engine, servers, replicas }: PlannedService): PlannerInput {
+    return {
+      nowMs: timers.nowMs(),
+      engine,
+      servers,
+      replicas,
+      hasTraffic: options.hasTraffic(),
+      demand: options.getDemand(name),
+      getStreamCount: options.getStreamCount
+    }
+  }
+
+  /** Logs a decision to stage weights once, although it is taken again until all servers have begun. */
+  function logDecision (serviceName: string, decision: SupplyDecision): void {
+    const groups = decision.change.replicas.map(replica => replica.id).join(', ')
+    const key = `${decision.change.isStaged} ${groups}`
+    if (loggedDecisions.get(serviceName) === key) return
+    loggedDecisions.set(serviceName, key)
+    const { change, demand, serverCounts, evidenceMs } = decision
+    logger.info(change.isStaged ? 'Servers change to a model that is short.' : 'Servers stage a model that is short, before they change to it.', {
+      service: serviceName,
+      from: change.from.name,
+      to: change.to.name,
+      groups,
+      demand: formatCounts(demand.busyServerCounts),
+      supply: formatCounts(serverCounts),
+      evidenceMs,
+      heardGatewayCount: demand.heardGatewayCount,
+      listedGatewayCount: demand.listedGatewayCount,
+      demandAgeMs: Math.round(demand.ageMs)
+    })
   }
 
   function logSummary (planner: ReplicaPlanner, service: PlannedService): void {
@@ -189,6 +237,21 @@
       }
     },
     isReconfiguring: () => lease.getFencingToken() !== undefined && [...planners.values()].some(planner => planner.isReconfiguring()),
+    listModelSupply () {
+      const fencingToken = lease.getFencingToken()
+      if (fencingToken === undefined) return []
+      return options.listServices().flatMap(service => {
+        const input = toPlannerInput(service)
+        const serverCounts = getPlanner(service.name, fencingToken).countSupply(input)
+        return service.engine.models.map(({ name }) => ({
+          service: service.name,
+          model: name,
+          arrivalsPerSecond: input.demand?.arrivalsPerSecond.get(name) ?? 0,
+          busyServerCount: input.demand?.busyServerCounts.get(name) ?? 0,
+          serverCount: serverCounts.get(name) ?? 0
+        }))
+      })
+    },
     start () {
       planTimer?.cancel()
       runPlan()
@@ -203,6 +266,11 @@
   return group === undefined ? '' : formatReplicaId(group.groupName, group.epoch)
 }
 
+/** Formats numbers of servers as `model count`. */
+function formatCounts (counts: ReadonlyMap<string, number>): string {
+  return [...counts].sort().map(([model, count]) => `${model} ${Math.round(count * 10) / 10}`).join(', ')
+}
+
 function toLogFields ({ server, command }: PlannedCommand, fencingToken: number, outcome: CommandOutcome) {
   const group = command.kind === ServerCommandKind.Stage ? '' : command.groupName
   const model = command.kind === ServerCommandKind.Stage || command.kind === ServerCommandKind.Join ? command.model : ''
--- a/src/coordination/replicas/planner-types.ts
+++ b/src/coordination/replicas/planner-types.ts
@@ -1,7 +1,9 @@
 import type { BackendServer } from '../../state/backend-server.js'
 import type { Replica } from '../../state/replica.js'
 import type { EngineProfile } from '../../state/serving-config.js'
+import type { ServiceDemand } from '../demand/demand-history.js'
 import type { CommandOutcome, ServerCommand } from '../ports/server-control.js'
+import type { SupplyDecision } from './supply-changes.js'
 
 /** A command to send to one server. */
 export interface PlannedCommand {
@@ -17,6 +19,10 @@
   readonly replicas: readonly Replica[]
   /** Whether client requests have arrived. */
   readonly hasTraffic: boolean
+  /** Demand for the service's models; without it, the split between them stays as it is. */
+  readonly demand?: ServiceDemand | undefined
+  /** Streams of all gateways on a replica. */
+  getStreamCount? (replicaId: string): number
 }
 
 export interface PlannerSettings {
@@ -24,6 +30,8 @@
   readonly fencingToken: number
   /** Time after which a replica that lost a member refuses requests on its own. */
   getStallLimitMs (): number
+  /** Called for each decision to change the split of servers between models. */
+  onSupplyDecision? (decision: SupplyDecision): void
 }
 
 /** Plans the replicas of one service: forms them, replaces those that lost a member, and prepares spares. */
@@ -43,6 +51,8 @@
    * been forming for less time than one that needs no fetch takes.
    */
   isReconfiguring (): boolean
+  /** Counts the servers that serve each model, or will once the changes in progress have ended. */
+  countSupply (input: PlannerInput): ReadonlyMap<string, number>
   /** Summarizes replicas by model and state, and free servers, for logs. */
   summarize (input: PlannerInput): PlannerSummary
 }
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -3,11 +3,15 @@
 import type { EngineProfile, ReplicatedModel } from '../../state/serving-config.js'
 import { isAccepted, CommandOutcome, ServerCommandKind, type ServerCommand } from '../ports/server-control.js'
 import { chooseNewReplica, needsWeightFetch, type DomainState } from './domain-layout.js'
-import { countServersByModel, listDomainModels, type DissolvingReplica, type FormingReplica } from './replica-transitions.js'
+import { createReplicaDissolver } from './replica-dissolver.js'
+import { countServersByModel, isMemberOf, isReadyOrOpenIn, listDomainModels, type FormingReplica } from './replica-transitions.js'
+import { listStagingWishes, type StagingWish } from './staging-plan.js'
+import { createSupplyChanges, listSupply } from './supply-changes.js'
+import type { SupplyReplica } from './supply-plan.js'
 import { createWeightFetchPacer } from './weight-fetch-pacer.js'
 import { createWeightFetchTracker } from './weight-fetch-tracker.js'
 import { createLossRecord } from './loss-record.js'
-import { createCommandThrottle } from './command-throttle.js'
+import { createCommandThrottle, getPauseMs } from './command-throttle.js'
 import { summarizePlan } from './planner-summary.js'
 import type { PlannedCommand, PlannerInput, PlannerSettings, ReplicaPlanner } from './planner-types.js'
 import { createUnreachableServers } from './unreachable-servers.js'
@@ -18,33 +22,17 @@
 const epochsPerPlanner = 10_000
 /** An unopened, incomplete replica of an earlier planner is dissolved after this time. */
 const takenOverFormingLimitMs = 1500
-/** Margin on the stall limit for the response to a command and the report after it. */
-const stallMarginMs = 500
-/** Requests in flight on a replica with a leaving member may finish within this time; then they are ended. */
-const closeTimeoutMs = 2500
 /** Forming is abandoned after this many times `loadMs` plus `formingSlackMs`; concurrent fetches slow each other down. */
 const formingLoadTimeCount = 4
 const formingSlackMs = 8000
-/** Pause after a command that was not accepted, and after a close command. */
-const retryPauseMs = 300
 /** A server with this many recent losses joins no replica, since each loss ends the replica. */
 const flappingLossCount = 3
 /** A replica that needs no fetch opens within this time. One that takes longer waits for the weight store, so the server list need not be read more often. */
 const maxFormingWithoutFetchMs = 4000
-/** Pause after an open command; the leader reports within this time that it is open. */
-const openPauseMs = 1000
-
-/** Returns how long a server gets no further command, so that its report can show the effect of this one first. */
-function getPauseMs (command: ServerCommand, outcome: CommandOutcome): number {
-  if (!isAccepted(outcome)) return retryPauseMs
-  if (command.kind === ServerCommandKind.Open) return openPauseMs
-  return command.kind === ServerCommandKind.Close ? retryPauseMs : 0
-}
 
 /** Creates a planner for one service. It learns of existing replicas from the first `plan`. */
-export function createReplicaPlanner ({ fencingToken, getStallLimitMs }: PlannerSettings): ReplicaPlanner {
+export function createReplicaPlanner ({ fencingToken, getStallLimitMs, onSupplyDecision }: PlannerSettings): ReplicaPlanner {
   const forming = new Map<string, FormingReplica>()
-  const dissolving = new Map<string, DissolvingReplica>()
   /** Replicas that do not serve, and that no late command of an earlier planner can open; their members are free. */
   const released = new Set<string>()
   const firstSeenMs = new Map<string, number>()
@@ -55,6 +43,8 @@
   const losses = createLossRecord()
   const settledDomains = createSettledDomains()
   const pacer = createWeightFetchPacer()
+  const dissolver = createReplicaDissolver({ getStallLimitMs, isUnreachable, isUsable })
+  const supply = createSupplyChanges()
   let epochCount = 0
   let hasTraffic = false
   let nowMs = 0
@@ -95,7 +85,7 @@
     if (!firstSeenMs.has(replica.id)) firstSeenMs.set(replica.id, nowMs)
     if (replica.leader !== undefined) leaders.set(replica.id, { id: replica.leader.id, startedAtMs: replica.leader.startedAtMs })
     if (released.has(replica.id) || forming.has(replica.id)) return
-    if (dissolving.has(replica.id)) {
+    if (dissolver.has(replica.id)) {
       dissolve(replica, commands)
       return
     }
@@ -105,14 +95,10 @@
     }
     const isRecent = nowMs - (firstSeenMs.get(replica.id) ?? nowMs) < takenOverFormingLimitMs
     if (isRecent && !replica.isOpen && replica.members.every(member => member.group?.state !== MemberState.Broken)) return
-    startDissolving(replica.id)
+    dissolver.start(replica.id, nowMs)
     dissolve(replica, commands)
   }
 
-  function startDissolving (replicaId: string): void {
-    dissolving.set(replicaId, { startedAtMs: nowMs, memberLeftAtMs: undefined, isClosed: false })
-  }
-
   /**
    * Adopts a replica of an earlier planner that is ready and not open. Late commands of that planner could still move
    * members to other replicas, so all members join again under this planner before the replica is opened.
@@ -123,38 +109,13 @@
     forming.set(replica.id, { domain, model, groupName, epoch, members, joinedIds: new Set(), startedAtMs: nowMs, isOpening: false, isAdopted: true })
   }
 
-  /**
-   * Returns the next command to dissolve a replica: close to a serving leader, leave to one that does not serve.
-   * Releases the replica when the leader has closed it.
-   */
   function dissolve (replica: Replica, commands: PlannedCommand[]): void {
-    const state = dissolving.get(replica.id) as DissolvingReplica
-    const { leader, groupName, epoch } = replica
-    if (leader === undefined || isUnreachable(leader)) {
-      releaseAfterStall(replica, state, commands)
-      return
-    }
-    if (leader.group?.state === MemberState.Ready || leader.group?.state === MemberState.Joining) {
-      if (state.isClosed) release(replica.id)
-      else addCommand(commands, leader, { kind: ServerCommandKind.Leave, groupName, epoch })
-      return
-    }
-    const canFinishRequests = replica.members.length === replica.model?.groupSize && replica.members.every(member => !isUnreachable(member)) &&
-      leader.group?.state !== MemberState.Broken
-    const isPreempting = !canFinishRequests || nowMs - state.startedAtMs > closeTimeoutMs
-    if (leader.group?.state === MemberState.Closing && !isPreempting) return
-    addCommand(commands, leader, { kind: ServerCommandKind.Close, groupName, epoch, isPreempting })
-  }
-
-  /** Dissolves a replica with an unreachable leader: makes another member leave, so the leader stops serving after the stall limit. */
-  function releaseAfterStall (replica: Replica, state: DissolvingReplica, commands: PlannedCommand[]): void {
-    if (state.memberLeftAtMs !== undefined) {
-      if (nowMs - state.memberLeftAtMs > getStallLimitMs() + stallMarginMs) release(replica.id)
-      return
-    }
-    const reachableMember = replica.members.find(member => member !== replica.leader && !isUnreachable(member))
-    if (reachableMember === undefined) return
-    addCommand(commands, reachableMember, { kind: ServerCommandKind.Leave, groupName: replica.groupName, epoch: replica.epoch })
+    const { isReleased, planned } = dissolver.plan(replica, nowMs)
+    if (planned !== undefined) addCommand(commands, planned.server, planned.command)
+    if (!isReleased) return
+    const target = dissolver.getTarget(replica.id)
+    if (target !== undefined) supply.reserve(replica.members, target, nowMs)
+    release(replica.id)
   }
 
   /** Releases the replicas of leaders that restarted under the same ID, since a restart ends the replica. */
@@ -167,7 +128,7 @@
 
   function release (replicaId: string): void {
     released.add(replicaId)
-    dissolving.delete(replicaId)
+    dissolver.end(replicaId)
     leaders.delete(replicaId)
   }
 
@@ -182,7 +143,7 @@
       const limitMs = replica.model.loadMs * formingLoadTimeCount + formingSlackMs
       if (isLost || nowMs - replica.startedAtMs > limitMs) {
         forming.delete(id)
-        if (replica.isOpening || replica.isAdopted) startDissolving(id)
+        if (replica.isOpening || replica.isAdopted) dissolver.start(id, nowMs)
         else release(id)
         continue
       }
@@ -211,16 +172,12 @@
     }
   }
 
-  function isMemberOf (server: BackendServer, replica: FormingReplica): boolean {
-    return server.group?.groupName === replica.groupName && server.group.epoch === replica.epoch
-  }
-
-  function isReadyOrOpenIn (server: BackendServer, replica: FormingReplica): boolean {
-    return isMemberOf(server, replica) && (server.group?.state === MemberState.Ready || server.group?.state === MemberState.Open)
+  function listFormingIds (): Set<string> {
+    return new Set([...forming.values()].flatMap(replica => replica.members.map(member => member.id)))
   }
 
   function listFree (servers: readonly BackendServer[]): BackendServer[] {
-    const taken = new Set([...forming.values()].flatMap(replica => replica.members.map(member => member.id)))
+    const taken = listFormingIds()
     return servers.filter(server => {
       if (!isUsable(server) || taken.has(server.id) || server.domain === undefined) return false
       if (losses.countRecent(server.id, nowMs) >= flappingLossCount) return false
@@ -238,12 +195,14 @@
   function formReplicas (input: PlannerInput, free: readonly BackendServer[]): BackendServer[] {
     const spares: BackendServer[] = []
     // Members of a replica that is being dissolved are free soon and need no fetch, so no other server fetches meanwhile.
-    const dissolvingDomains = new Set(input.replicas.filter(replica => dissolving.has(replica.id)).map(replica => replica.domain))
+    const dissolvingDomains = new Set(input.replicas.filter(isBeingReplaced).map(replica => replica.domain))
+    const models = supply.withDemand(input.engine.models, nowMs)
     for (const [domain, members] of listServersByDomain(free)) {
-      let remaining = members
+      formReserved(domain, members, input.engine.models)
+      let remaining = listUnreserved(members)
       while (settledDomains.has(domain)) {
         const next = chooseNewReplica({
-          models: input.engine.models,
+          models,
           free: remaining,
           serverCounts: countServersByModel(listExisting(input.replicas), [...forming.values()]),
           canFetch: !dissolvingDomains.has(domain),
@@ -261,6 +220,19 @@
     return spares
   }
 
+  /** Starts to form replicas from the servers that were freed for a model. */
+  function formReserved (domain: string, members: readonly BackendServer[], models: readonly ReplicatedModel[]): void {
+    for (const model of models) {
+      const reserved = members.filter(server => supply.getReservedModel(server, nowMs) === model.name)
+      while (reserved.length >= model.groupSize) startForming(domain, model, reserved.splice(0, model.groupSize))
+    }
+  }
+
+  function listUnreserved (servers: readonly BackendServer[]): BackendServer[] {
+    const taken = listFormingIds()
+    return servers.filter(server => !taken.has(server.id) && supply.getReservedModel(server, nowMs) === undefined)
+  }
+
   function describeDomain (domain: string, replicas: readonly Replica[]): DomainState {
     return { capacity: settledDomains.getHighestCount(), models: listDomainModels(domain, listExisting(replicas), [...forming.values()]) }
   }
@@ -273,6 +245,7 @@
   function startForming (domain: string, model: ReplicatedModel, members: readonly BackendServer[]): void {
     const epoch = allocateEpoch()
     const groupName = formatGroupName(model.name, String(epoch))
+    supply.release(members)
     forming.set(formatReplicaId(groupName, epoch), {
       domain, model, groupName, epoch, members, joinedIds: new Set(), startedAtMs: nowMs, isOpening: false, isAdopted: false
     })
@@ -290,6 +263,83 @@
     for (const { server, command } of planned) addCommand(commands, server, command)
   }
 
+  /** Closes replicas whose servers another model needs, and lets members of open replicas stage it beforehand. */
+  function planSupply (input: PlannerInput, commands: PlannedCommand[]): void {
+    supply.observe(input.demand, nowMs)
+    if (input.demand === undefined || isRepairing(input)) return
+    const replicas = listServing(input)
+    const changing = [...listChanging(input.replicas), ...forming.values()]
+    const reserved = input.servers.filter(server => supply.getReservedModel(server, nowMs) !== undefined)
+    const decisions = supply.choose({
+      nowMs,
+      models: input.engine.models,
+      replicas,
+      serverCounts: countSupply(input),
+      serverCount: input.servers.length,
+      changingServerCount: reserved.length + changing.reduce((sum, { members }) => sum + members.length, 0),
+      isFetching: fetches.has
+    })
+    for (const decision of decisions) {
+      onSupplyDecision?.(decision)
+      const { change } = decision
+      for (const { id } of change.isStaged ? change.replicas : []) {
+        dissolver.start(id, nowMs, change.to)
+        const replica = input.replicas.find(candidate => candidate.id === id)
+        if (replica !== undefined) dissolve(replica, commands)
+      }
+      if (!change.isStaged && fetches.count() * 2 < input.engine.maxConcurrentLoads) stage(change.unstaged.map(server => ({ server, model: change.to.name })), input.engine, commands)
+    }
+  }
+
+  /** Before the first client request, members of open replicas stage another model once nothing else needs a fetch. */
+  function planEarlyStaging (input: PlannerInput, commands: PlannedCommand[]): void {
+    if (input.demand === undefined || hasTraffic || input.engine.models.length < 2) return
+    const needsFetches = [...forming.values()].some(replica => replica.joinedIds.size < replica.members.length) ||
+      listFree(input.servers).some(server => server.stagedModels.length === 0) ||
+      [...listServersByDomain(input.servers).keys()].some(domain => !settledDomains.has(domain))
+    if (needsFetches) return
+    const replicas = listServing(input).map(replica => ({ ...replica, members: replica.members.map(fetches.withFetchedModel) }))
+    stage(listStagingWishes({ models: input.engine.models, replicas, stagedModelLimit: input.engine.stagedModelLimit }), input.engine, commands)
+  }
+
+  function stage (wishes: readonly StagingWish[], engine: EngineProfile, commands: PlannedCommand[]): void {
+    for (const { server, model } of wishes) {
+      if (!canCommand(server) || fetches.has(server.id)) continue
+      if (!tryStartFetch(engine)) return
+      addCommand(commands, server, { kind: ServerCommandKind.Stage, model })
+    }
+  }
+
+  function listServing ({ replicas, getStreamCount }: PlannerInput): SupplyReplica[] {
+    return listSupply(replicas, replica => replica.isOpen && isIntact(replica) && !dissolver.has(replica.id), getStreamCount ?? (() => 0))
+  }
+
+  /** Replicas that are being closed for another model. */
+  function listChanging (replicas: readonly Replica[]): Replica[] {
+    return replicas.filter(replica => dissolver.getTarget(replica.id) !== undefined)
+  }
+
+  /** Counts the servers that serve each model, or will once the changes in progress have ended. */
+  function countSupply (input: PlannerInput): Map<string, number> {
+    const counts = countServersByModel(listServing(input), [...forming.values()])
+    const add = (model: string, count: number) => counts.set(model, (counts.get(model) ?? 0) + count)
+    for (const replica of listChanging(input.replicas)) add(dissolver.getTarget(replica.id)?.name ?? '', replica.members.length)
+    for (const server of input.servers) {
+      const model = supply.getReservedModel(server, nowMs)
+      if (model !== undefined) add(model, 1)
+    }
+    return counts
+  }
+
+  /** Whether a lost replica is being replaced by means that take seconds. */
+  function isRepairing ({ replicas }: PlannerInput): boolean {
+    return replicas.some(isBeingReplaced)
+  }
+
+  function isBeingReplaced (replica: Replica): boolean {
+    return dissolver.has(replica.id) && dissolver.getTarget(replica.id) === undefined
+  }
+
   return {
     plan (input) {
       nowMs = input.nowMs
@@ -301,6 +351,7 @@
       losses.update(input.servers, nowMs)
       settledDomains.update(input.servers, nowMs)
       for (const replica of input.replicas) planReplica(replica, commands)
+      planSupply(input, commands)
       const spares = formReplicas(input, listFree(input.servers))
       // Fetches are rate-limited, so each domain completes its replicas and spares before the next one.
       const sparesByDomain = listServersByDomain(spares)
@@ -308,6 +359,7 @@
         planForming(domain, servers, input.engine, commands)
         if (settledDomains.has(domain)) planSpares(domain, sparesByDomain.get(domain) ?? [], input, commands)
       }
+      planEarlyStaging(input, commands)
       return commands
     },
     recordOutcome ({ server, command }, outcome, atMs) {
@@ -327,20 +379,16 @@
         case ServerCommandKind.Join:
           forming.get(id)?.joinedIds.add(server.id)
           break
-        case ServerCommandKind.Close: {
-          const state = dissolving.get(id)
-          if (state !== undefined) state.isClosed = true
+        case ServerCommandKind.Close:
+          dissolver.recordClosed(id)
           break
-        }
-        case ServerCommandKind.Leave: {
-          const state = dissolving.get(id)
-          if (state === undefined) break
+        case ServerCommandKind.Leave:
+          if (!dissolver.has(id)) break
           if (leaders.get(id)?.id === server.id) release(id)
-          else state.memberLeftAtMs = atMs
-        }
+          else dissolver.recordMemberLeft(id, atMs)
       }
     },
-    isReconfiguring: () => dissolving.size > 0 || throttle.countInFlight() > 0 || [...forming.values()].some(replica => nowMs - replica.startedAtMs < maxFormingWithoutFetchMs),
+    isReconfiguring: () => dissolver.listIds().length > 0 || throttle.countInFlight() > 0 || [...forming.values()].some(replica => nowMs - replica.startedAtMs < maxFormingWithoutFetchMs),
     recordUnreachable,
     recordReachable (server) {
       unreachable.remove(server)
@@ -349,10 +397,11 @@
     recordBusy (server, atMs) {
       if (!fetches.has(server.id)) fetches.recordStart(server, undefined, atMs)
     },
+    countSupply,
     summarize: ({ replicas, servers }) => summarizePlan({
       openIntact: replicas.filter(replica => replica.isOpen && isIntact(replica)),
       forming: [...forming.values()],
-      dissolvingIds: [...dissolving.keys()],
+      dissolvingIds: dissolver.listIds(),
       free: listFree(servers),
       unusableCount: servers.filter(server => !isUsable(server)).length
     })
--- a/src/coordination/replicas/replica-transitions.ts
+++ b/src/coordination/replicas/replica-transitions.ts
@@ -1,4 +1,4 @@
-import type { BackendServer } from '../../state/backend-server.js'
+import { MemberState, type BackendServer } from '../../state/backend-server.js'
 import type { Replica } from '../../state/replica.js'
 import type { ReplicatedModel } from '../../state/serving-config.js'
 
@@ -19,17 +19,16 @@
   readonly isAdopted: boolean
 }
 
-/** A replica that lost a member, or has a leaving one, and is being dissolved to free its servers. */
-export interface DissolvingReplica {
-  readonly startedAtMs: number
-  /** When a member accepted a command to leave; without that member the leader makes no progress. */
-  memberLeftAtMs: number | undefined
-  /** The leader accepted the close command; it also refuses commands of earlier planners from then on. */
-  isClosed: boolean
+export function isMemberOf (server: BackendServer, { groupName, epoch }: FormingReplica): boolean {
+  return server.group?.groupName === groupName && server.group.epoch === epoch
+}
+
+export function isReadyOrOpenIn (server: BackendServer, replica: FormingReplica): boolean {
+  return isMemberOf(server, replica) && (server.group?.state === MemberState.Ready || server.group?.state === MemberState.Open)
 }
 
 /** Counts the servers of each model in replicas that exist or are being formed. */
-export function countServersByModel (existing: readonly Replica[], forming: readonly FormingReplica[]): Map<string, number> {
+export function countServersByModel (existing: ReadonlyArray<Pick<Replica, 'model'>>, forming: readonly FormingReplica[]): Map<string, number> {
   const counts = new Map<string, number>()
   const models = [...existing.map(replica => replica.model), ...forming.map(replica => replica.model)]
   for (const model of models) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,6 +1,7 @@
 /** Wires up a gateway: the view of the fleet, the planner, the exchange with other gateways and the servers. */
 import { recentEventMs, createReplicaLoads, totalNodeId, type LoadReport } from '../coordination/dispatch/replica-loads.js'
 import { computeConnectionLimit } from '../coordination/dispatch/connection-limit.js'
+import type { ServiceDemand } from '../coordination/demand/demand-history.js'
 import { createDemandMeter } from '../coordination/demand/demand-meter.js'
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
@@ -155,7 +156,9 @@
     getStallLimitMs: () => bounds.stallLimitMs,
     isHeld: server => holds.getRemainingMs(server) > 0,
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
-    listServices: fleet.listReplicatedServices
+    listServices: fleet.listReplicatedServices,
+    getDemand: getServiceDemand,
+    getStreamCount: loads.getStreamCount
   })
   const quarantineLogger = createRateLimitedLogger(createLogger('quarantine'), timers, quarantineLogLinesPerSecond)
   const isListening = createListeningCheck(timers)
@@ -292,6 +295,18 @@
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
   }
 
+  function getServiceDemand (serviceName: string): ServiceDemand {
+    const { services, gatewayCount, ageMs } = loads.getDemand()
+    const models = Object.entries(services[serviceName] ?? {})
+    return {
+      busyServerCounts: new Map(models.map(([model, { busyServerCount }]) => [model, busyServerCount])),
+      arrivalsPerSecond: new Map(models.map(([model, { arrivalsPerSecond }]) => [model, arrivalsPerSecond])),
+      heardGatewayCount: gatewayCount,
+      listedGatewayCount: presence.countGateways(),
+      ageMs
+    }
+  }
+
   function countServingReplicas (): number {
     return fleet.listReplicatedServices().flatMap(service => service.replicas).filter(replica => replica.isOpen && replica.isComplete).length
   }
--- a/src/testing/fake-group-servers.ts
+++ b/src/testing/fake-group-servers.ts
@@ -15,6 +15,8 @@
   lostResponseShare: number
   /** Age of the state that the list shows. */
   listLagMs: number
+  /** Time that the streams of a replica take to finish once it is closed; a close command that ends them makes this 0. */
+  closingMs: number
 }
 
 /** Servers that form groups in virtual time and check the rules that must always hold. */
@@ -27,7 +29,7 @@
   readonly sent: ReadonlyArray<{ readonly serverId: string, readonly command: ServerCommand }>
   /** Returns the servers as the list shows them. */
   list (): BackendServer[]
-  add (id: string, domain: string): void
+  add (id: string, domain: string, zone?: string): void
   /** Stops the server; the list still shows it until its entry expires. */
   kill (id: string): void
   /** The server accepts connections and answers nothing for this time, and goes on then, with what it has received first. */
@@ -37,6 +39,8 @@
   /** Whether the replica's leader serves and all of its members are alive. */
   isDelivering (replicaId: string): boolean
   setState (id: string, state: ServerState): void
+  /** Names of the groups whose streams a close command ended. */
+  readonly preempted: readonly string[]
   /** Returns the number of weight fetches so far. */
   countLoads (): number
 }
@@ -77,7 +81,8 @@
   const violations: string[] = []
   const sent: Array<{ serverId: string, command: ServerCommand }> = []
   const readyServerIds = new Map<string, Set<string>>()
-  const faults: FakeGroupServersFaults = { lateCommandShare: 0, lostResponseShare: 0, listLagMs: 0 }
+  const faults: FakeGroupServersFaults = { lateCommandShare: 0, lostResponseShare: 0, listLagMs: 0, closingMs: 0 }
+  const preempted: string[] = []
   let loadCount = 0
 
   function update (server: FakeServer, change: Partial<BackendServer>): void {
@@ -170,10 +175,24 @@
     if (group === undefined || group.groupName !== command.groupName || group.epoch !== command.epoch) return CommandOutcome.Unfit
     if (command.kind === ServerCommandKind.Open) return open(server)
     if (command.kind === ServerCommandKind.Leave) setGroup(server, undefined)
-    else setGroup(server, { ...group, state: MemberState.Ready })
+    else close(server, group, command.isPreempting)
     return CommandOutcome.Begun
   }
 
+  function close (server: FakeServer, group: GroupMembership, isPreempting: boolean): void {
+    const closed = { ...group, state: MemberState.Ready }
+    if (isPreempting) preempted.push(group.groupName)
+    if (faults.closingMs === 0 || isPreempting) {
+      setGroup(server, closed)
+      return
+    }
+    const closing = { ...group, state: MemberState.Closing }
+    setGroup(server, closing)
+    timers.subscribeOnce(faults.closingMs, () => {
+      if (server.isAlive && server.entry.group === closing) setGroup(server, closed)
+    })
+  }
+
   function breakStalledGroups (): void {
     for (const server of servers.values()) {
       const group = server.entry.group
@@ -191,6 +210,7 @@
   return {
     faults,
     violations,
+    preempted,
     sent,
     serverControl: {
       leavingServers: createChannel(),
@@ -242,14 +262,14 @@
         .filter(server => server.isAlive || timers.nowMs() - server.diedAtMs < entryExpiryMs)
         .map(server => server.past.find(past => past.untilMs > timers.nowMs() - faults.listLagMs)?.entry ?? server.entry)
     },
-    add (id, domain) {
+    add (id, domain, zone = 'zone-1') {
       servers.set(id, {
         entry: {
           id,
           serviceName,
           host: '10.0.0.1',
           port: 80,
-          zone: 'zone-1',
+          zone,
           state: ServerState.Ready,
           slotCount: engine.slotCount,
           startedAtMs: timers.nowMs(),
--- a/src/testing/planner-fixture.ts
+++ b/src/testing/planner-fixture.ts
@@ -1,5 +1,6 @@
 import type { PlannerLease } from '../coordination/replicas/planner-lease.js'
 import { createDeliveryInquiries, type DeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
+import type { ServiceDemand } from '../coordination/demand/demand-history.js'
 import { createPlannerTask, type PlannerTask } from '../coordination/replicas/planner-task.js'
 import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import { createRandomSource } from '../shared/random-source.js'
@@ -13,6 +14,7 @@
 const silentLogger = { debug () {}, info () {}, warn () {}, error () {} }
 const eventIntervalMs = 30
 const datagramMs = 20
+const gatewayCount = 66
 
 /** Creates fake servers and planners; `takeOver` replaces the planner with one of a higher fencing token. */
 export function createPlannerFixture (seed: number, engine: EngineProfile = sampleEngine) {
@@ -22,6 +24,8 @@
   let task: PlannerTask | undefined
   let held = { fencingToken: 0 }
   let hasTraffic = false
+  let demand: ServiceDemand | undefined
+  const streamCounts = new Map<string, number>()
   /** Servers that want no requests for some time. */
   const heldIds = new Set<string>()
   /** Events that arrive at another gateway than the planner's. */
@@ -69,6 +73,8 @@
       inquiries,
       getStallLimitMs: () => 5000,
       hasTraffic: () => hasTraffic,
+      getDemand: () => demand,
+      getStreamCount: replicaId => streamCounts.get(replicaId) ?? 0,
       listServices: () => [{ name: 'drafting', engine, servers: servers.list(), replicas: listReplicasNow() }]
     })
     task.start()
@@ -81,6 +87,12 @@
     takeOver,
     streamElsewhere,
     heldIds,
+    /** Streams of all gateways, by replica ID. */
+    streamCounts,
+    /** Sets the servers that requests keep busy, by model, as heard from all gateways or some of them. */
+    setDemand (busyServerCounts: Readonly<Record<string, number>>, heardGatewayCount = gatewayCount): void {
+      demand = { busyServerCounts: new Map(Object.entries(busyServerCounts)), arrivalsPerSecond: new Map(), heardGatewayCount, listedGatewayCount: gatewayCount, ageMs: 0 }
+    },
     beginTraffic: () => { hasTraffic = true },
     check: (replicaId: string) => task?.checkReplica(replicaId),
     listOpen: () => listReplicasNow().filter(replica => replica.isOpen && replica.isComplete),
