Count lost replicas as supply while they are replaced

A loss blocked every change of the split between models until the lost replica was released, up to 5.5 s for a lost leader. With servers dying often, the split would rarely have followed the demand. A lost replica now counts for the model that could get servers and not for the one that could give them, and only staging waits for repairs.

The model that gives up servers need only be 1.05 times less utilized afterwards. A change back would need a whole group more.

--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -5,9 +5,9 @@
 import { chooseNewReplica, needsWeightFetch, type DomainState } from './domain-layout.js'
 import { createReplicaDissolver } from './replica-dissolver.js'
 import { countServersByModel, isMemberOf, isReadyOrOpenIn, listDomainModels, type FormingReplica } from './replica-transitions.js'
-import { listStagingWishes, type StagingWish } from './staging-plan.js'
-import { createSupplyChanges, listSupply } from './supply-changes.js'
-import type { SupplyReplica } from './supply-plan.js'
+import { createServiceSupply } from './service-supply.js'
+import type { StagingWish } from './staging-plan.js'
+import { createSupplyChanges } from './supply-changes.js'
 import { createWeightFetchPacer } from './weight-fetch-pacer.js'
 import { createWeightFetchTracker } from './weight-fetch-tracker.js'
 import { createLossRecord } from './loss-record.js'
@@ -45,6 +45,7 @@
   const pacer = createWeightFetchPacer()
   const dissolver = createReplicaDissolver({ getStallLimitMs, isUnreachable, isUsable })
   const supply = createSupplyChanges()
+  const serviceSupply = createServiceSupply({ forming, dissolver, fetches, changes: supply, isIntact })
   let epochCount = 0
   let hasTraffic = false
   let nowMs = 0
@@ -195,7 +196,7 @@
   function formReplicas (input: PlannerInput, free: readonly BackendServer[]): BackendServer[] {
     const spares: BackendServer[] = []
     // Members of a replica that is being dissolved are free soon and need no fetch, so no other server fetches meanwhile.
-    const dissolvingDomains = new Set(input.replicas.filter(isBeingReplaced).map(replica => replica.domain))
+    const dissolvingDomains = new Set(input.replicas.filter(replica => dissolver.has(replica.id) && dissolver.getTarget(replica.id) === undefined).map(replica => replica.domain))
     const models = supply.withDemand(input.engine.models, nowMs)
     for (const [domain, members] of listServersByDomain(free)) {
       formReserved(domain, members, input.engine.models)
@@ -265,41 +266,18 @@
 
   /** Closes replicas whose servers another model needs, and lets members of open replicas stage it beforehand. */
   function planSupply (input: PlannerInput, commands: PlannedCommand[]): void {
-    supply.observe(input.demand, nowMs)
-    if (input.demand === undefined || isRepairing(input)) return
-    const replicas = listServing(input)
-    const changing = [...listChanging(input.replicas), ...forming.values()]
-    const reserved = input.servers.filter(server => supply.getReservedModel(server, nowMs) !== undefined)
-    const decisions = supply.choose({
-      nowMs,
-      models: input.engine.models,
-      replicas,
-      serverCounts: countSupply(input),
-      serverCount: input.servers.length,
-      changingServerCount: reserved.length + changing.reduce((sum, { members }) => sum + members.length, 0),
-      isFetching: fetches.has
-    })
-    for (const decision of decisions) {
-      onSupplyDecision?.(decision)
-      const { change } = decision
-      for (const { id } of change.isStaged ? change.replicas : []) {
-        dissolver.start(id, nowMs, change.to)
-        const replica = input.replicas.find(candidate => candidate.id === id)
-        if (replica !== undefined) dissolve(replica, commands)
-      }
-      if (!change.isStaged && fetches.count() * 2 < input.engine.maxConcurrentLoads) stage(change.unstaged.map(server => ({ server, model: change.to.name })), input.engine, commands)
+    const { decisions, closing, staging } = serviceSupply.plan(input)
+    decisions.forEach(decision => onSupplyDecision?.(decision))
+    for (const { replica, target } of closing) {
+      dissolver.start(replica.id, nowMs, target)
+      dissolve(replica, commands)
     }
+    stage(staging, input.engine, commands)
   }
 
-  /** Before the first client request, members of open replicas stage another model once nothing else needs a fetch. */
   function planEarlyStaging (input: PlannerInput, commands: PlannedCommand[]): void {
-    if (input.demand === undefined || hasTraffic || input.engine.models.length < 2) return
-    const needsFetches = [...forming.values()].some(replica => replica.joinedIds.size < replica.members.length) ||
-      listFree(input.servers).some(server => server.stagedModels.length === 0) ||
-      [...listServersByDomain(input.servers).keys()].some(domain => !settledDomains.has(domain))
-    if (needsFetches) return
-    const replicas = listServing(input).map(replica => ({ ...replica, members: replica.members.map(fetches.withFetchedModel) }))
-    stage(listStagingWishes({ models: input.engine.models, replicas, stagedModelLimit: input.engine.stagedModelLimit }), input.engine, commands)
+    const areSettled = [...listServersByDomain(input.servers).keys()].every(domain => settledDomains.has(domain))
+    if (!hasTraffic && areSettled) stage(serviceSupply.listEarlyStaging(input, listFree(input.servers)), input.engine, commands)
   }
 
   function stage (wishes: readonly StagingWish[], engine: EngineProfile, commands: PlannedCommand[]): void {
@@ -310,36 +288,6 @@
     }
   }
 
-  function listServing ({ replicas, getStreamCount }: PlannerInput): SupplyReplica[] {
-    return listSupply(replicas, replica => replica.isOpen && isIntact(replica) && !dissolver.has(replica.id), getStreamCount ?? (() => 0))
-  }
-
-  /** Replicas that are being closed for another model. */
-  function listChanging (replicas: readonly Replica[]): Replica[] {
-    return replicas.filter(replica => dissolver.getTarget(replica.id) !== undefined)
-  }
-
-  /** Counts the servers that serve each model, or will once the changes in progress have ended. */
-  function countSupply (input: PlannerInput): Map<string, number> {
-    const counts = countServersByModel(listServing(input), [...forming.values()])
-    const add = (model: string, count: number) => counts.set(model, (counts.get(model) ?? 0) + count)
-    for (const replica of listChanging(input.replicas)) add(dissolver.getTarget(replica.id)?.name ?? '', replica.members.length)
-    for (const server of input.servers) {
-      const model = supply.getReservedModel(server, nowMs)
-      if (model !== undefined) add(model, 1)
-    }
-    return counts
-  }
-
-  /** Whether a lost replica is being replaced by means that take seconds. */
-  function isRepairing ({ replicas }: PlannerInput): boolean {
-    return replicas.some(isBeingReplaced)
-  }
-
-  function isBeingReplaced (replica: Replica): boolean {
-    return dissolver.has(replica.id) && dissolver.getTarget(replica.id) === undefined
-  }
-
   return {
     plan (input) {
       nowMs = input.nowMs
@@ -397,7 +345,7 @@
     recordBusy (server, atMs) {
       if (!fetches.has(server.id)) fetches.recordStart(server, undefined, atMs)
     },
-    countSupply,
+    countSupply: serviceSupply.countServers,
     summarize: ({ replicas, servers }) => summarizePlan({
       openIntact: replicas.filter(replica => replica.isOpen && isIntact(replica)),
       forming: [...forming.values()],
--- a/src/coordination/replicas/supply-plan.ts
+++ b/src/coordination/replicas/supply-plan.ts
@@ -18,6 +18,8 @@
   readonly replicas: readonly SupplyReplica[]
   /** Servers that serve each model, or will once the changes in progress have ended. */
   readonly serverCounts: ReadonlyMap<string, number>
+  /** Those of them whose replicas were lost and may not be formed again; a model gives up no servers on their account. */
+  readonly recoveringCounts: ReadonlyMap<string, number>
   /** Servers that the requests keep busy by model, in each second of the time that a change needs as evidence. */
   readonly demandSeconds: ReadonlyArray<ReadonlyMap<string, number>>
   /** Servers that may begin to change now. */
@@ -41,8 +43,8 @@
 const minShortUtilization = 0.5
 /** A model above this utilization is short itself, since requests then wait for slots in bursts of a few streams. */
 const maxGivingUtilization = 0.8
-/** The model that gives up servers is at least this much less utilized afterwards, so that no change leads to one back. */
-const minUtilizationRatio = 1.15
+/** The model that gives up servers is at least this much less utilized afterwards; by less, the change is not worth its time. */
+const minUtilizationRatio = 1.05
 /** Servers of a change that must be part of a new group; the others would be idle. */
 const minUsedFraction = 0.75
 /** Replicas beyond the fewest that a change may take, to leave fewer servers over. */
@@ -94,10 +96,11 @@
   })
 }
 
-function isWorthwhile ({ demandSeconds, serverCounts }: SupplyState, from: ReplicatedModel, to: ReplicatedModel, releasedCount: number): boolean {
+function isWorthwhile ({ demandSeconds, serverCounts, recoveringCounts }: SupplyState, from: ReplicatedModel, to: ReplicatedModel, releasedCount: number): boolean {
+  const fromCount = (serverCounts.get(from.name) ?? 0) - (recoveringCounts.get(from.name) ?? 0) - releasedCount
   return demandSeconds.every(demand => {
     const toUtilization = getUtilization(demand.get(to.name) ?? 0, serverCounts.get(to.name) ?? 0)
-    const fromUtilization = getUtilization(demand.get(from.name) ?? 0, (serverCounts.get(from.name) ?? 0) - releasedCount)
+    const fromUtilization = getUtilization(demand.get(from.name) ?? 0, fromCount)
     return toUtilization >= minShortUtilization && fromUtilization <= maxGivingUtilization && toUtilization >= fromUtilization * minUtilizationRatio
   })
 }
