--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,10 +19,10 @@
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { createDeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
 import { createPlannerLease, readPlannerNode } from '../coordination/replicas/planner-lease.js'
-import { createPlannerTask } from '../coordination/replicas/planner-task.js'
+import { createPlannerTask, type ModelSupply } from '../coordination/replicas/planner-task.js'
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
-import { createMetrics, MetricEvent, MetricGauge } from '../observability/metrics.js'
+import { createMetrics, MetricEvent, MetricGauge, ModelGauge } from '../observability/metrics.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
@@ -293,6 +293,15 @@
     metrics.setGauge(MetricGauge.IssuedLimitPerSecond, permits.getIssuedPerSecond())
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
+    refreshModelGauges()
+  }
+
+  function refreshModelGauges (): void {
+    const supply = planner.listModelSupply()
+    const toValues = (getValue: (entry: ModelSupply) => number) => supply.map(entry => ({ service: entry.service, model: entry.model, value: getValue(entry) }))
+    metrics.setModelGauge(ModelGauge.ArrivalsPerSecond, toValues(entry => entry.arrivalsPerSecond))
+    metrics.setModelGauge(ModelGauge.DemandServerCount, toValues(entry => entry.busyServerCount))
+    metrics.setModelGauge(ModelGauge.SupplyServerCount, toValues(entry => entry.serverCount))
   }
 
   function getServiceDemand (serviceName: string): ServiceDemand {
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -21,6 +21,8 @@
   countRequest (kind: string, outcome: string): void
   countEvent (event: MetricEvent): void
   setGauge (name: MetricGauge, value: number): void
+  /** Replaces the values of a gauge for the models of services. */
+  setModelGauge (name: ModelGauge, values: readonly ModelGaugeValue[]): void
   /** Renders all metrics in the Prometheus text format. */
   render (): Promise<string>
 }
@@ -92,6 +94,23 @@
   IssuedLimitPerSecond = 'issued_limit_per_second'
 }
 
+/** Gauges for each model of a service; the values are parts of metric names. */
+export enum ModelGauge {
+  /** Client requests per second at all gateways. */
+  ArrivalsPerSecond = 'model_arrivals_per_second',
+  /** Servers that these requests would keep busy. */
+  DemandServerCount = 'model_demand_servers',
+  /** Servers that serve the model, or are changing to it. */
+  SupplyServerCount = 'model_supply_servers'
+}
+
+/** The value of a gauge for one model. */
+export interface ModelGaugeValue {
+  readonly service: string
+  readonly model: string
+  readonly value: number
+}
+
 const microsecondsPerMillisecond = 1000
 /** One hour; longer durations are recorded as one hour. */
 const highestTrackableMicroseconds = 3_600_000_000
@@ -119,6 +138,8 @@
   for (const name of Object.values(MetricGauge)) {
     gauges.set(name, new Gauge({ name: `egretpaddle_${name}`, help: `Current value of ${name}.`, registers: [registry] }))
   }
+  const modelGauges = new Map(Object.values(ModelGauge).map(name =>
+    [name, new Gauge({ name: `egretpaddle_${name}`, help: `Current value of ${name}, at the planner.`, labelNames: ['service', 'model'], registers: [registry] })]))
   for (const metric of Object.values(DurationMetric)) {
     const histogram = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: highestTrackableMicroseconds, numberOfSignificantValueDigits: 2 })
     histograms.set(metric, histogram)
@@ -133,6 +154,10 @@
     countRequest: (kind, outcome) => requestCounter.inc({ kind, outcome }),
     countEvent: event => eventCounter.inc({ event }),
     setGauge: (name, value) => gauges.get(name)?.set(value),
+    setModelGauge (name, values) {
+      modelGauges.get(name)?.reset()
+      for (const { service, model, value } of values) modelGauges.get(name)?.set({ service, model }, value)
+    },
     render: () => registry.metrics()
   }
 }
