--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,6 +2,8 @@
 import { recentEventMs, createReplicaLoads, totalNodeId, type LoadReport } from '../coordination/dispatch/replica-loads.js'
 import { createModelTimings } from '../coordination/dispatch/model-timings.js'
 import { computeConnectionLimit } from '../coordination/dispatch/connection-limit.js'
+import type { ServiceDemand } from '../coordination/demand/demand-history.js'
+import { createDemandMeter } from '../coordination/demand/demand-meter.js'
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerOverruns } from '../coordination/dispatch/server-overruns.js'
@@ -22,10 +24,10 @@
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { createDeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
 import { createPlannerLease, readPlannerNode } from '../coordination/replicas/planner-lease.js'
-import { createPlannerTask } from '../coordination/replicas/planner-task.js'
+import { createPlannerTask, type ModelSupply } from '../coordination/replicas/planner-task.js'
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
-import { createMetrics, MetricEvent, MetricGauge } from '../observability/metrics.js'
+import { createMetrics, MetricEvent, MetricGauge, ModelGauge } from '../observability/metrics.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
@@ -122,7 +124,8 @@
     getStoreViewAgeMs: () => fleet.getViewAgeMs()
   })
   const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring() })
-  const loads = createReplicaLoads(timers, () => pace?.listStatements())
+  const demand = createDemandMeter(timers, serviceName => fleet.getConfig()?.services.find(service => service.name === serviceName)?.engine)
+  const loads = createReplicaLoads(timers, { listPace: () => pace?.listStatements(), createDemandReport: demand.createReport })
   const presence = createPresence({
     store,
     timers,
@@ -161,7 +164,9 @@
     isHeld: server => holds.getRemainingMs(server) > 0,
     isZoneEvacuated: fleet.evacuatedZones.has,
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
-    listServices: fleet.listReplicatedServices
+    listServices: fleet.listReplicatedServices,
+    getDemand: getServiceDemand,
+    getStreamCount: loads.getStreamCount
   })
   const quarantineLogger = createRateLimitedLogger(createLogger('quarantine'), timers, quarantineLogLinesPerSecond)
   const isListening = createListeningCheck(timers)
@@ -229,6 +234,7 @@
     limits,
     permits,
     admission,
+    demand,
     loads,
     pace,
     timings: createModelTimings(),
@@ -311,6 +317,27 @@
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
     metrics.setGauge(MetricGauge.EvacuatedZoneCount, fleet.evacuatedZones.list().length)
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
+    refreshModelGauges()
+  }
+
+  function refreshModelGauges (): void {
+    const supply = planner.listModelSupply()
+    const toValues = (getValue: (entry: ModelSupply) => number) => supply.map(entry => ({ service: entry.service, model: entry.model, value: getValue(entry) }))
+    metrics.setModelGauge(ModelGauge.ArrivalsPerSecond, toValues(entry => entry.arrivalsPerSecond))
+    metrics.setModelGauge(ModelGauge.DemandServerCount, toValues(entry => entry.busyServerCount))
+    metrics.setModelGauge(ModelGauge.SupplyServerCount, toValues(entry => entry.serverCount))
+  }
+
+  function getServiceDemand (serviceName: string): ServiceDemand {
+    const { services, gatewayCount, ageMs } = loads.getDemand()
+    const models = Object.entries(services[serviceName] ?? {})
+    return {
+      busyServerCounts: new Map(models.map(([model, { busyServerCount }]) => [model, busyServerCount])),
+      arrivalsPerSecond: new Map(models.map(([model, { arrivalsPerSecond }]) => [model, arrivalsPerSecond])),
+      heardGatewayCount: gatewayCount,
+      listedGatewayCount: presence.countGateways(),
+      ageMs
+    }
   }
 
   function countServingReplicas (): number {
@@ -331,10 +358,16 @@
     loads.applyReport({ ...total, nodeId: totalNodeId, sequence: totalReportSequence })
   }
 
-  /** Relays exchange load reports by UDP. Other gateways send theirs with their relay requests, so their list is empty. */
+  /**
+   * Relays exchange load reports by UDP, with the planner too, which reads the store itself and may be no relay. Other
+   * gateways send theirs with their relay requests, so their list is empty.
+   */
   function listRelayPeers (): NetworkAddress[] {
-    if (!relayPlans.getPlan().readsStoreDirectly) return []
-    return toAddresses(relayPlans.listRelays())
+    if (!relayPlans.getPlan().readsStoreDirectly && !isPlanner()) return []
+    const relays = relayPlans.listRelays()
+    const plannerId = readPlannerNode(fleet.listGatewayEntries().get(plannerKey)?.value ?? '')
+    const planner = presence.listGateways().find(gateway => gateway.nodeId === plannerId)
+    return toAddresses(planner === undefined || relays.includes(planner) ? relays : [...relays, planner])
   }
 
   /** Returns the same array until the list of gateways changes. */
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -20,6 +20,14 @@
   isFallen: z.boolean()
 })
 
+/** Requests per second, or servers. Far above what any deployment has, so that sums of reports stay finite. */
+const demandValueSchema = z.number().nonnegative().max(1e9)
+
+const demandReportSchema = z.object({
+  gatewayCount: counterSchema,
+  services: z.record(z.string(), z.record(z.string(), z.object({ arrivalsPerSecond: demandValueSchema, busyServerCount: demandValueSchema })))
+})
+
 const loadReportSchema = z.object({
   nodeId: z.string(),
   sequence: counterSchema,
@@ -28,7 +36,8 @@
   quietIds: z.array(z.string()),
   leavingServers: z.record(z.string(), z.number()).optional(),
   // A gateway that states more than allowed sends something else; its stream counts are still of use.
-  pace: z.record(z.string(), paceStatementSchema).refine(pace => Object.keys(pace).length <= maxStatedReplicaCount).optional().catch(undefined)
+  pace: z.record(z.string(), paceStatementSchema).refine(pace => Object.keys(pace).length <= maxStatedReplicaCount).optional().catch(undefined),
+  demand: demandReportSchema.optional()
 })
 
 const relayRequestSchema = z.object({
--- a/src/testing/fake-group-servers.ts
+++ b/src/testing/fake-group-servers.ts
@@ -15,6 +15,8 @@
   lostResponseShare: number
   /** Age of the state that the list shows. */
   listLagMs: number
+  /** Time that the streams of a replica take to finish once it is closed; a close command that ends them makes this 0. */
+  closingMs: number
 }
 
 /** Servers that form groups in virtual time and check the rules that must always hold. */
@@ -37,6 +39,8 @@
   /** Whether the replica's leader serves and all of its members are alive. */
   isDelivering (replicaId: string): boolean
   setState (id: string, state: ServerState): void
+  /** Names of the groups whose streams a close command ended. */
+  readonly preempted: readonly string[]
   /** Returns the number of weight fetches so far. */
   countLoads (): number
 }
@@ -77,7 +81,8 @@
   const violations: string[] = []
   const sent: Array<{ serverId: string, command: ServerCommand }> = []
   const readyServerIds = new Map<string, Set<string>>()
-  const faults: FakeGroupServersFaults = { lateCommandShare: 0, lostResponseShare: 0, listLagMs: 0 }
+  const faults: FakeGroupServersFaults = { lateCommandShare: 0, lostResponseShare: 0, listLagMs: 0, closingMs: 0 }
+  const preempted: string[] = []
   let loadCount = 0
 
   function update (server: FakeServer, change: Partial<BackendServer>): void {
@@ -170,10 +175,24 @@
     if (group === undefined || group.groupName !== command.groupName || group.epoch !== command.epoch) return CommandOutcome.Unfit
     if (command.kind === ServerCommandKind.Open) return open(server)
     if (command.kind === ServerCommandKind.Leave) setGroup(server, undefined)
-    else setGroup(server, { ...group, state: MemberState.Ready })
+    else close(server, group, command.isPreempting)
     return CommandOutcome.Begun
   }
 
+  function close (server: FakeServer, group: GroupMembership, isPreempting: boolean): void {
+    const closed = { ...group, state: MemberState.Ready }
+    if (isPreempting) preempted.push(group.groupName)
+    if (faults.closingMs === 0 || isPreempting) {
+      setGroup(server, closed)
+      return
+    }
+    const closing = { ...group, state: MemberState.Closing }
+    setGroup(server, closing)
+    timers.subscribeOnce(faults.closingMs, () => {
+      if (server.isAlive && server.entry.group === closing) setGroup(server, closed)
+    })
+  }
+
   function breakStalledGroups (): void {
     for (const server of servers.values()) {
       const group = server.entry.group
@@ -191,6 +210,7 @@
   return {
     faults,
     violations,
+    preempted,
     sent,
     serverControl: {
       leavingServers: createChannel(),
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -2,6 +2,7 @@
 import { EventEmitter } from 'node:events'
 
 import { createModelTimings } from '../coordination/dispatch/model-timings.js'
+import { createDemandMeter } from '../coordination/demand/demand-meter.js'
 import { createReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { StatedWork } from '../coordination/dispatch/engine-timing.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
@@ -156,6 +157,7 @@
     permits,
     admission: createServerAdmission({ evacuatedZones: { has: zone => evacuatedZones.has(zone) }, holds, permits }),
     promptGuard,
+    demand: createDemandMeter(timers, () => engine),
     fleet: {
       getServers: listServers,
       getConfig: () => undefined,
