Bound the staging of other models

A member that refused to stage was asked again for as long as there was no traffic. It is now asked three times in a row at most. Models with few groups keep their weights staged: at least three groups do, since a process that restarts would load its model from the weight store. Where the configuration states no times of the engine, demand is 0 and nothing is staged.

A test plays changing demand with server deaths, late commands and planner changes.

--- a/src/coordination/demand/group-time.ts
+++ b/src/coordination/demand/group-time.ts
@@ -8,6 +8,11 @@
 
 const millisecondsPerSecond = 1000
 
+/** Whether the configuration states the engine's times, without which the demand is not known. */
+export function statesTimes (engine: EngineProfile): boolean {
+  return engine.stepMs > 0
+}
+
 /**
  * Estimates the group time of a stream from the engine's published times: the time to read its prompt, and its part of the
  * steps of a full group. A group that is always busy serves one second of group time per second.
--- a/src/coordination/replicas/planner-supply.test.ts
+++ b/src/coordination/replicas/planner-supply.test.ts
@@ -23,8 +23,9 @@
 type Fixture = ReturnType<typeof createPlannerFixture>
 
 /** Forms 162 servers in 9 domains of 3 zones, with early staging when demand is reported. */
-async function createDeployment ({ reportsDemand = true } = {}): Promise<Fixture> {
-  const fixture = createPlannerFixture(1, engine)
+async function createDeployment ({ reportsDemand = true, refusesStaging = false, profile = engine } = {}): Promise<Fixture> {
+  const fixture = createPlannerFixture(1, profile)
+  fixture.servers.faults.refusesStaging = refusesStaging
   for (let domain = 0; domain < 9; domain += 1) {
     for (let index = 0; index < 18; index += 1) fixture.servers.add(`d${domain}-s${String(index).padStart(2, '0')}`, `d${domain}`, `z${domain % 3}`)
   }
@@ -214,6 +215,27 @@
     })
   })
 
+  describe('when staging has no use', () => {
+    it('asks each member three times at most when they refuse', async () => {
+      const fixture = await createDeployment({ refusesStaging: true })
+      const counts = new Map<string, number>()
+      const members = new Set(fixture.listOpen().flatMap(replica => replica.members.map(member => member.id)))
+      for (const { serverId, command } of fixture.servers.sent) {
+        if (command.kind === ServerCommandKind.Stage && members.has(serverId)) counts.set(serverId, (counts.get(serverId) ?? 0) + 1)
+      }
+      expect(Math.max(...counts.values())).to.equal(3)
+      const sentCount = fixture.servers.sent.length
+      await fixture.timers.advanceAsync(30_000)
+      expect(fixture.servers.sent.slice(sentCount)).to.deep.equal([])
+    })
+
+    it('stages nothing on members when the configuration states no times of the engine', async () => {
+      const fixture = await createDeployment({ profile: { ...engine, stepMs: 0 } })
+      const open = fixture.listOpen().flatMap(replica => replica.members)
+      expect(open.filter(server => !server.stagedModels.includes(server.loadedModels[0] ?? ''))).to.deep.equal([])
+    })
+  })
+
   describe('when parts are lost', () => {
     it('follows the demand with the servers that are left when a zone is lost', async () => {
       const fixture = await createSettledDeployment()
@@ -256,4 +278,40 @@
       expect(fixture.servers.violations).to.deep.equal([])
     })
   })
+
+  describe('under changing demand, server deaths, late commands, lost responses and planner changes', () => {
+    for (const seed of [1, 2, 3, 4]) {
+      it(`never opens an incomplete replica or moves a member of an open one, and recovers (seed ${seed})`, async () => {
+        const fixture = createPlannerFixture(seed, engine)
+        for (let domain = 0; domain < 3; domain += 1) {
+          for (let index = 0; index < 18; index += 1) fixture.servers.add(`d${domain}-s${index}`, `d${domain}`, `z${domain}`)
+        }
+        fixture.setDemand({})
+        fixture.takeOver()
+        await fixture.timers.advanceAsync(formingTimeMs)
+        fixture.beginTraffic()
+        Object.assign(fixture.servers.faults, { lateCommandShare: 0.2, lostResponseShare: 0.2, listLagMs: seed % 3 * 200, closingMs: 1500 })
+        for (let step = 0; step < 40; step += 1) {
+          const choice = fixture.random.nextInt(6)
+          const server = fixture.random.pick(fixture.servers.list())
+          if (choice === 0 && server !== undefined) fixture.servers.kill(server.id)
+          if (choice === 1) fixture.servers.add(`new-${step}`, `d${fixture.random.nextInt(3)}`)
+          if (choice === 2 && step % 4 === 0) fixture.takeOver()
+          if (step % 8 === 0) fixture.setDemand({ m0: 5 + fixture.random.nextInt(20), m1: 5 + fixture.random.nextInt(25) })
+          for (const replica of fixture.listReplicas()) fixture.check(replica.id)
+          await fixture.timers.advanceAsync(500 + fixture.random.nextInt(2500))
+        }
+        Object.assign(fixture.servers.faults, { lateCommandShare: 0, lostResponseShare: 0 })
+        fixture.setDemand({ m0: 8, m1: 8 })
+        for (let index = 0; index < 60; index += 1) {
+          for (const replica of fixture.listReplicas()) fixture.check(replica.id)
+          await fixture.timers.advanceAsync(2000)
+        }
+        expect(fixture.servers.violations).to.deep.equal([])
+        const { m0, m1 } = countServers(fixture)
+        expect(m0).to.be.at.least(8)
+        expect(m1).to.be.at.least(2)
+      })
+    }
+  })
 })
--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -7,6 +7,7 @@
 import { countServersByModel, isMemberOf, isReadyOrOpenIn, listDomainModels, type FormingReplica } from './replica-transitions.js'
 import { createServiceSupply } from './service-supply.js'
 import type { StagingWish } from './staging-plan.js'
+import { createStagingRefusals } from './staging-refusals.js'
 import { createSupplyChanges } from './supply-changes.js'
 import { createWeightFetchPacer } from './weight-fetch-pacer.js'
 import { createWeightFetchTracker } from './weight-fetch-tracker.js'
@@ -45,6 +46,7 @@
   const pacer = createWeightFetchPacer()
   const dissolver = createReplicaDissolver({ getStallLimitMs, isUnreachable, isUsable })
   const supply = createSupplyChanges()
+  const stagingRefusals = createStagingRefusals()
   const serviceSupply = createServiceSupply({ forming, dissolver, fetches, changes: supply, isIntact })
   let epochCount = 0
   let hasTraffic = false
@@ -282,7 +284,7 @@
 
   function stage (wishes: readonly StagingWish[], engine: EngineProfile, commands: PlannedCommand[]): void {
     for (const { server, model } of wishes) {
-      if (!canCommand(server) || fetches.has(server.id)) continue
+      if (!canCommand(server) || fetches.has(server.id) || stagingRefusals.isExhausted(server)) continue
       if (!tryStartFetch(engine)) return
       addCommand(commands, server, { kind: ServerCommandKind.Stage, model })
     }
@@ -313,7 +315,10 @@
     recordOutcome ({ server, command }, outcome, atMs) {
       throttle.recordEnded(server, atMs + getPauseMs(command, outcome))
       if (isAccepted(outcome) && (command.kind === ServerCommandKind.Stage || command.kind === ServerCommandKind.Join)) fetches.recordStart(server, command.model, atMs)
-      if (command.kind === ServerCommandKind.Stage) return
+      if (command.kind === ServerCommandKind.Stage) {
+        stagingRefusals.recordOutcome(server, isAccepted(outcome))
+        return
+      }
       const id = formatReplicaId(command.groupName, command.epoch)
       if (!isAccepted(outcome)) {
         // A join is also fenced by a higher epoch, so this planner may still hold the lease.
--- a/src/coordination/replicas/service-supply.ts
+++ b/src/coordination/replicas/service-supply.ts
@@ -1,6 +1,7 @@
 import type { BackendServer } from '../../state/backend-server.js'
 import type { Replica } from '../../state/replica.js'
 import type { ReplicatedModel } from '../../state/serving-config.js'
+import { statesTimes } from '../demand/group-time.js'
 import type { PlannerInput } from './planner-types.js'
 import type { ReplicaDissolver } from './replica-dissolver.js'
 import { countServersByModel, type FormingReplica } from './replica-transitions.js'
@@ -108,7 +109,7 @@
       const { models, stagedModelLimit } = input.engine
       const needsFetches = [...forming.values()].some(replica => replica.joinedIds.size < replica.members.length) ||
         free.some(server => server.stagedModels.length === 0)
-      if (input.demand === undefined || models.length < 2 || needsFetches) return []
+      if (input.demand === undefined || !statesTimes(input.engine) || models.length < 2 || needsFetches) return []
       const replicas = listServing(input).map(replica => ({ ...replica, members: replica.members.map(fetches.withFetchedModel) }))
       return listStagingWishes({ models, replicas, stagedModelLimit })
     }
--- a/src/coordination/replicas/staging-plan.ts
+++ b/src/coordination/replicas/staging-plan.ts
@@ -23,6 +23,8 @@
  * then lacks its own model. The demand of the known deployments asks for at most half of a model's servers to change.
  */
 const maxReplacedFraction = 0.6
+/** Replicas of a model that keep its weights staged then: with few replicas a change gains little, and restarts would be slow. */
+const minKeptReplicaCount = 3
 
 /**
  * Lists what members of open replicas should stage before the first client request, so that a change between models needs
@@ -35,7 +37,7 @@
     if (other === undefined) return []
     const own = sortByTurns(replicas.filter(replica => replica.model.name === model.name), replica => replica.members[0]?.zone ?? '')
     const isBegun = (replica: SupplyReplica) => replica.members.some(member => !needsWeightFetch(member, other.name))
-    const maxCount = stagedModelLimit > 1 ? own.length : Math.floor(own.length * maxReplacedFraction)
+    const maxCount = stagedModelLimit > 1 ? own.length : Math.max(0, Math.min(Math.floor(own.length * maxReplacedFraction), own.length - minKeptReplicaCount))
     // Those that have begun come first, so that a changed order of the replicas leads to no more staging.
     return [...own.filter(isBegun), ...own.filter(replica => !isBegun(replica))].slice(0, maxCount)
       .flatMap(replica => replica.members)
--- a/src/testing/fake-group-servers.ts
+++ b/src/testing/fake-group-servers.ts
@@ -17,6 +17,8 @@
   listLagMs: number
   /** Time that the streams of a replica take to finish once it is closed; a close command that ends them makes this 0. */
   closingMs: number
+  /** Members of replicas refuse to stage another model. */
+  refusesStaging: boolean
 }
 
 /** Servers that form groups in virtual time and check the rules that must always hold. */
@@ -81,7 +83,7 @@
   const violations: string[] = []
   const sent: Array<{ serverId: string, command: ServerCommand }> = []
   const readyServerIds = new Map<string, Set<string>>()
-  const faults: FakeGroupServersFaults = { lateCommandShare: 0, lostResponseShare: 0, listLagMs: 0, closingMs: 0 }
+  const faults: FakeGroupServersFaults = { lateCommandShare: 0, lostResponseShare: 0, listLagMs: 0, closingMs: 0, refusesStaging: false }
   const preempted: string[] = []
   let loadCount = 0
 
@@ -163,6 +165,7 @@
   function execute (server: FakeServer, command: ServerCommand): CommandOutcome {
     if (command.kind === ServerCommandKind.Join) return join(server, command)
     if (command.kind === ServerCommandKind.Stage) {
+      if (faults.refusesStaging && server.entry.group !== undefined) return CommandOutcome.Unfit
       loadCount += 1
       const loadMs = engine.models.find(model => model.name === command.model)?.loadMs ?? 0
       server.loadEndsAtMs = timers.nowMs() + loadMs
