Move the choice of peers for load reports to the relay plan

The rule that the planner takes part in the exchange when it is no relay could not be tested inside the gateway. It is a function of the relay plan now, with tests.

--- a/src/coordination/relay/relay-plan.test.ts
+++ b/src/coordination/relay/relay-plan.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { createRelayPlans, listRelays, planRelays, type ListedGateway } from './relay-plan.js'
+import { createRelayPlans, listRelays, listReportPeers, planRelays, type ListedGateway } from './relay-plan.js'
 
 function makeGateways (zoneCounts: Readonly<Record<string, number>>): ListedGateway[] {
   return Object.entries(zoneCounts).flatMap(([zone, count]) =>
@@ -51,4 +51,23 @@
     expect(plans.getPlan()).to.deep.equal(planRelays(gateways, 'n39'))
     expect(plans.getPlan()).to.not.equal(first)
   })
+
+  describe('exchange of load reports', () => {
+    const gateways = makeGateways({ a: 20, b: 20, c: 20 })
+    const relays = listRelays(gateways)
+    const listPeerIds = (changes: { readonly plannerId: string, readonly isPlanner?: boolean, readonly readsStoreDirectly?: boolean }) =>
+      listReportPeers({ gateways, relays, isPlanner: false, readsStoreDirectly: true, ...changes }).map(gateway => gateway.nodeId)
+
+    // Guards against a planner that knows of no streams and no demand but its own.
+    it('includes a planner that is no relay, in both directions', () => {
+      expect(listPeerIds({ plannerId: 'b-7' })).to.deep.equal(['a-0', 'b-0', 'c-0', 'b-7'])
+      expect(listPeerIds({ plannerId: 'b-7', isPlanner: true, readsStoreDirectly: false })).to.include.members(['a-0', 'b-0', 'c-0'])
+    })
+
+    it('lists each gateway once, and none for gateways that ask a relay', () => {
+      expect(listPeerIds({ plannerId: 'a-0' })).to.deep.equal(['a-0', 'b-0', 'c-0'])
+      expect(listPeerIds({ plannerId: 'gone' })).to.deep.equal(['a-0', 'b-0', 'c-0'])
+      expect(listPeerIds({ plannerId: 'b-7', readsStoreDirectly: false })).to.deep.equal([])
+    })
+  })
 })
--- a/src/coordination/relay/relay-plan.ts
+++ b/src/coordination/relay/relay-plan.ts
@@ -56,6 +56,25 @@
   return { readsStoreDirectly: false, relays: [...rotate(inSameZone, rank), ...rotate(inOtherZones, rank)] }
 }
 
+/** A gateway's place in the exchange of load reports. */
+export interface ReportExchange {
+  readonly gateways: readonly ListedGateway[]
+  readonly relays: readonly ListedGateway[]
+  readonly plannerId: string
+  readonly isPlanner: boolean
+  readonly readsStoreDirectly: boolean
+}
+
+/**
+ * Lists the gateways that one sends its load reports to. Relays exchange them, with the planner too, which reads the store
+ * itself and may be no relay. Other gateways send theirs with their relay requests.
+ */
+export function listReportPeers ({ gateways, relays, plannerId, isPlanner, readsStoreDirectly }: ReportExchange): readonly ListedGateway[] {
+  if (!readsStoreDirectly && !isPlanner) return []
+  const planner = gateways.find(gateway => gateway.nodeId === plannerId)
+  return planner === undefined || relays.includes(planner) ? relays : [...relays, planner]
+}
+
 /** The plans that follow from the present list of gateways. */
 export interface RelayPlans {
   /** How this gateway reads the store. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,7 +14,7 @@
 import type { RelayLink } from '../coordination/ports/relay-link.js'
 import { createPromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import { createQuarantineStore } from '../coordination/quarantine/quarantine-store.js'
-import { createRelayPlans, directPlan, type ListedGateway } from '../coordination/relay/relay-plan.js'
+import { createRelayPlans, directPlan, listReportPeers, type ListedGateway } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { createDeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
@@ -235,7 +235,7 @@
     logger: createLogger('loads'),
     loads,
     random,
-    listPeers: listRelayPeers,
+    listPeers: listLoadPeers,
     listGatewayAddresses: () => toAddresses(presence.listGateways()),
     findAddress: presence.findPeer,
     findPlannerAddress: () => presence.findPeer(readPlannerNode(fleet.listGatewayEntries().get(plannerKey)?.value ?? '')),
@@ -334,16 +334,14 @@
     loads.applyReport({ ...total, nodeId: totalNodeId, sequence: totalReportSequence })
   }
 
-  /**
-   * Relays exchange load reports by UDP, with the planner too, which reads the store itself and may be no relay. Other
-   * gateways send theirs with their relay requests, so their list is empty.
-   */
-  function listRelayPeers (): NetworkAddress[] {
-    if (!relayPlans.getPlan().readsStoreDirectly && !isPlanner()) return []
-    const relays = relayPlans.listRelays()
-    const plannerId = readPlannerNode(fleet.listGatewayEntries().get(plannerKey)?.value ?? '')
-    const planner = presence.listGateways().find(gateway => gateway.nodeId === plannerId)
-    return toAddresses(planner === undefined || relays.includes(planner) ? relays : [...relays, planner])
+  function listLoadPeers (): NetworkAddress[] {
+    return toAddresses(listReportPeers({
+      gateways: presence.listGateways(),
+      relays: relayPlans.listRelays(),
+      plannerId: readPlannerNode(fleet.listGatewayEntries().get(plannerKey)?.value ?? ''),
+      isPlanner: isPlanner(),
+      readsStoreDirectly: relayPlans.getPlan().readsStoreDirectly
+    }))
   }
 
   /** Returns the same array until the list of gateways changes. */
