Keep sound replicas from being paced, and play servers that come back in virtual time

Ruled out: two late first events in a row as the sign at a full limit; a gateway has few streams on each replica, and queues make both late.

--- a/src/bench/placing/batch-engine.ts
+++ b/src/bench/placing/batch-engine.ts
@@ -25,8 +25,8 @@
 /** A request is refused while this many requests per slot are queued. */
 const maxQueuedPerSlot = 2
 
-/** Creates an idle replica. All durations are those of the profile times the model's pace and `slowdown`. */
-export function createBatchEngine (timers: TimerService, engine: EngineProfile, model: ReplicatedModel, slowdown = 1): BatchEngine {
+/** Creates an idle replica. All durations are those of the profile times the model's pace and the slowdown when the pass begins. */
+export function createBatchEngine (timers: TimerService, engine: EngineProfile, model: ReplicatedModel, slowdown: number | (() => number) = 1): BatchEngine {
   let prefilling: EngineRequest[] = []
   let decoding: EngineRequest[] = []
   let queued: EngineRequest[] = []
@@ -55,7 +55,7 @@
     const decodingInPass = [...decoding]
     const prefilledTokenCount = prefillPrompts(maxPrefillTokensPerStep * stepCount)
     const durationMs = stepCount * (engine.stepMs + engine.perSequenceMs * decodingInPass.length) + prefilledTokenCount / engine.promptTokensPerSecond * 1000
-    timers.subscribeOnce(durationMs * model.pace * slowdown, () => {
+    timers.subscribeOnce(durationMs * model.pace * (typeof slowdown === 'number' ? slowdown : slowdown()), () => {
       for (const request of decodingInPass) {
         if (!decoding.includes(request)) continue
         request.eventCount -= 1
--- a/src/bench/placing/placing-run.ts
+++ b/src/bench/placing/placing-run.ts
@@ -68,7 +68,7 @@
 const warmUpMs = 5000
 const measuredSpanMs = 35_000
 /** One-way delay between two zones. */
-const crossZoneDelayMs = 3.5
+export const crossZoneDelayMs = 3.5
 
 interface Gateway {
   readonly name: string
@@ -219,7 +219,7 @@
   return listReplicas(servers, engine)
 }
 
-function createMember (model: ReplicatedModel, zone: string, group: string, rank: number): BackendServer {
+export function createMember (model: ReplicatedModel, zone: string, group: string, rank: number): BackendServer {
   return {
     id: `${group}-${rank}`,
     serviceName: 'drafting',
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -62,6 +62,8 @@
 const minSampleCount = 2
 /** A gateway stays in its zone while a replica there uses less than this fraction of its slots. */
 const sameZoneFillFraction = 0.8
+/** A replica whose stream limit is rising is preferred up to this fraction of the limit; up to all of it, gateways with old reports overfill it. */
+const preferredFillFraction = 0.5
 
 interface RatedReplica {
   readonly replica: Replica
@@ -98,7 +100,7 @@
   if (permitted.length === 0) return { kind: ReplicaChoiceKind.Limited, limitedLeaders }
   const steady = permitted.filter(candidate => candidate.isSteady && candidate.streamCount < input.slotCount)
   // Few gateways may send to a replica that has yet to prove itself, and those prefer it, or it would stay idle.
-  const rising = steady.filter(candidate => isPaced(candidate) && candidate.streamCount < candidate.streamLimit && candidate.paceFactor === 1)
+  const rising = steady.filter(candidate => isPaced(candidate) && candidate.streamCount < candidate.streamLimit * preferredFillFraction && candidate.paceFactor === 1)
   const inSameZone = steady.filter(candidate => candidate.isInSameZone && candidate.streamCount < input.slotCount * sameZoneFillFraction)
   const preferred = [rising, inSameZone, steady].find(candidates => candidates.length > 0) ?? []
   const { replica, streamCount } = preferred.length > 0 ? pickFromSample(preferred, input.gatewayCount, random) : pickCheapest(permitted)
--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -1,5 +1,5 @@
 import type { TimerService } from '../../shared/timer-service.js'
-import { mergePaceStatements, type PaceStatement, type PaceStatements } from '../pace/pace-statement.js'
+import { mergePaceStatements, mergeTwoStatements, type PaceStatement, type PaceStatements } from '../pace/pace-statement.js'
 
 /** What one gateway, or a relay for several gateways, reports on the replicas. */
 export interface LoadReport {
@@ -202,9 +202,16 @@
     },
     isStalled,
     getPaceStatement (replicaId) {
-      const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)]
-      const sources = reports.flatMap(({ pace }) => pace?.[replicaId] === undefined ? [] : [{ [replicaId]: pace[replicaId] }])
-      return mergePaceStatements(sources)?.[replicaId]
+      let lowest: PaceStatement | undefined
+      // Asked for each replica at each choice.
+      for (const reports of [peers, relayedReports]) {
+        for (const { report, receivedAtMs } of reports.values()) {
+          const statement = report.pace?.[replicaId]
+          if (statement === undefined || timers.nowMs() - receivedAtMs > reportMaxAgeMs) continue
+          lowest = lowest === undefined ? statement : mergeTwoStatements(lowest, statement)
+        }
+      }
+      return lowest
     },
     createOwnReport,
     createReport: nodeId =>
--- a/src/coordination/pace/pace-statement.ts
+++ b/src/coordination/pace/pace-statement.ts
@@ -20,7 +20,7 @@
   for (const source of sources) {
     for (const [replicaId, statement] of Object.entries(source ?? {})) {
       const other = merged.get(replicaId)
-      merged.set(replicaId, other === undefined ? statement : mergeTwo(statement, other))
+      merged.set(replicaId, other === undefined ? statement : mergeTwoStatements(statement, other))
     }
   }
   if (merged.size === 0) return undefined
@@ -28,7 +28,8 @@
   return Object.fromEntries(sorted.slice(0, maxStatedReplicaCount))
 }
 
-function mergeTwo (left: PaceStatement, right: PaceStatement): PaceStatement {
+/** Merges two statements on the same replica. */
+export function mergeTwoStatements (left: PaceStatement, right: PaceStatement): PaceStatement {
   return {
     limitPercent: Math.min(left.limitPercent, right.limitPercent),
     factorPercent: Math.max(left.factorPercent, right.factorPercent),
--- a/src/coordination/pace/replica-pace.ts
+++ b/src/coordination/pace/replica-pace.ts
@@ -52,6 +52,8 @@
 const lateCountOfProven = 2
 /** Longer than a load report takes between most gateways (100 to 600 ms), so that a statement about a late response stops the rise. */
 const rampIntervalMs = 500
+/** After a fall it is longer, so that the few streams that try the replica again show their result first. */
+const rampIntervalAfterFallMs = 700
 
 /** Creates the state of a replica without a limit. */
 export function createFullPace (): ReplicaPace {
@@ -122,11 +124,12 @@
   if (pace.fraction >= 1) return false
   if (isOverdue) pace.rampFromMs = nowMs
   else if (pace.rampFromMs === undefined && hasStreams) pace.rampFromMs = nowMs
-  if (pace.rampFromMs === undefined || nowMs - pace.rampFromMs < rampIntervalMs) return false
+  if (pace.rampFromMs === undefined || nowMs - pace.rampFromMs < (pace.risesEvenly ? rampIntervalAfterFallMs : rampIntervalMs)) return false
   pace.fraction = Math.min(1, pace.fraction * riseFactor)
   pace.rampFromMs = nowMs
   pace.isFallen = false
-  pace.lateRatio = Math.max(1, pace.lateRatio * fallFactor)
+  pace.lateRatio = 1
+  if (pace.fraction === 1) pace.risesEvenly = false
   return true
 }
 
--- a/src/coordination/pace/server-pace.ts
+++ b/src/coordination/pace/server-pace.ts
@@ -155,10 +155,12 @@
     if (recordLate(entry.pace, timers.nowMs(), ratio)) logChange(entry, reason)
   }
 
-  /** Whether a response that takes long is due to its prompt or to a queue: the replica's other streams go on as usual. */
+  /**
+   * Whether a late first event may be due to its prompt or to a queue. At its full limit a replica has streams in progress
+   * whose pauses show within 220 ms that it is slow; below, it has no queue.
+   */
   function isExplained (entry: Entry, { isQueued }: OpenAttempt): boolean {
-    const gapFactor = getGapFactor(entry)
-    return gapFactor === undefined ? isQueued : gapFactor < slowFactor && (isQueued || entry.pace.fraction >= 1)
+    return isQueued || entry.pace.fraction >= 1
   }
 
   /** Counts what is overdue, once for each attempt. Returns whether anything is. */
@@ -191,6 +193,7 @@
     const { replica, pace } = entry
     const isOverdue = checkOverdue(entry)
     const statement = options.getStatement(replica.id)
+    if (statement === undefined && pace.fraction >= 1) return undefined
     if (statement !== undefined && adoptStatement(pace, statement, timers.nowMs())) logChange(entry, PaceReason.OtherGateway)
     if (pace.fraction < 1 && rampByTime(pace, timers.nowMs(), options.getStreamCount(replica.id) > 0, isOverdue)) logChange(entry, PaceReason.NoComplaint)
     return statement
