--- a/src/coordination/pace/model-times.ts
+++ b/src/coordination/pace/model-times.ts
@@ -36,8 +36,10 @@
 const firstEventWeight = 0.1
 /** Weight of a pass in the mean time between events: four passes of a server that is four times slower double the mean, one long prompt does not. */
 const gapWeight = 0.2
-/** A replica counts for the model's usual time from this many responses on. */
+/** A replica counts for the model's usual time to the first event from this many responses on. */
 const minSampleCount = 3
+/** With fewer times between events, one pass that reads many prompts makes a sound replica look slow. */
+const minGapCount = 5
 /** Times of replicas without responses for this long no longer count for the model. */
 const maxSampleAgeMs = 10_000
 /** A time between events is older than the state of its server after this long: slow servers become sound within seconds. */
@@ -76,7 +78,7 @@
     const usual = {
       computedAtMs: timers.nowMs(),
       firstEventMs: computeMedian(recent.filter(times => times.firstEventCount >= minSampleCount).map(times => times.firstEventMs)),
-      gapMs: computeMedian(recent.filter(times => times.gapCount >= minSampleCount).map(times => times.gapMs))
+      gapMs: computeMedian(recent.filter(times => times.gapCount >= minGapCount).map(times => times.gapMs))
     }
     usualByModel.set(modelKey, usual)
     return usual
@@ -94,7 +96,7 @@
       const isRecent = timers.nowMs() - times.lastGapAtMs <= maxGapAgeMs
       times.gapCount = isRecent ? times.gapCount + 1 : 1
       // One pass yields an event for each stream, and counts once.
-      times.gapMs = isRecent ? times.gapMs + (durationMs - times.gapMs) * gapWeight / Math.max(1, streamCount) : durationMs
+      times.gapMs = isRecent ? times.gapMs + (durationMs - times.gapMs) * Math.max(gapWeight, 1 / times.gapCount) / Math.max(1, streamCount) : durationMs
       times.lastGapAtMs = timers.nowMs()
       times.lastRecordedAtMs = timers.nowMs()
     },
@@ -105,7 +107,7 @@
     getUsualGapMs: (replica, engine) => getUsual(getModelKey(replica)).gapMs ?? computePublishedGapMs(engine) * (replica.model?.pace ?? 1),
     getOwnGapMs (replicaId) {
       const times = timesById.get(replicaId)
-      return times === undefined || times.gapCount < minSampleCount || timers.nowMs() - times.lastGapAtMs > maxGapAgeMs ? undefined : times.gapMs
+      return times === undefined || times.gapCount < minGapCount || timers.nowMs() - times.lastGapAtMs > maxGapAgeMs ? undefined : times.gapMs
     },
     forget: replicaId => { timesById.delete(replicaId) }
   }
