--- a/src/bench/placing/pace-run.ts
+++ b/src/bench/placing/pace-run.ts
@@ -125,8 +125,7 @@
       excludedIds: new Set(),
       gatewayCount: gateways.length,
       maxLocalStreamCount: Infinity,
-      getHoldMs: () => 0,
-      maySend: () => true,
+      check: () => ({ isAllowed: true }),
       getStreamLimit: gateway.pace?.getStreamLimit,
       getPaceFactor: gateway.pace?.getPaceFactor
     }, gateway.loads, random)
@@ -178,7 +177,7 @@
 function createGateways ({ zoneCount, gatewaysPerZone }: PaceCase, timers: TimerService, hasPace: boolean, onLine: (fields: LogFields) => void): Gateway[] {
   const ids = Array.from({ length: zoneCount * gatewaysPerZone }, (_, index) => `n${index}`)
   return ids.map((id, index) => {
-    const loads: ReplicaLoads = createReplicaLoads(timers, () => pace?.listStatements())
+    const loads: ReplicaLoads = createReplicaLoads(timers, { listPace: () => pace?.listStatements() })
     const pace = hasPace
       ? createServerPace({
         timers,
