Exchange load reports between relays and their gateways by datagram

Cause: behind a relay, a gateway's stream counts travel with its requests to the relay, which wait up to 500 ms for a change in the store, and the total comes back with the next response. Counts are up to 1.1 s old, as long as a stream, so that gateways fill replicas beyond their slots although their limit on queueing says otherwise. Ruled out: more frequent requests to the relay (each holds a connection and a response with store changes). Older gateways drop both kinds. The effect on the deployments is not measured yet.

--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -65,6 +65,8 @@
   applyReport (report: LoadReport): void
   /** Applies the report of a gateway that uses this one as its relay. */
   applyDependentReport (report: LoadReport): void
+  /** Gateways that use this one as their relay, by their recent reports. */
+  listDependentIds (): string[]
   /** Demand at this gateway and at those whose reports have arrived. */
   getDemand (): CollectedDemand
 }
@@ -247,6 +249,7 @@
     },
     applyReport: report => storeReport(peers, peerDemand, report),
     applyDependentReport: report => storeReport(relayedReports, relayedDemand, report),
+    listDependentIds: () => listRecent(relayedReports, reportMaxAgeMs).map(({ nodeId }) => nodeId),
     getDemand: () => collectDemand(createDemandReport(), [peerDemand, relayedDemand])
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -259,6 +259,8 @@
     loads,
     random,
     listPeers: listLoadPeers,
+    findRelay: () => isPlanner() ? undefined : toAddresses(relayPlans.getPlan().relays.slice(0, 1))[0],
+    applyTotal: applyTotalReport,
     listGatewayAddresses: () => toAddresses(presence.listGateways()),
     findAddress: presence.findPeer,
     findPlannerAddress: () => presence.findPeer(readPlannerNode(fleet.listGatewayEntries().get(plannerKey)?.value ?? '')),
--- a/src/gateway/load-sharing.test.ts
+++ b/src/gateway/load-sharing.test.ts
@@ -23,6 +23,8 @@
   onDeliveryAnswer () {},
   onPromptMessage () {},
   onLimitMessage () {},
+  findRelay: () => undefined,
+  applyTotal () {},
   onSuspectReplica () {}
 }
 
--- a/src/gateway/load-sharing.ts
+++ b/src/gateway/load-sharing.ts
@@ -13,6 +13,7 @@
 import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
 import { createLoadReportSocket } from '../transport/load-report-socket.js'
 import type { GatewaySettings } from './gateway-settings.js'
+import { createRelayedLoads } from './relayed-loads.js'
 
 export interface LoadSharingOptions {
   readonly settings: GatewaySettings
@@ -24,6 +25,10 @@
   listPeers (): readonly NetworkAddress[]
   /** Address of the planner; undefined when it is this gateway or unknown. */
   findPlannerAddress (): NetworkAddress | undefined
+  /** The relay that this gateway uses; undefined while it reads the store itself. */
+  findRelay (): NetworkAddress | undefined
+  /** Applies the load total that a relay has sent. */
+  applyTotal (total: LoadReport): void
   /** All other gateways. */
   listGatewayAddresses (): readonly NetworkAddress[]
   /** Address of another gateway; undefined when it is unknown. */
@@ -84,9 +89,20 @@
     onDeliveryMessage: handleDeliveryMessage,
     onPromptMessage: options.onPromptMessage,
     onLimitMessage: options.onLimitMessage,
+    onRelayedLoad: message => relayedLoads.handle(message),
     onError: reason => logger.debug('A load report could not be sent or decoded.', { reason })
   })
 
+  const relayedLoads = createRelayedLoads({
+    nodeId: settings.nodeId,
+    timers,
+    loads,
+    findRelay: options.findRelay,
+    findAddress: options.findAddress,
+    applyTotal: options.applyTotal,
+    send: (message, address) => reportSocket.sendRelayedLoad(message, [address])
+  })
+
   function handleDeliveryMessage (message: DeliveryMessage): void {
     if (message.kind === DeliveryMessageKind.Answer) {
       options.onDeliveryAnswer(message)
@@ -169,10 +185,12 @@
     async start (): Promise<void> {
       await reportSocket.start()
       schedule()
+      relayedLoads.start()
     },
     stop (): void {
       timer?.cancel()
       leavingTimer?.cancel()
+      relayedLoads.stop()
       reportSocket.stop()
     }
   }
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -78,6 +78,32 @@
   return decode(text, loadReportSchema)
 }
 
+/** What a datagram between a relay and a gateway that uses it carries. Gateways of earlier releases drop both. */
+export enum RelayedLoadKind {
+  /** The gateway's own streams. */
+  Own = 'relayedOwn',
+  /** The streams of all other gateways. */
+  Total = 'relayedTotal'
+}
+
+const relayedLoadSchema = z.object({ kind: z.enum(RelayedLoadKind), report: loadReportSchema })
+
+/** A load report between a relay and a gateway that uses it. */
+export interface RelayedLoad {
+  readonly kind: RelayedLoadKind
+  readonly report: LoadReport
+}
+
+/** Encodes such a report for a datagram. */
+export function encodeRelayedLoad (message: RelayedLoad): string {
+  return JSON.stringify(message)
+}
+
+/** Decodes such a report; undefined for any other text. */
+export function decodeRelayedLoad (text: string): RelayedLoad | undefined {
+  return decode(text, relayedLoadSchema)
+}
+
 /** Encodes a relay request as JSON. */
 export function encodeRelayRequest (request: RelayRequest): string {
   return JSON.stringify(request)
--- a/src/transport/load-report-socket.ts
+++ b/src/transport/load-report-socket.ts
@@ -4,7 +4,7 @@
 import { decodeDeliveryMessage, encodeDeliveryMessage, type DeliveryMessage } from '../protocol/delivery-messages.js'
 import { decodeLimitMessage, encodeLimitMessage, type LimitMessage } from '../protocol/limit-messages.js'
 import { decodePromptMessage, encodePromptMessage, type PromptMessage } from '../protocol/prompt-messages.js'
-import { decodeLoadReport, encodeLoadReport } from '../protocol/relay-messages.js'
+import { decodeLoadReport, decodeRelayedLoad, encodeLoadReport, encodeRelayedLoad, type RelayedLoad } from '../protocol/relay-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 
 /** UDP socket for load reports and inquiries between gateways; any datagram may be lost. */
@@ -19,6 +19,8 @@
   sendPromptMessage (message: PromptMessage, peers: readonly NetworkAddress[]): void
   /** The same for a message about the limits of servers. */
   sendLimitMessage (message: LimitMessage, peers: readonly NetworkAddress[]): void
+  /** The same for a load report between a relay and a gateway that uses it. */
+  sendRelayedLoad (message: RelayedLoad, peers: readonly NetworkAddress[]): void
   stop (): void
 }
 
@@ -28,24 +30,33 @@
   onDeliveryMessage (message: DeliveryMessage): void
   onPromptMessage (message: PromptMessage): void
   onLimitMessage (message: LimitMessage): void
+  onRelayedLoad (message: RelayedLoad): void
   onError (reason: string): void
 }
 
+/** Handles texts that can be decoded, and returns whether one was. */
+function handle<T> (decode: (text: string) => T | undefined, onMessage: (message: T) => void): (text: string) => boolean {
+  return text => {
+    const message = decode(text)
+    if (message !== undefined) onMessage(message)
+    return message !== undefined
+  }
+}
+
 /** Creates the socket, which `start` binds. */
-export function createLoadReportSocket ({ address, onReport, onDeliveryMessage, onPromptMessage, onLimitMessage, onError }: LoadReportSocketOptions): LoadReportSocket {
+export function createLoadReportSocket ({ address, onReport, onDeliveryMessage, onPromptMessage, onLimitMessage, onRelayedLoad, onError }: LoadReportSocketOptions): LoadReportSocket {
   let socket: Socket | undefined
 
   function receive (bytes: Buffer): void {
     const text = bytes.toString('utf8')
-    const report = decodeLoadReport(text)
-    const message = report === undefined ? decodeDeliveryMessage(text) : undefined
-    const promptMessage = report === undefined && message === undefined ? decodePromptMessage(text) : undefined
-    const limitMessage = report === undefined && message === undefined && promptMessage === undefined ? decodeLimitMessage(text) : undefined
-    if (report !== undefined) onReport(report)
-    else if (message !== undefined) onDeliveryMessage(message)
-    else if (promptMessage !== undefined) onPromptMessage(promptMessage)
-    else if (limitMessage !== undefined) onLimitMessage(limitMessage)
-    else onError('received a datagram of an unknown kind')
+    const handled = [
+      handle(decodeLoadReport, onReport),
+      handle(decodeRelayedLoad, onRelayedLoad),
+      handle(decodeDeliveryMessage, onDeliveryMessage),
+      handle(decodePromptMessage, onPromptMessage),
+      handle(decodeLimitMessage, onLimitMessage)
+    ].some(tryHandle => tryHandle(text))
+    if (!handled) onError('received a datagram of an unknown kind')
   }
 
   function sendText (text: string, peers: readonly NetworkAddress[]): void {
@@ -71,6 +82,7 @@
     }),
     send: (report, peers) => sendText(encodeLoadReport(report), peers),
     sendDeliveryMessage: (message, peers) => sendText(encodeDeliveryMessage(message), peers),
+    sendRelayedLoad: (message, peers) => sendText(encodeRelayedLoad(message), peers),
     sendLimitMessage: (message, peers) => sendText(encodeLimitMessage(message), peers),
     sendPromptMessage: (message, peers) => sendText(encodePromptMessage(message), peers),
     stop () {
