Take the reading of a service's demand and the model gauges out of the gateway module

A test shows that groups that give up their servers wait for streams of 6 s, where those with a leaving member end them after 2.5 s.

--- a/src/coordination/replicas/planner-supply.test.ts
+++ b/src/coordination/replicas/planner-supply.test.ts
@@ -78,6 +78,17 @@
       expect(fixture.servers.violations).to.deep.equal([])
     })
 
+    // Guards against the limit of 2.5 s for replicas with a leaving member, which would end these streams.
+    it('waits for streams that last for 6 s', async () => {
+      const fixture = await createDeployment()
+      fixture.beginTraffic()
+      fixture.servers.faults.closingMs = 6000
+      fixture.setDemand(meanDemand)
+      await fixture.timers.advanceAsync(20_000)
+      expect(fixture.servers.preempted).to.deep.equal([])
+      expect(getBestUtilization(162, meanDemand) / getHighestUtilization(fixture, meanDemand)).to.be.at.least(0.9)
+    })
+
     it('begins within 4 s, and has at most a fifth of the servers changing', async () => {
       const fixture = await createDeployment()
       fixture.beginTraffic()
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,8 +1,8 @@
 /** Wires up a gateway: the view of the fleet, the planner, the exchange with other gateways and the servers. */
 import { recentEventMs, createReplicaLoads, totalNodeId, type LoadReport } from '../coordination/dispatch/replica-loads.js'
 import { computeConnectionLimit } from '../coordination/dispatch/connection-limit.js'
-import type { ServiceDemand } from '../coordination/demand/demand-history.js'
 import { createDemandMeter } from '../coordination/demand/demand-meter.js'
+import { toServiceDemand } from '../coordination/demand/service-demand.js'
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerOverruns } from '../coordination/dispatch/server-overruns.js'
@@ -19,10 +19,10 @@
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { createDeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
 import { createPlannerLease, readPlannerNode } from '../coordination/replicas/planner-lease.js'
-import { createPlannerTask, type ModelSupply } from '../coordination/replicas/planner-task.js'
+import { createPlannerTask } from '../coordination/replicas/planner-task.js'
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
-import { createMetrics, MetricEvent, MetricGauge, ModelGauge } from '../observability/metrics.js'
+import { createMetrics, MetricEvent, MetricGauge } from '../observability/metrics.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
@@ -40,6 +40,7 @@
 import { createFleetView, FleetEvent, type StoreLayout } from './fleet-view.js'
 import type { GatewayBounds, GatewaySettings } from './gateway-settings.js'
 import { createLoadSharing } from './load-sharing.js'
+import { setModelGauges } from './model-gauges.js'
 import { createPresence } from './presence.js'
 import { maxParsedHeaderBytes, type ProcessBuffers } from './process-buffers.js'
 import { createRelayHandler } from './relay-handler.js'
@@ -157,7 +158,7 @@
     isHeld: server => holds.getRemainingMs(server) > 0,
     hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
     listServices: fleet.listReplicatedServices,
-    getDemand: getServiceDemand,
+    getDemand: serviceName => toServiceDemand(loads.getDemand(), serviceName, presence.countGateways()),
     getStreamCount: loads.getStreamCount
   })
   const quarantineLogger = createRateLimitedLogger(createLogger('quarantine'), timers, quarantineLogLinesPerSecond)
@@ -293,27 +294,7 @@
     metrics.setGauge(MetricGauge.IssuedLimitPerSecond, permits.getIssuedPerSecond())
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
-    refreshModelGauges()
-  }
-
-  function refreshModelGauges (): void {
-    const supply = planner.listModelSupply()
-    const toValues = (getValue: (entry: ModelSupply) => number) => supply.map(entry => ({ service: entry.service, model: entry.model, value: getValue(entry) }))
-    metrics.setModelGauge(ModelGauge.ArrivalsPerSecond, toValues(entry => entry.arrivalsPerSecond))
-    metrics.setModelGauge(ModelGauge.DemandServerCount, toValues(entry => entry.busyServerCount))
-    metrics.setModelGauge(ModelGauge.SupplyServerCount, toValues(entry => entry.serverCount))
-  }
-
-  function getServiceDemand (serviceName: string): ServiceDemand {
-    const { services, gatewayCount, ageMs } = loads.getDemand()
-    const models = Object.entries(services[serviceName] ?? {})
-    return {
-      busyServerCounts: new Map(models.map(([model, { busyServerCount }]) => [model, busyServerCount])),
-      arrivalsPerSecond: new Map(models.map(([model, { arrivalsPerSecond }]) => [model, arrivalsPerSecond])),
-      heardGatewayCount: gatewayCount,
-      listedGatewayCount: presence.countGateways(),
-      ageMs
-    }
+    setModelGauges(metrics, planner.listModelSupply())
   }
 
   function countServingReplicas (): number {
