Send a cold server no more requests than it takes

A server that has just started during traffic, or whose zone was evacuated, takes coldPerS requests a second from all gateways together for some time. The gateways did not know: one got 31 and one 38 requests in a second where 30.5 are allowed.

An ask names the cold state, so that an issuer whose view is behind issues at the cold rate; the issuers send notices to gateways that are cut off from the store. What was heard is not passed on in asks, so that the time does not grow.

Ruled out: recording the cold state as a stated limit, which ends with the next response without one. Odd times and rates are logged, cut or ignored, and never make an entry or the configuration unusable.

--- a/src/coordination/limits/permit-issuer.ts
+++ b/src/coordination/limits/permit-issuer.ts
@@ -1,8 +1,9 @@
-/** Issues permits for a part of the limits that servers state. */
+/** Issues permits for a part of the rates at which servers take requests. */
 import { createDecayingCounter, type DecayingCounter } from '../../shared/decaying-counter.js'
 import type { RandomSource } from '../../shared/random-source.js'
 import type { TimerService } from '../../shared/timer-service.js'
-import type { ServerLimits, ServerProcess } from './server-limits.js'
+import type { PermitRule, PermitRules } from './permit-rules.js'
+import type { ServerProcess } from './server-limits.js'
 
 /** Permits of a server's limit are issued by this many gateways, each for an equal part. */
 export const issuerCountPerServer = 3
@@ -25,7 +26,7 @@
 export interface PermitIssuerOptions {
   readonly timers: TimerService
   readonly random: RandomSource
-  readonly limits: Pick<ServerLimits, 'getLimit'>
+  readonly getRule: PermitRules
   /** Whether this gateway is one of the server's issuers by its own list of gateways. */
   isIssuer (server: ServerProcess): boolean
   /** Number of gateways that issue permits for one server. */
@@ -42,12 +43,6 @@
   askIntervalMs: number
 }
 
-/** A server that states 0 or next to nothing gets this many requests a second, which show when it takes more again. */
-export const minLimitPerSecond = 0.25
-/** Permits that were not asked for can be saved up for this time. */
-const saveMs = 700
-/** And up to two in any case where the server takes this many requests a second; where it takes none, up to one. */
-const twoSavedLimitPerSecond = 4
 const millisecondsPerSecond = 1000
 /** Asks for each permit that is issued. With fewer, permits beyond those that can be saved are lost while clients wait. */
 const asksPerPermit = 6
@@ -65,35 +60,31 @@
 const bucketRetentionMs = 60_000
 
 /** Creates an issuer whose parts of the limits begin without permits, so that a former issuer's do not add up to them. */
-export function createPermitIssuer ({ timers, random, limits, isIssuer, countIssuers }: PermitIssuerOptions): PermitIssuer {
+export function createPermitIssuer ({ timers, random, getRule, isIssuer, countIssuers }: PermitIssuerOptions): PermitIssuer {
   const buckets = new Map<string, Bucket>()
   const answers = new Map<string, { readonly answer: PermitAnswer, readonly atMs: number }>()
 
-  function getRate (server: ServerProcess): number {
-    return Math.max(minLimitPerSecond, limits.getLimit(server) ?? 0) / countIssuers()
+  /** The permits a second that this gateway issues for the server. */
+  function getRate ({ limitPerSecond }: PermitRule): number {
+    return limitPerSecond / countIssuers()
   }
 
-  function getCapacity (ratePerSecond: number): number {
-    const limitPerSecond = ratePerSecond * countIssuers()
-    return Math.max(1 + Math.min(1, limitPerSecond / twoSavedLimitPerSecond), ratePerSecond * saveMs / millisecondsPerSecond)
-  }
-
-  function findBucket (server: ServerProcess): Bucket {
+  function findBucket (server: ServerProcess, rule: PermitRule): Bucket {
     const known = buckets.get(server.id)
     if (known?.server.startedAtMs === server.startedAtMs) return known
-    const created = { server, tokenCount: 0, refilledAtMs: timers.nowMs(), ratePerSecond: getRate(server), asks: createDecayingCounter(timers, askWindowMs), askIntervalMs: 0 }
+    const created = { server, tokenCount: 0, refilledAtMs: timers.nowMs(), ratePerSecond: getRate(rule), asks: createDecayingCounter(timers, askWindowMs), askIntervalMs: 0 }
     buckets.set(server.id, created)
     return created
   }
 
-  function refill (bucket: Bucket): number {
-    const ratePerSecond = getRate(bucket.server)
+  function refill (bucket: Bucket, rule: PermitRule): number {
+    const ratePerSecond = getRate(rule)
     const elapsedMs = timers.nowMs() - bucket.refilledAtMs
     bucket.refilledAtMs = timers.nowMs()
     // Permits that were saved under a higher limit would be too many under this one.
     if (ratePerSecond < bucket.ratePerSecond) bucket.tokenCount = 0
     bucket.ratePerSecond = ratePerSecond
-    bucket.tokenCount = Math.min(getCapacity(ratePerSecond), bucket.tokenCount + ratePerSecond * elapsedMs / millisecondsPerSecond)
+    bucket.tokenCount = Math.min(rule.getCapacity(countIssuers()), bucket.tokenCount + ratePerSecond * elapsedMs / millisecondsPerSecond)
     return ratePerSecond
   }
 
@@ -107,12 +98,13 @@
   }
 
   function issueNow (server: ServerProcess, count: number): PermitAnswer {
-    if (limits.getLimit(server) === undefined) return { count, waitMs: 0 }
-    if (!isIssuer(server)) return { count: 0, waitMs: notIssuerWaitMs }
-    const bucket = findBucket(server)
-    const ratePerSecond = refill(bucket)
+    const rule = getRule(server)
+    if (rule === undefined) return { count, waitMs: 0 }
+    if (!isIssuer(server) || rule.limitPerSecond === 0) return { count: 0, waitMs: notIssuerWaitMs }
+    const bucket = findBucket(server, rule)
+    const ratePerSecond = refill(bucket, rule)
     const permitIntervalMs = millisecondsPerSecond / ratePerSecond
-    paceAsks(bucket, permitIntervalMs, getCapacity(ratePerSecond))
+    paceAsks(bucket, permitIntervalMs, rule.getCapacity(countIssuers()))
     const issuedCount = Math.min(count, Math.floor(bucket.tokenCount))
     bucket.tokenCount -= issuedCount
     if (issuedCount > 0) return { count: issuedCount, waitMs: 0 }
@@ -142,10 +134,14 @@
     },
     takeBack (server, count) {
       const bucket = buckets.get(server.id)
-      if (bucket?.server.startedAtMs !== server.startedAtMs) return
-      const ratePerSecond = refill(bucket)
-      bucket.tokenCount = Math.min(getCapacity(ratePerSecond), bucket.tokenCount + count)
+      const rule = getRule(server)
+      if (bucket?.server.startedAtMs !== server.startedAtMs || rule === undefined) return
+      refill(bucket, rule)
+      bucket.tokenCount = Math.min(rule.getCapacity(countIssuers()), bucket.tokenCount + count)
     },
-    getIssuedPerSecond: () => [...buckets.values()].filter(({ server }) => limits.getLimit(server) !== undefined && isIssuer(server)).reduce((sum, { server }) => sum + getRate(server), 0)
+    getIssuedPerSecond: () => [...buckets.values()].reduce((sum, { server }) => {
+      const rule = getRule(server)
+      return rule === undefined || !isIssuer(server) ? sum : sum + getRate(rule)
+    }, 0)
   }
 }
--- a/src/coordination/limits/server-permits.ts
+++ b/src/coordination/limits/server-permits.ts
@@ -1,8 +1,10 @@
-/** Permits to send requests to servers that state a limit: obtained from their issuers when requests ask for them, and used once. */
-import { LimitMessageKind, type LimitMessage, type LimitNotice, type PermitGrant, type PermitRequest } from '../../protocol/limit-messages.js'
+/** Permits to send requests to servers that state a limit or are cold: obtained from their issuers when requests ask for them, and used once. */
+import { LimitMessageKind, type ColdNotice, type LimitMessage, type LimitNotice, type PermitGrant, type PermitRequest } from '../../protocol/limit-messages.js'
 import { hashToNumber, rankByDigest } from '../../shared/digest-rank.js'
 import type { RandomSource } from '../../shared/random-source.js'
 import type { TimerService, TimerSubscription } from '../../shared/timer-service.js'
+import type { ColdServers } from '../servers/cold-servers.js'
+import { createPermitRules, type ColdBounds } from './permit-rules.js'
 import { createPermitIssuer, issuerCountPerServer } from './permit-issuer.js'
 import { StatementSource, type ServerLimits, type ServerProcess } from './server-limits.js'
 
@@ -16,9 +18,9 @@
 }
 
 export interface ServerPermits {
-  /** Whether a request may go to the server now: it states no limit, or there is a permit. */
+  /** Whether a request may go to the server now: it needs no permit, or there is one. */
   maySend (server: ServerProcess): boolean
-  /** Uses a permit where the server states a limit. False when there is none. */
+  /** Uses a permit where the server needs one. False when there is none. */
   take (server: ServerProcess): boolean
   /** Asks an issuer for a permit, unless there is one, an ask is under way, or all issuers have asked for more time. */
   request (server: ServerProcess): void
@@ -29,6 +31,8 @@
   applyMessage (message: LimitMessage): void
   /** Tells other gateways what a server has stated to this one, since that was new. */
   announce (server: ServerProcess): void
+  /** Tells other gateways that this one has learned that a server is cold, if it is one of its issuers. */
+  announceCold (server: ServerProcess): void
   /** Requests a second for which this gateway issues permits. */
   getIssuedPerSecond (): number
 }
@@ -38,6 +42,9 @@
   readonly timers: TimerService
   readonly random: RandomSource
   readonly limits: ServerLimits
+  /** Undefined where no server is ever cold. */
+  readonly cold?: Pick<ColdServers, 'getState' | 'getOwnState' | 'recordHeard'>
+  getColdBounds?(): ColdBounds
   /** IDs of the registered gateways. Returns the same array until the list changes. */
   listGatewayIds (): readonly string[]
   /** Number of gateways, which falls only after some time. */
@@ -67,14 +74,14 @@
   readonly retryAtMs: Map<string, number>
 }
 
-/** A permit counts from when it was asked for, and unused ones are returned: the sum over 4 s may exceed the limit by what this time holds. */
-const validityMs = 400
 /** Longer than a datagram there and back and a busy event loop take. */
 const answerTimeoutMs = 80
 const maxTryCount = 3
 /** An issuer that has not answered is not asked for this time. */
 const silentIssuerMs = 1500
 const maxAskedCount = 4
+/** Time after which a call looks again for issuers: gateways are listed again within this time after the store lost their list. */
+const noIssuerWaitMs = 1500
 /** A notice goes to one more than the logarithm of the gateways, from each gateway to which it is new: nearly all get it, also when some are lost. */
 const extraNoticeFanout = 1
 const maxHopCount = 8
@@ -85,7 +92,8 @@
 
 /** Creates the permits of one gateway, which is itself an issuer for some servers. */
 export function createServerPermits (options: ServerPermitsOptions): ServerPermits {
-  const { nodeId, timers, random, limits, send } = options
+  const { nodeId, timers, random, limits, cold, send } = options
+  const getRule = createPermitRules(limits, cold, options.getColdBounds)
   const states = new Map<string, ServerState>()
   const waiters = new Set<PermitWaiter>()
   const issuersByServer = new Map<string, readonly string[]>()
@@ -95,18 +103,20 @@
   const issuer = createPermitIssuer({
     timers,
     random,
-    limits,
+    getRule,
     isIssuer: server => listIssuers(server).includes(nodeId),
     countIssuers: () => Math.max(1, Math.min(issuerCountPerServer, options.countGateways()))
   })
 
   /** The gateways that issue permits of the server, in the order in which this one asks them: itself first, then a different one at each gateway. */
-  function listIssuers ({ id }: ServerProcess): readonly string[] {
+  function listIssuers ({ id, startedAtMs }: ServerProcess): readonly string[] {
     const gatewayIds = options.listGatewayIds()
     if (gatewayIds !== issuersOfGateways) issuersByServer.clear()
     issuersOfGateways = gatewayIds
     const known = issuersByServer.get(id)
     if (known !== undefined) return known
+    // Without a list each gateway would issue permits to itself, which all together would be too many for a cold server.
+    if (gatewayIds.length === 0 && options.countGateways() > 1 && cold?.getState({ id, startedAtMs }) !== undefined) return []
     const ranked = rankByDigest(id, gatewayIds.length === 0 ? [nodeId] : gatewayIds).slice(0, issuerCountPerServer)
     const first = ranked.includes(nodeId) ? ranked.indexOf(nodeId) : hashToNumber(`${nodeId}/${id}`) % ranked.length
     const ordered = [...ranked.slice(first), ...ranked.slice(0, first)]
@@ -159,7 +169,7 @@
   }
 
   function applyAnswer (state: ServerState, issuerId: string, { count, waitMs }: Pick<PermitGrant, 'count' | 'waitMs'>, sentAtMs: number): void {
-    const lifetimeMs = sentAtMs + validityMs - timers.nowMs()
+    const lifetimeMs = sentAtMs + (getRule(state.server)?.validityMs ?? 0) - timers.nowMs()
     if (count > 0) addPermits(state, issuerId, count, Math.max(0, lifetimeMs))
     else state.retryAtMs.set(issuerId, timers.nowMs() + waitMs)
     if (count === 0 && waiters.size > 0) ask(state)
@@ -201,7 +211,8 @@
       requestId: pending.requestId,
       count,
       limitPerSecond: statement?.limitPerSecond,
-      ageMs: getAgeMs(statement?.statedAtMs)
+      ageMs: getAgeMs(statement?.statedAtMs),
+      cold: cold?.getOwnState(server)
     }, pending.issuerId)
   }
 
@@ -209,9 +220,10 @@
     return Math.max(0, Math.round(timers.nowMs() - (statedAtMs ?? timers.nowMs())))
   }
 
-  function answerRequest ({ serverId, startedAtMs, limitPerSecond, ageMs, nodeId: askerId, requestId, count }: PermitRequest): void {
+  function answerRequest ({ serverId, startedAtMs, limitPerSecond, ageMs, nodeId: askerId, requestId, count, cold: askerState }: PermitRequest): void {
     const server = { id: serverId, startedAtMs }
     if (limitPerSecond !== undefined) applyStatement(server, limitPerSecond, timers.nowMs() - ageMs)
+    if (askerState !== undefined) cold?.recordHeard(server, askerState)
     const answer = issuer.issue(askerId, requestId, server, count)
     const statement = limits.getStatement(server)
     send({
@@ -272,6 +284,20 @@
     for (const gatewayId of pickOthers()) send(notice, gatewayId)
   }
 
+  function applyColdNotice ({ serverId, startedAtMs, cold: state, hopCount }: ColdNotice): void {
+    const server = { id: serverId, startedAtMs }
+    if (cold?.recordHeard(server, state) !== true) return
+    dropPermits(server)
+    if (hopCount < maxHopCount) sendColdNotice(server, hopCount + 1)
+    scheduleWake()
+  }
+
+  function sendColdNotice ({ id: serverId, startedAtMs }: ServerProcess, hopCount: number): void {
+    const state = cold?.getState({ id: serverId, startedAtMs })
+    if (state === undefined) return
+    for (const gatewayId of pickOthers()) send({ kind: LimitMessageKind.ColdNotice, serverId, startedAtMs, cold: state, hopCount }, gatewayId)
+  }
+
   function pickOthers (): string[] {
     const others = options.listGatewayIds().filter(id => id !== nodeId)
     const fanout = Math.ceil(Math.log(others.length + 1)) + extraNoticeFanout
@@ -280,22 +306,24 @@
   }
 
   return {
-    maySend: server => limits.getLimit(server) === undefined || findState(server).permits.length > 0,
+    maySend: server => getRule(server) === undefined || findState(server).permits.length > 0,
     take (server) {
-      if (limits.getLimit(server) === undefined) return true
+      if (getRule(server) === undefined) return true
       const permit = findState(server).permits.shift()
       permit?.expiry.cancel()
       return permit !== undefined
     },
     request (server) {
-      if (limits.getLimit(server) === undefined) return
+      const rule = getRule(server)
+      if (rule === undefined || rule.limitPerSecond === 0) return
       const state = findState(server)
       if (state.permits.length === 0) ask(state)
     },
     getWaitMs (server) {
       const state = findState(server)
-      if (state.permits.length > 0 || state.pending !== undefined || limits.getLimit(server) === undefined) return 0
+      if (state.permits.length > 0 || state.pending !== undefined || getRule(server) === undefined) return 0
       const retryTimesMs = listIssuers(server).map(id => state.retryAtMs.get(id) ?? 0)
+      if (retryTimesMs.length === 0) return noIssuerWaitMs
       return Math.max(0, Math.min(...retryTimesMs) - timers.nowMs())
     },
     subscribe (waiter) {
@@ -305,6 +333,7 @@
     applyMessage (message) {
       switch (message.kind) {
         case LimitMessageKind.Notice: return applyNotice(message)
+        case LimitMessageKind.ColdNotice: return applyColdNotice(message)
         case LimitMessageKind.Request: return answerRequest(message)
         case LimitMessageKind.Grant: return applyGrant(message)
         case LimitMessageKind.Return: return issuer.takeBack({ id: message.serverId, startedAtMs: message.startedAtMs }, message.count)
@@ -315,6 +344,11 @@
       sendNotice(server, 0)
       scheduleWake()
     },
+    announceCold (server) {
+      dropPermits(server)
+      if (listIssuers(server).includes(nodeId)) sendColdNotice(server, 0)
+      scheduleWake()
+    },
     getIssuedPerSecond: issuer.getIssuedPerSecond
   }
 }
--- a/src/coordination/ports/server-control.ts
+++ b/src/coordination/ports/server-control.ts
@@ -82,10 +82,20 @@
   readonly reason: string
 }
 
+/** How much longer a server is cold, as a response of it states. */
+export interface ColdStatement {
+  readonly server: BackendServer
+  /** Undefined when the statement can't be read. */
+  readonly remainingMs: number | undefined
+  readonly text: string
+}
+
 /** Control calls to backend servers. */
 export interface ServerControl {
   /** Servers that announced in a response that they are leaving; each response sends one. */
   readonly leavingServers: Channel<BackendServer>
+  /** Statements in responses of how much longer a server is cold; each response with one sends one. */
+  readonly coldStatements: Channel<ColdStatement>
   sendCommand (server: BackendServer, command: ServerCommand, precondition: CommandPrecondition): Promise<CommandOutcome>
   readReport (server: BackendServer): Promise<Result<ServerReport, ReportError>>
 }
--- a/src/coordination/servers/server-admission.ts
+++ b/src/coordination/servers/server-admission.ts
@@ -1,5 +1,6 @@
 /** Decides whether a request may go to a server now; the only place where forwarding and placement ask. */
 import type { BackendServer } from '../../state/backend-server.js'
+import type { ColdServers } from './cold-servers.js'
 import type { EvacuatedZones } from './evacuated-zones.js'
 import type { ServerHolds } from '../dispatch/server-holds.js'
 import type { PermitWaiter, ServerPermits } from '../limits/server-permits.js'
@@ -10,6 +11,8 @@
   Evacuated = 'evacuated',
   /** It answered that it wants none for some time. */
   Held = 'held',
+  /** It is cold, and there is no permit. */
+  Cold = 'cold',
   /** The limit that it states lets none be sent without a permit. */
   Limited = 'limited'
 }
@@ -37,6 +40,7 @@
 export interface ServerAdmissionOptions {
   readonly evacuatedZones: Pick<EvacuatedZones, 'has'>
   readonly holds: Pick<ServerHolds, 'getRemainingMs'>
+  readonly cold: Pick<ColdServers, 'getState'>
   readonly permits: Pick<ServerPermits, 'maySend' | 'take' | 'request' | 'getWaitMs' | 'subscribe'>
 }
 
@@ -45,18 +49,21 @@
 
 /** Whether a request may go to a server that is blocked for this reason as soon as there is a permit. */
 export function needsPermit (reason: BlockReason): boolean {
-  return reason === BlockReason.Limited
+  return reason === BlockReason.Limited || reason === BlockReason.Cold
 }
 
-/** Joins what is known of the servers: the evacuated zones, their holds, and their limits with the permits. */
-export function createServerAdmission ({ evacuatedZones, holds, permits }: ServerAdmissionOptions): ServerAdmission {
+/** Joins what is known of the servers: the evacuated zones, their holds, cold states and limits with the permits. */
+export function createServerAdmission ({ evacuatedZones, holds, cold, permits }: ServerAdmissionOptions): ServerAdmission {
   return {
     check (server) {
       if (evacuatedZones.has(server.zone)) return evacuated
       const holdMs = holds.getRemainingMs(server)
       if (holdMs > 0) return { isAllowed: false, reason: BlockReason.Held, waitMs: holdMs }
       if (permits.maySend(server)) return allowed
-      return { isAllowed: false, reason: BlockReason.Limited, waitMs: permits.getWaitMs(server) }
+      const coldState = cold.getState(server)
+      if (coldState === undefined) return { isAllowed: false, reason: BlockReason.Limited, waitMs: permits.getWaitMs(server) }
+      // Without a rate there are no permits, and the end of the cold state is awaited.
+      return { isAllowed: false, reason: BlockReason.Cold, waitMs: coldState.requestsPerSecond === 0 ? coldState.remainingMs : permits.getWaitMs(server) }
     },
     take: server => !evacuatedZones.has(server.zone) && permits.take(server),
     request: permits.request,
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -99,6 +99,8 @@
   readonly logger: Logger
   /** Whether this gateway, as the planner, waits for servers to carry out its commands and needs changes sooner. */
   isReconfiguring (): boolean
+  /** Called with each entry of a server that is used, as it was read; `isFirstRead` for those of the first read. */
+  onServerEntry? (server: BackendServer, isFirstRead: boolean): void
 }
 
 /** Longest wait of a watch. */
@@ -121,9 +123,9 @@
 const missingEntryGraceMs = 2000
 
 /** Creates the view; after `start` it reads the source until it is stopped. */
-export function createFleetView ({ source, mirror, timers, layout, logger, isReconfiguring }: FleetViewOptions): FleetView {
+export function createFleetView ({ source, mirror, timers, layout, logger, isReconfiguring, onServerEntry }: FleetViewOptions): FleetView {
   const events = createChannel<FleetEvent>()
-  const servers = createServerEntries({ timers, logger, missingEntryGraceMs, decode: layout.decodeServer })
+  const servers = createServerEntries({ timers, logger, missingEntryGraceMs, decode: layout.decodeServer, onEntry: server => onServerEntry?.(server, !hasRead) })
   // Replaced on each change and never mutated: readers compare references to decide whether derived data is stale.
   let gatewayEntries: ReadonlyMap<string, GatewayEntry> = new Map()
   const evacuations = createZoneEvacuations({
@@ -139,6 +141,7 @@
   let configConfirmedAtMs = -Infinity
   let eraBeganAtMs = -Infinity
   let hasUnusedEntries = false
+  let hasRead = false
   /** The configuration in the store is older than the one in force, since the store came back from a copy. */
   let isStoredConfigOlder = false
   let needsFullRead = true
@@ -265,6 +268,7 @@
     if (isStoreBack && !servers.hasRecentStoreFailure()) servers.recordStoreFailure()
     recordReachability(true)
     applyContent(response)
+    hasRead = true
     if (response.isWhole) {
       lastFullReadAtMs = requestedAtMs
       needsFullRead = false
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -29,4 +29,8 @@
   readonly retryWindowMs: number
   /** Retries that a window allows on top of the ratio, for all gateways together. */
   readonly retrySlackCount: number
+  /** Requests to a cold server in any second, as a multiple of its rate; `defaultColdBounds` when left out. */
+  readonly coldOverrunRatio?: number
+  /** Requests that it may get on top in any second. */
+  readonly coldSlackCount?: number
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,7 +5,9 @@
 import { createServerHolds } from '../coordination/dispatch/server-holds.js'
 import { createServerOverruns } from '../coordination/dispatch/server-overruns.js'
 import { createServerLimits } from '../coordination/limits/server-limits.js'
+import { defaultColdBounds } from '../coordination/limits/permit-rules.js'
 import { createServerPermits } from '../coordination/limits/server-permits.js'
+import { createColdServers } from '../coordination/servers/cold-servers.js'
 import { createServerAdmission } from '../coordination/servers/server-admission.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
@@ -27,6 +29,7 @@
 import { createSharedTicker } from '../shared/shared-ticker.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { BackendServer } from '../state/backend-server.js'
+import type { Service } from '../state/serving-config.js'
 import { PromptMessageKind } from '../protocol/prompt-messages.js'
 import { createBackendConnectionPool } from '../transport/backend-connection-pool.js'
 import { createListeningCheck } from '../transport/listening-check.js'
@@ -115,7 +118,7 @@
     applyLoads: applyTotalReport,
     getStoreViewAgeMs: () => fleet.getViewAgeMs()
   })
-  const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring() })
+  const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring(), onServerEntry: (server, isFirstRead) => cold.recordEntry(server, isFirstRead) })
   const loads = createReplicaLoads(timers)
   const presence = createPresence({
     store,
@@ -154,7 +157,7 @@
     getStallLimitMs: () => bounds.stallLimitMs,
     isHeld: server => holds.getRemainingMs(server) > 0,
     isZoneEvacuated: fleet.evacuatedZones.has,
-    hasTraffic: () => clientServer.hasReceivedRequest() || loads.hasAnyStream(),
+    hasTraffic,
     listServices: fleet.listReplicatedServices
   })
   const quarantineLogger = createRateLimitedLogger(createLogger('quarantine'), timers, quarantineLogLinesPerSecond)
@@ -185,16 +188,26 @@
   })
   const holds = createServerHolds(timers)
   const limits = createServerLimits({ timers, logger: createRateLimitedLogger(createLogger('limits'), timers, limitLogLinesPerSecond) })
+  const cold = createColdServers({
+    timers,
+    logger: createRateLimitedLogger(createLogger('servers'), timers, limitLogLinesPerSecond),
+    evacuatedZones: fleet.evacuatedZones,
+    getPolicy: serviceName => findService(serviceName)?.cold,
+    hasTraffic,
+    onCold: server => permits.announceCold(server)
+  })
   const permits = createServerPermits({
     nodeId: settings.nodeId,
     timers,
     random,
     limits,
+    cold,
+    getColdBounds: () => ({ overrunRatio: bounds.coldOverrunRatio ?? defaultColdBounds.overrunRatio, slackCount: bounds.coldSlackCount ?? defaultColdBounds.slackCount }),
     listGatewayIds,
     countGateways: presence.countGateways,
     send: (message, nodeId) => loadSharing.sendLimitMessage(message, nodeId)
   })
-  const admission = createServerAdmission({ evacuatedZones: fleet.evacuatedZones, holds, permits })
+  const admission = createServerAdmission({ evacuatedZones: fleet.evacuatedZones, holds, cold, permits })
   const retryBudgets = new Map<string, ServiceRetryBudget>()
   const dependencies: CallDependencies = {
     zone: settings.zone,
@@ -266,6 +279,12 @@
     loadSharing.reportLeaving()
   }
 
+  function logColdProblems (): void {
+    for (const { name, coldProblem } of fleet.getConfig()?.services ?? []) {
+      if (coldProblem !== undefined) log.warn('The configuration of cold servers is odd.', { service: name, problem: coldProblem })
+    }
+  }
+
   function recordIncomplete ({ request, response, endedBy, reason }: IncompleteResponse): void {
     metrics.countEvent(incompleteEvents[endedBy])
     incompleteLogger.warn('A response was not completed.', {
@@ -290,6 +309,7 @@
     metrics.setGauge(MetricGauge.HeldResponseBytes, buffers.responses.getHeldByteCount())
     metrics.setGauge(MetricGauge.IssuedLimitPerSecond, permits.getIssuedPerSecond())
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
+    metrics.setGauge(MetricGauge.ColdServerCount, cold.countCold())
     metrics.setGauge(MetricGauge.EvacuatedZoneCount, fleet.evacuatedZones.list().length)
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
   }
@@ -298,8 +318,16 @@
     return fleet.listReplicatedServices().flatMap(service => service.replicas).filter(replica => replica.isOpen && replica.isComplete).length
   }
 
+  function hasTraffic (): boolean {
+    return clientServer.hasReceivedRequest() || loads.hasAnyStream()
+  }
+
+  function findService (serviceName: string): Service | undefined {
+    return fleet.getConfig()?.services.find(candidate => candidate.name === serviceName)
+  }
+
   function getConnectionLimit (serviceName: string): number {
-    const service = fleet.getConfig()?.services.find(candidate => candidate.name === serviceName)
+    const service = findService(serviceName)
     return service === undefined ? Infinity : computeConnectionLimit(service.maxConnectionCount, presence.countGateways())
   }
 
@@ -318,10 +346,14 @@
     return toAddresses(relayPlans.listRelays())
   }
 
-  /** Returns the same array until the list of gateways changes. */
+  /**
+   * Returns the same array until the list of gateways changes. A list that has lost more than half of the gateways is not used, as the
+   * store may have lost it: gateways with different short lists would issue more permits together than a server takes.
+   */
   function listGatewayIds (): readonly string[] {
     const gateways = presence.listGateways()
-    if (gateways !== listedGateways) {
+    const isShort = gateways.length < gatewayIds.length / 2 && gateways.length < presence.countGateways() / 2
+    if (gateways !== listedGateways && !isShort) {
       listedGateways = gateways
       gatewayIds = gateways.map(gateway => gateway.nodeId)
     }
@@ -355,11 +387,14 @@
   function observeFleet (): void {
     buffers.observeEvictions(() => metrics.countEvent(MetricEvent.BufferEvicted))
     void options.serverControl.leavingServers.messages.observe(noteLeaving)
+    void options.serverControl.coldStatements.messages.observe(statement => cold.recordStatement(statement))
     void fleet.events.messages.observe(event => {
       if (event === FleetEvent.Config) {
         const limits = fleet.getConfig()?.limits
         if (limits !== undefined) clientServer.applyLimits(limits)
       }
+      if (event === FleetEvent.Config) logColdProblems()
+      if (event === FleetEvent.Evacuations || event === FleetEvent.Config) cold.refresh()
       if (event === FleetEvent.Era) quarantineStore.forgetView()
       if (event === FleetEvent.Gateways) quarantineStore.applyView()
       if (event !== FleetEvent.Servers) plannerLease.checkNow()
--- a/src/gateway/server-entries.ts
+++ b/src/gateway/server-entries.ts
@@ -33,10 +33,12 @@
   /** Time within which servers renew lapsed entries once the store responds again. */
   readonly missingEntryGraceMs: number
   decode (id: string, text: string): Result<BackendServer, string>
+  /** Called with each entry that is used, as it was read. */
+  onEntry? (server: BackendServer): void
 }
 
 /** Creates the record without servers. */
-export function createServerEntries ({ timers, logger, missingEntryGraceMs, decode }: ServerEntriesOptions): ServerEntries {
+export function createServerEntries ({ timers, logger, missingEntryGraceMs, decode, onEntry }: ServerEntriesOptions): ServerEntries {
   const servers = new Map<string, BackendServer>()
   const warnedIds = new Set<string>()
   const missing = createMissingEntryTracker(timers, missingEntryGraceMs)
@@ -47,6 +49,7 @@
     const decoded = decode(id, text)
     if (decoded.isOk) {
       servers.set(id, withOwnState(decoded.value))
+      onEntry?.(decoded.value)
       return
     }
     servers.delete(id)
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -90,6 +90,8 @@
   LimitedServerCount = 'limited_server_count',
   /** Requests a second, over all servers with a limit, for which this gateway issues permits. */
   IssuedLimitPerSecond = 'issued_limit_per_second',
+  /** Backend servers that are cold. */
+  ColdServerCount = 'cold_server_count',
   /** Zones to whose servers operators want nothing sent. */
   EvacuatedZoneCount = 'evacuated_zone_count'
 }
--- a/src/protocol/limit-messages.ts
+++ b/src/protocol/limit-messages.ts
@@ -8,6 +8,8 @@
   Request = 'permitRequest',
   /** The issuer's answer, which may grant none. */
   Grant = 'permitGrant',
+  /** A server is cold. */
+  ColdNotice = 'coldNotice',
   /** Permits that were not used. */
   Return = 'permitReturn'
 }
@@ -19,11 +21,17 @@
   /** Time since the server stated it, as the clocks of the gateways differ. */
   ageMs: z.number().nonnegative()
 }
+const coldSchema = z.object({
+  remainingMs: z.number().nonnegative(),
+  /** Requests a second that the server takes meanwhile. */
+  requestsPerSecond: z.number().nonnegative()
+})
 const countSchema = z.int().nonnegative().max(100)
 
 const limitMessageSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal(LimitMessageKind.Notice), ...serverFields, ...statementFields, hopCount: z.int().nonnegative() }),
-  z.object({ kind: z.literal(LimitMessageKind.Request), ...serverFields, ...statementFields, nodeId: z.string(), requestId: z.int().nonnegative(), count: countSchema }),
+  z.object({ kind: z.literal(LimitMessageKind.Request), ...serverFields, ...statementFields, nodeId: z.string(), requestId: z.int().nonnegative(), count: countSchema, cold: coldSchema.optional() }),
+  z.object({ kind: z.literal(LimitMessageKind.ColdNotice), ...serverFields, cold: coldSchema, hopCount: z.int().nonnegative() }),
   z.object({
     kind: z.literal(LimitMessageKind.Grant),
     ...serverFields,
@@ -39,6 +47,7 @@
 
 export type LimitMessage = z.infer<typeof limitMessageSchema>
 export type LimitNotice = Extract<LimitMessage, { readonly kind: LimitMessageKind.Notice }>
+export type ColdNotice = Extract<LimitMessage, { readonly kind: LimitMessageKind.ColdNotice }>
 export type PermitRequest = Extract<LimitMessage, { readonly kind: LimitMessageKind.Request }>
 export type PermitGrant = Extract<LimitMessage, { readonly kind: LimitMessageKind.Grant }>
 export type PermitReturn = Extract<LimitMessage, { readonly kind: LimitMessageKind.Return }>
--- a/src/state/backend-server.ts
+++ b/src/state/backend-server.ts
@@ -42,4 +42,8 @@
   /** Models whose weights the server has loaded. */
   readonly loadedModels: readonly string[]
   readonly group: GroupMembership | undefined
+  /** How much longer the server is cold, as of the write of its entry; undefined when it states nothing, or nothing that can be read. */
+  readonly coldRemainingMs?: number | undefined
+  /** The server's statement of that time when it can't be read. */
+  readonly invalidCold?: string | undefined
 }
--- a/src/state/serving-config.ts
+++ b/src/state/serving-config.ts
@@ -71,12 +71,27 @@
   readonly formMs: number
 }
 
+/** How the servers of a service are cold: for some time after a start they take few requests. */
+export interface ColdPolicy {
+  /** How long a server is cold after it starts during traffic. */
+  readonly coldMs: number
+  /** Requests a second that a cold server takes from all gateways together. */
+  readonly requestsPerSecond: number
+}
+
+/** Times above this are cut: the first deployment with cold servers has 3 s, and a wrong value must not slow a service down for good. */
+export const maxColdMs = 60_000
+
 /** A service of the serving configuration. */
 export interface Service {
   readonly name: string
   /** Number of connections that one backend server accepts from all clients together. */
   readonly maxConnectionCount: number
   readonly engine: EngineProfile | undefined
+  /** Undefined when its servers are never cold. */
+  readonly cold?: ColdPolicy | undefined
+  /** What is odd about the configured times and rates of cold servers, and which value is used instead. */
+  readonly coldProblem?: string | undefined
 }
 
 /** Limits on clients' requests. */
--- a/src/testing/fake-group-servers.ts
+++ b/src/testing/fake-group-servers.ts
@@ -194,6 +194,7 @@
     sent,
     serverControl: {
       leavingServers: createChannel(),
+      coldStatements: createChannel(),
       async sendCommand (listed, command, precondition) {
         await delay(timers, responseDelayMs)
         sent.push({ serverId: listed.id, command })
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -148,7 +148,7 @@
     responseBuffers: createBufferBudget({ maxByteCount: 25_000_000, smallByteCount: 0, onEvicted () {} }),
     limits,
     permits,
-    admission: createServerAdmission({ evacuatedZones: { has: zone => evacuatedZones.has(zone) }, holds, permits }),
+    admission: createServerAdmission({ evacuatedZones: { has: zone => evacuatedZones.has(zone) }, holds, cold: { getState: () => undefined }, permits }),
     promptGuard,
     fleet: {
       getServers: listServers,
