Admit calls of a scarce model by priority and team, and spread them by the room of its replicas

All 66 gateways sent their calls to the few replicas that their reports, 0.1 to 0.6 s old, showed below the limit.

Now a call goes to a replica with a probability in proportion to its room: the rate of its streams' ends plus what fills it up to its limit in 0.5 s. Load reports carry the slots that each class (priority, objective, team) asks for. Each gateway divides the room among the classes, more urgent ones first, max-min fair among teams, a twentieth at least for each priority, and admits that fraction. The limit leaves room for streams that are not known yet, and for passes that get longer with more streams; an objective that can't be met with half of the slots in use no longer limits them. Kinds with a long objective stop where urgent ones do. Times to the first event are learned for each kind, so that its largest requests are not held back more often. Priorities are clamped to 0 to 9.

--- a/src/bench/index.ts
+++ b/src/bench/index.ts
@@ -6,6 +6,7 @@
 import { runLimitsBenchmark } from './limits/limits-benchmark.js'
 import { runMembershipBenchmark } from './membership-benchmark.js'
 import { runPlacingBenchmark } from './placing/placing-benchmark.js'
+import { runScarcityBenchmark } from './scarcity/scarcity-benchmark.js'
 import { runServingSlopesBenchmark } from './serving/serving-slopes-benchmark.js'
 import { runServingBenchmark } from './serving/serving-benchmark.js'
 import { runOrdersBenchmark } from './orders-benchmark.js'
@@ -20,6 +21,7 @@
   membership: runMembershipBenchmark,
   orders: runOrdersBenchmark,
   placing: runPlacingBenchmark,
+  scarcity: runScarcityBenchmark,
   serving: runServingBenchmark,
   'serving-slopes': runServingSlopesBenchmark
 }
--- a/src/coordination/dispatch/engine-timing.ts
+++ b/src/coordination/dispatch/engine-timing.ts
@@ -65,13 +65,10 @@
   const leftMs = isIdle ? 0 : passMs * leftPassFraction
   const readingPassMs = isIdle ? passMs / engine.stepsPerEvent : passMs
   const eventCount = Math.max(1, work.answerTokenCount / engine.stepsPerEvent)
-  return {
-    firstEventMs: leftMs + readingPassCount * readingPassMs + getReadingMs(timed, work.promptTokenCount) + passMs,
-    writingMs: (eventCount - 1) * (passMs + getForeignReadingMs(timed, writingCount, eventCount))
-  }
-}
-
-/** Time of a pass in which the prompts of other requests are read: each of them is read once in the time that it writes. */
-function getForeignReadingMs (timed: TimedEngine, writingCount: number, eventCount: number): number {
-  return writingCount * getReadingMs(timed, timed.engine.usualWork?.promptTokenCount ?? 0) / eventCount
+  const ownMs = leftMs + readingPassCount * readingPassMs + passMs
+  const writingMs = (eventCount - 1) * passMs
+  // Prompts of other requests are read in all passes: each of them is read once in the time that it holds its slot.
+  const foreignMs = writingCount * getReadingMs(timed, engine.usualWork?.promptTokenCount ?? 0)
+  const stretch = ownMs + writingMs === 0 ? 1 : 1 + foreignMs / (ownMs + writingMs)
+  return { firstEventMs: ownMs * stretch + getReadingMs(timed, work.promptTokenCount), writingMs: writingMs * stretch }
 }
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -1,7 +1,8 @@
 import type { RandomSource } from '../../shared/random-source.js'
 import { ServerState, type BackendServer } from '../../state/backend-server.js'
 import type { Replica } from '../../state/replica.js'
-import { computeQueueLimit, type ExpectedTimes } from './queue-limit.js'
+import { AdmissionLimit } from '../scarcity/admission.js'
+import { getRoomSlotCount, maxQueuedFraction, type ExpectedTimes } from './stream-limit.js'
 import type { ReplicaLoads } from './replica-loads.js'
 
 /** What the choice of a replica for one stream depends on. */
@@ -18,8 +19,12 @@
   readonly excludedIds: ReadonlySet<string>
   /** Whether a replica that is marked as stalled may be chosen; false when undefined. */
   readonly mayBeStalled?: boolean
-  /** What is expected of the call in a replica whose slots are in use; undefined for a call that may queue whatever its objective. */
+  /** What is expected of the call; undefined for a call that may queue whatever its objective. */
   readonly expected?: ExpectedTimes | undefined
+  /** Whether the call is among those that are admitted when the model has so much room; all are when undefined. */
+  admit? (roomSlotCount: number): AdmissionLimit
+  /** Mean number of slots that the calls of one of so many zones ask for; 0 when undefined. */
+  getZoneDemandSlotCount? (zoneCount: number): number
   /** Streams that all gateways together should have on the replica now, `slotCount` at most; that many when undefined. */
   getStreamLimit? (replica: Replica, slotCount: number): number
   /** How many times slower than its model's times the replica is; 1 when undefined. */
@@ -50,7 +55,7 @@
   /** `limitedLeaders`: the leaders with free slots that may be sent no request now, the one with the lowest cost first. */
   | { readonly kind: ReplicaChoiceKind.Limited, readonly limitedLeaders: readonly BackendServer[] }
   /** `isForObjective`: a replica would take the stream if it could begin after its objective. */
-  | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number, readonly isForObjective: boolean }
+  | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number, readonly isForObjective: boolean, readonly limit: AdmissionLimit }
   /** `holdMs`: the time after which the first of them takes requests. */
   | { readonly kind: ReplicaChoiceKind.Held, readonly holdMs: number }
   | { readonly kind: ReplicaChoiceKind.Absent }
@@ -68,6 +73,8 @@
 interface RatedReplica {
   readonly replica: Replica
   readonly streamCount: number
+  /** Slots that new streams may take up; Infinity for a call without expected times while the replica takes streams. */
+  readonly roomSlotCount: number
   /** Streams plus penalties, in streams. */
   readonly cost: number
   readonly isInSameZone: boolean
@@ -86,40 +93,76 @@
   const getHoldMs = ({ leader }: Replica) => leader === undefined ? 0 : input.getHoldMs(leader)
   const usable = candidates.filter(replica => getHoldMs(replica) === 0)
   if (usable.length === 0) return { kind: ReplicaChoiceKind.Held, holdMs: Math.min(...candidates.map(getHoldMs)) }
-  const rated = usable.map(replica => rate(replica, input.zone, loads, random))
+  const rated = usable.map(replica => rate(replica, input, loads, random))
   const connectable = rated.filter(({ replica }) => loads.getLocalStreamCount(replica.id) < input.maxLocalStreamCount)
-  const free = connectable.filter(candidate => candidate.streamCount < getMaxStreamCount(input, candidate.replica, input.expected))
-  if (free.length === 0) {
-    const isForObjective = connectable.some(candidate => candidate.streamCount < getMaxStreamCount(input, candidate.replica, undefined))
-    return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)), isForObjective }
+  const free = connectable.filter(candidate => candidate.roomSlotCount > 0)
+  const limit = free.length === 0 ? AdmissionLimit.None : input.admit?.(free.reduce((sum, { roomSlotCount }) => sum + roomSlotCount, 0)) ?? AdmissionLimit.None
+  if (free.length === 0 || limit !== AdmissionLimit.None) {
+    const isForObjective = limit === AdmissionLimit.Room || (limit === AdmissionLimit.None && connectable.some(({ streamCount }) => streamCount < input.slotCount * (1 + maxQueuedFraction)))
+    return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)), isForObjective, limit }
   }
   const permitted = free.filter(({ replica: { leader } }) => leader === undefined || input.maySend(leader))
   const limitedLeaders = permitted.length === free.length ? [] : listLeaders(free.filter(candidate => !permitted.includes(candidate)))
   if (permitted.length === 0) return { kind: ReplicaChoiceKind.Limited, limitedLeaders }
+  const { replica, streamCount } = input.expected === undefined ? pickByCount(permitted, input, random) : pickByRoom(permitted, input, random)
+  const isHealthy = streamCount < input.slotCount && !loads.isQuiet(replica.id)
+  return { kind: ReplicaChoiceKind.Chosen, replica, streamCount, isHealthy, limitedLeaders }
+}
+
+/** Picks the least loaded of a sample, in the gateway's zone while a replica there is not nearly full. */
+function pickByCount (permitted: readonly RatedReplica[], input: ReplicaChoiceInput, random: RandomSource): RatedReplica {
   const steady = permitted.filter(candidate => candidate.isSteady && candidate.streamCount < input.slotCount)
   const inSameZone = steady.filter(candidate => candidate.isInSameZone && candidate.streamCount < input.slotCount * sameZoneFillFraction)
   const preferred = inSameZone.length > 0 ? inSameZone : steady
-  const { replica, streamCount } = preferred.length > 0 ? pickFromSample(preferred, input.gatewayCount, random) : pickCheapest(permitted)
-  const isHealthy = streamCount < input.slotCount && !loads.isQuiet(replica.id)
-  return { kind: ReplicaChoiceKind.Chosen, replica, streamCount, isHealthy, limitedLeaders }
+  return preferred.length > 0 ? pickFromSample(preferred, input.gatewayCount, random) : pickCheapest(permitted)
+}
+
+/**
+ * Picks a replica with a probability in proportion to its room. Counts are out of date under load: the few replicas that look
+ * empty would get the streams of all gateways. A gateway stays in its zone with the probability that the zone has room for its calls.
+ */
+function pickByRoom (permitted: readonly RatedReplica[], { getZoneDemandSlotCount }: ReplicaChoiceInput, random: RandomSource): RatedReplica {
+  const steady = permitted.filter(candidate => candidate.isSteady)
+  const usable = steady.length > 0 ? steady : permitted
+  const near = usable.filter(candidate => candidate.isInSameZone)
+  const far = usable.filter(candidate => !candidate.isInSameZone)
+  if (near.length === 0 || far.length === 0) return pickWeighted(usable, random)
+  const nearRoom = near.reduce((sum, { roomSlotCount }) => sum + roomSlotCount, 0)
+  const zoneCount = new Set(usable.map(({ replica }) => replica.leader?.zone)).size
+  const demand = getZoneDemandSlotCount?.(zoneCount) ?? 0
+  return pickWeighted(random.nextFloat() * demand < nearRoom ? near : far, random)
+}
+
+function pickWeighted (candidates: readonly RatedReplica[], random: RandomSource): RatedReplica {
+  let left = random.nextFloat() * candidates.reduce((sum, { roomSlotCount }) => sum + roomSlotCount, 0)
+  for (const candidate of candidates) {
+    left -= candidate.roomSlotCount
+    if (left <= 0) return candidate
+  }
+  return candidates.at(-1) as RatedReplica
 }
 
-/** The replica takes a stream while it has fewer than this many. One that is not at its full pace gets no queue. */
-function getMaxStreamCount ({ slotCount, getStreamLimit, getPaceFactor }: ReplicaChoiceInput, replica: Replica, expected: ExpectedTimes | undefined): number {
-  const streamLimit = getStreamLimit?.(replica, slotCount) ?? slotCount
-  return streamLimit < slotCount ? streamLimit : slotCount + computeQueueLimit(slotCount, expected, getPaceFactor?.(replica))
+/** Slots that new streams may take up on the replica, see `getRoomSlotCount`. There is no queue on one whose streams are limited. */
+function getRoom ({ slotCount, gatewayCount, expected, getStreamLimit, getPaceFactor }: ReplicaChoiceInput, replica: Replica, streamCount: number): number {
+  const pacedLimit = getStreamLimit?.(replica, slotCount) ?? slotCount
+  const isPaced = pacedLimit < slotCount
+  if (isPaced && streamCount >= pacedLimit) return 0
+  if (expected === undefined) return streamCount < slotCount * (1 + maxQueuedFraction) ? Infinity : 0
+  const paceFactor = getPaceFactor?.(replica) ?? 1
+  const streamLimit = Math.min(expected.getStreamLimit(paceFactor), isPaced ? pacedLimit : Infinity)
+  return getRoomSlotCount(streamCount, streamLimit, slotCount, expected.slotTimeMs * paceFactor, gatewayCount)
 }
 
 function listLeaders (candidates: readonly RatedReplica[]): BackendServer[] {
   return [...candidates].sort((left, right) => left.cost - right.cost).flatMap(({ replica: { leader } }) => leader ?? [])
 }
 
-function rate (replica: Replica, zone: string, loads: ReplicaLoads, random: RandomSource): RatedReplica {
+function rate (replica: Replica, input: ReplicaChoiceInput, loads: ReplicaLoads, random: RandomSource): RatedReplica {
   const streamCount = loads.getStreamCount(replica.id)
-  const isInSameZone = replica.leader?.zone === zone
+  const isInSameZone = replica.leader?.zone === input.zone
   const isSteady = replica.isComplete && !loads.isQuiet(replica.id)
   const cost = streamCount + (isInSameZone ? 0 : crossZonePenaltyStreamCount) + (isSteady ? 0 : unsteadyPenaltyStreamCount) + random.nextFloat()
-  return { replica, streamCount, cost, isInSameZone, isSteady }
+  return { replica, streamCount, roomSlotCount: getRoom(input, replica, streamCount), cost, isInSameZone, isSteady }
 }
 
 function pickFromSample (candidates: readonly RatedReplica[], gatewayCount: number, random: RandomSource): RatedReplica {
--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -1,4 +1,5 @@
 import type { TimerService } from '../../shared/timer-service.js'
+import { sumModelUses, sumReportedUses, type ModelUses, type ReportedUses } from '../scarcity/class-uses.js'
 
 /** What one gateway, or a relay for several gateways, reports on the replicas. */
 export interface LoadReport {
@@ -16,6 +17,13 @@
    * ID. Sent to the planner only.
    */
   readonly leavingServers?: Readonly<Record<string, number>> | undefined
+  /** Slots that the classes of calls asked for; missing in reports of earlier releases. */
+  readonly uses?: ReportedUses | undefined
+}
+
+/** What reports carry beside the streams. */
+export interface ReportExtras {
+  createUses? (): ReportedUses
 }
 
 /**
@@ -47,6 +55,8 @@
   /** The same for a replica that another gateway has reported. Such a mark is not reported again, or marks would renew each other. */
   markReportedStalled (replicaId: string): void
   isStalled (replicaId: string): boolean
+  /** Uses of the model's slots by the calls of all gateways, as last reported. */
+  getModelUses (modelKey: string): ModelUses
   /** Reports this gateway's own streams, for the relay that serves it. */
   createOwnReport (nodeId: string): LoadReport
   /** Reports the streams of this gateway and of those that use it as their relay, for the other relays. */
@@ -81,7 +91,7 @@
 export const totalNodeId = 'total'
 
 /** Creates the record with no streams and no reports. */
-export function createReplicaLoads (timers: TimerService): ReplicaLoads {
+export function createReplicaLoads (timers: TimerService, extras: ReportExtras = {}): ReplicaLoads {
   const localCounts = new Map<string, number>()
   const peers = new Map<string, ReceivedReport>()
   const relayedReports = new Map<string, ReceivedReport>()
@@ -134,7 +144,7 @@
 
   function createOwnReport (nodeId: string): LoadReport {
     sequence += 1
-    return { nodeId, sequence, streamCounts: Object.fromEntries(localCounts), stalledIds: listStalled(), quietIds: listLocallyQuiet() }
+    return { nodeId, sequence, streamCounts: Object.fromEntries(localCounts), stalledIds: listStalled(), quietIds: listLocallyQuiet(), uses: extras.createUses?.() }
   }
 
   /** Adds the stream counts of `reports` and the quiet replicas of `recent` to a report. */
@@ -143,7 +153,7 @@
     for (const report of reports) {
       for (const [id, count] of Object.entries(report.streamCounts)) streamCounts[id] = (streamCounts[id] ?? 0) + count
     }
-    return { ...base, streamCounts, quietIds: [...new Set([...base.quietIds, ...recent.flatMap(report => report.quietIds)])] }
+    return { ...base, streamCounts, quietIds: [...new Set([...base.quietIds, ...recent.flatMap(report => report.quietIds)])], uses: sumReportedUses([base, ...reports].map(report => report.uses)) }
   }
 
   function storeReport (reports: Map<string, ReceivedReport>, report: LoadReport): void {
@@ -178,6 +188,10 @@
       const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)]
       return reports.reduce((sum, report) => sum + (report.streamCounts[replicaId] ?? 0), localCounts.get(replicaId) ?? 0)
     },
+    getModelUses (modelKey) {
+      const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)].map(report => report.uses)
+      return sumModelUses([extras.createUses?.(), ...reports], modelKey)
+    },
     recordEvent (replicaId) {
       lastEventAtMs.set(replicaId, timers.nowMs())
       stalledUntilMs.delete(replicaId)
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -10,6 +10,7 @@
 import type { ModelTimings } from '../coordination/dispatch/model-timings.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
+import type { ClassUses } from '../coordination/scarcity/class-uses.js'
 import type { LogFields, Logger } from '../observability/log.js'
 import { MetricEvent, type Metrics } from '../observability/metrics.js'
 import type { BufferBudget } from '../shared/buffer-budget.js'
@@ -44,6 +45,7 @@
   readonly promptGuard: PromptGuard
   readonly loads: ReplicaLoads
   readonly timings: ModelTimings
+  readonly classUses: ClassUses
   readonly metrics: Metrics
   readonly logger: Logger
   countGateways (): number
@@ -219,9 +221,12 @@
   return timers.nowMs() + unavailableMs < sinceMs + maxWaitMs
 }
 
-/** 0 is the most urgent. */
-export function getPriority ({ team, route }: Call): number {
-  return team?.priority ?? route.priority
+/** The least urgent priority. */
+const maxPriority = 9
+
+/** 0 is the most urgent. Values outside 0 to 9 count as the nearest one. */
+export function getPriority ({ team, route }: Pick<Call, 'team' | 'route'>): number {
+  return Math.min(maxPriority, Math.max(0, team?.priority ?? route.priority))
 }
 
 /** Whether another server than the expected one has responded. */
--- /dev/null
+++ b/src/gateway/call-order.ts
@@ -0,0 +1,55 @@
+/** What a call may take of a model's replicas: how far it may queue, and which slots it leaves to others. */
+import type { ReplicaChoiceInput } from '../coordination/dispatch/replica-choice.js'
+import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
+import type { CallClass, ClassUses } from '../coordination/scarcity/class-uses.js'
+import { AdmissionLimit, computeAdmission, listObjectivesMs } from '../coordination/scarcity/admission.js'
+import type { RandomSource } from '../shared/random-source.js'
+import type { EngineProfile } from '../state/serving-config.js'
+import { estimateCallTimes, estimateStreamLimit, getModelKey, type TimedCall, type TimingDependencies } from './call-timing.js'
+
+/** What the gateway knows of the demand for models. */
+export type OrderDependencies = TimingDependencies & {
+  readonly loads: Pick<ReplicaLoads, 'getModelUses'>
+  readonly classUses: ClassUses
+  readonly random: RandomSource
+}
+
+/** One call among those of its model. */
+export interface CallOrder {
+  /** The limits of the choice of a replica; none where the configuration does not tell the engine's times. */
+  getLimits (engine: EngineProfile): Pick<ReplicaChoiceInput, 'expected' | 'admit' | 'getZoneDemandSlotCount'>
+}
+
+/** Creates the order of a call that has just arrived. */
+export function createCallOrder (dependencies: OrderDependencies, call: TimedCall, callClass: CallClass): CallOrder {
+  const { loads, classUses, random } = dependencies
+  const modelKey = getModelKey(call, call.clientInfo.model ?? '')
+  /** Drawn once, so that a call that is looked at several times is not admitted by chance. */
+  const rank = random.nextFloat()
+  let isRecorded = false
+
+  return {
+    getLimits (engine) {
+      const expected = estimateCallTimes(dependencies, call, engine)
+      if (expected === undefined) return {}
+      if (!isRecorded) classUses.recordOffered(modelKey, callClass, expected.ownSlotTimeMs)
+      isRecorded = true
+      const model = engine.models.find(({ name }) => name === call.clientInfo.model)
+      const uses = loads.getModelUses(modelKey)
+      const offeredSlotCount = [...uses.values()].reduce((sum, use) => sum + use.offeredSlotCount, 0)
+      // Calls with a long objective would fill the replicas further than those with a short one can begin in.
+      const otherObjectivesMs = listObjectivesMs(uses, callClass).filter(objectiveMs => objectiveMs !== call.route.objectiveMs)
+      const getFillLimit = (paceFactor: number) => model === undefined
+        ? Infinity
+        : Math.min(...otherObjectivesMs.map(objectiveMs => estimateStreamLimit(dependencies, call, { engine, model }, objectiveMs, objectiveMs, paceFactor)))
+      return {
+        expected: { ...expected, getStreamLimit: paceFactor => Math.min(expected.getStreamLimit(paceFactor), getFillLimit(paceFactor)) },
+        getZoneDemandSlotCount: zoneCount => offeredSlotCount / zoneCount,
+        admit (roomSlotCount) {
+          const { fraction, limit } = computeAdmission(callClass, uses, roomSlotCount)
+          return rank < fraction ? AdmissionLimit.None : limit
+        }
+      }
+    }
+  }
+}
--- a/src/gateway/call-timing.ts
+++ b/src/gateway/call-timing.ts
@@ -1,15 +1,27 @@
 /** Expected times of a call, and the measurements of streams that they rest on. */
-import { calculateStreamTimes, estimateWork, type TimedEngine } from '../coordination/dispatch/engine-timing.js'
-import type { ExpectedTimes } from '../coordination/dispatch/queue-limit.js'
-import { DurationMetric } from '../observability/metrics.js'
+import { calculateStreamTimes, estimateWork, type StreamTimes, type TimedEngine } from '../coordination/dispatch/engine-timing.js'
+import { computeStreamLimit, estimateUnknownStreamCount, type ExpectedTimes } from '../coordination/dispatch/stream-limit.js'
+import { DurationMetric, type Metrics } from '../observability/metrics.js'
 import type { Replica } from '../state/replica.js'
 import type { EngineProfile } from '../state/serving-config.js'
-import type { Call, CallDependencies } from './call-context.js'
+import type { CallDependencies } from './call-context.js'
+import type { ClientRequestInfo } from './wire-codec.js'
+
+/** What expected times depend on. */
+export type TimingDependencies = Pick<CallDependencies, 'timings' | 'timers' | 'countGateways'>
+
+/** The parts of a call that its expected times depend on. */
+export interface TimedCall {
+  readonly clientInfo: Pick<ClientRequestInfo, 'model' | 'lastEventId' | 'promptTokenCount' | 'maxAnswerTokenCount' | 'answerTokenHint'>
+  readonly route: { readonly objectiveMs: number }
+  readonly serviceName: string
+  readonly arrivedAtMs: number
+}
 
 /** Times of the events of one stream, as its client gets them. */
 export interface StreamClock {
   /** Records that an attempt begins. Streams with one attempt are measured. */
-  start (replica: Replica, engine: EngineProfile | undefined, hasFreeSlot: boolean): void
+  start (replica: Replica, engine: EngineProfile | undefined, otherCount: number, isHealthy: boolean): void
   recordEvent (): void
   /** Records that the client does not read, so that the times are no longer those of the server. */
   recordBackPressure (): void
@@ -21,39 +33,83 @@
   getLastEventAtMs (): number
 }
 
-function getModelKey (call: Call, modelName: string): string {
+/** Names a model of a service among those of all services. */
+export function getModelKey (call: TimedCall, modelName: string): string {
   return `${call.serviceName}/${modelName}`
 }
 
-/** Calculates the time to the first event beside full slots; undefined where the service publishes no times or no sizes are known. */
-function calculateTimes (call: Call, timed: TimedEngine) {
-  const { engine } = timed
-  const { clientInfo } = call
-  if (engine.stepMs <= 0 || (engine.usualWork === undefined && clientInfo.promptTokenCount === undefined)) return undefined
-  const work = estimateWork(engine, clientInfo)
-  const otherCount = Math.max(0, engine.slotCount - 1)
-  return { own: calculateStreamTimes(timed, work, otherCount), usual: calculateStreamTimes(timed, engine.usualWork ?? work, otherCount) }
+/**
+ * Names the calls that share a first-event time. Prompts of the same kind vary in size; the time of the kind is used for all of
+ * them, so that the largest are not held back more often than the rest.
+ */
+function getKindKey (call: TimedCall, modelName: string, objectiveMs: number): string {
+  return `${getModelKey(call, modelName)}/${objectiveMs}`
+}
+
+/** Whether the configuration and the call tell enough for expected times. */
+function hasTimes (engine: EngineProfile, { clientInfo }: TimedCall): boolean {
+  return engine.stepMs > 0 && (engine.usualWork !== undefined || clientInfo.promptTokenCount !== undefined)
+}
+
+/** Calculates the times of the service's usual work; of the call's where the service states none. */
+function calculateUsualTimes (timed: TimedEngine, call: TimedCall, otherCount: number): StreamTimes {
+  return calculateStreamTimes(timed, timed.engine.usualWork ?? estimateWork(timed.engine, call.clientInfo), otherCount)
 }
 
-/** What is expected of the call in a replica whose slots are in use; undefined where the configuration does not tell. */
-export function estimateCallTimes ({ timings, timers }: CallDependencies, call: Call, engine: EngineProfile): ExpectedTimes | undefined {
+interface ModelTimes {
+  /** Time for which a stream of the model holds its slot. */
+  readonly slotTimeMs: number
+  readonly unknownStreamCount: number
+}
+
+function estimateModelTimes ({ timings, countGateways }: TimingDependencies, call: TimedCall, timed: TimedEngine): ModelTimes {
+  const { slotCount } = timed.engine
+  const usual = calculateUsualTimes(timed, call, Math.max(0, slotCount - 1))
+  const kindKey = getKindKey(call, timed.model.name, call.route.objectiveMs)
+  const slotTimeMs = timings.getFirstEventMs(kindKey, usual.firstEventMs) + (timings.getWritingMs(getModelKey(call, timed.model.name)) ?? usual.writingMs)
+  return { slotTimeMs, unknownStreamCount: estimateUnknownStreamCount(slotCount, slotTimeMs, countGateways()) }
+}
+
+/** Streams that a replica may have while calls of the model with this objective begin within it. */
+export function estimateStreamLimit (dependencies: TimingDependencies, call: TimedCall, timed: TimedEngine, objectiveMs: number, objectiveLeftMs = objectiveMs, paceFactor = 1): number {
+  const kindKey = getKindKey(call, timed.model.name, objectiveMs)
+  return computeStreamLimit({
+    slotCount: timed.engine.slotCount,
+    objectiveLeftMs,
+    ...estimateModelTimes(dependencies, call, timed),
+    getFirstEventMs: otherCount => dependencies.timings.getFirstEventMs(kindKey, calculateUsualTimes(timed, call, otherCount).firstEventMs)
+  }, paceFactor)
+}
+
+/** What is expected of the call; undefined where the configuration does not tell. */
+export function estimateCallTimes (dependencies: TimingDependencies, call: TimedCall, engine: EngineProfile): ExpectedTimes | undefined {
+  const { timings, timers } = dependencies
   const model = engine.models.find(({ name }) => name === call.clientInfo.model)
-  const times = model === undefined ? undefined : calculateTimes(call, { engine, model })
-  if (model === undefined || times === undefined) return undefined
-  const modelKey = getModelKey(call, model.name)
+  if (model === undefined || !hasTimes(engine, call)) return undefined
+  const timed = { engine, model }
+  const { objectiveMs } = call.route
+  const otherCount = Math.max(0, engine.slotCount - 1)
+  const firstEventMs = timings.getFirstEventMs(getKindKey(call, model.name, objectiveMs), calculateUsualTimes(timed, call, otherCount).firstEventMs)
+  const objectiveLeftMs = call.arrivedAtMs + objectiveMs - timers.nowMs()
+  const limits = new Map<number, number>()
   return {
-    firstEventMs: timings.getFirstEventMs(modelKey, times.own.firstEventMs),
-    slotTimeMs: timings.getFirstEventMs(modelKey, times.usual.firstEventMs) + (timings.getWritingMs(modelKey) ?? times.usual.writingMs),
-    objectiveLeftMs: call.arrivedAtMs + call.route.objectiveMs - timers.nowMs()
+    firstEventMs,
+    slotTimeMs: estimateModelTimes(dependencies, call, timed).slotTimeMs,
+    ownSlotTimeMs: firstEventMs + calculateStreamTimes(timed, estimateWork(engine, call.clientInfo), otherCount).writingMs,
+    getStreamLimit (paceFactor) {
+      const limit = limits.get(paceFactor) ?? estimateStreamLimit(dependencies, call, timed, objectiveMs, objectiveLeftMs, paceFactor)
+      limits.set(paceFactor, limit)
+      return limit
+    }
   }
 }
 
 /** Creates the clock of one stream. */
-export function createStreamClock (dependencies: CallDependencies, call: Call): StreamClock {
+export function createStreamClock (dependencies: TimingDependencies & { readonly metrics: Pick<Metrics, 'recordDuration'> }, call: TimedCall): StreamClock {
   const { timers, timings, metrics } = dependencies
   let attemptCount = 0
   let startedAtMs = 0
-  let modelKey: string | undefined
+  let modelName: string | undefined
   let calculatedMs: number | undefined
   let firstEventAtMs: number | undefined
   let lastEventAtMs = 0
@@ -66,19 +122,23 @@
   }
 
   return {
-    start (replica, engine, hasFreeSlot) {
+    start (replica, engine, otherCount, isHealthy) {
       attemptCount += 1
       startedAtMs = timers.nowMs()
-      if (engine === undefined || replica.model === undefined) return
-      modelKey = getModelKey(call, replica.model.name)
-      calculatedMs = hasFreeSlot ? calculateTimes(call, { engine, model: replica.model })?.own.firstEventMs : undefined
+      const { model } = replica
+      if (engine === undefined || model === undefined) return
+      modelName = model.name
+      // Where all slots may be in use, what is measured may be a wait for a slot.
+      const isFree = isHealthy && hasTimes(engine, call) &&
+        otherCount + estimateModelTimes(dependencies, call, { engine, model }).unknownStreamCount < engine.slotCount
+      calculatedMs = isFree ? calculateUsualTimes({ engine, model }, call, otherCount).firstEventMs : undefined
     },
     recordEvent () {
       const nowMs = timers.nowMs()
       if (firstEventAtMs === undefined) {
         firstEventAtMs = nowMs
         metrics.recordDuration(DurationMetric.FirstToken, nowMs - call.arrivedAtMs)
-        if (isMeasurable() && modelKey !== undefined && calculatedMs !== undefined) timings.recordFirstEvent(modelKey, nowMs - startedAtMs, calculatedMs)
+        if (isMeasurable() && modelName !== undefined && calculatedMs !== undefined) timings.recordFirstEvent(getKindKey(call, modelName, call.route.objectiveMs), nowMs - startedAtMs, calculatedMs)
       } else {
         longestPauseMs = Math.max(longestPauseMs, nowMs - lastEventAtMs)
         metrics.recordDuration(DurationMetric.BetweenTokens, nowMs - lastEventAtMs)
@@ -89,7 +149,7 @@
       isOwnPace = false
     },
     recordEnd () {
-      if (isMeasurable() && isOwnPace && modelKey !== undefined && firstEventAtMs !== undefined) timings.recordWriting(modelKey, timers.nowMs() - firstEventAtMs)
+      if (isMeasurable() && isOwnPace && modelName !== undefined && firstEventAtMs !== undefined) timings.recordWriting(getModelKey(call, modelName), timers.nowMs() - firstEventAtMs)
     },
     getFirstEventMs: () => firstEventAtMs === undefined ? undefined : firstEventAtMs - call.arrivedAtMs,
     getLongestPauseMs: () => longestPauseMs,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import { createDeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
 import { createPlannerLease, readPlannerNode } from '../coordination/replicas/planner-lease.js'
 import { createPlannerTask } from '../coordination/replicas/planner-task.js'
+import { createClassUses } from '../coordination/scarcity/class-uses.js'
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
 import { createMetrics, MetricEvent, MetricGauge } from '../observability/metrics.js'
@@ -116,7 +117,8 @@
     getStoreViewAgeMs: () => fleet.getViewAgeMs()
   })
   const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring() })
-  const loads = createReplicaLoads(timers)
+  const classUses = createClassUses(timers)
+  const loads = createReplicaLoads(timers, { createUses: classUses.createReport })
   const presence = createPresence({
     store,
     timers,
@@ -212,6 +214,7 @@
     permits,
     loads,
     timings: createModelTimings(),
+    classUses,
     promptGuard,
     metrics,
     logger: createRateLimitedLogger(createLogger('calls'), timers, requestLogLinesPerSecond),
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -20,7 +20,9 @@
 import {
   CallOutcome, getPriority, getRemainingMs, mayWaitForPermit, promisesNotExecuted, recordOutcome, requestPermits, sendGatewayResponse, type Call, type CallDependencies
 } from './call-context.js'
-import { createStreamClock, estimateCallTimes } from './call-timing.js'
+import { createCallOrder } from './call-order.js'
+import { createStreamClock } from './call-timing.js'
+import { describeRefusal, findRefusalEvent } from './describe-refusal.js'
 import { AttemptFailureKind, startStreamAttempt, type AttemptFailure, type StreamAttempt } from './stream-attempt.js'
 
 /** The replica for one more attempt, or why there is none. */
@@ -31,6 +33,8 @@
   readonly replica: Replica
   readonly leader: BackendServer
   readonly isHealthy: boolean
+  /** Streams that the replica had at the choice. */
+  readonly streamCount: number
 }
 
 interface NoAttempt {
@@ -44,8 +48,8 @@
   readonly explanation?: string
   /** A permit of a server that states a limit may let the call go on. */
   readonly waitsForPermit?: boolean
-  /** A replica would have taken the call if it could begin after its objective. */
-  readonly isForObjective?: boolean
+  /** The event that a refusal counts as. */
+  readonly refusalEvent?: MetricEvent | undefined
 }
 
 /** Interval of the checks of all streams. */
@@ -55,15 +59,6 @@
 /** Streams in progress get permits before new ones, whatever their priority. */
 const inProgressPriority = -1
 
-function describeRefusal (choice: Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>, isFirst: boolean): string {
-  switch (choice.kind) {
-    case ReplicaChoiceKind.Full: return `all replicas are ${choice.isForObjective ? 'too full to begin the stream within its objective' : 'full'}; the least loaded has ${choice.streamCount} streams`
-    case ReplicaChoiceKind.Held: return `all replicas want no requests; the first for ${Math.round(choice.holdMs)} ms more`
-    case ReplicaChoiceKind.Limited: return 'all replicas with free slots have got the requests that their limits allow'
-    case ReplicaChoiceKind.Absent: return `no ${isFirst ? '' : 'other '}replica of the service serves the model`
-  }
-}
-
 /** Why the attempts of a stream that ends in this way are ended with it. */
 function describeAbort (outcome: CallOutcome): string {
   switch (outcome) {
@@ -86,6 +81,7 @@
   let lastEventId = call.clientInfo.lastEventId
   let eventCount = 0
   const clock = createStreamClock(dependencies, call)
+  const order = createCallOrder(dependencies, call, { priority: getPriority(call), objectiveMs: call.route.objectiveMs, teamName: call.team?.name })
   let clientReadAtMs = 0
   let isClientReading = true
   /** When the last attempt in progress failed or was refused, since the last event. */
@@ -141,7 +137,7 @@
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
       // A stream that may have run can't be refused, so that it may queue whatever its objective.
-      expected: record.listExecutions().length === 0 ? estimateCallTimes(dependencies, call, service.engine) : undefined,
+      ...(record.listExecutions().length === 0 ? order.getLimits(service.engine) : {}),
       getHoldMs: dependencies.holds.getRemainingMs,
       maySend: dependencies.permits.maySend
     }
@@ -194,25 +190,24 @@
     }
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
       const unavailableMs = choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0
-      const isForObjective = choice.kind === ReplicaChoiceKind.Full && choice.isForObjective
-      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs, isForObjective }
+      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs, refusalEvent: findRefusalEvent(choice) }
     }
-    const { replica, isHealthy } = choice
+    const { replica, isHealthy, streamCount } = choice
     const { leader } = replica
     // Permits that arrive later serve the next calls.
     requestPermits(dependencies, choice.limitedLeaders.slice(0, 1))
     if (choice.limitedLeaders.length > 0) dependencies.metrics.countEvent(MetricEvent.LimitedElsewhere)
     if (leader === undefined) return { isAllowed: false, isFinal: false, reason: 'the replica has no leader', unavailableMs: 0 }
-    return { isAllowed: true, replica, leader, isHealthy }
+    return { isAllowed: true, replica, leader, isHealthy, streamCount }
   }
 
-  function startAttempt ({ replica, leader, isHealthy }: AllowedAttempt): void {
+  function startAttempt ({ replica, leader, isHealthy, streamCount }: AllowedAttempt): void {
     // The budget allowed it just before.
     if (record.listReplicaIds().length > 0 && retryBudget.trySpend()) dependencies.metrics.countEvent(MetricEvent.RetrySpent)
     dependencies.permits.take(leader)
     endWait()
     record.start(replica.id, leader)
-    clock.start(replica, lastEngine, isHealthy)
+    clock.start(replica, lastEngine, streamCount, isHealthy)
     const attempt = startStreamAttempt(dependencies, call, { replica, leader, getLastEventId: () => lastEventId, mayBeComplete: () => mayBeComplete }, {
       onEvent: (event, head) => forwardEvent(attempt, event, head),
       onEnd () {
@@ -336,7 +331,7 @@
   }
 
   /** Ends the call without a complete stream. */
-  function finishIncomplete (reason: string, { unavailableMs, explanation, waitsForPermit, isForObjective }: Omit<NoAttempt, 'isAllowed' | 'isFinal'>): void {
+  function finishIncomplete (reason: string, { unavailableMs, explanation, waitsForPermit, refusalEvent }: Omit<NoAttempt, 'isAllowed' | 'isFinal'>): void {
     if (call.response.headersSent) {
       finish(CallOutcome.Broken, reason)
       breakOffResponse(call.response)
@@ -345,7 +340,7 @@
     if (record.listExecutions().length === 0) {
       finish(CallOutcome.Refused, reason)
       if (waitsForPermit === true) dependencies.metrics.countEvent(MetricEvent.LimitRefused)
-      if (isForObjective === true) dependencies.metrics.countEvent(MetricEvent.LateRefused)
+      if (refusalEvent !== undefined) dependencies.metrics.countEvent(refusalEvent)
       if (explanation !== undefined) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
       sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs), explanation)
       return
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -35,6 +35,10 @@
   LimitRefused = 'limit_refused',
   /** A stream was refused that could only have begun after its objective. */
   LateRefused = 'late_refused',
+  /** A stream was refused, since slots of a scarce model are kept back for more urgent calls. */
+  PriorityRefused = 'priority_refused',
+  /** A stream was refused, since slots of a scarce model are kept back for teams that have used less. */
+  TeamRefused = 'team_refused',
   /** A server announced that it is leaving. */
   ServerLeaving = 'server_leaving',
   /** A server sent a response that belongs to another request. */
--- a/src/protocol/relay-messages.test.ts
+++ b/src/protocol/relay-messages.test.ts
@@ -15,6 +15,13 @@
     expect(relayResponseSchema.safeParse(response).success).to.equal(true)
   })
 
+  it('carry the uses of slots, which reports of earlier releases lack', () => {
+    const withUses = { ...report, uses: { 's/m': { '1/300/a': 2.5 } } }
+    expect(decodeLoadReport(JSON.stringify(withUses))).to.deep.equal(withUses)
+    // Guards against a number that outweighs all other gateways' in a sum.
+    for (const number of [1e300, -1]) expect(decodeLoadReport(JSON.stringify({ ...report, uses: { m: { a: number } } }))).to.equal(undefined)
+  })
+
   it('are rejected when they are nested very deeply', () => {
     expect(decodeLoadReport(nested)).to.equal(undefined)
     expect(decodeRelayRequest(JSON.stringify({ ...request, loads: 'x' }).replace('"x"', nested))).to.equal(undefined)
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -10,13 +10,17 @@
 /** Counters of the store and of a node's reports, and numbers of streams. A larger number than a double holds exactly would stay the highest one for good. */
 const counterSchema = z.int().nonnegative()
 
+/** Slots in use, as a mean. No fleet has more than a million; a larger number would outweigh all others in a sum. */
+const slotCountSchema = z.number().nonnegative().max(1_000_000)
+
 const loadReportSchema = z.object({
   nodeId: z.string(),
   sequence: counterSchema,
   streamCounts: z.record(z.string(), counterSchema),
   stalledIds: z.array(z.string()),
   quietIds: z.array(z.string()),
-  leavingServers: z.record(z.string(), z.number()).optional()
+  leavingServers: z.record(z.string(), z.number()).optional(),
+  uses: z.record(z.string(), z.record(z.string(), slotCountSchema)).optional()
 })
 
 const relayRequestSchema = z.object({
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -8,6 +8,7 @@
 import { createServerLimits } from '../coordination/limits/server-limits.js'
 import { createServerPermits } from '../coordination/limits/server-permits.js'
 import { createServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
+import { createClassUses } from '../coordination/scarcity/class-uses.js'
 import { ServerFate } from '../coordination/ports/server-fate.js'
 import { createPromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import type { Call, CallDependencies } from '../gateway/call-context.js'
@@ -61,7 +62,8 @@
 export function createStreamHarness ({ serverIds, route: routeChanges, retrySlackCount = 100, partIds = [], work = {} }: StreamHarnessOptions) {
   const timers = createVirtualTimerService()
   const random = createRandomSource(1)
-  const loads = createReplicaLoads(timers)
+  const classUses = createClassUses(timers)
+  const loads = createReplicaLoads(timers, { createUses: classUses.createReport })
   const timings = createModelTimings()
   const attempts: ReceivedAttempt[] = []
   const logLines: Array<{ readonly message: string, readonly fields: LogFields }> = []
@@ -144,6 +146,7 @@
     random,
     loads,
     timings,
+    classUses,
     streamTicker: createSharedTicker(timers, streamCheckIntervalMs),
     holds: createServerHolds(timers),
     overruns: { record () {} },
