State in Retry-After when room is expected, and count the delay between zones in expected times

A client that was refused since all replicas were full came back after 1 to 2 s, whatever the reason, which is more than a third of what some clients have left (B, hint: 5 s). Where a replica of the model is stalled, incomplete or not open, or the reason is another one, the time is the former one: its retry must come after the replacement. Ruled out: shorter times, since the reports that would show the room are up to 0.6 s old.

The stream limit of a replica in another zone leaves out the way there and back, where the configuration states delays, and measured first-event times are kept without it.

--- a/src/bench/scarcity/scarcity-run.ts
+++ b/src/bench/scarcity/scarcity-run.ts
@@ -144,7 +144,7 @@
       ...(isProduct ? order.getLimits(engine) : {})
     }, gateway.loads, random)
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
-      refuse(outcome, size, sentAtMs, mayRetry)
+      refuse(outcome, size, sentAtMs, mayRetry, choice.kind === ReplicaChoiceKind.Full && isProduct ? choice.roomAfterMs : undefined)
       return
     }
     const clock = createStreamClock({ ...gateway, metrics: noMetrics }, call)
@@ -179,8 +179,8 @@
     })
   }
 
-  function refuse (outcome: Outcome, size: { promptTokenCount: number, eventCount: number }, sentAtMs: number, mayRetry: boolean): void {
-    const retryAfterMs = chooseRetryAfterMs(random)
+  function refuse (outcome: Outcome, size: { promptTokenCount: number, eventCount: number }, sentAtMs: number, mayRetry: boolean, roomAfterMs?: number): void {
+    const retryAfterMs = chooseRetryAfterMs(random, 0, roomAfterMs)
     const leftMs = sentAtMs + outcome.kind.deadlineMs - timers.nowMs()
     if (!mayRetry || retryAfterMs > leftMs * retryFraction) outcome.isRefused = true
     // Whether a retry is in time counts from its own start.
--- a/src/coordination/dispatch/engine-timing.test.ts
+++ b/src/coordination/dispatch/engine-timing.test.ts
@@ -4,7 +4,7 @@
 import { createEventTimerService } from '../../bench/event-timer-service.js'
 import type { EngineProfile, ReplicatedModel } from '../../state/serving-config.js'
 import { sampleEngine } from '../../testing/serving-samples.js'
-import { calculateStreamTimes, estimateWork } from './engine-timing.js'
+import { calculateStreamTimes, estimateWork, getZoneDelayMs } from './engine-timing.js'
 
 const model = sampleEngine.models[0] as ReplicatedModel
 const engine: EngineProfile = { ...sampleEngine, maxPromptTokensPerStep: 2048, usualWork: { promptTokenCount: 1200, answerTokenCount: 120 } }
@@ -22,6 +22,13 @@
     })
   })
 
+  it('gives the delay between zones in both directions, and 0 where none is stated', () => {
+    const zoneDelays = [{ fromZone: 'a', toZone: 'b', delayMs: 3 }, { fromZone: 'b', toZone: 'a', delayMs: 4 }, { fromZone: 'a', toZone: 'c', delayMs: 5 }]
+    const get = (fromZone: string, toZone: string | undefined) => getZoneDelayMs({ ...engine, zoneDelays }, fromZone, toZone)
+    expect([get('a', 'b'), get('b', 'a'), get('c', 'a'), get('a', 'a'), get('a', 'd'), get('a', undefined)]).to.deep.equal([3, 4, 5, 0, 0, 0])
+    expect(getZoneDelayMs(engine, 'a', 'b')).to.equal(0)
+  })
+
   describe('times of a stream', () => {
     it('grow with the prompt, the output, the other streams and the model\'s pace', () => {
       const get = (promptTokenCount: number, answerTokenCount: number, writingCount: number, pace = 1) =>
--- a/src/coordination/dispatch/engine-timing.ts
+++ b/src/coordination/dispatch/engine-timing.ts
@@ -72,3 +72,10 @@
   const stretch = ownMs + writingMs === 0 ? 1 : 1 + foreignMs / (ownMs + writingMs)
   return { firstEventMs: ownMs * stretch + getReadingMs(timed, work.promptTokenCount), writingMs: writingMs * stretch }
 }
+
+/** One-way delay between two zones, as the configuration states it in this direction or the other one; 0 when it states none. */
+export function getZoneDelayMs ({ zoneDelays = [] }: EngineProfile, fromZone: string, toZone: string | undefined): number {
+  if (toZone === undefined || fromZone === toZone) return 0
+  const forward = zoneDelays.find(delay => delay.fromZone === fromZone && delay.toZone === toZone)
+  return (forward ?? zoneDelays.find(delay => delay.fromZone === toZone && delay.toZone === fromZone))?.delayMs ?? 0
+}
--- a/src/coordination/dispatch/replica-choice.test.ts
+++ b/src/coordination/dispatch/replica-choice.test.ts
@@ -113,7 +113,7 @@
       fill('a', 18)
       expect(chooseWith(servers, { expected }).kind).to.equal(ReplicaChoiceKind.Chosen)
       fill('a', 1)
-      expect(chooseWith(servers, { expected })).to.deep.equal({ kind: ReplicaChoiceKind.Full, streamCount: 19, isForObjective: true, limit: AdmissionLimit.None })
+      expect(chooseWith(servers, { expected })).to.deep.equal({ kind: ReplicaChoiceKind.Full, streamCount: 19, isForObjective: true, limit: AdmissionLimit.None, roomAfterMs: 1800 })
       expect(chooseWith(servers, {}).kind).to.equal(ReplicaChoiceKind.Chosen)
     })
 
@@ -139,8 +139,15 @@
     })
 
     it('is refused to a call that is not admitted, with the reason', () => {
-      const choice = chooseWith(makeReplicaServers('a', 'z1'), { expected, admit: () => AdmissionLimit.Team })
-      expect(choice).to.deep.include({ kind: ReplicaChoiceKind.Full, limit: AdmissionLimit.Team, isForObjective: false })
+      const choice = chooseWith(makeReplicaServers('a', 'z1'), { expected, admit: () => ({ limit: AdmissionLimit.Team, roomAfterMs: 400 }) })
+      expect(choice).to.deep.include({ kind: ReplicaChoiceKind.Full, limit: AdmissionLimit.Team, isForObjective: false, roomAfterMs: 400 })
+    })
+
+    // Guards against clients that come back before a lost replica is replaced, and are lost with their only retry.
+    it('states no time until room while a replica of the model is not in service', () => {
+      const servers = [...makeReplicaServers('a', 'z1'), ...makeReplicaServers('lost', 'z1', MemberState.Open, 2)]
+      const choice = chooseWith(servers, { expected, admit: () => ({ limit: AdmissionLimit.Room, roomAfterMs: 400 }) })
+      expect(choice).to.deep.include({ kind: ReplicaChoiceKind.Full, roomAfterMs: undefined })
     })
 
     it('is given up, but free slots are used, where no replica can meet the objective', () => {
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -22,7 +22,7 @@
   /** What is expected of the call; undefined for a call that may queue whatever its objective. */
   readonly expected?: ExpectedTimes | undefined
   /** Whether the call is among those that are admitted when the model has so much room; all are when undefined. */
-  admit? (roomSlotCount: number): AdmissionLimit
+  admit? (roomSlotCount: number): { readonly limit: AdmissionLimit, readonly roomAfterMs: number }
   /** Mean number of slots that the calls of one of so many zones ask for; 0 when undefined. */
   getZoneDemandSlotCount? (zoneCount: number): number
   /** Streams that all gateways together should have on the replica now, `slotCount` at most; that many when undefined. */
@@ -48,14 +48,25 @@
   Absent = 'absent'
 }
 
+/** All replicas have as many streams as the call allows, or the call is not among those that are admitted. */
+export interface FullChoice {
+  readonly kind: ReplicaChoiceKind.Full
+  /** Streams of the least loaded replica. */
+  readonly streamCount: number
+  /** A replica would take the stream if it could begin after its objective. */
+  readonly isForObjective: boolean
+  readonly limit: AdmissionLimit
+  /** Time after which room is expected; undefined when it is not known, or a replica of the model is not in service. */
+  readonly roomAfterMs: number | undefined
+}
+
 /** A chosen replica with its current stream count, or why there is none. Streams of all gateways are counted. */
 export type ReplicaChoice =
   /** `isHealthy`: the replica has a free slot and is not quiet. */
   | { readonly kind: ReplicaChoiceKind.Chosen, readonly replica: Replica, readonly streamCount: number, readonly isHealthy: boolean, readonly limitedLeaders: readonly BackendServer[] }
   /** `limitedLeaders`: the leaders with free slots that may be sent no request now, the one with the lowest cost first. */
   | { readonly kind: ReplicaChoiceKind.Limited, readonly limitedLeaders: readonly BackendServer[] }
-  /** `isForObjective`: a replica would take the stream if it could begin after its objective. */
-  | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number, readonly isForObjective: boolean, readonly limit: AdmissionLimit }
+  | FullChoice
   /** `holdMs`: the time after which the first of them takes requests. */
   | { readonly kind: ReplicaChoiceKind.Held, readonly holdMs: number }
   | { readonly kind: ReplicaChoiceKind.Absent }
@@ -96,10 +107,13 @@
   const rated = usable.map(replica => rate(replica, input, loads, random))
   const connectable = rated.filter(({ replica }) => loads.getLocalStreamCount(replica.id) < input.maxLocalStreamCount)
   const free = connectable.filter(candidate => candidate.roomSlotCount > 0)
-  const limit = free.length === 0 ? AdmissionLimit.None : input.admit?.(free.reduce((sum, { roomSlotCount }) => sum + roomSlotCount, 0)) ?? AdmissionLimit.None
+  const admission = free.length === 0 ? undefined : input.admit?.(free.reduce((sum, { roomSlotCount }) => sum + roomSlotCount, 0))
+  const limit = admission?.limit ?? AdmissionLimit.None
   if (free.length === 0 || limit !== AdmissionLimit.None) {
     const isForObjective = limit === AdmissionLimit.Room || (limit === AdmissionLimit.None && connectable.some(({ streamCount }) => streamCount < input.slotCount * (1 + maxQueuedFraction)))
-    return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)), isForObjective, limit }
+    const isComplete = input.replicas.every(replica => replica.model?.name !== input.model || (replica.isOpen && replica.isComplete && !loads.isStalled(replica.id)))
+    const roomAfterMs = isComplete ? admission?.roomAfterMs ?? input.expected?.slotTimeMs : undefined
+    return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)), isForObjective, limit, roomAfterMs }
   }
   const permitted = free.filter(({ replica: { leader } }) => leader === undefined || input.maySend(leader))
   const limitedLeaders = permitted.length === free.length ? [] : listLeaders(free.filter(candidate => !permitted.includes(candidate)))
@@ -149,7 +163,7 @@
   if (isPaced && streamCount >= pacedLimit) return 0
   if (expected === undefined) return streamCount < slotCount * (1 + maxQueuedFraction) ? Infinity : 0
   const paceFactor = getPaceFactor?.(replica) ?? 1
-  const streamLimit = Math.min(expected.getStreamLimit(paceFactor), isPaced ? pacedLimit : Infinity)
+  const streamLimit = Math.min(expected.getStreamLimit(paceFactor, replica.leader?.zone), isPaced ? pacedLimit : Infinity)
   return getRoomSlotCount(streamCount, streamLimit, slotCount, expected.slotTimeMs * paceFactor, gatewayCount)
 }
 
--- a/src/coordination/dispatch/stream-limit.ts
+++ b/src/coordination/dispatch/stream-limit.ts
@@ -6,8 +6,8 @@
   readonly slotTimeMs: number
   /** Time for which the call itself is expected to hold its slot. */
   readonly ownSlotTimeMs: number
-  /** Streams that a replica may have, with this one, while it begins within its objective. `paceFactor`: how many times slower than its model the replica is. */
-  getStreamLimit (paceFactor: number): number
+  /** Streams that a replica in the zone may have, with this one, while it begins within its objective. `paceFactor`: how many times slower than its model the replica is. */
+  getStreamLimit (paceFactor: number, zone: string | undefined): number
 }
 
 export interface StreamLimitInput {
--- a/src/gateway/call-order.ts
+++ b/src/gateway/call-order.ts
@@ -20,6 +20,9 @@
   getLimits (engine: EngineProfile): Pick<ReplicaChoiceInput, 'expected' | 'admit' | 'getZoneDemandSlotCount'>
 }
 
+/** Bounds the time after which room is expected; a refused client comes back after some seconds at most. */
+const minAdmittedFraction = 0.1
+
 /** Creates the order of a call that has just arrived. */
 export function createCallOrder (dependencies: OrderDependencies, call: TimedCall, callClass: CallClass): CallOrder {
   const { loads, classUses, random } = dependencies
@@ -43,11 +46,11 @@
         ? Infinity
         : Math.min(...otherObjectivesMs.map(objectiveMs => estimateStreamLimit(dependencies, call, { engine, model }, objectiveMs, objectiveMs, paceFactor)))
       return {
-        expected: { ...expected, getStreamLimit: paceFactor => Math.min(expected.getStreamLimit(paceFactor), getFillLimit(paceFactor)) },
+        expected: { ...expected, getStreamLimit: (paceFactor, zone) => Math.min(expected.getStreamLimit(paceFactor, zone), getFillLimit(paceFactor)) },
         getZoneDemandSlotCount: zoneCount => offeredSlotCount / zoneCount,
         admit (roomSlotCount) {
           const { fraction, limit } = computeAdmission(callClass, uses, roomSlotCount)
-          return rank < fraction ? AdmissionLimit.None : limit
+          return { limit: rank < fraction ? AdmissionLimit.None : limit, roomAfterMs: expected.slotTimeMs * (1 / Math.max(fraction, minAdmittedFraction) - 1) }
         }
       }
     }
--- a/src/gateway/call-timing.ts
+++ b/src/gateway/call-timing.ts
@@ -1,5 +1,5 @@
 /** Expected times of a call, and the measurements of streams that they rest on. */
-import { calculateStreamTimes, estimateWork, type StreamTimes, type TimedEngine } from '../coordination/dispatch/engine-timing.js'
+import { calculateStreamTimes, estimateWork, getZoneDelayMs, type StreamTimes, type TimedEngine } from '../coordination/dispatch/engine-timing.js'
 import { computeStreamLimit, estimateUnknownStreamCount, type ExpectedTimes } from '../coordination/dispatch/stream-limit.js'
 import { DurationMetric, type Metrics } from '../observability/metrics.js'
 import type { Replica } from '../state/replica.js'
@@ -8,7 +8,7 @@
 import type { ClientRequestInfo } from './wire-codec.js'
 
 /** What expected times depend on. */
-export type TimingDependencies = Pick<CallDependencies, 'timings' | 'timers' | 'countGateways'>
+export type TimingDependencies = Pick<CallDependencies, 'zone' | 'timings' | 'timers' | 'countGateways'>
 
 /** The parts of a call that its expected times depend on. */
 export interface TimedCall {
@@ -91,14 +91,16 @@
   const otherCount = Math.max(0, engine.slotCount - 1)
   const firstEventMs = timings.getFirstEventMs(getKindKey(call, model.name, objectiveMs), calculateUsualTimes(timed, call, otherCount).firstEventMs)
   const objectiveLeftMs = call.arrivedAtMs + objectiveMs - timers.nowMs()
-  const limits = new Map<number, number>()
+  const limits = new Map<string, number>()
   return {
     firstEventMs,
     slotTimeMs: estimateModelTimes(dependencies, call, timed).slotTimeMs,
     ownSlotTimeMs: firstEventMs + calculateStreamTimes(timed, estimateWork(engine, call.clientInfo), otherCount).writingMs,
-    getStreamLimit (paceFactor) {
-      const limit = limits.get(paceFactor) ?? estimateStreamLimit(dependencies, call, timed, objectiveMs, objectiveLeftMs, paceFactor)
-      limits.set(paceFactor, limit)
+    getStreamLimit (paceFactor, zone) {
+      const limitKey = `${paceFactor}/${zone ?? ''}`
+      const pathMs = 2 * getZoneDelayMs(engine, dependencies.zone, zone)
+      const limit = limits.get(limitKey) ?? estimateStreamLimit(dependencies, call, timed, objectiveMs, objectiveLeftMs - pathMs, paceFactor)
+      limits.set(limitKey, limit)
       return limit
     }
   }
@@ -131,7 +133,8 @@
       // Where all slots may be in use, what is measured may be a wait for a slot.
       const isFree = isHealthy && hasTimes(engine, call) &&
         otherCount + estimateModelTimes(dependencies, call, { engine, model }).unknownStreamCount < engine.slotCount
-      calculatedMs = isFree ? calculateUsualTimes({ engine, model }, call, otherCount).firstEventMs : undefined
+      const pathMs = 2 * getZoneDelayMs(engine, dependencies.zone, replica.leader?.zone)
+      calculatedMs = isFree ? calculateUsualTimes({ engine, model }, call, otherCount).firstEventMs + pathMs : undefined
     },
     recordEvent () {
       const nowMs = timers.nowMs()
--- a/src/gateway/describe-refusal.ts
+++ b/src/gateway/describe-refusal.ts
@@ -1,10 +1,9 @@
 /** Why no replica takes a stream, in words and as an event. */
-import { ReplicaChoiceKind, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
+import { ReplicaChoiceKind, type FullChoice, type ReplicaChoice } from '../coordination/dispatch/replica-choice.js'
 import { AdmissionLimit } from '../coordination/scarcity/admission.js'
 import { MetricEvent } from '../observability/metrics.js'
 
 type NoChoice = Exclude<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Chosen }>
-type FullChoice = Extract<ReplicaChoice, { readonly kind: ReplicaChoiceKind.Full }>
 
 /** Describes why there is no replica for the first attempt or a further one. */
 export function describeRefusal (choice: NoChoice, isFirst: boolean): string {
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -50,6 +50,8 @@
   readonly waitsForPermit?: boolean
   /** The event that a refusal counts as. */
   readonly refusalEvent?: MetricEvent | undefined
+  /** Time after which room is expected. */
+  readonly roomAfterMs?: number | undefined
 }
 
 /** Interval of the checks of all streams. */
@@ -190,7 +192,7 @@
     }
     if (choice.kind !== ReplicaChoiceKind.Chosen) {
       const unavailableMs = choice.kind === ReplicaChoiceKind.Held ? choice.holdMs : 0
-      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs, refusalEvent: findRefusalEvent(choice) }
+      return { isAllowed: false, isFinal: false, reason: describeRefusal(choice, isFirst), unavailableMs, refusalEvent: findRefusalEvent(choice), roomAfterMs: choice.kind === ReplicaChoiceKind.Full ? choice.roomAfterMs : undefined }
     }
     const { replica, isHealthy, streamCount } = choice
     const { leader } = replica
@@ -331,7 +333,7 @@
   }
 
   /** Ends the call without a complete stream. */
-  function finishIncomplete (reason: string, { unavailableMs, explanation, waitsForPermit, refusalEvent }: Omit<NoAttempt, 'isAllowed' | 'isFinal'>): void {
+  function finishIncomplete (reason: string, { unavailableMs, explanation, waitsForPermit, refusalEvent, roomAfterMs }: Omit<NoAttempt, 'isAllowed' | 'isFinal'>): void {
     if (call.response.headersSent) {
       finish(CallOutcome.Broken, reason)
       breakOffResponse(call.response)
@@ -342,7 +344,7 @@
       if (waitsForPermit === true) dependencies.metrics.countEvent(MetricEvent.LimitRefused)
       if (refusalEvent !== undefined) dependencies.metrics.countEvent(refusalEvent)
       if (explanation !== undefined) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
-      sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs), explanation)
+      sendGatewayResponse(dependencies, call.response, call.clientInfo.requestId, 503, chooseRetryAfterMs(dependencies.random, unavailableMs, roomAfterMs), explanation)
       return
     }
     finish(CallOutcome.Broken, reason)
