--- a/src/gateway/call-order.ts
+++ b/src/gateway/call-order.ts
@@ -42,9 +42,15 @@
       const offeredSlotCount = [...uses.values()].reduce((sum, use) => sum + use.offeredSlotCount, 0)
       // Calls with a long objective would fill the replicas further than those with a short one can begin in.
       const otherObjectivesMs = listObjectivesMs(uses, callClass).filter(objectiveMs => objectiveMs !== call.route.objectiveMs)
-      const getFillLimit = (paceFactor: number) => model === undefined
-        ? Infinity
-        : Math.min(...otherObjectivesMs.map(objectiveMs => estimateStreamLimit(dependencies, call, { engine, model }, objectiveMs, objectiveMs, paceFactor)))
+      const fillLimits = new Map<number, number>()
+      const getFillLimit = (paceFactor: number): number => {
+        if (model === undefined) return Infinity
+        const known = fillLimits.get(paceFactor)
+        if (known !== undefined) return known
+        const limit = Math.min(...otherObjectivesMs.map(objectiveMs => estimateStreamLimit(dependencies, call, { engine, model }, objectiveMs, objectiveMs, paceFactor)))
+        fillLimits.set(paceFactor, limit)
+        return limit
+      }
       return {
         expected: { ...expected, getStreamLimit: (paceFactor, zone) => Math.min(expected.getStreamLimit(paceFactor, zone), getFillLimit(paceFactor)) },
         getZoneDemandSlotCount: zoneCount => offeredSlotCount / zoneCount,
