Scale the demand that clients state to measured times

Gateways compared the room of a model, in measured slot times, with a demand in times that clients' hints give. Now the stated times of a model's calls are scaled so that their mean is the measured slot time; among calls they still decide.

--- a/src/coordination/dispatch/model-timings.ts
+++ b/src/coordination/dispatch/model-timings.ts
@@ -7,6 +7,10 @@
   recordFirstEvent (kindKey: string, measuredMs: number, calculatedMs: number): void
   /** Records the time from the first event of a stream to its end. */
   recordWriting (modelKey: string, measuredMs: number): void
+  /** Records the time for which a call was expected to hold its slot, from what it states of its size. */
+  recordStatedSlotTime (modelKey: string, statedMs: number): void
+  /** Mean of these times; undefined before the first call. */
+  getStatedSlotTimeMs (modelKey: string): number | undefined
   /** Expected time to the first event in a free slot, which most streams stay below. */
   getFirstEventMs (kindKey: string, calculatedMs: number): number
   /** Mean of the recent times from the first event to the end; undefined before the first stream has ended. */
@@ -16,6 +20,7 @@
 interface ModelRecord {
   overhead: RunningMean | undefined
   writing: RunningMean | undefined
+  statedSlotTime: RunningMean | undefined
 }
 
 interface RunningMean {
@@ -43,7 +48,7 @@
   function findOrAdd (modelKey: string): ModelRecord {
     const known = records.get(modelKey)
     if (known !== undefined) return known
-    const added: ModelRecord = { overhead: undefined, writing: undefined }
+    const added: ModelRecord = { overhead: undefined, writing: undefined, statedSlotTime: undefined }
     records.set(modelKey, added)
     return added
   }
@@ -57,6 +62,11 @@
       const record = findOrAdd(modelKey)
       record.writing = addSample(record.writing, Math.min(maxWritingMs, measuredMs))
     },
+    recordStatedSlotTime (modelKey, statedMs) {
+      const record = findOrAdd(modelKey)
+      record.statedSlotTime = addSample(record.statedSlotTime, statedMs)
+    },
+    getStatedSlotTimeMs: modelKey => records.get(modelKey)?.statedSlotTime?.mean,
     getFirstEventMs (kindKey, calculatedMs) {
       const overhead = records.get(kindKey)?.overhead
       return overhead === undefined ? calculatedMs : Math.max(0, calculatedMs + overhead.mean + deviationFactor * overhead.deviation)
--- a/src/gateway/call-order.test.ts
+++ b/src/gateway/call-order.test.ts
@@ -59,6 +59,19 @@
     expect(getLimits({ objectiveMs: 1000, priority: 2 }).expected?.getStreamLimit(1, 'z1')).to.be.lessThan(alone ?? 0)
   })
 
+  // Guards against gateways that admit too few calls, since the hints of their clients are too high on average.
+  it('counts the demand by the measured times, and divides it by the stated ones', () => {
+    const sum = (teamName: string) => dependencies.loads.getModelUses('s/large').get(`1/400/${teamName}`)?.offeredSlotCount ?? 0
+    for (let index = 0; index < 40; index += 1) dependencies.timings.recordWriting('s/large', 500)
+    for (let index = 0; index < 100; index += 1) {
+      getLimits({ teamName: 'short' }, engine, { answerTokenHint: 100 })
+      getLimits({ teamName: 'long' }, engine, { answerTokenHint: 900 })
+    }
+    const slotTimeMs = getLimits().expected?.slotTimeMs ?? 0
+    expect((sum('short') + sum('long')) * 4000).to.be.closeTo(200 * slotTimeMs, 200 * slotTimeMs * 0.1)
+    expect(sum('long')).to.be.greaterThan(2 * sum('short'))
+  })
+
   it('admits the same call again or not at all, and about the fraction that there is room for', () => {
     for (let index = 0; index < 4000; index += 1) getLimits()
     const calls = Array.from({ length: 400 }, () => getLimits())
--- a/src/gateway/call-order.ts
+++ b/src/gateway/call-order.ts
@@ -1,5 +1,6 @@
 /** What a call may take of a model's replicas: how far it may queue, and which slots it leaves to others. */
 import type { ReplicaChoiceInput } from '../coordination/dispatch/replica-choice.js'
+import type { ExpectedTimes } from '../coordination/dispatch/stream-limit.js'
 import type { ReplicaLoads } from '../coordination/dispatch/replica-loads.js'
 import type { CallClass, ClassUses } from '../coordination/scarcity/class-uses.js'
 import { AdmissionLimit, computeAdmission, listObjectivesMs } from '../coordination/scarcity/admission.js'
@@ -25,17 +26,24 @@
 
 /** Creates the order of a call that has just arrived. */
 export function createCallOrder (dependencies: OrderDependencies, call: TimedCall, callClass: CallClass): CallOrder {
-  const { loads, classUses, random } = dependencies
+  const { loads, classUses, random, timings } = dependencies
   const modelKey = getModelKey(call, call.clientInfo.model ?? '')
   /** Drawn once, so that a call that is looked at several times is not admitted by chance. */
   const rank = random.nextFloat()
   let isRecorded = false
 
+  /** Hints are far off, and their mean too: stated times are scaled so that their mean is the measured one of the model. */
+  function recordOffered ({ slotTimeMs, ownSlotTimeMs }: ExpectedTimes): void {
+    timings.recordStatedSlotTime(modelKey, ownSlotTimeMs)
+    const meanMs = timings.getStatedSlotTimeMs(modelKey) ?? 0
+    classUses.recordOffered(modelKey, callClass, meanMs > 0 ? ownSlotTimeMs * slotTimeMs / meanMs : slotTimeMs)
+  }
+
   return {
     getLimits (engine) {
       const expected = estimateCallTimes(dependencies, call, engine)
       if (expected === undefined) return {}
-      if (!isRecorded) classUses.recordOffered(modelKey, callClass, expected.ownSlotTimeMs)
+      if (!isRecorded) recordOffered(expected)
       isRecorded = true
       const model = engine.models.find(({ name }) => name === call.clientInfo.model)
       const uses = loads.getModelUses(modelKey)
