--- a/src/bench/placing/pace-run.ts
+++ b/src/bench/placing/pace-run.ts
@@ -11,7 +11,8 @@
 import type { EngineProfile, ReplicatedModel } from '../../state/serving-config.js'
 import { createEventTimerService } from '../event-timer-service.js'
 import { createBatchEngine, type BatchEngine } from './batch-engine.js'
-import { createMember, crossZoneDelayMs } from './placing-run.js'
+import { crossZoneDelayMs } from './placing-run.js'
+import { createMember } from './simulated-replicas.js'
 
 /** Servers that come back, or become slow, and the load on them and the others. */
 export interface PaceCase {
--- a/src/coordination/dispatch/replica-choice.ts
+++ b/src/coordination/dispatch/replica-choice.ts
@@ -2,7 +2,8 @@
 import { ServerState, type BackendServer } from '../../state/backend-server.js'
 import type { Replica } from '../../state/replica.js'
 import { needsPermit, type ServerCheck } from '../servers/server-admission.js'
-import { computeQueueLimit, type ExpectedTimes } from './queue-limit.js'
+import { AdmissionLimit } from '../scarcity/admission.js'
+import { getRoomSlotCount, maxQueuedFraction, type ExpectedTimes } from './stream-limit.js'
 import type { ReplicaLoads } from './replica-loads.js'
 
 /** What the choice of a replica for one stream depends on. */
@@ -19,8 +20,12 @@
   readonly excludedIds: ReadonlySet<string>
   /** Whether a replica that is marked as stalled may be chosen; false when undefined. */
   readonly mayBeStalled?: boolean
-  /** What is expected of the call in a replica whose slots are in use; undefined for a call that may queue whatever its objective. */
+  /** What is expected of the call; undefined for a call that may queue whatever its objective. */
   readonly expected?: ExpectedTimes | undefined
+  /** Whether the call is among those that are admitted when the model has so much room; all are when undefined. */
+  admit? (roomSlotCount: number): { readonly limit: AdmissionLimit, readonly roomAfterMs: number }
+  /** Mean number of slots that the calls of one of so many zones ask for; 0 when undefined. */
+  getZoneDemandSlotCount? (zoneCount: number): number
   /** Whether a request may go to the server now; called once for each candidate. */
   check (server: BackendServer): ServerCheck
   /** Streams of all gateways up to which the replica may get new ones now; `slotCount` for no limit of its own. */
@@ -44,14 +49,25 @@
   Absent = 'absent'
 }
 
+/** All replicas have as many streams as the call allows, or the call is not among those that are admitted. */
+export interface FullChoice {
+  readonly kind: ReplicaChoiceKind.Full
+  /** Streams of the least loaded replica. */
+  readonly streamCount: number
+  /** A replica would take the stream if it could begin after its objective. */
+  readonly isForObjective: boolean
+  readonly limit: AdmissionLimit
+  /** Time after which room is expected; undefined when it is not known, or a replica of the model is not in service. */
+  readonly roomAfterMs: number | undefined
+}
+
 /** A chosen replica with its current stream count, or why there is none. Streams of all gateways are counted. */
 export type ReplicaChoice =
   /** `isHealthy`: the replica has a free slot and is not quiet. */
   | { readonly kind: ReplicaChoiceKind.Chosen, readonly replica: Replica, readonly streamCount: number, readonly isHealthy: boolean, readonly limitedLeaders: readonly BackendServer[] }
   /** `limitedLeaders`: the leaders with free slots that may be sent no request now, the one with the lowest cost first. */
   | { readonly kind: ReplicaChoiceKind.Limited, readonly limitedLeaders: readonly BackendServer[] }
-  /** `isForObjective`: a replica would take the stream if it could begin after its objective. */
-  | { readonly kind: ReplicaChoiceKind.Full, readonly streamCount: number, readonly isForObjective: boolean }
+  | FullChoice
   /** `holdMs`: the time after which the first of them takes requests. */
   | { readonly kind: ReplicaChoiceKind.Held, readonly holdMs: number }
   | { readonly kind: ReplicaChoiceKind.Absent | ReplicaChoiceKind.Evacuated }
@@ -71,6 +87,8 @@
 interface RatedReplica {
   readonly replica: Replica
   readonly streamCount: number
+  /** Slots that new streams may take up; Infinity for a call without expected times while the replica takes streams. */
+  readonly roomSlotCount: number
   /** Streams plus penalties, in streams. */
   readonly cost: number
   readonly isInSameZone: boolean
@@ -94,32 +112,75 @@
     const holdMs = Math.min(...candidates.map(replica => getWaitMs(checks.get(replica.id))))
     return holdMs === Infinity ? { kind: ReplicaChoiceKind.Evacuated } : { kind: ReplicaChoiceKind.Held, holdMs }
   }
-  const rated = usable.map(replica => rate(replica, input, loads, random))
-  const isPaced = (candidate: RatedReplica) => candidate.streamLimit < input.slotCount
+  const isPaced = (replica: Replica) => (input.getStreamLimit?.(replica, input.slotCount) ?? input.slotCount) < input.slotCount
   // Where all replicas are paced, none is known to be better, and a refusal would serve nobody.
-  const withinPace = rated.every(isPaced) ? rated : rated.filter(candidate => !isPaced(candidate) || candidate.streamCount < candidate.streamLimit)
-  const connectable = withinPace.filter(({ replica }) => loads.getLocalStreamCount(replica.id) < input.maxLocalStreamCount)
-  const free = connectable.filter(candidate => candidate.streamCount < getMaxStreamCount(input, candidate, input.expected))
-  if (free.length === 0) {
-    const isForObjective = connectable.some(candidate => candidate.streamCount < getMaxStreamCount(input, candidate, undefined))
-    return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)), isForObjective }
+  const ratingInput = usable.every(isPaced) ? { ...input, getStreamLimit: undefined } : input
+  const rated = usable.map(replica => rate(replica, ratingInput, loads, random))
+  const connectable = rated.filter(({ replica }) => loads.getLocalStreamCount(replica.id) < input.maxLocalStreamCount)
+  const free = connectable.filter(candidate => candidate.roomSlotCount > 0)
+  const admission = free.length === 0 ? undefined : input.admit?.(free.reduce((sum, { roomSlotCount }) => sum + roomSlotCount, 0))
+  const limit = admission?.limit ?? AdmissionLimit.None
+  if (free.length === 0 || limit !== AdmissionLimit.None) {
+    const isForObjective = limit === AdmissionLimit.Room || (limit === AdmissionLimit.None && connectable.some(({ streamCount }) => streamCount < input.slotCount * (1 + maxQueuedFraction)))
+    const isComplete = input.replicas.every(replica => replica.model?.name !== input.model || (replica.isOpen && replica.isComplete && !loads.isStalled(replica.id)))
+    const roomAfterMs = isComplete ? admission?.roomAfterMs ?? input.expected?.slotTimeMs : undefined
+    return { kind: ReplicaChoiceKind.Full, streamCount: Math.min(...rated.map(candidate => candidate.streamCount)), isForObjective, limit, roomAfterMs }
   }
   const permitted = free.filter(({ replica }) => checks.get(replica.id)?.isAllowed !== false)
   const limitedLeaders = permitted.length === free.length ? [] : listLeaders(free.filter(candidate => !permitted.includes(candidate)))
   if (permitted.length === 0) return { kind: ReplicaChoiceKind.Limited, limitedLeaders }
-  const steady = permitted.filter(candidate => candidate.isSteady && candidate.streamCount < input.slotCount)
   // Few gateways may send to a replica that has yet to prove itself, and those prefer it, or it would stay idle.
-  const rising = steady.filter(candidate => isPaced(candidate) && candidate.streamCount < candidate.streamLimit * preferredFillFraction && candidate.paceFactor === 1)
-  const inSameZone = steady.filter(candidate => candidate.isInSameZone && candidate.streamCount < input.slotCount * sameZoneFillFraction)
-  const preferred = [rising, inSameZone, steady].find(candidates => candidates.length > 0) ?? []
-  const { replica, streamCount } = preferred.length > 0 ? pickFromSample(preferred, input.gatewayCount, random) : pickCheapest(permitted)
+  const rising = permitted.filter(({ isSteady, streamLimit, streamCount, paceFactor }) => isSteady && streamLimit < input.slotCount && streamCount < streamLimit * preferredFillFraction && paceFactor === 1)
+  const { replica, streamCount } = rising.length > 0 ? pickFromSample(rising, input.gatewayCount, random) : pick(permitted, input, random)
   const isHealthy = streamCount < input.slotCount && !loads.isQuiet(replica.id)
   return { kind: ReplicaChoiceKind.Chosen, replica, streamCount, isHealthy, limitedLeaders }
 }
 
-/** The replica takes a stream while it has fewer than this many. One that is not at its full pace gets no queue. */
-function getMaxStreamCount ({ slotCount }: ReplicaChoiceInput, { streamLimit, paceFactor }: RatedReplica, expected: ExpectedTimes | undefined): number {
-  return streamLimit < slotCount ? slotCount : slotCount + computeQueueLimit(slotCount, expected, paceFactor)
+/** Picks by the room of the replicas where it is known for the call, else by their streams. */
+function pick (permitted: readonly RatedReplica[], input: ReplicaChoiceInput, random: RandomSource): RatedReplica {
+  return input.expected === undefined ? pickByCount(permitted, input, random) : pickByRoom(permitted, input, random)
+}
+
+/** Picks the least loaded of a sample, in the gateway's zone while a replica there is not nearly full. */
+function pickByCount (permitted: readonly RatedReplica[], input: ReplicaChoiceInput, random: RandomSource): RatedReplica {
+  const steady = permitted.filter(candidate => candidate.isSteady && candidate.streamCount < input.slotCount)
+  const inSameZone = steady.filter(candidate => candidate.isInSameZone && candidate.streamCount < input.slotCount * sameZoneFillFraction)
+  const preferred = inSameZone.length > 0 ? inSameZone : steady
+  return preferred.length > 0 ? pickFromSample(preferred, input.gatewayCount, random) : pickCheapest(permitted)
+}
+
+/**
+ * Picks a replica with a probability in proportion to its room. Counts are out of date under load: the few replicas that look
+ * empty would get the streams of all gateways. A gateway stays in its zone with the probability that the zone has room for its calls.
+ */
+function pickByRoom (permitted: readonly RatedReplica[], { getZoneDemandSlotCount }: ReplicaChoiceInput, random: RandomSource): RatedReplica {
+  const steady = permitted.filter(candidate => candidate.isSteady)
+  const usable = steady.length > 0 ? steady : permitted
+  const near = usable.filter(candidate => candidate.isInSameZone)
+  const far = usable.filter(candidate => !candidate.isInSameZone)
+  if (near.length === 0 || far.length === 0) return pickWeighted(usable, random)
+  const nearRoom = near.reduce((sum, { roomSlotCount }) => sum + roomSlotCount, 0)
+  const zoneCount = new Set(usable.map(({ replica }) => replica.leader?.zone)).size
+  const demand = getZoneDemandSlotCount?.(zoneCount) ?? 0
+  return pickWeighted(random.nextFloat() * demand < nearRoom ? near : far, random)
+}
+
+function pickWeighted (candidates: readonly RatedReplica[], random: RandomSource): RatedReplica {
+  let left = random.nextFloat() * candidates.reduce((sum, { roomSlotCount }) => sum + roomSlotCount, 0)
+  for (const candidate of candidates) {
+    left -= candidate.roomSlotCount
+    if (left <= 0) return candidate
+  }
+  return candidates.at(-1) as RatedReplica
+}
+
+/** Slots that new streams may take up on the replica, see `getRoomSlotCount`. There is no queue on one whose streams are limited. */
+function getRoom ({ slotCount, gatewayCount, expected }: ReplicaChoiceInput, replica: Replica, streamCount: number, pacedLimit: number, paceFactor: number): number {
+  const isPaced = pacedLimit < slotCount
+  if (isPaced && streamCount >= pacedLimit) return 0
+  if (expected === undefined) return streamCount < slotCount * (1 + maxQueuedFraction) ? Infinity : 0
+  const streamLimit = Math.min(expected.getStreamLimit(paceFactor, replica.leader?.zone), isPaced ? pacedLimit : Infinity)
+  return getRoomSlotCount(streamCount, streamLimit, slotCount, expected.slotTimeMs * paceFactor, gatewayCount)
 }
 
 /** Whether the server of the check takes requests now, or as soon as there is a permit. */
@@ -143,7 +204,7 @@
   const paceFactor = input.getPaceFactor?.(replica) ?? 1
   // A stream takes the time of those that are there, and its own, as many times longer as the replica is slower.
   const cost = (streamCount + 1) * paceFactor - 1 + (isInSameZone ? 0 : crossZonePenaltyStreamCount) + (isSteady ? 0 : unsteadyPenaltyStreamCount) + random.nextFloat()
-  return { replica, streamCount, cost, isInSameZone, isSteady, streamLimit, paceFactor }
+  return { replica, streamCount, roomSlotCount: getRoom(input, replica, streamCount, streamLimit, paceFactor), cost, isInSameZone, isSteady, streamLimit, paceFactor }
 }
 
 function pickFromSample (candidates: readonly RatedReplica[], gatewayCount: number, random: RandomSource): RatedReplica {
--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -2,6 +2,7 @@
 import { mergePaceStatements, mergeTwoStatements, type PaceStatement, type PaceStatements } from '../pace/pace-statement.js'
 import { collectDemand, createDemandCollection, type CollectedDemand, type DemandCollection } from '../demand/demand-collection.js'
 import { addDemand, type DemandReport } from '../demand/demand-report.js'
+import { sumModelUses, sumReportedUses, type ModelUses, type ReportedUses } from '../scarcity/class-uses.js'
 
 /** What one gateway, or a relay for several gateways, reports on the replicas. */
 export interface LoadReport {
@@ -23,6 +24,8 @@
   readonly pace?: PaceStatements | undefined
   /** Demand at the gateways that the report covers; missing from gateways of earlier releases and from relays' totals, which the planner does not use. */
   readonly demand?: DemandReport | undefined
+  /** Slots that the classes of calls asked for; missing in reports of earlier releases. */
+  readonly uses?: ReportedUses | undefined
 }
 
 /**
@@ -56,6 +59,8 @@
   isStalled (replicaId: string): boolean
   /** The lowest recent statement of other gateways on the pace of the replica. */
   getPaceStatement (replicaId: string): PaceStatement | undefined
+  /** Uses of the model's slots by the calls of all gateways, as last reported. */
+  getModelUses (modelKey: string): ModelUses
   /** Reports this gateway's own streams, for the relay that serves it. */
   createOwnReport (nodeId: string): LoadReport
   /** Reports the streams of this gateway and of those that use it as their relay, for the other relays. */
@@ -99,12 +104,14 @@
   listPace? (): PaceStatements | undefined
   /** Its own demand. */
   createDemandReport? (): DemandReport
+  /** Slots that the classes of its calls asked for. */
+  createUses? (): ReportedUses
 }
 
 const noDemand: DemandReport = { gatewayCount: 1, services: {} }
 
 /** Creates the record with no streams and no reports. */
-export function createReplicaLoads (timers: TimerService, { listPace = () => undefined, createDemandReport = () => noDemand }: OwnStatements = {}): ReplicaLoads {
+export function createReplicaLoads (timers: TimerService, { listPace = () => undefined, createDemandReport = () => noDemand, createUses }: OwnStatements = {}): ReplicaLoads {
   const localCounts = new Map<string, number>()
   const peers = new Map<string, ReceivedReport>()
   const relayedReports = new Map<string, ReceivedReport>()
@@ -161,7 +168,7 @@
   function createOwnReport (nodeId: string): LoadReport {
     sequence += 1
     const pace = listPace()
-    const report = { nodeId, sequence, streamCounts: Object.fromEntries(localCounts), stalledIds: listStalled(), quietIds: listLocallyQuiet(), demand: createDemandReport() }
+    const report = { nodeId, sequence, streamCounts: Object.fromEntries(localCounts), stalledIds: listStalled(), quietIds: listLocallyQuiet(), demand: createDemandReport(), uses: createUses?.() }
     return pace === undefined ? report : { ...report, pace }
   }
 
@@ -172,7 +179,8 @@
       for (const [id, count] of Object.entries(report.streamCounts)) streamCounts[id] = (streamCounts[id] ?? 0) + count
     }
     const pace = mergePaceStatements([base.pace, ...reports.map(report => report.pace)])
-    const merged = { ...base, streamCounts, quietIds: [...new Set([...base.quietIds, ...recent.flatMap(report => report.quietIds)])] }
+    const uses = sumReportedUses([base, ...reports].map(report => report.uses))
+    const merged = { ...base, streamCounts, quietIds: [...new Set([...base.quietIds, ...recent.flatMap(report => report.quietIds)])], uses }
     return pace === undefined ? merged : { ...merged, pace }
   }
 
@@ -210,6 +218,10 @@
       const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)]
       return reports.reduce((sum, report) => sum + (report.streamCounts[replicaId] ?? 0), localCounts.get(replicaId) ?? 0)
     },
+    getModelUses (modelKey) {
+      const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)].map(report => report.uses)
+      return sumModelUses([createUses?.(), ...reports], modelKey)
+    },
     recordEvent (replicaId) {
       lastEventAtMs.set(replicaId, timers.nowMs())
       stalledUntilMs.delete(replicaId)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -27,6 +27,7 @@
 import { createDeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
 import { createPlannerLease, readPlannerNode } from '../coordination/replicas/planner-lease.js'
 import { createPlannerTask } from '../coordination/replicas/planner-task.js'
+import { createClassUses } from '../coordination/scarcity/class-uses.js'
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
 import { createMetrics, MetricEvent, MetricGauge } from '../observability/metrics.js'
@@ -129,7 +130,8 @@
   })
   const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring(), onServerEntry: (server, isFirstRead) => cold.recordEntry(server, isFirstRead) })
   const demand = createDemandMeter(timers, serviceName => fleet.getConfig()?.services.find(service => service.name === serviceName)?.engine)
-  const loads = createReplicaLoads(timers, { listPace: () => pace?.listStatements(), createDemandReport: demand.createReport })
+  const classUses = createClassUses(timers)
+  const loads = createReplicaLoads(timers, { listPace: () => pace?.listStatements(), createDemandReport: demand.createReport, createUses: classUses.createReport })
   const presence = createPresence({
     store,
     timers,
@@ -252,6 +254,7 @@
     loads,
     pace,
     timings: createModelTimings(),
+    classUses,
     promptGuard,
     metrics,
     logger: createRateLimitedLogger(createLogger('calls'), timers, requestLogLinesPerSecond),
--- a/src/protocol/relay-messages.ts
+++ b/src/protocol/relay-messages.ts
@@ -27,6 +27,8 @@
   gatewayCount: counterSchema,
   services: z.record(z.string(), z.record(z.string(), z.object({ arrivalsPerSecond: demandValueSchema, busyServerCount: demandValueSchema })))
 })
+/** Slots in use, as a mean. No fleet has more than a million; a larger number would outweigh all others in a sum. */
+const slotCountSchema = z.number().nonnegative().max(1_000_000)
 
 const loadReportSchema = z.object({
   nodeId: z.string(),
@@ -37,7 +39,8 @@
   leavingServers: z.record(z.string(), z.number()).optional(),
   // A gateway that states more than allowed sends something else; its stream counts are still of use.
   pace: z.record(z.string(), paceStatementSchema).refine(pace => Object.keys(pace).length <= maxStatedReplicaCount).optional().catch(undefined),
-  demand: demandReportSchema.optional()
+  demand: demandReportSchema.optional(),
+  uses: z.record(z.string(), z.record(z.string(), slotCountSchema)).optional()
 })
 
 const relayRequestSchema = z.object({
