Bound what clients, operators and peers make a process keep, in both programs

Cause: bounds of one request or connection were taken for bounds of the process. An entry node kept each chunk of a body as a buffer of its own for up to 4,096 connections, and responses of plain services until they were read. Both programs kept a request and a response object for each request of one read of 64 KB, which ended the gateway. grpc-js read messages of any number of calls before a credential was checked. Connections of gRPC and of the gateway's internal ports were not limited.

Change: - The body reader and the budgets move to src/transport and serve both programs. New setting limits.memoryMb (1024) of entry nodes. - Requests behind one another wait in turn and count in the budget of requests; the connection that holds most is closed when it is used up. - A refused body is dropped chunk by chunk instead of being kept by a paused request. A body behind a refused head is dropped up to the limits of a body, then the connection closes. - Responses of plain services count until they are taken, and slow readers of any response are cut off. - gRPC: credentials first; a call counts with the largest message; limits of calls and connections (peers.maxConnectionCount 2500, operators.maxConnectionCount 256), of which those without recent calls are closed first. A watcher that does not read gets the newest status only. - Limits of connections at readiness, metrics (64) and relays (512).

Ruled out: a limit on waiting requests of one connection (32 each on 380 connections are 100 MB, and sound clients in calm would meet it); ending evicted calls by a status (grpc-js keeps what it has read until the client ends the call).

Tests of gateway, transport and internal servers pass the new arguments; no expectation is changed.

--- a/src/bench/config-benchmark.ts
+++ b/src/bench/config-benchmark.ts
@@ -5,6 +5,7 @@
 import { findTreePosition } from '../coordination/config/distribution-tree.js'
 import type { ConfigKeeperSettings } from '../coordination/config/keeper-settings.js'
 import { createConfigFleet, createFirstConfig, type ConfigFleet } from '../fuzz/config-fleet.js'
+import { createBufferBudget } from '../shared/buffer-budget.js'
 import { createSystemTimerService } from '../shared/timer-service.js'
 import { setDrain } from '../state/config-change.js'
 import { parseFleetConfigJson } from '../state/fleet-config-schema.js'
@@ -138,6 +139,9 @@
   return ((performance.now() - startMs) * microsecondsPerMillisecond / runCount).toFixed(0)
 }
 
+/** Above what the calls of this benchmark hold at a time. */
+const messageBudgetBytes = 100_000_000
+
 /**
  * Prints the bytes and the processor time of peer RPC calls over loopback. Client and server run in this process, so
  * the processor time covers both.
@@ -147,6 +151,7 @@
   const server = createPeerRpcServer({
     host: '127.0.0.1',
     port: 0,
+    limits: { timers: createSystemTimerService(), budget: createBufferBudget({ maxByteCount: messageBudgetBytes, smallByteCount: 0, onEvicted () {} }), maxConnectionCount: 100 },
     handlers: {
       pollGroups: () => ({ groups: [], config: status }),
       fetchConfig: knownVersion => ({ status, configJson: knownVersion === 0 ? JSON.stringify(config) : '' }),
--- a/src/client-api/api-error.ts
+++ b/src/client-api/api-error.ts
@@ -1,3 +1,5 @@
+import type { IncomingMessage } from 'node:http'
+
 /** How far a failed request was executed; clients read it as `work_state`. */
 export enum WorkState {
   /** Neither this request nor an earlier one with its idempotency key was executed. */
@@ -108,3 +110,10 @@
 export function createAttemptNotRunError (kind: ApiErrorKind, message: string, retryAfterMs: number): ApiError {
   return { kind, message, workState: WorkState.AttemptNotRun, retryAfterMs }
 }
+
+/** Creates the error for a request that is refused before its idempotency key, if it has one, is looked up. */
+export function createRefusal (request: IncomingMessage, kind: ApiErrorKind, message: string, retryAfterMs: number): ApiError {
+  const hasIdempotencyKey = request.headers['idempotency-key'] !== undefined
+  const refuse = hasIdempotencyKey ? createAttemptNotRunError : createNotRunError
+  return refuse(kind, message, retryAfterMs)
+}
--- a/src/client-api/api-server.ts
+++ b/src/client-api/api-server.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 
 import { ModelRequestShape } from '../coordination/ports/engine-streams.js'
 import type { Logger } from '../observability/log.js'
@@ -6,9 +7,13 @@
 import type { Traces, TraceSpan } from '../observability/traces.js'
 import type { ClientApiSettings } from '../settings/entry-settings.js'
 import { failure, success, type Result } from '../shared/result.js'
+import type { TimerService } from '../shared/timer-service.js'
 import type { FleetConfig } from '../state/fleet-config.js'
+import { closeGently, createLingerLimit } from '../transport/gentle-close.js'
+import type { ProcessBuffers } from '../transport/process-buffers.js'
+import { createRequestQueue } from '../transport/request-queue.js'
 import { createAuthenticator, type ClientIdentity } from './authentication.js'
-import { createAttemptNotRunError, ApiErrorKind, createNotRunError, WorkState, type ApiError } from './api-error.js'
+import { ApiErrorKind, createNotRunError, createRefusal, WorkState, type ApiError } from './api-error.js'
 import type { ApiExchange, ModelHandler } from './model-handler.js'
 import { readBody } from './request-body.js'
 import { sendError, sendJson } from './response-writer.js'
@@ -24,6 +29,8 @@
 
 export interface ApiServerDependencies {
   readonly settings: ClientApiSettings
+  readonly buffers: ProcessBuffers
+  readonly timers: TimerService
   readonly modelHandler: ModelHandler
   readonly serviceHandler: ServiceHandler
   readonly metrics: Metrics
@@ -50,24 +57,43 @@
 
 /** Creates the server, which does not listen yet. */
 export function createApiServer (dependencies: ApiServerDependencies): ApiServer {
-  const { settings, modelHandler, serviceHandler, metrics, traces, log } = dependencies
+  const { settings, buffers, timers, modelHandler, serviceHandler, metrics, traces, log } = dependencies
   const authenticator = createAuthenticator()
   let inFlightCount = 0
   let isDraining = false
 
+  const queue = createRequestQueue(buffers.requests)
+  const lingerLimit = createLingerLimit()
   const server = createServer({
     maxHeaderSize: settings.maxHeaderBytes,
     headersTimeout: settings.headersTimeoutMs,
     requestTimeout: settings.requestTimeoutMs,
     keepAliveTimeout: keepAliveTimeoutMs,
     connectionsCheckingInterval: 1000
-  }, (request, response) => { void handle(request, response) })
-  server.maxConnections = settings.maxConnectionCount
-  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    if (socket.writable) socket.end(createRawErrorResponse(error))
-    else socket.destroy()
+  }, (request, response) => queue.enqueue(request, response, () => { void handle(request, response) }))
+  server.maxConnections = Math.min(settings.maxConnectionCount, buffers.maxConnectionCount)
+  server.on('connection', prepareConnection)
+  // Without a listener Node.js closes every connection on which nothing was sent for this time, also one whose response is not due yet.
+  server.setTimeout(settings.slowReaderTimeoutMs, socket => { if (socket.writableLength > 0) socket.destroy() })
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+    if (!socket.writable) {
+      socket.destroy()
+      return
+    }
+    socket.write(createRawErrorResponse(error))
+    socket.destroySoon()
   })
 
+  function prepareConnection (socket: Socket): void {
+    let isClosing = false
+    // The HTTP server calls it after a response with `Connection: close`.
+    socket.destroySoon = () => {
+      if (isClosing) return
+      isClosing = true
+      closeGently(socket, timers, lingerLimit)
+    }
+  }
+
   /** Without this, a connection that was busy when the drain began would stay open until its keep-alive timeout. */
   function closeIdleWhenDraining (): void {
     if (isDraining) server.closeIdleConnections()
@@ -120,22 +146,27 @@
       sendError(response, admitted.error)
       return
     }
-    const body = await readBody(request, settings.maxBodyBytes)
+    const body = await readBody(request, { maxBodyBytes: settings.maxBodyBytes, budget: buffers.requests })
     if (!body.isOk) {
       metrics.countRequest('call', body.error.kind)
+      // What follows is no longer handed to the HTTP parser.
+      response.shouldKeepAlive = false
       sendError(response, body.error)
       return
     }
+    if (response.destroyed) {
+      body.value.release()
+      return
+    }
+    response.once('close', body.value.release)
     span.addAttributes({ 'egretpaddle.partner': admitted.value.identity.partner, 'egretpaddle.team': admitted.value.identity.team })
-    await dispatch({ request, response, body: body.value, span, ...admitted.value }, url)
+    await dispatch({ request, response, body: body.value.body, span, ...admitted.value }, url)
   }
 
   function admitClient (request: IncomingMessage): Result<{ identity: ClientIdentity, config: FleetConfig }, ApiError> {
     const readiness = dependencies.getReadiness()
     if (!readiness.isReady) {
-      const hasIdempotencyKey = request.headers['idempotency-key'] !== undefined
-      const refuse = hasIdempotencyKey ? createAttemptNotRunError : createNotRunError
-      return failure(refuse(ApiErrorKind.Unavailable, `node is not ready: ${readiness.reason}`, notReadyRetryMs))
+      return failure(createRefusal(request, ApiErrorKind.Unavailable, `node is not ready: ${readiness.reason}`, notReadyRetryMs))
     }
     const identity = authenticator.identify(readiness.config, request.headers.authorization)
     if (!identity.isOk) return identity
--- a/src/client-api/response-writer.ts
+++ b/src/client-api/response-writer.ts
@@ -1,6 +1,8 @@
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ServerResponse } from 'node:http'
 
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import type { TimerService } from '../shared/timer-service.js'
+import { discardRequestBody } from '../transport/request-body.js'
 import { getStatusCode, toErrorBody, toErrorHeaders, type ApiError } from './api-error.js'
 
 const maxDiscardedBytes = 16_777_216
@@ -15,16 +17,21 @@
 /** Sends an error at once. The rest of the request's body is read and discarded; beyond `maxDiscardedBytes` the connection is closed. */
 export function sendError (response: ServerResponse, error: ApiError): void {
   sendJson(response, getStatusCode(error), toErrorBody(error), toErrorHeaders(error))
-  if (!response.req.complete) discardBody(response.req)
+  if (response.shouldKeepAlive) discardRequestBody(response.req, maxDiscardedBytes)
 }
 
-function discardBody (request: IncomingMessage): void {
-  let discardedBytes = 0
-  request.on('error', () => request.destroy())
-  request.on('data', (chunk: Buffer) => {
-    discardedBytes += chunk.length
-    if (discardedBytes > maxDiscardedBytes) request.destroy()
-  })
+/** Sends a body and counts it until the client has taken it. When there is no memory for it, the connection is closed: the request has run. */
+export function sendBody (response: ServerResponse, statusCode: number, headers: Record<string, string>, body: Buffer, budget: BufferBudget): void {
+  const { remoteAddress, remotePort } = response.req.socket
+  const account = budget.open({ owner: `client ${remoteAddress}:${remotePort}`, evict: () => response.destroy() })
+  if (response.destroyed || !account.resize(body.length)) {
+    account.close()
+    response.destroy()
+    return
+  }
+  response.once('close', account.close)
+  response.writeHead(statusCode, { ...headers, 'content-length': body.length })
+  response.end(body)
 }
 
 /** Writes to a client no faster than the client reads. */
--- a/src/client-api/service-handler.ts
+++ b/src/client-api/service-handler.ts
@@ -2,12 +2,13 @@
 import type { OrderExecutor } from '../coordination/orders/order-executor.js'
 import { ServiceErrorKind, type ServiceClient, type ServiceResponse } from '../coordination/ports/service-client.js'
 import { DurationMetric, type Metrics } from '../observability/metrics.js'
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import { failure, success, type Result } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { PlainService, ServiceRoute } from '../state/fleet-config.js'
 import { createAttemptNotRunError, ApiErrorKind, createNotRunError, WorkState, type ApiError } from './api-error.js'
 import { readRequestTimeoutMs, type ApiExchange } from './model-handler.js'
-import { sendError, sendJson } from './response-writer.js'
+import { sendBody, sendError, sendJson } from './response-writer.js'
 
 const maxIdempotencyKeyCharacters = 255
 const unavailableRetryMs = 1000
@@ -19,6 +20,8 @@
   readonly orders: OrderExecutor
   readonly serviceClient: ServiceClient
   readonly timers: TimerService
+  /** Counts responses until clients have taken them. */
+  readonly responseBudget: BufferBudget
   readonly metrics: Metrics
   /** Returns the address of a backend server of the service that accepts new requests; undefined if there is none. */
   pickBackend (serviceName: string): string | undefined
@@ -33,7 +36,7 @@
 }
 
 /** Creates the handler of plain services. */
-export function createServiceHandler ({ orders, serviceClient, timers, metrics, pickBackend }: ServiceHandlerDependencies): ServiceHandler {
+export function createServiceHandler ({ orders, serviceClient, timers, responseBudget, metrics, pickBackend }: ServiceHandlerDependencies): ServiceHandler {
   async function handleCall (exchange: ApiExchange, serviceName: string, path: string): Promise<void> {
     const found = findRoute(exchange, serviceName, path)
     if (!found.isOk) {
@@ -69,7 +72,7 @@
     metrics.recordDuration(DurationMetric.Order, timers.nowMs() - startedMs)
     metrics.countRequest('order', outcome.kind)
     exchange.span.addAttributes({ 'egretpaddle.outcome': outcome.kind })
-    if (outcome.kind === OrderOutcomeKind.Done) sendOrderResponse(exchange, outcome.answer, outcome.isReplayed)
+    if (outcome.kind === OrderOutcomeKind.Done) sendOrderResponse(exchange, outcome.answer, outcome.isReplayed, responseBudget)
     else sendError(exchange.response, toOrderError(outcome))
   }
 
@@ -90,7 +93,7 @@
       })
       if (result.isOk) {
         metrics.countRequest('call', 'done')
-        sendServiceResponse(exchange, result.value)
+        sendServiceResponse(exchange, result.value, responseBudget)
         return
       }
       reason = result.error.reason
@@ -163,19 +166,16 @@
   return success(key)
 }
 
-function sendOrderResponse (exchange: ApiExchange, response: OrderResponse, isReplayed: boolean): void {
-  exchange.response.writeHead(response.statusCode, {
+function sendOrderResponse (exchange: ApiExchange, response: OrderResponse, isReplayed: boolean, budget: BufferBudget): void {
+  sendBody(exchange.response, response.statusCode, {
     'content-type': response.contentType,
-    'content-length': response.body.length,
     'idempotency-replayed': String(isReplayed),
     ...(response.isBodyOmitted ? { 'x-answer-body-omitted': 'true' } : {})
-  })
-  exchange.response.end(response.body)
+  }, response.body, budget)
 }
 
-function sendServiceResponse (exchange: ApiExchange, response: ServiceResponse): void {
-  exchange.response.writeHead(response.statusCode, { 'content-type': response.contentType, 'content-length': response.body.length })
-  exchange.response.end(response.body)
+function sendServiceResponse (exchange: ApiExchange, response: ServiceResponse, budget: BufferBudget): void {
+  sendBody(exchange.response, response.statusCode, { 'content-type': response.contentType }, response.body, budget)
 }
 
 function sendStatus (exchange: ApiExchange, idempotencyKey: string, status: OrderStatus): void {
--- a/src/entry/entry-components.ts
+++ b/src/entry/entry-components.ts
@@ -13,6 +13,7 @@
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSystemTimerService } from '../shared/timer-service.js'
 import { createPeerRpcClient } from '../transport/peer-rpc-client.js'
+import { createProcessBuffers } from '../transport/process-buffers.js'
 import { createHopTracing } from './hop-tracing.js'
 import { openMembership } from './membership-components.js'
 import { createOwnerComponents } from './owner-components.js'
@@ -21,6 +22,7 @@
 import { createRouterComponents } from './router-components.js'
 
 const peerCallTimeoutMs = 1000
+const bytesPerMegabyte = 1_000_000
 const millisecondsPerHour = 3_600_000
 
 /** The components of one entry node, of which none is started yet. */
@@ -33,7 +35,10 @@
   const createLogger = createLoggerFactory(settings.log)
   const metrics = createMetrics()
   const traces = createTraces(settings.traces, settings.nodeId)
-  const clients = createOutgoingClients(settings.platform, timers)
+  const buffers = createProcessBuffers({
+    memoryBytes: settings.limits.memoryMb * bytesPerMegabyte, maxHeaderBytes: settings.callers.maxHeaderBytes, timers, createLogger
+  })
+  const clients = createOutgoingClients(settings.platform, timers, buffers.responses)
   const sharedSecret = readSharedSecret(settings)
   const peerClient = createPeerRpcClient({ timers, callTimeoutMs: peerCallTimeoutMs, ...sharedSecret })
   const groupSettings = {
@@ -90,6 +95,7 @@
     createLogger,
     metrics,
     traces,
+    buffers,
     clients,
     sharedSecret,
     peerClient,
--- a/src/entry/entry-servers.ts
+++ b/src/entry/entry-servers.ts
@@ -13,7 +13,7 @@
 
 /** Creates the servers for clients, peers and operators; none listens yet. */
 export function createEntryServers (settings: EntrySettings, components: EntryComponents, isStopping: () => boolean) {
-  const { timers, createLogger, metrics, traces, sharedSecret, peerClient, membership, keeper, vms, serviceClient, ownerComponents, routerComponents, orders } = components
+  const { timers, createLogger, metrics, traces, buffers, sharedSecret, peerClient, membership, keeper, vms, serviceClient, ownerComponents, routerComponents, orders } = components
   const describeSelf = () => describeOwnDomains(ownerComponents.coordinator, membership.view.self.nodeId)
 
   function getReadiness (): Readiness {
@@ -37,6 +37,8 @@
 
   const apiServer = createApiServer({
     settings: settings.callers,
+    buffers,
+    timers,
     modelHandler: createModelHandler({
       streams: routerComponents.streams, timers, metrics, slowReaderTimeoutMs: settings.callers.slowReaderTimeoutMs
     }),
@@ -44,6 +46,7 @@
       orders,
       serviceClient,
       timers,
+      responseBudget: buffers.responses,
       metrics,
       pickBackend: serviceName => vms.pickBackend(serviceName, new Set(keeper.getConfig()?.drainingVmIds))
     }),
@@ -57,6 +60,7 @@
   const peerServer = createPeerRpcServer({
     host: settings.peers.host,
     port: settings.peers.port,
+    limits: { timers, budget: buffers.messages, maxConnectionCount: settings.peers.maxConnectionCount },
     ...sharedSecret,
     handlers: {
       pollGroups (request) {
@@ -72,6 +76,7 @@
     settings: settings.operators,
     keeper,
     timers,
+    messageBudget: buffers.messages,
     membership: membership.view,
     coordinator: ownerComponents.coordinator,
     statusSource: createFleetGroupsSource(membership.view, peerClient, describeSelf)
--- a/src/entry/outgoing-clients.ts
+++ b/src/entry/outgoing-clients.ts
@@ -1,4 +1,5 @@
 import type { EntrySettings } from '../settings/entry-settings.js'
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import type { TimerService } from '../shared/timer-service.js'
 import { createEngineHttpControl, type EngineHttpControl } from '../transport/engine-http-control.js'
 import { createEngineStreamClient, type EngineStreamClient } from '../transport/engine-stream-client.js'
@@ -20,12 +21,12 @@
 }
 
 /** Creates the clients; each connects on its first call. */
-export function createOutgoingClients (settings: EntrySettings['platform'], timers: TimerService): OutgoingClients {
+export function createOutgoingClients (settings: EntrySettings['platform'], timers: TimerService, responseBudget: BufferBudget): OutgoingClients {
   const store = createKeyValueHttpClient({ baseUrl: settings.keyValueUrl, timeoutMs: settings.callTimeoutMs, timers })
   const vmList = createVmListHttpClient({ baseUrl: settings.vmListUrl, timeoutMs: settings.callTimeoutMs, timers })
   const engineControl = createEngineHttpControl({ timers })
   const engineStreams = createEngineStreamClient({ connectTimeoutMs: engineConnectTimeoutMs, idleTimeoutMs: engineIdleTimeoutMs })
-  const serviceClient = createServiceHttpClient({ timers })
+  const serviceClient = createServiceHttpClient({ timers, bufferBudget: responseBudget })
   const clients = [store, vmList, engineControl, engineStreams, serviceClient]
   return {
     store,
--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -5,10 +5,11 @@
 import type { QuarantineEntry } from '../coordination/quarantine/prompt-quarantine.js'
 import { MetricEvent } from '../observability/metrics.js'
 import { RouteKind, type Route, type Team } from '../state/serving-config.js'
+import { BodyResultKind, discardRequestBody, readRequestBody } from '../transport/request-body.js'
+import { countHeadBytes } from '../transport/request-head.js'
 import { sendGatewayResponse, type Call, type CallDependencies } from './call-context.js'
 import type { ClientExchange } from './client-connection.js'
 import { forwardPlain } from './plain-forwarding.js'
-import { BodyResultKind, readRequestBody } from './request-body.js'
 import { forwardStream } from './stream-forwarding.js'
 import type { ClientRequestInfo } from './wire-codec.js'
 
@@ -35,14 +36,6 @@
 const unavailableRetryAfterSpreadMs = 700
 const defaultMaxBodyBytes = 4 * 1024 * 1024
 
-/** Bytes of the request line and the headers as they were sent, with a space and a line end each. */
-function countHeaderBytes ({ method = '', url = '', rawHeaders }: IncomingMessage): number {
-  const separatorLength = 2
-  const httpVersionLength = 'HTTP/1.1'.length
-  const requestLineLength = method.length + url.length + httpVersionLength + 2 * separatorLength
-  return rawHeaders.reduce((sum, text) => sum + text.length + separatorLength, requestLineLength)
-}
-
 /** Creates the handler that checks a request against the configuration and forwards it. */
 export function createCallIntake ({ dependencies, claimProbe, getMaxConfigAgeMs, getLatestEndMs }: CallIntakeOptions) {
   const { fleet, codec, timers, random } = dependencies
@@ -100,15 +93,18 @@
     const { request, response, arrivedAtMs, setMustComplete } = exchange
     response.on('error', error => dependencies.logger.debug('A client connection failed.', { reason: error.message }))
     const limits = fleet.getConfig()?.limits
-    if (countHeaderBytes(request) > (limits?.maxHeaderBytes ?? Infinity)) {
+    if (countHeadBytes(request) > (limits?.maxHeaderBytes ?? Infinity)) {
       response.shouldKeepAlive = false
       refuse(request, response, 431, `the headers are larger than ${limits?.maxHeaderBytes} bytes`)
       return
     }
     const clientInfo = codec.readClientRequest(request.headers)
-    // A request that is refused keeps no body: Node.js reads and drops it. What was refused once stays refused.
-    if (admit(exchange, clientInfo) === undefined) return
     const maxBytes = limits?.maxBodyBytes ?? defaultMaxBodyBytes
+    // A request that is refused keeps no body. What was refused once stays refused.
+    if (admit(exchange, clientInfo) === undefined) {
+      discardRequestBody(request, maxBytes)
+      return
+    }
     const { result, release } = readRequestBody(request, { maxBytes, budget: dependencies.requestBuffers })
     response.once('close', release)
     const body = await result
--- a/src/gateway/client-connection.ts
+++ b/src/gateway/client-connection.ts
@@ -2,7 +2,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import type { TimerService } from '../shared/timer-service.js'
+import { closeGently, type LingerLimit } from '../transport/gentle-close.js'
+import { createWaitingRequests, maxWaitingCount } from '../transport/request-queue.js'
 import { breakOffResponse } from './break-off-response.js'
 
 /** Who ended a connection on which a request has no complete response. The values are logged. */
@@ -43,9 +46,9 @@
   readonly timers: TimerService
   /** Whether responses ask clients to close their connections. */
   isDraining (): boolean
-  /** Lets the connection read and drop what its client still sends; false when enough others do. */
-  tryLinger (): boolean
-  endLinger (): void
+  readonly lingerLimit: LingerLimit
+  /** Counts the requests that wait behind others; they are not counted when it is undefined. */
+  readonly requestBudget?: BufferBudget | undefined
   handle (exchange: ClientExchange): void
   onIncomplete (incomplete: IncompleteResponse): void
 }
@@ -77,16 +80,6 @@
 
 /** Added to the idle limit that clients are told: a request that was sent just before its end must still be read. */
 const idleMarginMs = 2000
-/** After the last response the rest of what the client sends is read for this time; a reset could overtake the response. Longer than a round trip. */
-const lingerMs = 2000
-/** The same time where nothing more is read, since many other connections are read so. */
-const shortLingerMs = 200
-/** Pause between two reads, so that many such connections take little memory and time. */
-const lingerReadPauseMs = 5
-/** Limit on the bytes read meanwhile, twice the usual limit of a body. */
-const maxLingerBytes = 8 * 1024 * 1024
-/** Requests that may wait on a connection for the responses before theirs; then no more is read. Clients rarely send two. */
-const maxWaitingCount = 16
 /** Errors of a connection that the client or its network path causes; any other one is raised by the HTTP server. */
 const clientErrorCodes: readonly string[] = ['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'EHOSTUNREACH', 'ENETUNREACH']
 
@@ -105,10 +98,9 @@
   let end: Pick<IncompleteResponse, 'endedBy' | 'reason'> | undefined
   let pendingRefusal: string | undefined
   let isClosing = false
+  const waiting = options.requestBudget === undefined ? undefined : createWaitingRequests(socket, options.requestBudget)
   /** The response that is to announce the close because of the drain. */
   let announcing: ServerResponse | undefined
-  let discardedBytes = 0
-  let lingerEndsAtMs = Infinity
   let quietSinceMs = timers.nowMs()
   let quietBytesRead = 0
   let toldIdleMs = 0
@@ -136,6 +128,11 @@
     options.handle(exchange)
   }
 
+  function beginWaiting (exchange: TrackedExchange): void {
+    waiting?.remove(exchange.request)
+    begin(exchange)
+  }
+
   /** A response behind one that announces the close would not arrive. */
   function announceClose (): void {
     const [only, ...others] = exchanges
@@ -157,7 +154,7 @@
     if (!exchange.isSent) reportIncomplete(exchange)
     if (socket.destroyed) return
     if (isClosing) dropWaiting('the response before it closed the connection')
-    else if (exchanges[0] !== undefined) begin(exchanges[0])
+    else if (exchanges[0] !== undefined) beginWaiting(exchanges[0])
     else settle()
     if (socket.isPaused() && exchanges.length < maxWaitingCount) socket.resume()
   }
@@ -167,7 +164,7 @@
     quietBytesRead = socket.bytesRead
     if (pendingRefusal === undefined) return
     socket.write(formatRefusal(pendingRefusal))
-    closeGently()
+    endConnection()
   }
 
   function dropWaiting (reason: string): void {
@@ -175,28 +172,10 @@
     for (const exchange of exchanges.splice(0)) reportIncomplete(exchange)
   }
 
-  /** Closes the sending half, and reads and discards for a time. Bytes that are unread when a connection closes cause a reset. */
-  function closeGently (): void {
+  function endConnection (): void {
     if (isClosing) return
     isClosing = true
-    // The listener takes the bytes from the HTTP parser, so that nothing that follows is handled.
-    socket.removeAllListeners('data')
-    socket.on('data', (chunk: Buffer) => {
-      discardedBytes += chunk.length
-      if (discardedBytes > maxLingerBytes) socket.destroy()
-      socket.pause()
-      timers.subscribeOnce(lingerReadPauseMs, () => socket.resume())
-    })
-    if (options.tryLinger()) {
-      socket.once('close', options.endLinger)
-      socket.resume()
-    } else {
-      // The client can read the response until the connection is closed.
-      socket.pause()
-      timers.subscribeOnce(shortLingerMs, () => socket.destroy())
-    }
-    socket.once('finish', () => { lingerEndsAtMs = timers.nowMs() + lingerMs })
-    socket.end()
+    closeGently(socket, timers, options.lingerLimit)
   }
 
   /** Refuses a request whose rest will not arrive. A response that has begun cannot be completed with another status. */
@@ -216,7 +195,7 @@
   }
 
   // The HTTP server calls it after a response with `Connection: close`.
-  socket.destroySoon = closeGently
+  socket.destroySoon = endConnection
   socket.on('end', handleHalfClose)
   // Without a listener an error would end the process; `describeEnd` reports it.
   socket.on('error', () => {})
@@ -228,7 +207,7 @@
 
   return {
     receive (request, response, statedIdleMs) {
-      if (isClosing || pendingRefusal !== undefined) return
+      if (isClosing || pendingRefusal !== undefined || socket.destroyed) return
       // What was told before holds while nothing else is told.
       if (statedIdleMs > 0) toldIdleMs = statedIdleMs
       const exchange: TrackedExchange = {
@@ -247,8 +226,12 @@
       // Node.js also emits it, and sets `writableFinished`, for what a connection did not send before an error.
       response.once('finish', () => { exchange.isSent = !socket.destroyed && socket.errored === null })
       response.once('close', () => finish(exchange))
-      if (exchanges.length === 1) begin(exchange)
-      else if (exchanges.length >= maxWaitingCount) socket.pause()
+      if (exchanges.length === 1) {
+        begin(exchange)
+        return
+      }
+      waiting?.add(request)
+      if (exchanges.length >= maxWaitingCount) socket.pause()
     },
     refuse (status, raised) {
       if (isClosing || pendingRefusal !== undefined) return
@@ -280,11 +263,7 @@
     },
     check ({ idleLimitMs, headerLimitMs, quietLimitMs }) {
       const nowMs = timers.nowMs()
-      if (isClosing) {
-        if (nowMs >= lingerEndsAtMs) socket.destroy()
-        return
-      }
-      if (exchanges.length > 0) return
+      if (isClosing || exchanges.length > 0) return
       const isArriving = socket.bytesRead > quietBytesRead
       const limitMs = Math.max(idleLimitMs, toldIdleMs) + idleMarginMs + (isArriving ? headerLimitMs : 0)
       const quietMs = nowMs - quietSinceMs
--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -1,10 +1,12 @@
 import http, { type IncomingMessage, type ServerResponse } from 'node:http'
 import net, { type Socket } from 'node:net'
 
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
 import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
 import type { ClientLimits } from '../state/serving-config.js'
+import { createLingerLimit } from '../transport/gentle-close.js'
 import { createClientConnection, respondWithoutBody, type ClientConnection, type ClientExchange, type IncompleteResponse } from './client-connection.js'
 
 /** The HTTP server that clients connect to. */
@@ -29,6 +31,8 @@
   readonly maxHeaderBytes: number
   /** Further connections are closed at once. */
   readonly maxConnectionCount?: number
+  /** Counts the requests that wait behind others on their connections. */
+  readonly requestBudget?: BufferBudget
   readonly timers: TimerService
   /** Time for a body to arrive, beside the limit on the head. */
   readonly bodyLimitMs?: number
@@ -41,6 +45,11 @@
   onDropped? (): void
 }
 
+/**
+ * Node.js fixes this limit when the server is created, and refuses requests above it before they are read. The
+ * configuration's limit, `limits.maxHeaderBytes`, is checked for each request and applies below it.
+ */
+export const maxParsedHeaderBytes = 65_536
 const backlogLength = 1024
 /** In force until a configuration is known; the values are those of Node.js. */
 const defaultHeaderLimitMs = 60_000
@@ -49,8 +58,6 @@
 const checkIntervalMs = 500
 /** For bodies and for responses; no client of the platform waits as long for a response. */
 const defaultTransferLimitMs = 30_000
-/** Connections that read and drop megabytes at the same time; each read takes memory until it is collected. */
-const maxLingeringCount = 16
 /** `Keep-Alive` states whole seconds. */
 const shortestStatedIdleMs = 1000
 /** Status lines by Node.js error code; any other client error is answered with 400. */
@@ -61,7 +68,7 @@
 
 /** Creates the server; it listens after `start`. */
 export function createClientServer ({
-  address, maxHeaderBytes, maxConnectionCount, timers, handle, onIncomplete, onDropped, bodyLimitMs = defaultTransferLimitMs, sendStallLimitMs = defaultTransferLimitMs
+  address, maxHeaderBytes, maxConnectionCount, requestBudget, timers, handle, onIncomplete, onDropped, bodyLimitMs = defaultTransferLimitMs, sendStallLimitMs = defaultTransferLimitMs
 }: ClientServerOptions): ClientServer {
   const connections = new Map<Socket, ClientConnection>()
   const ticker = createSharedTicker(timers, checkIntervalMs)
@@ -69,7 +76,7 @@
   let isDraining = false
   let quietLimitMs = Infinity
   let hasReceivedRequest = false
-  let lingeringCount = 0
+  const lingerLimit = createLingerLimit()
   /** Undefined until a configuration is known. */
   let headerLimitMs: number | undefined
   let lowering: { readonly limitMs: number, readonly appliesAtMs: number, readonly timer: TimerSubscription } | undefined
@@ -94,14 +101,8 @@
     connections.get(socket)?.refuse(statusByErrorCode[error.code ?? ''] ?? '400 Bad Request', error)
   })
 
-  function tryLinger (): boolean {
-    if (lingeringCount >= maxLingeringCount) return false
-    lingeringCount += 1
-    return true
-  }
-
   function track (socket: Socket): void {
-    const connection = createClientConnection({ socket, timers, isDraining: () => isDraining, tryLinger, endLinger: () => { lingeringCount -= 1 }, handle: handleExchange, onIncomplete })
+    const connection = createClientConnection({ socket, timers, isDraining: () => isDraining, lingerLimit, requestBudget, handle: handleExchange, onIncomplete })
     connections.set(socket, connection)
     // After a suspension, what has arrived is read before its connection counts as idle.
     const subscription = ticker.subscribe(() => setImmediate(checkConnection, connection))
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -33,13 +33,13 @@
 import { isServerReady, type CallDependencies } from './call-context.js'
 import { createCallIntake } from './call-intake.js'
 import { ConnectionEnd, type IncompleteResponse } from './client-connection.js'
-import { createClientServer } from './client-server.js'
+import { createClientServer, maxParsedHeaderBytes } from './client-server.js'
 import { createDrain } from './drain.js'
 import { createFleetView, FleetEvent, type StoreLayout } from './fleet-view.js'
 import type { GatewayBounds, GatewaySettings } from './gateway-settings.js'
 import { createLoadSharing } from './load-sharing.js'
 import { createPresence } from './presence.js'
-import { maxParsedHeaderBytes, type ProcessBuffers } from './process-buffers.js'
+import type { ProcessBuffers } from '../transport/process-buffers.js'
 import { createRelayHandler } from './relay-handler.js'
 import { createMetricsServer, createReadinessServer, createRelayServer } from './internal-servers.js'
 import { streamCheckIntervalMs } from './stream-forwarding.js'
@@ -246,13 +246,14 @@
     address: settings.clientAddress,
     maxHeaderBytes: maxParsedHeaderBytes,
     maxConnectionCount: buffers.maxConnectionCount,
+    requestBudget: buffers.requests,
     timers,
     handle: callIntake.handle,
     onIncomplete: recordIncomplete,
     onDropped: () => metrics.countEvent(MetricEvent.ConnectionDropped)
   })
-  const readinessServer = createReadinessServer(settings.readinessAddress, isReady)
-  const metricsServer = createMetricsServer(settings.metricsAddress, metrics, refreshGauges)
+  const readinessServer = createReadinessServer(settings.readinessAddress, buffers.requests, isReady)
+  const metricsServer = createMetricsServer(settings.metricsAddress, buffers.requests, metrics, refreshGauges)
   const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), buffers.requests, log)
   const drain = createDrain({ timers, logger: log, clientServer, getShutdownLimitMs: () => bounds.shutdownLimitMs })
 
--- a/src/gateway/internal-servers.test.ts
+++ b/src/gateway/internal-servers.test.ts
@@ -45,7 +45,7 @@
   }
 
   it('end slow requests within a few seconds, and stay in use for others', async () => {
-    server = createReadinessServer({ host: '127.0.0.1', port }, () => true)
+    server = createReadinessServer({ host: '127.0.0.1', port }, budget, () => true)
     await server.start()
     const requests = [
       sendUntilClosed('GET /readiness HTTP/1.1\r\nHost: h\r\n', 'X-Slow: 1\r\n', 100),
@@ -57,7 +57,7 @@
   })
 
   it('end a connection whose client does not read', async () => {
-    server = createMetricsServer({ host: '127.0.0.1', port }, { ...createMetrics({ includesProcessMetrics: false }), render: async () => 'x'.repeat(16_000_000) }, () => {})
+    server = createMetricsServer({ host: '127.0.0.1', port }, budget, { ...createMetrics({ includesProcessMetrics: false }), render: async () => 'x'.repeat(16_000_000) }, () => {})
     await server.start()
     const socket = net.connect(port, '127.0.0.1')
     let receivedBytes = 0
--- a/src/gateway/internal-servers.ts
+++ b/src/gateway/internal-servers.ts
@@ -6,8 +6,9 @@
 import { decodeRelayRequest, encodeRelayResponse, relayPath } from '../protocol/relay-messages.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import type { BufferBudget } from '../shared/buffer-budget.js'
+import { BodyResultKind, readRequestBody } from '../transport/request-body.js'
+import { createRequestQueue } from '../transport/request-queue.js'
 import type { RelayHandler } from './relay-handler.js'
-import { BodyResultKind, readRequestBody } from './request-body.js'
 
 const metricsPath = '/metrics'
 /** A relay request has the sender's load report, which names a few dozen replicas. */
@@ -19,18 +20,22 @@
 const silenceLimitMs = 4000
 /** Interval of the checks of the limits on requests, a fraction of the shortest. */
 const checkIntervalMs = 500
+/** Connections to the readiness and to the metrics port. The platform's balancer and the collectors of metrics use a few each. */
+const maxPlatformConnectionCount = 64
+/** Connections of other gateways. A relay has 24 (docs/CAPACITY.md), and more for seconds when others of its zone end. */
+const maxRelayConnectionCount = 512
 
 /** Creates the server of the load balancer's readiness check: 200 while the gateway accepts connections, else 503. */
-export function createReadinessServer (address: NetworkAddress, isReady: () => boolean) {
-  return createInternalServer(address, (_request, response) => {
+export function createReadinessServer (address: NetworkAddress, budget: BufferBudget, isReady: () => boolean) {
+  return createInternalServer({ address, budget, maxConnectionCount: maxPlatformConnectionCount }, (_request, response) => {
     response.writeHead(isReady() ? 200 : 503, { 'Content-Length': '0' })
     response.end()
   })
 }
 
 /** Creates the server of the metrics in the Prometheus text format; `refreshGauges` is called before each response. */
-export function createMetricsServer (address: NetworkAddress, metrics: Metrics, refreshGauges: () => void) {
-  return createInternalServer(address, (request, response) => {
+export function createMetricsServer (address: NetworkAddress, budget: BufferBudget, metrics: Metrics, refreshGauges: () => void) {
+  return createInternalServer({ address, budget, maxConnectionCount: maxPlatformConnectionCount }, (request, response) => {
     if (request.url !== metricsPath) {
       response.writeHead(404).end()
       return
@@ -58,7 +63,7 @@
     else response.writeHead(200, { 'Content-Type': 'application/json' }).end(encodeRelayResponse(relayResponse))
   }
 
-  return createInternalServer(address, (request, response) => {
+  return createInternalServer({ address, budget, maxConnectionCount: maxRelayConnectionCount }, (request, response) => {
     handleRequest(request, response).catch((error: Error) => {
       logger.warn('A relay request could not be answered.', { reason: error.message })
       response.destroy()
@@ -66,8 +71,18 @@
   })
 }
 
-function createInternalServer (address: NetworkAddress, listener: http.RequestListener) {
-  const server = http.createServer({ headersTimeout: headerLimitMs, requestTimeout: requestLimitMs, connectionsCheckingInterval: checkIntervalMs }, listener)
+interface InternalServerOptions {
+  readonly address: NetworkAddress
+  /** Counts the requests that wait behind others on their connections. */
+  readonly budget: BufferBudget
+  /** Further connections are closed at once. */
+  readonly maxConnectionCount: number
+}
+
+function createInternalServer ({ address, budget, maxConnectionCount }: InternalServerOptions, listener: http.RequestListener) {
+  const queue = createRequestQueue(budget)
+  const server = http.createServer({ headersTimeout: headerLimitMs, requestTimeout: requestLimitMs, connectionsCheckingInterval: checkIntervalMs }, (request, response) => queue.enqueue(request, response, () => listener(request, response)))
+  server.maxConnections = maxConnectionCount
   server.timeout = silenceLimitMs
   return {
     start: (): Promise<void> => new Promise((resolve, reject) => {
--- a/src/process-tests/entry-crowds.test.ts
+++ b/src/process-tests/entry-crowds.test.ts
@@ -1,6 +1,5 @@
 import { expect } from 'chai'
 
-import { entrySettingsSchema } from '../settings/entry-settings.js'
 import { pollUntil } from '../testing/child-program.js'
 import { createChunk, readProcessUse, startCrowd, startGrpcCrowd, waitUntilIdle, type Crowd, type CrowdOptions } from '../testing/client-crowd.js'
 import { startEntryProcess, type EntryProcess } from '../testing/entry-process.js'
@@ -21,8 +20,9 @@
 
 const settings = {
   callers: { maxBodyBytes, maxConnectionCount, headersTimeoutMs: 2000, requestTimeoutMs: 10_000 },
-  // The program refuses a section that its settings do not have.
-  ...('limits' in entrySettingsSchema.shape ? { limits: { memoryMb } } : {})
+  peers: { maxConnectionCount: maxConnectionCount / 2 },
+  operators: { maxConnectionCount: maxConnectionCount / 2 },
+  limits: { memoryMb }
 }
 
 const authorization = `Authorization: Bearer ${clientSecret}`
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -29,6 +29,8 @@
   gossipPort: port.default(8082),
   /** Gossip addresses `host:port` of other entry nodes, through which this node joins. */
   seeds: z.array(z.string()).default([]),
+  /** Above it the connection whose last call is the longest ago is closed. The default allows for one of each node of the largest fleet. */
+  maxConnectionCount: count.default(2500),
   /** File with the secret shared by all entry nodes; without it, messages between them are not authenticated. */
   sharedSecretFile: z.string().optional()
 })
@@ -37,13 +39,20 @@
   host: z.string().default('127.0.0.1'),
   port: port.default(8083),
   tls: z.strictObject({ certificateFile: z.string(), keyFile: z.string() }).optional(),
-  allowsPlainText: z.boolean().optional()
+  allowsPlainText: z.boolean().optional(),
+  /** Above it the connection whose last call is the longest ago is closed. Operators and their tools have a few each. */
+  maxConnectionCount: count.default(256)
 }).superRefine((value, context) => {
   const isLoopback = loopbackHosts.includes(value.host)
   if (value.tls !== undefined || isLoopback || value.allowsPlainText === true) return
   context.addIssue({ code: 'custom', path: ['allowsPlainText'], message: 'TLS files, a loopback host, or allowsPlainText true' })
 })
 
+const limits = z.strictObject({
+  /** Memory of the VM. It bounds what the process keeps of bodies and messages, and the connections of clients. */
+  memoryMb: z.number().int().min(200).max(1_000_000).default(1024)
+})
+
 const platform = z.strictObject({
   keyValueUrl: z.url(),
   vmListUrl: z.url(),
@@ -123,6 +132,7 @@
   requests: requests.prefault({}),
   orders: orders.prefault({}),
   shutdown: shutdown.prefault({}),
+  limits: limits.prefault({}),
   log: log.prefault({}),
   traces: traces.prefault({})
 })
--- a/src/testing/entry-process.ts
+++ b/src/testing/entry-process.ts
@@ -56,7 +56,7 @@
     method: 'POST', body: JSON.stringify({ key: fleetConfigKey, expectedRevision: 0, value: JSON.stringify(createTestConfig()) })
   })
   const [clientPort = 0, peerPort = 0, gossipPort = 0, operatorPort = 0] = await findFreePorts(4)
-  const { callers, ...others } = settings
+  const { callers, peers, operators, ...others } = settings
   const settingsFile = join(folder, 'entry.jsonc')
   writeFileSync(settingsFile, JSON.stringify({
     nodeId: 'entry-1',
@@ -64,8 +64,8 @@
     availabilityZone: 'praha-dilna',
     platform: { keyValueUrl: `http://127.0.0.1:${keyValuePort}`, vmListUrl: `http://127.0.0.1:${vmListPort}` },
     callers: { port: clientPort, ...callers },
-    peers: { port: peerPort, gossipPort },
-    operators: { port: operatorPort },
+    peers: { port: peerPort, gossipPort, ...peers },
+    operators: { port: operatorPort, ...operators },
     ...others
   }))
   const program = startProgram('entry', ['--settings', settingsFile])
--- a/src/transport/operator-grpc-server.test.ts
+++ b/src/transport/operator-grpc-server.test.ts
@@ -7,6 +7,8 @@
 import { hashSecret } from '../coordination/operators/operator-identity.js'
 import { createOperatorService } from '../coordination/operators/operator-service.js'
 import { createFirstConfig } from '../fuzz/config-fleet.js'
+import { createBufferBudget } from '../shared/buffer-budget.js'
+import { createSystemTimerService } from '../shared/timer-service.js'
 import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
 import type { FleetConfig } from '../state/fleet-config.js'
 import { createOperatorGrpcClient } from './operator-grpc-client.js'
@@ -39,12 +41,18 @@
   return { ...partner, operators: [{ name: 'first', sha256Hex: hashSecret(secret) }] }
 }
 
+const limits = {
+  timers: createSystemTimerService(),
+  budget: createBufferBudget({ maxByteCount: 20_000_000, smallByteCount: 0, onEvicted () {} }),
+  maxConnectionCount: 10
+}
+
 async function withServer (run: (address: string) => Promise<void>): Promise<void> {
   const service = createOperatorService({ keeper: createKeeperDouble(), membership, timers: createVirtualTimerService() })
   const describeFleet = () => ({
     configVersion: 1, configConfirmedAgeMs: 0, isStoreReachable: true, nodes: [], groups: [], strandedAcceleratorCount: 0, acceleratorCount: 0, canServe: true, witnessNodeIds: [], drainingVmIds: []
   })
-  const server = createOperatorGrpcServer({ host: '127.0.0.1', port: 0, service, describeFleet, statusChanges: never() })
+  const server = createOperatorGrpcServer({ host: '127.0.0.1', port: 0, limits, service, describeFleet, statusChanges: never() })
   const port = await server.listen()
   await run(`127.0.0.1:${port}`).finally(() => server.close())
 }
@@ -101,7 +109,7 @@
 
   it('refuses to listen in plain text on a host that is not loopback', async () => {
     const service = createOperatorService({ keeper: createKeeperDouble(), membership, timers: createVirtualTimerService() })
-    const server = createOperatorGrpcServer({ host: '0.0.0.0', port: 0, service, describeFleet: () => { throw new Error('must not be called') }, statusChanges: never() })
+    const server = createOperatorGrpcServer({ host: '0.0.0.0', port: 0, limits, service, describeFleet: () => { throw new Error('must not be called') }, statusChanges: never() })
     const outcome = await server.listen().catch((error: Error) => error.message)
     expect(outcome).to.contain('needs TLS, a loopback host, or the setting operators.allowsPlainText')
   })
--- a/src/transport/operator-grpc-server.ts
+++ b/src/transport/operator-grpc-server.ts
@@ -1,4 +1,4 @@
-import { Server, ServerCredentials, status, type Metadata, type sendUnaryData, type ServerUnaryCall, type ServerWritableStream } from '@grpc/grpc-js'
+import { ServerCredentials, status, type Metadata, type sendUnaryData, type ServerUnaryCall, type ServerWritableStream } from '@grpc/grpc-js'
 import { type Stream } from 'most'
 
 import { OperatorErrorKind, type OperatorError } from '../coordination/operators/operator-error.js'
@@ -11,6 +11,7 @@
   type OperatorServiceServer
 } from '../protocol/generated/egretpaddle/operator/v1/operator.js'
 import { failure, success, type Result } from '../shared/result.js'
+import { createGuardedGrpcServer, type GrpcServerLimits } from './guarded-grpc-server.js'
 
 /** Certificate and key of the server, as PEM. */
 export interface OperatorTls {
@@ -24,6 +25,7 @@
   /** Without it the server uses plain text, which needs a loopback host or `allowsPlainText`. */
   readonly tls?: OperatorTls
   readonly allowsPlainText?: boolean
+  readonly limits: GrpcServerLimits
   readonly service: OperatorService
   /** Returns the status that `getStatus` and `watchStatus` respond with. */
   describeFleet (): GetStatusResponse | Promise<GetStatusResponse>
@@ -54,8 +56,17 @@
 
 /** Creates the server, which does not listen yet. */
 export function createOperatorGrpcServer (options: OperatorGrpcServerOptions): OperatorGrpcServer {
-  const { service } = options
-  const server = new Server({ 'grpc.max_receive_message_length': maxRequestBytes })
+  const { service, host, port, limits } = options
+  const { server, listen, close } = createGuardedGrpcServer({
+    ...limits,
+    host,
+    port,
+    maxMessageBytes: maxRequestBytes,
+    findRefusal (metadata) {
+      const operator = authenticate(metadata)
+      return operator.isOk ? undefined : toStatus(operator.error)
+    }
+  })
 
   function authenticate (metadata: Metadata): Result<OperatorIdentity, OperatorError> {
     const header = String(metadata.get('authorization')[0] ?? '')
@@ -78,9 +89,22 @@
       call.destroy(Object.assign(new Error(operator.error.message), toStatus(operator.error)))
       return
     }
+    let isWriting = false
+    let isChanged = false
+    /** One description at a time: a client that does not read gets the newest one once it does. */
     const writeStatus = async (): Promise<void> => {
-      const description = await options.describeFleet()
-      if (!call.cancelled) call.write(description)
+      isChanged = true
+      if (isWriting) return
+      isWriting = true
+      try {
+        while (isChanged && !call.cancelled) {
+          isChanged = false
+          const description = await options.describeFleet()
+          if (!call.cancelled && !call.write(description)) await waitForDrain(call)
+        }
+      } finally {
+        isWriting = false
+      }
     }
     void writeStatus()
     const subscription = options.statusChanges.subscribe({
@@ -106,19 +130,11 @@
 
   return {
     listen () {
-      return new Promise((resolve, reject) => {
-        const credentials = createCredentials(options)
-        if (credentials === undefined) {
-          reject(new Error(`operator API on "${options.host}" needs TLS, a loopback host, or the setting operators.allowsPlainText`))
-          return
-        }
-        server.bindAsync(`${options.host}:${options.port}`, credentials, (error, port) => {
-          if (error === null) resolve(port)
-          else reject(error)
-        })
-      })
+      const credentials = createCredentials(options)
+      if (credentials !== undefined) return listen(credentials)
+      return Promise.reject(new Error(`operator API on "${host}" needs TLS, a loopback host, or the setting operators.allowsPlainText`))
     },
-    close: () => server.forceShutdown()
+    close
   }
 }
 
@@ -128,6 +144,18 @@
   return isPlainTextAllowed ? ServerCredentials.createInsecure() : undefined
 }
 
+function waitForDrain (call: ServerWritableStream<GetStatusRequest, GetStatusResponse>): Promise<void> {
+  return new Promise(resolve => {
+    const finish = (): void => {
+      call.off('drain', finish)
+      call.off('cancelled', finish)
+      resolve()
+    }
+    call.on('drain', finish)
+    call.on('cancelled', finish)
+  })
+}
+
 function toStatus (error: OperatorError): { code: status, details: string } {
   return { code: grpcStatusByErrorKind[error.kind], details: error.message }
 }
--- a/src/transport/peer-rpc-server.ts
+++ b/src/transport/peer-rpc-server.ts
@@ -1,9 +1,10 @@
 import { timingSafeEqual } from 'node:crypto'
 
-import { Server, ServerCredentials, status, type sendUnaryData, type ServerUnaryCall } from '@grpc/grpc-js'
+import { ServerCredentials, status, type sendUnaryData, type ServerUnaryCall } from '@grpc/grpc-js'
 
 import type { PeerHandlers } from '../coordination/ports/peer-link.js'
 import { PeerServiceService, type PeerServiceServer } from '../protocol/generated/egretpaddle/peer/v1/peer.js'
+import { createGuardedGrpcServer, type GrpcServerLimits } from './guarded-grpc-server.js'
 import { maxPeerMessageBytes, peerSecretHeader } from './peer-rpc-limits.js'
 
 export interface PeerRpcServerOptions {
@@ -11,6 +12,7 @@
   readonly port: number
   /** Secret shared by all entry nodes; undefined means that calls are not authenticated. */
   readonly sharedSecret?: string
+  readonly limits: GrpcServerLimits
   readonly handlers: PeerHandlers
 }
 
@@ -23,17 +25,21 @@
 
 /** Creates the server, which does not listen yet. */
 export function createPeerRpcServer (options: PeerRpcServerOptions): PeerRpcServer {
-  const { handlers } = options
-  const server = new Server({ 'grpc.max_receive_message_length': maxPeerMessageBytes })
+  const { handlers, host, port, limits } = options
   const expectedSecret = options.sharedSecret === undefined ? undefined : Buffer.from(options.sharedSecret)
+  const { server, listen, close } = createGuardedGrpcServer({
+    ...limits,
+    host,
+    port,
+    maxMessageBytes: maxPeerMessageBytes,
+    findRefusal (metadata) {
+      const [secret] = metadata.get(peerSecretHeader)
+      return isSecretValid(expectedSecret, secret) ? undefined : { code: status.UNAUTHENTICATED, details: 'peer secret is missing or wrong' }
+    }
+  })
 
   function handleUnary<Request, Response> (handler: (request: Request) => Response) {
     return (call: ServerUnaryCall<Request, Response>, callback: sendUnaryData<Response>) => {
-      const [secret] = call.metadata.get(peerSecretHeader)
-      if (!isSecretValid(expectedSecret, secret)) {
-        callback({ code: status.UNAUTHENTICATED, details: 'peer secret is missing or wrong' })
-        return
-      }
       callback(null, handler(call.request))
     }
   }
@@ -46,17 +52,7 @@
   }
   server.addService(PeerServiceService, implementation)
 
-  return {
-    listen () {
-      return new Promise((resolve, reject) => {
-        server.bindAsync(`${options.host}:${options.port}`, ServerCredentials.createInsecure(), (error, port) => {
-          if (error === null) resolve(port)
-          else reject(error)
-        })
-      })
-    },
-    close: () => server.forceShutdown()
-  }
+  return { listen: () => listen(ServerCredentials.createInsecure()), close }
 }
 
 function isSecretValid (expected: Buffer | undefined, found: string | Buffer | undefined): boolean {
--- a/src/transport/service-http-client.ts
+++ b/src/transport/service-http-client.ts
@@ -5,12 +5,15 @@
   type ServiceRequest
 } from '../coordination/ports/service-client.js'
 import { failure, success } from '../shared/result.js'
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import type { TimerService } from '../shared/timer-service.js'
 import { createHttpClient } from './http-client.js'
 import { TransportErrorKind, type TransportError } from './transport-error.js'
 
 export interface ServiceHttpClientOptions {
   readonly timers?: TimerService
+  /** Counts the bodies of responses while they arrive. */
+  readonly bufferBudget?: BufferBudget
 }
 
 /** Calls to plain services over HTTP. */
@@ -28,8 +31,8 @@
  * service has just closed the outcome would be unknown.
  */
 export function createServiceHttpClient (options: ServiceHttpClientOptions = {}): ServiceHttpClient {
-  const orderHttpClient = createHttpClient({ timers: options.timers, reusesConnections: false })
-  const repeatableHttpClient = createHttpClient({ timers: options.timers })
+  const orderHttpClient = createHttpClient({ ...options, reusesConnections: false })
+  const repeatableHttpClient = createHttpClient(options)
   return {
     async call (address, request) {
       const httpClient = request.idempotencyKey === undefined ? repeatableHttpClient : orderHttpClient
