--- a/src/client-api/api-server.test.ts
+++ b/src/client-api/api-server.test.ts
@@ -155,6 +155,14 @@
       const response = await fetch(`${fleet.baseUrl}/services/quarry-orders/prices`, { headers: { authorization: `Bearer ${clientSecret}` } })
       expect(response.status).to.equal(200)
     })
+
+    // Guards against a 503, which states that the request has not run.
+    it('are reported as unknown on a repeatable route when each response was lost', async () => {
+      fleet.service.faults.dropsReplyCount = 2
+      const response = await fetch(`${fleet.baseUrl}/services/quarry-orders/prices`, { headers: { authorization: `Bearer ${clientSecret}` } })
+      expect(response.status).to.equal(502)
+      expect((await readError(response)).work_state).to.equal('unknown')
+    })
   })
 
   describe('a client that disconnects', () => {
--- a/src/client-api/service-handler.ts
+++ b/src/client-api/service-handler.ts
@@ -79,6 +79,7 @@
   async function forward (exchange: ApiExchange, service: PlainService, path: string, timeoutMs: number): Promise<void> {
     const deadlineAtMs = timers.nowMs() + timeoutMs
     let reason = `service "${service.name}" has no backend server that accepts requests`
+    let hasArrived = false
     for (let attempt = 0; attempt < maxRepeatableAttemptCount; attempt += 1) {
       const address = pickBackend(service.name)
       const remainingMs = deadlineAtMs - timers.nowMs()
@@ -97,9 +98,13 @@
         return
       }
       reason = result.error.reason
+      hasArrived ||= result.error.kind === ServiceErrorKind.Ambiguous
       if (result.error.kind === ServiceErrorKind.Ambiguous && timers.nowMs() >= deadlineAtMs) break
     }
-    refuse(exchange, { kind: ApiErrorKind.Unavailable, message: reason, workState: WorkState.Unknown, retryAfterMs: unavailableRetryMs })
+    // 503 states that the request has not run, and what may have run is 502. Calls of repeatable routes have no idempotency key.
+    refuse(exchange, hasArrived
+      ? { kind: ApiErrorKind.OutcomeUnknown, message: reason, workState: WorkState.Unknown, retryAfterMs: unavailableRetryMs }
+      : createNotRunError(ApiErrorKind.Unavailable, reason, unavailableRetryMs))
   }
 
   async function handleStatus (exchange: ApiExchange, serviceName: string, idempotencyKey: string): Promise<void> {
