--- a/src/client-api/service-handler.ts
+++ b/src/client-api/service-handler.ts
@@ -2,12 +2,13 @@
 import type { OrderExecutor } from '../coordination/orders/order-executor.js'
 import { ServiceErrorKind, type ServiceClient, type ServiceResponse } from '../coordination/ports/service-client.js'
 import { DurationMetric, type Metrics } from '../observability/metrics.js'
+import type { BufferBudget } from '../shared/buffer-budget.js'
 import { failure, success, type Result } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { PlainService, ServiceRoute } from '../state/fleet-config.js'
 import { createAttemptNotRunError, ApiErrorKind, createNotRunError, WorkState, type ApiError } from './api-error.js'
 import { readRequestTimeoutMs, type ApiExchange } from './model-handler.js'
-import { sendError, sendJson } from './response-writer.js'
+import { sendBody, sendError, sendJson } from './response-writer.js'
 
 const maxIdempotencyKeyCharacters = 255
 const unavailableRetryMs = 1000
@@ -19,6 +20,8 @@
   readonly orders: OrderExecutor
   readonly serviceClient: ServiceClient
   readonly timers: TimerService
+  /** Counts responses until clients have taken them. */
+  readonly responseBudget: BufferBudget
   readonly metrics: Metrics
   /** Returns the address of a backend server of the service that accepts new requests; undefined if there is none. */
   pickBackend (serviceName: string): string | undefined
@@ -33,7 +36,7 @@
 }
 
 /** Creates the handler of plain services. */
-export function createServiceHandler ({ orders, serviceClient, timers, metrics, pickBackend }: ServiceHandlerDependencies): ServiceHandler {
+export function createServiceHandler ({ orders, serviceClient, timers, responseBudget, metrics, pickBackend }: ServiceHandlerDependencies): ServiceHandler {
   async function handleCall (exchange: ApiExchange, serviceName: string, path: string): Promise<void> {
     const found = findRoute(exchange, serviceName, path)
     if (!found.isOk) {
@@ -69,13 +72,14 @@
     metrics.recordDuration(DurationMetric.Order, timers.nowMs() - startedMs)
     metrics.countRequest('order', outcome.kind)
     exchange.span.addAttributes({ 'egretpaddle.outcome': outcome.kind })
-    if (outcome.kind === OrderOutcomeKind.Done) sendOrderResponse(exchange, outcome.answer, outcome.isReplayed)
+    if (outcome.kind === OrderOutcomeKind.Done) sendOrderResponse(exchange, outcome.answer, outcome.isReplayed, responseBudget)
     else sendError(exchange.response, toOrderError(outcome))
   }
 
   async function forward (exchange: ApiExchange, service: PlainService, path: string, timeoutMs: number): Promise<void> {
     const deadlineAtMs = timers.nowMs() + timeoutMs
     let reason = `service "${service.name}" has no backend server that accepts requests`
+    let hasArrived = false
     for (let attempt = 0; attempt < maxRepeatableAttemptCount; attempt += 1) {
       const address = pickBackend(service.name)
       const remainingMs = deadlineAtMs - timers.nowMs()
@@ -90,13 +94,17 @@
       })
       if (result.isOk) {
         metrics.countRequest('call', 'done')
-        sendServiceResponse(exchange, result.value)
+        sendServiceResponse(exchange, result.value, responseBudget)
         return
       }
       reason = result.error.reason
+      hasArrived ||= result.error.kind === ServiceErrorKind.Ambiguous
       if (result.error.kind === ServiceErrorKind.Ambiguous && timers.nowMs() >= deadlineAtMs) break
     }
-    refuse(exchange, { kind: ApiErrorKind.Unavailable, message: reason, workState: WorkState.Unknown, retryAfterMs: unavailableRetryMs })
+    // 503 states that the request has not run, and what may have run is 502. Calls of repeatable routes have no idempotency key.
+    refuse(exchange, hasArrived
+      ? { kind: ApiErrorKind.OutcomeUnknown, message: reason, workState: WorkState.Unknown, retryAfterMs: unavailableRetryMs }
+      : createNotRunError(ApiErrorKind.Unavailable, reason, unavailableRetryMs))
   }
 
   async function handleStatus (exchange: ApiExchange, serviceName: string, idempotencyKey: string): Promise<void> {
@@ -163,19 +171,16 @@
   return success(key)
 }
 
-function sendOrderResponse (exchange: ApiExchange, response: OrderResponse, isReplayed: boolean): void {
-  exchange.response.writeHead(response.statusCode, {
+function sendOrderResponse (exchange: ApiExchange, response: OrderResponse, isReplayed: boolean, budget: BufferBudget): void {
+  sendBody(exchange.response, response.statusCode, {
     'content-type': response.contentType,
-    'content-length': response.body.length,
     'idempotency-replayed': String(isReplayed),
     ...(response.isBodyOmitted ? { 'x-answer-body-omitted': 'true' } : {})
-  })
-  exchange.response.end(response.body)
+  }, response.body, budget)
 }
 
-function sendServiceResponse (exchange: ApiExchange, response: ServiceResponse): void {
-  exchange.response.writeHead(response.statusCode, { 'content-type': response.contentType, 'content-length': response.body.length })
-  exchange.response.end(response.body)
+function sendServiceResponse (exchange: ApiExchange, response: ServiceResponse, budget: BufferBudget): void {
+  sendBody(exchange.response, response.statusCode, { 'content-type': response.contentType }, response.body, budget)
 }
 
 function sendStatus (exchange: ApiExchange, idempotencyKey: string, status: OrderStatus): void {
