Test the pace of servers, and count paced replicas by service

A gateway looks at all its replicas before it decides whether it is slow itself; before, it judged by the replicas it had asked about.

--- a/src/bench/placing/pace-cases.ts
+++ b/src/bench/placing/pace-cases.ts
@@ -11,7 +11,7 @@
 /** Time at which servers that were away are listed as open again. */
 export const backAtMs = 5000
 
-/** 66 gateways before 81 groups of two servers, at the usual demand for drafts on 60 groups. */
+/** 66 gateways before 60 groups of two servers, at 8.7 drafts a second for each group, of 12 to 13 that it can serve. Four groups have trouble. */
 const base: Omit<PaceCase, 'name' | 'troubledCount'> = {
   engine,
   model: small,
@@ -26,20 +26,20 @@
   lostReportFraction: 0
 }
 
-export const soundReturn: PaceCase = { ...base, name: 'a server that needs no warming', troubledCount: 1 }
+export const soundReturn: PaceCase = { ...base, name: 'servers that need no warming', troubledCount: 4 }
 export const warmingReturn: PaceCase = {
-  ...base, name: 'a server that warms up in 3 s', troubledCount: 1, getSlowdown: elapsedMs => elapsedMs >= backAtMs && elapsedMs < backAtMs + 3000 ? 6 : 1
+  ...base, name: 'servers that warm up in 3 s', troubledCount: 4, getSlowdown: elapsedMs => elapsedMs >= backAtMs && elapsedMs < backAtMs + 3000 ? 6 : 1
 }
-export const halfSpeedReturn: PaceCase = { ...base, name: 'a server that recovers to half of its speed', troubledCount: 1, getSlowdown: elapsedMs => elapsedMs >= backAtMs ? 2 : 1 }
+export const halfSpeedReturn: PaceCase = { ...base, name: 'servers that recover to half of their speed', troubledCount: 4, getSlowdown: elapsedMs => elapsedMs >= backAtMs ? 2 : 1 }
 export const slowWhileListed: PaceCase = {
   ...base,
-  name: 'a server that is slow while its entry and its health responses say that it is ready',
-  troubledCount: 1,
+  name: 'servers that turn slow while their entries and health responses say that they are ready',
+  troubledCount: 4,
   isOpen: () => true,
   getSlowdown: elapsedMs => elapsedMs >= troubleAtMs && elapsedMs < troubleAtMs + 4000 ? 8 : 1
 }
-export const flapping: PaceCase = { ...base, name: 'a server that flaps', troubledCount: 1, isOpen: elapsedMs => elapsedMs < troubleAtMs || elapsedMs % 1500 >= 700 }
-/** The other two zones are near their full use while the zone is away. */
+export const flapping: PaceCase = { ...base, name: 'servers that flap', troubledCount: 4, isOpen: elapsedMs => elapsedMs < troubleAtMs || elapsedMs % 1500 >= 700 }
+/** 81 groups, of which the 54 of the other two zones have 11.9 drafts a second each while the zone is away, which is near their full use. */
 export const zoneReturn: PaceCase = { ...base, name: 'a zone of 54 servers that comes back at once before 66 gateways', replicasPerZone: 27, troubledCount: 27, requestsPerSecond: 640 }
 export const zoneWarmingReturn: PaceCase = { ...zoneReturn, name: `${zoneReturn.name}, warming for 3 s`, getSlowdown: warmingReturn.getSlowdown }
 
--- a/src/coordination/dispatch/replica-choice.test.ts
+++ b/src/coordination/dispatch/replica-choice.test.ts
@@ -50,6 +50,60 @@
     return chooseReplica({ replicas, model: 'small', slotCount: 18, zone: 'z1', gatewayCount: 7, maxLocalStreamCount: maxOwnStreamCount, excludedIds: new Set(excluded), getHoldMs: server => holdsMs.get(server.id) ?? 0, maySend: () => true }, loads, random)
   }
 
+  describe('with stream limits', () => {
+    const servers = [...makeReplicaServers('a', 'z1'), ...makeReplicaServers('b', 'z1')]
+    const pick = (limits: Readonly<Record<string, number>>, factors: Readonly<Record<string, number>> = {}) => {
+      const choice = chooseReplica({
+        replicas: listReplicas(servers, sampleEngine),
+        model: 'small',
+        slotCount: 18,
+        zone: 'z1',
+        gatewayCount: 1,
+        maxLocalStreamCount: 50,
+        excludedIds: new Set(),
+        getHoldMs: server => holdsMs.get(server.id) ?? 0,
+        maySend: () => true,
+        getStreamLimit: replica => limits[replica.id] ?? 18,
+        getPaceFactor: replica => factors[replica.id] ?? 1
+      }, loads, random)
+      return choice.kind === ReplicaChoiceKind.Chosen ? choice.replica.id : choice.kind
+    }
+    const fill = (replicaId: string, count: number) => { for (let index = 0; index < count; index += 1) loads.beginStream(replicaId) }
+
+    it('prefers a replica whose limit rises, and leaves it at its limit', () => {
+      fill('small.a/1', 1)
+      expect(pick({ 'small.a/1': 4 })).to.equal('small.a/1')
+      fill('small.a/1', 3)
+      expect(pick({ 'small.a/1': 4 })).to.equal('small.b/1')
+    })
+
+    it('refuses when the limit is reached and the sound replicas are full', () => {
+      fill('small.a/1', 4)
+      fill('small.b/1', 23)
+      expect(pick({ 'small.a/1': 4 })).to.equal(ReplicaChoiceKind.Full)
+    })
+
+    // Guards against a fleet that has just started and refuses everything.
+    it('ignores the limits when all replicas have one', () => {
+      fill('small.a/1', 4)
+      fill('small.b/1', 5)
+      expect(pick({ 'small.a/1': 4, 'small.b/1': 4 })).to.equal('small.a/1')
+    })
+
+    it('counts the streams of a slow replica as many times as it is slower', () => {
+      fill('small.a/1', 3)
+      fill('small.b/1', 6)
+      expect(pick({})).to.equal('small.a/1')
+      expect(pick({}, { 'small.a/1': 3 })).to.equal('small.b/1')
+    })
+
+    // Pace may only take replicas out of the choice.
+    it('does not choose a replica that wants no requests', () => {
+      holdsMs.set('a-0', 700)
+      expect(pick({ 'small.a/1': 4 })).to.equal('small.b/1')
+    })
+  })
+
   it('skips a replica that lacks a member or is not open', () => {
     expect(choose(makeReplicaServers('a', 'z1', MemberState.Open, 2)).kind).to.equal(ReplicaChoiceKind.Absent)
     expect(choose(makeReplicaServers('a', 'z1', MemberState.Ready)).kind).to.equal(ReplicaChoiceKind.Absent)
--- a/src/coordination/pace/server-pace.ts
+++ b/src/coordination/pace/server-pace.ts
@@ -212,6 +212,7 @@
   /** Whether most replicas look slow from here, as they do when this gateway's own path or processor is slow. */
   function isSelfSlow (): boolean {
     if (timers.nowMs() - selfCheck.atMs < selfCheckLifeMs) return selfCheck.isSlow
+    for (const entry of entries.values()) checkOverdue(entry)
     const judged = [...entries.values()].filter(entry => entry.pace.hasOwnEvidence)
     const slowCount = judged.filter(entry => entry.pace.isFallen).length
     selfCheck = { atMs: timers.nowMs(), isSlow: judged.length >= minJudgedCount && slowCount > judged.length * maxSlowFraction }
@@ -293,8 +294,8 @@
     getStreamLimit (replica, slotCount) {
       const entry = find(replica)
       if (entry === undefined) return slotCount
-      const statement = update(entry)
       if (isSelfSlow()) return slotCount
+      const statement = update(entry)
       const streamLimit = toStreamLimit(computeFraction(entry, computeFactor(entry, statement)), slotCount)
       if (streamLimit >= slotCount || entry.pace.isProven) return streamLimit
       return entry.attempts.size < getOwnShare(replica.id, streamLimit) ? streamLimit : 0
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -23,7 +23,7 @@
 import { createPlannerTask } from '../coordination/replicas/planner-task.js'
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
-import { createMetrics, MetricEvent, MetricGauge } from '../observability/metrics.js'
+import { createMetrics, MetricEvent, MetricGauge, ServiceGauge } from '../observability/metrics.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
@@ -304,6 +304,8 @@
     metrics.setGauge(MetricGauge.IssuedLimitPerSecond, permits.getIssuedPerSecond())
     metrics.setGauge(MetricGauge.LimitedServerCount, limits.countLimited())
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
+    if (pace === undefined) return
+    for (const { name } of fleet.listReplicatedServices()) metrics.setServiceGauge(ServiceGauge.PacedReplicaCount, name, pace.countPaced(name))
   }
 
   function countServingReplicas (): number {
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -21,6 +21,7 @@
   countRequest (kind: string, outcome: string): void
   countEvent (event: MetricEvent): void
   setGauge (name: MetricGauge, value: number): void
+  setServiceGauge (name: ServiceGauge, service: string, value: number): void
   /** Renders all metrics in the Prometheus text format. */
   render (): Promise<string>
 }
@@ -92,6 +93,12 @@
   IssuedLimitPerSecond = 'issued_limit_per_second'
 }
 
+/** Gauges with a value for each service; the values are parts of metric names. */
+export enum ServiceGauge {
+  /** Replicas whose stream limit is below their slots. */
+  PacedReplicaCount = 'paced_replica_count'
+}
+
 const microsecondsPerMillisecond = 1000
 /** One hour; longer durations are recorded as one hour. */
 const highestTrackableMicroseconds = 3_600_000_000
@@ -119,6 +126,8 @@
   for (const name of Object.values(MetricGauge)) {
     gauges.set(name, new Gauge({ name: `egretpaddle_${name}`, help: `Current value of ${name}.`, registers: [registry] }))
   }
+  const serviceGauges = new Map(Object.values(ServiceGauge).map(name =>
+    [name, new Gauge({ name: `egretpaddle_${name}`, help: `Current value of ${name} by service.`, labelNames: ['service'], registers: [registry] })]))
   for (const metric of Object.values(DurationMetric)) {
     const histogram = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: highestTrackableMicroseconds, numberOfSignificantValueDigits: 2 })
     histograms.set(metric, histogram)
@@ -133,6 +142,7 @@
     countRequest: (kind, outcome) => requestCounter.inc({ kind, outcome }),
     countEvent: event => eventCounter.inc({ event }),
     setGauge: (name, value) => gauges.get(name)?.set(value),
+    setServiceGauge: (name, service, value) => serviceGauges.get(name)?.set({ service }, value),
     render: () => registry.metrics()
   }
 }
--- a/src/protocol/relay-messages.test.ts
+++ b/src/protocol/relay-messages.test.ts
@@ -15,6 +15,24 @@
     expect(relayResponseSchema.safeParse(response).success).to.equal(true)
   })
 
+  it('state the pace of replicas', () => {
+    const pace = { r: { limitPercent: 25, factorPercent: 150, isFallen: true } }
+    expect(decodeLoadReport(JSON.stringify({ ...report, pace }))).to.deep.equal({ ...report, pace })
+  })
+
+  // Guards against one odd gateway whose stream counts would be lost with what it states of the pace.
+  for (const [title, pace] of [
+    ['more replicas than allowed', Object.fromEntries(Array.from({ length: 41 }, (_, index) => [`r${index}`, { limitPercent: 25, factorPercent: 150, isFallen: true }]))],
+    ['a limit above 100 percent', { r: { limitPercent: 101, factorPercent: 150, isFallen: true } }],
+    ['a negative factor', { r: { limitPercent: 25, factorPercent: -1, isFallen: true } }],
+    ['text', 'slow']
+  ] as const) {
+    it(`are decoded without the pace when it has ${title}`, () => {
+      expect(decodeLoadReport(JSON.stringify({ ...report, pace }))).to.deep.include(report)
+      expect(decodeLoadReport(JSON.stringify({ ...report, pace }))?.pace).to.equal(undefined)
+    })
+  }
+
   it('are rejected when they are nested very deeply', () => {
     expect(decodeLoadReport(nested)).to.equal(undefined)
     expect(decodeRelayRequest(JSON.stringify({ ...request, loads: 'x' }).replace('"x"', nested))).to.equal(undefined)
