Let gateways join a replica one after the other, and keep the slots of a server at half speed

Change: a gateway without a response in time takes part from its rank on, also at the full limit, until the number of gateways has doubled twice more; the limit is bounded by 1 / factor from a factor of 2.5 on only.

--- a/src/coordination/pace/replica-pace.ts
+++ b/src/coordination/pace/replica-pace.ts
@@ -17,7 +17,7 @@
 
 /** What a gateway knows of the pace of one replica. */
 export interface ReplicaPace {
-  /** Streams of all gateways that the replica should have, as a fraction of its slots; 1 for no limit. */
+  /** Streams of all gateways that the replica should have, as a fraction of its slots. Above 1 it only says how many gateways may send them; `fullFraction` for all. */
   fraction: number
   /** This gateway has had a response in time since the last start or fall. */
   isProven: boolean
@@ -38,6 +38,11 @@
 
 /** A server that turned slow answers this many streams in a time that shows whether it is sound, and their clients are few. */
 export const startFraction = 0.25
+/**
+ * While a gateway has had no response in time, it takes part from its rank on. Up to this fraction the number of gateways that do
+ * doubles; if all began at once, their reports would be too old to keep them from filling the replica twice over.
+ */
+export const fullFraction = 4
 /** With one stream alone, the chance that the first prompt is a long one would decide. */
 export const minStartStreamCount = 2
 /** A fall never goes below this fraction, or a sound server would need more than three steps by time to come back. */
@@ -57,7 +62,7 @@
 
 /** Creates the state of a replica without a limit. */
 export function createFullPace (): ReplicaPace {
-  return { fraction: 1, isProven: false, isFallen: false, risesEvenly: false, hasOwnEvidence: false, lateCount: 0, lateRatio: 1, lastFallAtMs: -Infinity, rampFromMs: undefined }
+  return { fraction: fullFraction, isProven: false, isFallen: false, risesEvenly: false, hasOwnEvidence: false, lateCount: 0, lateRatio: 1, lastFallAtMs: -Infinity, rampFromMs: undefined }
 }
 
 /** Sets the state of a replica that starts, or starts again. */
@@ -68,13 +73,14 @@
 /** Raises the limit for a response in time. Returns whether it changed. */
 export function recordInTime (pace: ReplicaPace): boolean {
   const before = pace.fraction
-  pace.fraction = Math.min(1, pace.risesEvenly ? before + evenRiseFraction : before * riseFactor)
+  const risen = pace.risesEvenly ? before + evenRiseFraction : before * riseFactor
+  pace.fraction = risen >= 1 ? fullFraction : risen
   pace.isProven = true
   pace.isFallen = false
   pace.hasOwnEvidence = true
   pace.lateCount = 0
   pace.lateRatio = 1
-  if (pace.fraction === 1) pace.risesEvenly = false
+  if (pace.fraction === fullFraction) pace.risesEvenly = false
   return pace.fraction !== before
 }
 
@@ -92,7 +98,7 @@
   pace.lateRatio = Math.max(pace.lateRatio, ratio)
   if (nowMs - pace.lastFallAtMs < minFallIntervalMs) return false
   pace.lastFallAtMs = nowMs
-  pace.fraction = Math.max(minFraction, pace.fraction * fallFactor)
+  pace.fraction = Math.max(minFraction, Math.min(1, pace.fraction) * fallFactor)
   pace.isProven = false
   pace.isFallen = true
   pace.risesEvenly = true
@@ -108,7 +114,7 @@
   // Own responses in time are newer than the report of a gateway on the same way up.
   if (!isFallen && (pace.isProven || pace.isFallen)) return false
   if (isFallen && stated >= pace.fraction) return false
-  if (stated === pace.fraction) return false
+  if (stated === pace.fraction || stated === 1) return false
   const isLower = stated < pace.fraction
   pace.fraction = stated
   pace.rampFromMs = nowMs
@@ -121,15 +127,15 @@
  * that have no streams there, and those that get no reports. Returns whether it rose.
  */
 export function rampByTime (pace: ReplicaPace, nowMs: number, hasStreams: boolean, isOverdue: boolean): boolean {
-  if (pace.fraction >= 1) return false
+  if (pace.fraction >= fullFraction) return false
   if (isOverdue) pace.rampFromMs = nowMs
   else if (pace.rampFromMs === undefined && hasStreams) pace.rampFromMs = nowMs
   if (pace.rampFromMs === undefined || nowMs - pace.rampFromMs < (pace.risesEvenly ? rampIntervalAfterFallMs : rampIntervalMs)) return false
-  pace.fraction = Math.min(1, pace.fraction * riseFactor)
+  pace.fraction = Math.min(fullFraction, pace.fraction * riseFactor)
   pace.rampFromMs = nowMs
   pace.isFallen = false
   pace.lateRatio = 1
-  if (pace.fraction === 1) pace.risesEvenly = false
+  if (pace.fraction === fullFraction) pace.risesEvenly = false
   return true
 }
 
--- a/src/coordination/pace/server-pace.ts
+++ b/src/coordination/pace/server-pace.ts
@@ -7,7 +7,7 @@
 import { createModelTimes } from './model-times.js'
 import { mergePaceStatements, type PaceStatement, type PaceStatements } from './pace-statement.js'
 import {
-  adoptStatement, createFullPace, lower, PaceReason, rampByTime, recordInTime, recordLate, startPace, toStreamLimit, type ReplicaPace
+  adoptStatement, createFullPace, fullFraction, lower, PaceReason, rampByTime, recordInTime, recordLate, startPace, toStreamLimit, type ReplicaPace
 } from './replica-pace.js'
 
 /** How an attempt ended. */
@@ -93,6 +93,8 @@
 const inTimeFactor = 1.5
 /** Servers that take this much longer between events than the others count as slow; passes with many long prompts take a half longer. */
 const slowFactor = 1.75
+/** From this factor on the limit is 1 / factor of the slots. A server at half of its speed keeps its slots: its passes take hardly longer with more streams. */
+const limitedFactor = 2.5
 /** Smaller differences between replicas come from their batches and say nothing of their servers. */
 const minStatedFactor = 1.25
 /** A pause has this many times the usual time between events. */
@@ -193,9 +195,9 @@
     const { replica, pace } = entry
     const isOverdue = checkOverdue(entry)
     const statement = options.getStatement(replica.id)
-    if (statement === undefined && pace.fraction >= 1) return undefined
+    if (statement === undefined && pace.fraction >= fullFraction) return undefined
     if (statement !== undefined && adoptStatement(pace, statement, timers.nowMs())) logChange(entry, PaceReason.OtherGateway)
-    if (pace.fraction < 1 && rampByTime(pace, timers.nowMs(), options.getStreamCount(replica.id) > 0, isOverdue)) logChange(entry, PaceReason.NoComplaint)
+    if (rampByTime(pace, timers.nowMs(), options.getStreamCount(replica.id) > 0, isOverdue)) logChange(entry, PaceReason.NoComplaint)
     return statement
   }
 
@@ -206,7 +208,7 @@
   }
 
   function computeFraction (entry: Entry, factor: number): number {
-    return factor < slowFactor ? entry.pace.fraction : Math.min(entry.pace.fraction, 1 / factor)
+    return factor < limitedFactor ? entry.pace.fraction : Math.min(entry.pace.fraction, 1 / factor)
   }
 
   /** Whether most replicas look slow from here, as they do when this gateway's own path or processor is slow. */
@@ -297,8 +299,10 @@
       if (isSelfSlow()) return slotCount
       const statement = update(entry)
       const streamLimit = toStreamLimit(computeFraction(entry, computeFactor(entry, statement)), slotCount)
-      if (streamLimit >= slotCount || entry.pace.isProven) return streamLimit
-      return entry.attempts.size < getOwnShare(replica.id, streamLimit) ? streamLimit : 0
+      const isLimited = streamLimit < slotCount
+      if (entry.pace.isProven || (!isLimited && entry.pace.fraction >= fullFraction)) return streamLimit
+      const sharedCount = isLimited ? streamLimit : Math.round(entry.pace.fraction * slotCount)
+      return entry.attempts.size < getOwnShare(replica.id, sharedCount) ? streamLimit : 0
     },
     getPaceFactor (replica) {
       const entry = find(replica)
@@ -312,7 +316,7 @@
         const factor = computeFactor(entry, undefined)
         const fraction = computeFraction(entry, factor)
         if (!entry.pace.hasOwnEvidence || (fraction >= 1 && factor < slowFactor)) continue
-        stated[entry.replica.id] = { limitPercent: Math.round(fraction * percent), factorPercent: Math.round(factor * percent), isFallen: entry.pace.isFallen || factor >= slowFactor }
+        stated[entry.replica.id] = { limitPercent: Math.round(Math.min(1, fraction) * percent), factorPercent: Math.round(factor * percent), isFallen: entry.pace.isFallen || factor >= limitedFactor }
       }
       return mergePaceStatements([stated])
     },
