--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -30,7 +30,7 @@
 import { createClassUses } from '../coordination/scarcity/class-uses.js'
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
-import { createMetrics, MetricEvent, MetricGauge } from '../observability/metrics.js'
+import { createMetrics, MetricEvent, MetricGauge, ServiceGauge } from '../observability/metrics.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
@@ -345,6 +345,8 @@
     metrics.setGauge(MetricGauge.EvacuatedZoneCount, fleet.evacuatedZones.list().length)
     metrics.setGauge(MetricGauge.InFlightCount, clientServer.countInFlight())
     setModelGauges(metrics, planner.listModelSupply())
+    if (pace === undefined) return
+    for (const { name } of fleet.listReplicatedServices()) metrics.setServiceGauge(ServiceGauge.PacedReplicaCount, name, pace.countPaced(name))
   }
 
   function countServingReplicas (): number {
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -23,6 +23,7 @@
   setGauge (name: MetricGauge, value: number): void
   /** Replaces the values of a gauge for the models of services. */
   setModelGauge (name: ModelGauge, values: readonly ModelGaugeValue[]): void
+  setServiceGauge (name: ServiceGauge, service: string, value: number): void
   /** Renders all metrics in the Prometheus text format. */
   render (): Promise<string>
 }
@@ -121,6 +122,12 @@
   readonly value: number
 }
 
+/** Gauges with a value for each service; the values are parts of metric names. */
+export enum ServiceGauge {
+  /** Replicas whose stream limit is below their slots. */
+  PacedReplicaCount = 'paced_replica_count'
+}
+
 const microsecondsPerMillisecond = 1000
 /** One hour; longer durations are recorded as one hour. */
 const highestTrackableMicroseconds = 3_600_000_000
@@ -150,6 +157,8 @@
   }
   const modelGauges = new Map(Object.values(ModelGauge).map(name =>
     [name, new Gauge({ name: `egretpaddle_${name}`, help: `Current value of ${name}, at the planner.`, labelNames: ['service', 'model'], registers: [registry] })]))
+  const serviceGauges = new Map(Object.values(ServiceGauge).map(name =>
+    [name, new Gauge({ name: `egretpaddle_${name}`, help: `Current value of ${name} by service.`, labelNames: ['service'], registers: [registry] })]))
   for (const metric of Object.values(DurationMetric)) {
     const histogram = hdr.build({ lowestDiscernibleValue: 1, highestTrackableValue: highestTrackableMicroseconds, numberOfSignificantValueDigits: 2 })
     histograms.set(metric, histogram)
@@ -168,6 +177,7 @@
       modelGauges.get(name)?.reset()
       for (const { service, model, value } of values) modelGauges.get(name)?.set({ service, model }, value)
     },
+    setServiceGauge: (name, service, value) => serviceGauges.get(name)?.set({ service }, value),
     render: () => registry.metrics()
   }
 }
