Move the coordination of servers and the list of gateways out of the gateway's wiring

One part now creates holds, limits, cold servers, permits, admission and pace, and takes in changes of the configuration, the evacuations and the replicas.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,23 +5,14 @@
 import { createDemandMeter } from '../coordination/demand/demand-meter.js'
 import { toServiceDemand } from '../coordination/demand/service-demand.js'
 import { createServiceRetryBudget, type ServiceRetryBudget } from '../coordination/dispatch/service-retry-budget.js'
-import { createServerHolds } from '../coordination/dispatch/server-holds.js'
-import { createServerOverruns } from '../coordination/dispatch/server-overruns.js'
-import { createServerLimits } from '../coordination/limits/server-limits.js'
-import { defaultColdBounds } from '../coordination/limits/permit-rules.js'
-import { createServerPermits } from '../coordination/limits/server-permits.js'
-import { createColdServers } from '../coordination/servers/cold-servers.js'
-import { createServerAdmission } from '../coordination/servers/server-admission.js'
 import { createServerScores } from '../coordination/dispatch/server-scores.js'
-import { createGatewayRanks } from '../coordination/pace/gateway-ranks.js'
 import { PaceReason } from '../coordination/pace/replica-pace.js'
-import { createServerPace, type ServerPace } from '../coordination/pace/server-pace.js'
 import type { RevisionedStore } from '../coordination/ports/revisioned-store.js'
 import type { ServerControl } from '../coordination/ports/server-control.js'
 import type { RelayLink } from '../coordination/ports/relay-link.js'
 import { createPromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import { createQuarantineStore } from '../coordination/quarantine/quarantine-store.js'
-import { createRelayPlans, directPlan, listReportPeers, type ListedGateway } from '../coordination/relay/relay-plan.js'
+import { createRelayPlans, directPlan, listReportPeers } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { createDeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
@@ -31,7 +22,7 @@
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
 import { createMetrics, MetricEvent, MetricGauge, ServiceGauge } from '../observability/metrics.js'
-import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
+import type { NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
 import type { TimerService } from '../shared/timer-service.js'
@@ -48,12 +39,14 @@
 import { createDrain } from './drain.js'
 import { createFleetView, FleetEvent, type StoreLayout } from './fleet-view.js'
 import type { GatewayBounds, GatewaySettings } from './gateway-settings.js'
+import { createGatewayList } from './gateway-list.js'
 import { createLoadSharing } from './load-sharing.js'
 import { setModelGauges } from './model-gauges.js'
 import { createPresence } from './presence.js'
 import type { ProcessBuffers } from '../transport/process-buffers.js'
 import { createRelayHandler } from './relay-handler.js'
 import { createMetricsServer, createReadinessServer, createRelayServer } from './internal-servers.js'
+import { createServerCoordination } from './server-coordination.js'
 import { streamCheckIntervalMs } from './stream-forwarding.js'
 import type { WireCodec } from './wire-codec.js'
 
@@ -92,12 +85,6 @@
 const incompleteLogLinesPerSecond = 20
 /** The same for the lines on prompts, of which a server that ends causes one for each suspicious request. */
 const quarantineLogLinesPerSecond = 20
-/** The same for the lines on limits that servers state. */
-const limitLogLinesPerSecond = 20
-/** The same for the lines on servers that send too much. */
-const bufferLogLinesPerSecond = 10
-/** The same for the lines on stream limits of replicas, of which a zone that comes back causes several for each. */
-const paceLogLinesPerSecond = 10
 const incompleteEvents = {
   [ConnectionEnd.Gateway]: MetricEvent.IncompleteByGateway,
   [ConnectionEnd.Client]: MetricEvent.IncompleteByClient,
@@ -112,8 +99,6 @@
   const startedAtMs = timers.nowMs()
   let { bounds } = settings
   let totalReportSequence = 0
-  let listedGateways: readonly ListedGateway[] = []
-  let gatewayIds: readonly string[] = []
   const metrics = createMetrics({ includesProcessMetrics: false })
   // The parts below refer to each other in closures, which run only after all parts have been created.
   const isPlanner = () => plannerLease.getFencingToken() !== undefined
@@ -200,38 +185,23 @@
     countGateways: presence.countGateways,
     announce: entry => loadSharing.sendPromptMessage({ kind: PromptMessageKind.Quarantine, partIds: [...entry.partIds], probeCount: entry.probeCount })
   })
-  const holds = createServerHolds(timers)
-  const limits = createServerLimits({ timers, logger: createRateLimitedLogger(createLogger('limits'), timers, limitLogLinesPerSecond) })
-  const cold = createColdServers({
-    timers,
-    logger: createRateLimitedLogger(createLogger('servers'), timers, limitLogLinesPerSecond),
-    evacuatedZones: fleet.evacuatedZones,
-    getPolicy: serviceName => findService(serviceName)?.cold,
-    hasTraffic,
-    onCold: server => permits.announceCold(server)
-  })
-  const permits = createServerPermits({
-    nodeId: settings.nodeId,
+  const gatewayList = createGatewayList({ nodeId: settings.nodeId, listGateways: presence.listGateways, countGateways: presence.countGateways })
+  const { toAddresses } = gatewayList
+  const serverCoordination = createServerCoordination({
+    settings,
     timers,
     random,
-    limits,
-    cold,
-    getColdBounds: () => ({ overrunRatio: bounds.coldOverrunRatio ?? defaultColdBounds.overrunRatio, slackCount: bounds.coldSlackCount ?? defaultColdBounds.slackCount }),
-    listGatewayIds,
+    createLogger,
+    fleet,
+    loads,
+    getBounds: () => bounds,
+    hasTraffic,
+    hasOwnTraffic: () => clientServer.hasReceivedRequest(),
+    listGatewayIds: gatewayList.listIds,
     countGateways: presence.countGateways,
     send: (message, nodeId) => loadSharing.sendLimitMessage(message, nodeId)
   })
-  const admission = createServerAdmission({ evacuatedZones: fleet.evacuatedZones, holds, cold, permits })
-  const pace: ServerPace | undefined = settings.hasPace === true
-    ? createServerPace({
-      timers,
-      logger: createRateLimitedLogger(createLogger('pace'), timers, paceLogLinesPerSecond),
-      getRank: createGatewayRanks(settings.nodeId, listGatewayIds),
-      getStreamCount: loads.getStreamCount,
-      getStatement: loads.getPaceStatement,
-      hasTraffic: () => clientServer.hasReceivedRequest()
-    })
-    : undefined
+  const { holds, limits, cold, permits, admission, overruns, pace } = serverCoordination
   const retryBudgets = new Map<string, ServiceRetryBudget>()
   const dependencies: CallDependencies = {
     zone: settings.zone,
@@ -246,7 +216,7 @@
     responseBuffers: buffers.responses,
     scores: createServerScores(timers),
     holds,
-    overruns: createServerOverruns({ timers, holds, logger: createRateLimitedLogger(createLogger('buffers'), timers, bufferLogLinesPerSecond) }),
+    overruns,
     limits,
     permits,
     admission,
@@ -311,12 +281,6 @@
     loadSharing.reportLeaving()
   }
 
-  function logColdProblems (): void {
-    for (const { name, coldProblem } of fleet.getConfig()?.services ?? []) {
-      if (coldProblem !== undefined) log.warn('The configuration of cold servers is odd.', { service: name, problem: coldProblem })
-    }
-  }
-
   function recordIncomplete ({ request, response, endedBy, reason }: IncompleteResponse): void {
     metrics.countEvent(incompleteEvents[endedBy])
     incompleteLogger.warn('A response was not completed.', {
@@ -385,25 +349,6 @@
     }))
   }
 
-  /**
-   * Returns the same array until the list of gateways changes. A list that has lost more than half of the gateways is not used, as the
-   * store may have lost it: gateways with different short lists would issue more permits together than a server takes.
-   */
-  function listGatewayIds (): readonly string[] {
-    const gateways = presence.listGateways()
-    const isShort = gateways.length < gatewayIds.length / 2 && gateways.length < presence.countGateways() / 2
-    if (gateways !== listedGateways && !isShort) {
-      listedGateways = gateways
-      gatewayIds = gateways.map(gateway => gateway.nodeId)
-    }
-    return gatewayIds
-  }
-
-  /** Returns the addresses of the other gateways in the list. */
-  function toAddresses (gateways: readonly ListedGateway[]): NetworkAddress[] {
-    return gateways.filter(gateway => gateway.nodeId !== settings.nodeId).flatMap(gateway => parseAddress(gateway.address) ?? [])
-  }
-
   function getRetryBudget (serviceName: string): ServiceRetryBudget {
     const existing = retryBudgets.get(serviceName)
     if (existing !== undefined) return existing
@@ -432,9 +377,9 @@
         const limits = fleet.getConfig()?.limits
         if (limits !== undefined) clientServer.applyLimits(limits)
       }
-      if (event === FleetEvent.Servers || event === FleetEvent.Config) pace?.observeServices(fleet.listReplicatedServices())
-      if (event === FleetEvent.Config) logColdProblems()
-      if (event === FleetEvent.Evacuations || event === FleetEvent.Config) cold.refresh()
+      if (event === FleetEvent.Servers || event === FleetEvent.Config) serverCoordination.observeReplicas()
+      if (event === FleetEvent.Config) serverCoordination.observeConfig()
+      if (event === FleetEvent.Evacuations) serverCoordination.observeEvacuations()
       if (event === FleetEvent.Era) quarantineStore.forgetView()
       if (event === FleetEvent.Gateways) quarantineStore.applyView()
       if (event !== FleetEvent.Servers) plannerLease.checkNow()
