Lower the cost of load reports, and render metrics once for all that wait

Change: kinds of datagrams are told apart by their first bytes; counts are added without lists, uses for 50 ms; totals by datagram leave out what changes within seconds and go out every 300 ms, own counts every 200 ms. What this changes on the deployments is not measured yet.

--- a/src/client-api/api-server.ts
+++ b/src/client-api/api-server.ts
@@ -61,6 +61,7 @@
   const authenticator = createAuthenticator()
   let inFlightCount = 0
   let isDraining = false
+  let renderingMetrics: Promise<Buffer> | undefined
 
   const queue = createRequestQueue(buffers.requests)
   const lingerLimit = createLingerLimit()
@@ -131,14 +132,25 @@
       return true
     }
     if (url === '/metrics') {
-      dependencies.updateGauges()
+      const text = await renderMetrics()
       response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
-      response.end(await metrics.render())
+      response.end(text)
       return true
     }
     return false
   }
 
+  /** Renders the metrics once for all requests that wait for them: a crowd of requests would fill the heap with copies. */
+  function renderMetrics (): Promise<Buffer> {
+    renderingMetrics ??= renderNow().finally(() => { renderingMetrics = undefined })
+    return renderingMetrics
+  }
+
+  async function renderNow (): Promise<Buffer> {
+    dependencies.updateGauges()
+    return Buffer.from(await metrics.render())
+  }
+
   async function handleCall (request: IncomingMessage, response: ServerResponse, url: string, span: TraceSpan): Promise<void> {
     const admitted = admitClient(request)
     if (!admitted.isOk) {
--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -78,6 +78,8 @@
 
 /** Reports older than this are left out of the counts. */
 const reportMaxAgeMs = 2500
+/** The uses of a model's slots are means over seconds; adding them up for each call would cost a relay more than the choice itself. */
+const modelUsesMaxAgeMs = 50
 /** A replica with an event this recent is not stalled; one engine step takes about 10 ms. */
 export const recentEventMs = 300
 /** A working replica pauses for less than this between two events, even while it processes 12,000 prompt tokens. */
@@ -113,6 +115,7 @@
 /** Creates the record with no streams and no reports. */
 export function createReplicaLoads (timers: TimerService, { listPace = () => undefined, createDemandReport = () => noDemand, createUses }: OwnStatements = {}): ReplicaLoads {
   const localCounts = new Map<string, number>()
+  const modelUses = new Map<string, { readonly uses: ModelUses, readonly atMs: number }>()
   const peers = new Map<string, ReceivedReport>()
   const relayedReports = new Map<string, ReceivedReport>()
   // Kept apart from the reports, since a report that is sent to the planner at once has no demand.
@@ -215,12 +218,22 @@
     hasAnyStream: () => localCounts.size > 0 || [peers, relayedReports].some(reports => [...reports.values()].some(({ report }) => Object.keys(report.streamCounts).length > 0)),
     getLocalStreamCount: replicaId => localCounts.get(replicaId) ?? 0,
     getStreamCount (replicaId) {
-      const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)]
-      return reports.reduce((sum, report) => sum + (report.streamCounts[replicaId] ?? 0), localCounts.get(replicaId) ?? 0)
+      let count = localCounts.get(replicaId) ?? 0
+      // Asked for each replica at each choice, at relays over the reports of dozens of gateways.
+      for (const reports of [peers, relayedReports]) {
+        for (const { report, receivedAtMs } of reports.values()) {
+          if (timers.nowMs() - receivedAtMs <= reportMaxAgeMs) count += report.streamCounts[replicaId] ?? 0
+        }
+      }
+      return count
     },
     getModelUses (modelKey) {
+      const known = modelUses.get(modelKey)
+      if (known !== undefined && timers.nowMs() - known.atMs <= modelUsesMaxAgeMs) return known.uses
       const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)].map(report => report.uses)
-      return sumModelUses([createUses?.(), ...reports], modelKey)
+      const uses = sumModelUses([createUses?.(), ...reports], modelKey)
+      modelUses.set(modelKey, { uses, atMs: timers.nowMs() })
+      return uses
     },
     recordEvent (replicaId) {
       lastEventAtMs.set(replicaId, timers.nowMs())
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -99,6 +99,8 @@
   const startedAtMs = timers.nowMs()
   let { bounds } = settings
   let totalReportSequence = 0
+  /** Of the last total that had them: datagrams leave them out. */
+  let totalUses: LoadReport['uses']
   const metrics = createMetrics({ includesProcessMetrics: false })
   // The parts below refer to each other in closures, which run only after all parts have been created.
   const isPlanner = () => plannerLease.getFencingToken() !== undefined
@@ -336,7 +338,8 @@
    */
   function applyTotalReport (total: LoadReport): void {
     totalReportSequence += 1
-    loads.applyReport({ ...total, nodeId: totalNodeId, sequence: totalReportSequence })
+    totalUses = total.uses ?? totalUses
+    loads.applyReport({ ...total, uses: totalUses, nodeId: totalNodeId, sequence: totalReportSequence })
   }
 
   function listLoadPeers (): NetworkAddress[] {
--- a/src/gateway/relayed-loads.ts
+++ b/src/gateway/relayed-loads.ts
@@ -26,12 +26,17 @@
 }
 
 /** Interval of a gateway's reports to its relay. Streams last about a second, so that few begin and end between two reports. */
-const reportIntervalMs = 150
+const reportIntervalMs = 200
 /** Interval of a relay's totals. Sixty replicas make 1.8 KB, which keeps a gateway below the 9 KB/s of docs/CAPACITY.md. */
-const totalIntervalMs = 250
+const totalIntervalMs = 300
 /** A report with the same content as the last one is sent only this often. */
 const repeatIntervalMs = 1000
 
+/** Leaves out what changes within seconds: the requests to the relay carry it. */
+function withoutSlowParts (total: LoadReport): LoadReport {
+  return { ...total, uses: undefined, demand: undefined }
+}
+
 /** Creates the exchange; it sends nothing where all gateways read the store themselves. */
 export function createRelayedLoads ({ nodeId, timers, loads, findRelay, findAddress, applyTotal, send }: RelayedLoadsOptions): RelayedLoads {
   let reportTimer: TimerSubscription | undefined
@@ -57,7 +62,7 @@
     if (findRelay() !== undefined) return
     for (const id of loads.listDependentIds()) {
       const address = findAddress(id)
-      if (address !== undefined) send({ kind: RelayedLoadKind.Total, report: loads.createTotalReport(id) }, address)
+      if (address !== undefined) send({ kind: RelayedLoadKind.Total, report: withoutSlowParts(loads.createTotalReport(id)) }, address)
     }
   }
 
--- a/src/transport/load-report-socket.ts
+++ b/src/transport/load-report-socket.ts
@@ -49,16 +49,19 @@
 
   function receive (bytes: Buffer): void {
     const text = bytes.toString('utf8')
-    const handled = [
-      handle(decodeLoadReport, onReport),
-      handle(decodeRelayedLoad, onRelayedLoad),
-      handle(decodeDeliveryMessage, onDeliveryMessage),
-      handle(decodePromptMessage, onPromptMessage),
-      handle(decodeLimitMessage, onLimitMessage)
-    ].some(tryHandle => tryHandle(text))
+    const handled = listHandlers(text).some(tryHandle => tryHandle(text))
     if (!handled) onError('received a datagram of an unknown kind')
   }
 
+  /** The kinds that a text may be, the likeliest first, since a failed attempt costs as much as one that succeeds. */
+  function listHandlers (text: string): Array<(text: string) => boolean> {
+    const ofReport = handle(decodeLoadReport, onReport)
+    const ofRelayedLoad = handle(decodeRelayedLoad, onRelayedLoad)
+    const others = [handle(decodeLimitMessage, onLimitMessage), handle(decodePromptMessage, onPromptMessage), handle(decodeDeliveryMessage, onDeliveryMessage)]
+    if (text.startsWith('{"kind":"relayed')) return [ofRelayedLoad]
+    return text.startsWith('{"kind"') ? [...others, ofReport] : [ofReport, ...others]
+  }
+
   function sendText (text: string, peers: readonly NetworkAddress[]): void {
     const bytes = Buffer.from(text)
     for (const peer of peers) {
