Add a command that explains where a request would go

Ruled out: a second implementation of the choices, which would drift from the gateway. Reading a gateway instead of the store, since the command must work while gateways are in trouble.

Change: platform/explain reads the store once through the gateway's fleet view, and asks the gateway's own decisions: route table, admission of servers, choice of a replica, expected times, and wait for a permit. The choice of a server of a plain service moves from plain-forwarding.ts to coordination/dispatch/server-choice.ts, without a change, so that both use it. The time of the decisions stands still.

--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -228,7 +228,7 @@
 }
 
 /** Whether a call that has waited since `sinceMs` may wait for a permit that is not to be had before `unavailableMs`. */
-export function mayWaitForPermit ({ timers }: CallDependencies, { arrivedAtMs, deadlineAtMs, route }: Call, unavailableMs: number, sinceMs = arrivedAtMs): boolean {
+export function mayWaitForPermit ({ timers }: Pick<CallDependencies, 'timers'>, { arrivedAtMs, deadlineAtMs, route }: Pick<Call, 'arrivedAtMs' | 'deadlineAtMs' | 'route'>, unavailableMs: number, sinceMs = arrivedAtMs): boolean {
   const maxWaitMs = Math.min(permitWaitObjectiveCount * route.objectiveMs, (deadlineAtMs - sinceMs) * permitWaitFraction)
   return timers.nowMs() + unavailableMs < sinceMs + maxWaitMs
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -81,7 +81,8 @@
 /** Duration of the planner's lease: another gateway can replace a lost planner after this time. */
 const plannerLeaseMs = 2000
 const plannerKey = 'planner'
-const gatewayKeyPrefix = 'gateways/'
+/** Prefix of the gateways' own entries, below the prefix of all their keys. */
+export const gatewayKeyPrefix = 'gateways/'
 /** Subtracted from the revocation bound for the time that a request needs to reach its server. */
 const revocationMarginMs = 300
 /** Idle connections kept for each server. Requests in flight have their own limit, from what the server accepts in all. */
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,11 +1,12 @@
 /** Forwards requests to plain services, whose responses are not streams. */
 import { maxNotExecutedRetryCount } from '../coordination/dispatch/attempt-limits.js'
 import { minRetryAfterMs } from '../coordination/dispatch/retry-after.js'
-import { needsPermit, type BlockedServer } from '../coordination/servers/server-admission.js'
+import { chooseServer, findShortestBlock, type ServerChoice } from '../coordination/dispatch/server-choice.js'
+import type { BlockedServer } from '../coordination/servers/server-admission.js'
 import { describeAdmission } from '../coordination/quarantine/describe-admission.js'
 import { AdmissionKind, type Admission } from '../coordination/quarantine/prompt-quarantine.js'
 import { MetricEvent } from '../observability/metrics.js'
-import { ServerState, type BackendServer } from '../state/backend-server.js'
+import type { BackendServer } from '../state/backend-server.js'
 import { RouteKind } from '../state/serving-config.js'
 import type { TimerService } from '../shared/timer-service.js'
 import type { ResponseHead } from '../transport/backend-connection-pool.js'
@@ -20,8 +21,6 @@
 const silenceObjectiveFactor = 1.5
 /** Lower bound on that time, for routes with a short objective. */
 const minSilenceMs = 200
-/** Added to the cost of a server in another zone. The cost is an expected latency in milliseconds, see `ServerScores`. */
-const crossZoneCostMs = 25
 /** Shortest Retry-After of a refused request: a few times the usual processing time, after which a server may have capacity. */
 const minPlainRetryAfterMs = 150
 const plainRetryAfterSpreadMs = 350
@@ -73,7 +72,7 @@
   /** Starts an attempt where that is allowed, and returns it. */
   function startAttempt (): PlainAttempt | undefined {
     if (!mayStartAttempt()) return undefined
-    const { server, limitedServers } = chooseServer(dependencies, call, triedServerIds)
+    const { server, limitedServers } = chooseNextServer(dependencies, call, triedServerIds)
     permitWaitMs = server === undefined && limitedServers.length > 0 ? requestPermits(dependencies, limitedServers) : undefined
     if (server === undefined || (triedServerIds.size > 0 && !spendRetry())) return undefined
     // Permits that arrive later serve the next calls.
@@ -194,7 +193,7 @@
     const explanation = isAdmitted ? undefined : describeAdmission(admission)
     if (!isAdmitted) dependencies.metrics.countEvent(MetricEvent.PromptRefused)
     if (permitWaitMs !== undefined) dependencies.metrics.countEvent(MetricEvent.LimitRefused)
-    const block = findShortestBlock(dependencies, call.serviceName)
+    const block = findShortestBlock(dependencies.fleet.getServers(call.serviceName), dependencies.admission.check)
     const reason = explanation ?? (permitWaitMs === undefined ? block && `all servers are blocked: ${block.reason}` : limitReason)
     const waitMs = Math.max(minPlainRetryAfterMs, getMinRetryAfterMs(block), permitWaitMs ?? 0, isAdmitted ? 0 : admission.waitMs)
     const retryAfterMs = Math.round(waitMs + plainRetryAfterSpreadMs * dependencies.random.nextFloat())
@@ -256,18 +255,6 @@
   })
 }
 
-/** The block that ends first when no ready server of the service takes requests, with or without a permit; otherwise undefined. */
-function findShortestBlock ({ fleet, admission }: CallDependencies, serviceName: string): BlockedServer | undefined {
-  let shortest: BlockedServer | undefined
-  for (const server of fleet.getServers(serviceName)) {
-    if (server.state !== ServerState.Ready) continue
-    const check = admission.check(server)
-    if (check.isAllowed || needsPermit(check.reason)) return undefined
-    if (shortest === undefined || check.waitMs < shortest.waitMs) shortest = check
-  }
-  return shortest
-}
-
 /** Shortest time after which a client should retry that was refused for the block. */
 function getMinRetryAfterMs (block: BlockedServer | undefined): number {
   if (block === undefined) return 0
@@ -275,24 +262,13 @@
   return block.waitMs === Infinity ? minRetryAfterMs : block.waitMs
 }
 
-/** The server for one more attempt, and those that could take it but for the limits that they state, the cheapest first. */
-interface ServerChoice {
-  readonly server: BackendServer | undefined
-  readonly limitedServers: readonly BackendServer[]
-}
-
-function chooseServer (dependencies: CallDependencies, call: Call, triedServerIds: ReadonlySet<string>): ServerChoice {
-  const candidates: Array<{ readonly server: BackendServer, readonly cost: number, readonly isAllowed: boolean }> = []
-  const maxInFlightCount = dependencies.getConnectionLimit(call.serviceName)
-  for (const server of dependencies.fleet.getServers(call.serviceName)) {
-    if (server.state !== ServerState.Ready || triedServerIds.has(server.id)) continue
-    if (dependencies.scores.countInFlight(server.id) >= maxInFlightCount) continue
-    const check = dependencies.admission.check(server)
-    if (!check.isAllowed && !needsPermit(check.reason)) continue
-    // The random part, below 1 ms, breaks ties.
-    const cost = dependencies.scores.getCost(server.id) + (server.zone === dependencies.zone ? 0 : crossZoneCostMs) + dependencies.random.nextFloat()
-    candidates.push({ server, cost, isAllowed: check.isAllowed })
-  }
-  const sorted = candidates.sort((left, right) => left.cost - right.cost)
-  return { server: sorted.find(({ isAllowed }) => isAllowed)?.server, limitedServers: sorted.filter(({ isAllowed }) => !isAllowed).map(({ server }) => server) }
+/** Chooses among the servers that have not been tried, by what this gateway knows of them. */
+function chooseNextServer (dependencies: CallDependencies, call: Call, triedServerIds: ReadonlySet<string>): ServerChoice {
+  return chooseServer({
+    servers: dependencies.fleet.getServers(call.serviceName),
+    triedServerIds,
+    zone: dependencies.zone,
+    maxInFlightCount: dependencies.getConnectionLimit(call.serviceName),
+    check: dependencies.admission.check
+  }, dependencies.scores, dependencies.random)
 }
--- a/src/gateway/presence.ts
+++ b/src/gateway/presence.ts
@@ -162,7 +162,8 @@
   }
 }
 
-function parseGatewayEntry (value: string): z.infer<typeof gatewayEntrySchema> | undefined {
+/** Reads a gateway's entry; undefined for a text that no gateway writes. */
+export function parseGatewayEntry (value: string): z.infer<typeof gatewayEntrySchema> | undefined {
   try {
     return gatewayEntrySchema.safeParse(JSON.parse(value)).data
   } catch {
