--- a/src/coordination/replicas/replica-planner.ts
+++ b/src/coordination/replicas/replica-planner.ts
@@ -202,7 +202,7 @@
     const isInEvacuatedZone = ({ members }: Pick<Replica, 'members'>) => members.some(({ zone }) => input.isZoneEvacuated(zone))
     const countSupply = () => countServersByModel(
       listExisting(input.replicas).filter(replica => !isInEvacuatedZone(replica)), [...forming.values()].filter(replica => !isInEvacuatedZone(replica)))
-    const models = supply.withDemand(input.engine.models, countSupply(), nowMs)
+    const models = supply.withDemand(input.engine.models, nowMs)
     for (const [domain, members] of listServersByDomain(free.filter(({ zone }) => !input.isZoneEvacuated(zone)))) {
       formReserved(domain, members, input.engine.models)
       let remaining = listUnreserved(members)
--- a/src/coordination/replicas/supply-changes.ts
+++ b/src/coordination/replicas/supply-changes.ts
@@ -2,7 +2,7 @@
 import type { Replica } from '../../state/replica.js'
 import type { ReplicatedModel } from '../../state/serving-config.js'
 import { createDemandHistory, type ServiceDemand } from '../demand/demand-history.js'
-import { chooseSupplyChange, getUtilization, minShortUtilization, type SupplyChange, type SupplyReplica, type SupplyState } from './supply-plan.js'
+import { chooseSupplyChange, type SupplyChange, type SupplyReplica, type SupplyState } from './supply-plan.js'
 
 /** Supply of a service at one time; the demand is known from `observe`. */
 export interface SupplyInput extends Omit<SupplyState, 'demandSeconds' | 'maxChangingServerCount'> {
@@ -23,8 +23,8 @@
 /** Decides when the split of servers between models changes, and reserves servers that were freed for a model. */
 export interface SupplyChanges {
   observe (demand: ServiceDemand | undefined, nowMs: number): void
-  /** Returns the models with their shares of the present demand in place of the configured ones, while a model is short. */
-  withDemand (models: readonly ReplicatedModel[], serverCounts: ReadonlyMap<string, number>, nowMs: number): readonly ReplicatedModel[]
+  /** Returns the models with their shares of the present demand in place of the configured ones, once it is known. */
+  withDemand (models: readonly ReplicatedModel[], nowMs: number): readonly ReplicatedModel[]
   /** Chooses the changes to begin now. One whose members lack the model is the last: they stage it first. */
   choose (input: SupplyInput): SupplyDecision[]
   reserve (servers: readonly BackendServer[], model: ReplicatedModel, nowMs: number): void
@@ -82,13 +82,12 @@
       demand = observed
       if (observed !== undefined) history.record(observed, nowMs)
     },
-    withDemand (models, serverCounts, nowMs) {
+    withDemand (models, nowMs) {
       const latest = history.listSeconds(firstEvidenceMs, nowMs)
-      if (latest === undefined || latest.length === 0) return models
-      const counts = models.map(model => latest.reduce((sum, second) => sum + (second.get(model.name) ?? 0), 0) / latest.length)
+      if (latest === undefined) return models
+      const counts = models.map(model => latest.reduce((sum, second) => sum + (second.get(model.name) ?? 0), 0))
       const total = counts.reduce((sum, count) => sum + count, 0)
-      const hasShort = models.some((model, index) => getUtilization(counts[index] ?? 0, serverCounts.get(model.name) ?? 0) >= minShortUtilization)
-      return hasShort ? models.map((model, index) => ({ ...model, share: (counts[index] ?? 0) / total })) : models
+      return total === 0 ? models : models.map((model, index) => ({ ...model, share: (counts[index] ?? 0) / total }))
     },
     choose (input) {
       const knownMs = history.getKnownMs(input.nowMs)
--- a/src/coordination/replicas/supply-plan.ts
+++ b/src/coordination/replicas/supply-plan.ts
@@ -39,10 +39,10 @@
   readonly unstaged: readonly BackendServer[]
 }
 
-/** Below this utilization a model is not short. At 0.5, a change took servers from a model that then had too few for the losses of a day. */
-export const minShortUtilization = 0.7
-/** A model above this utilization gives up no servers: bursts are half as much again as the mean. */
-const maxGivingUtilization = 0.6
+/** Below this utilization a model is not short: it could serve twice the usual rate, which bursts reach. */
+const minShortUtilization = 0.5
+/** A model above this utilization is short itself, since requests then wait for slots in bursts of a few streams. */
+const maxGivingUtilization = 0.8
 /** The model that gives up servers is at least this much less utilized afterwards; by less, the change is not worth its time. */
 const minUtilizationRatio = 1.05
 /** Servers of a change that must be part of a new group; the others would be idle. */
