--- a/src/coordination/dispatch/replica-loads.ts
+++ b/src/coordination/dispatch/replica-loads.ts
@@ -79,7 +79,7 @@
 /** Reports older than this are left out of the counts. */
 const reportMaxAgeMs = 2500
 /** The uses of a model's slots are means over seconds; adding them up for each call would cost a relay more than the choice itself. */
-const modelUsesMaxAgeMs = 50
+const reportedUsesMaxAgeMs = 50
 /** A replica with an event this recent is not stalled; one engine step takes about 10 ms. */
 export const recentEventMs = 300
 /** A working replica pauses for less than this between two events, even while it processes 12,000 prompt tokens. */
@@ -115,7 +115,7 @@
 /** Creates the record with no streams and no reports. */
 export function createReplicaLoads (timers: TimerService, { listPace = () => undefined, createDemandReport = () => noDemand, createUses }: OwnStatements = {}): ReplicaLoads {
   const localCounts = new Map<string, number>()
-  const modelUses = new Map<string, { readonly uses: ModelUses, readonly atMs: number }>()
+  let reportedUses: { readonly uses: ReportedUses | undefined, readonly atMs: number } | undefined
   const peers = new Map<string, ReceivedReport>()
   const relayedReports = new Map<string, ReceivedReport>()
   // Kept apart from the reports, since a report that is sent to the planner at once has no demand.
@@ -228,12 +228,11 @@
       return count
     },
     getModelUses (modelKey) {
-      const known = modelUses.get(modelKey)
-      if (known !== undefined && timers.nowMs() - known.atMs <= modelUsesMaxAgeMs) return known.uses
-      const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)].map(report => report.uses)
-      const uses = sumModelUses([createUses?.(), ...reports], modelKey)
-      modelUses.set(modelKey, { uses, atMs: timers.nowMs() })
-      return uses
+      if (reportedUses === undefined || timers.nowMs() - reportedUses.atMs > reportedUsesMaxAgeMs) {
+        const reports = [...listRecent(peers, reportMaxAgeMs), ...listRecent(relayedReports, reportMaxAgeMs)]
+        reportedUses = { uses: sumReportedUses(reports.map(report => report.uses)), atMs: timers.nowMs() }
+      }
+      return sumModelUses([createUses?.(), reportedUses.uses], modelKey)
     },
     recordEvent (replicaId) {
       lastEventAtMs.set(replicaId, timers.nowMs())
--- a/src/coordination/relay/relay-plan.ts
+++ b/src/coordination/relay/relay-plan.ts
@@ -19,7 +19,7 @@
 export const directPlan: RelayPlan = { readsStoreDirectly: true, relays: [] }
 
 /** Up to this number, all gateways read the store; relays would save few calls and add a hop. */
-const maxDirectCount = 16
+export const maxDirectCount = 16
 /** Gateways per relay in a zone. */
 const gatewaysPerRelay = 24
 /** With fewer relays in total, the loss of one would send too many gateways to the store at once. */
--- a/src/coordination/replicas/service-supply.ts
+++ b/src/coordination/replicas/service-supply.ts
@@ -8,6 +8,7 @@
 import { listStagingWishes, type StagingWish } from './staging-plan.js'
 import { listSupply, type SupplyChanges, type SupplyDecision } from './supply-changes.js'
 import type { SupplyReplica } from './supply-plan.js'
+import { maxDirectCount } from '../relay/relay-plan.js'
 import { needsWeightFetch } from './domain-layout.js'
 import type { WeightFetchTracker } from './weight-fetch-tracker.js'
 
@@ -41,6 +42,14 @@
 /** Fraction of the concurrent fetches up to which servers stage a model that is short; the others stay free for lost replicas. */
 const maxStagingFraction = 0.5
 
+/**
+ * Whether the split may follow the demand. In a small fleet each model has a few replicas, whose losses within a day exceed what a
+ * change gains: they need the servers that have their weights staged.
+ */
+function isApplicable ({ demand }: PlannerInput): boolean {
+  return demand !== undefined && demand.listedGatewayCount > maxDirectCount
+}
+
 /** Creates the view of a planner's supply. */
 export function createServiceSupply ({ forming, dissolver, fetches, changes, isIntact }: ServiceSupplyOptions): ServiceSupply {
   function listServing ({ replicas, getStreamCount, isZoneEvacuated }: PlannerInput): SupplyReplica[] {
@@ -87,8 +96,8 @@
   return {
     countServers,
     plan (input) {
-      changes.observe(input.demand, input.nowMs)
-      if (input.demand === undefined) return { decisions: [], closing: [], staging: [] }
+      if (isApplicable(input)) changes.observe(input.demand, input.nowMs)
+      if (input.demand === undefined || !isApplicable(input)) return { decisions: [], closing: [], staging: [] }
       const changingReplicas = [...listChanging(input), ...forming.values()]
       const decisions = changes.choose({
         nowMs: input.nowMs,
@@ -110,7 +119,7 @@
       const { models, stagedModelLimit } = input.engine
       const needsFetches = [...forming.values()].some(replica => replica.joinedIds.size < replica.members.length) ||
         free.some(server => server.stagedModels.length === 0)
-      if (input.demand === undefined || !statesTimes(input.engine) || models.length < 2 || needsFetches) return []
+      if (!isApplicable(input) || !statesTimes(input.engine) || models.length < 2 || needsFetches) return []
       const replicas = listServing(input).map(replica => ({ ...replica, members: replica.members.map(fetches.withFetchedModel) }))
       return listStagingWishes({ models, replicas, stagedModelLimit })
     }
--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -57,6 +57,11 @@
   readonly metrics: Metrics
   readonly logger: Logger
   countGateways (): number
+  /**
+   * Whether gateways learn of each other's streams through relays. Without them counts are at most 0.2 s old, and a short queue in the
+   * engines serves more calls than refusals by expected times do.
+   */
+  hasRelays (): boolean
   /** Records that a server announced in a response that it is leaving, and lets the planner know. */
   noteLeaving (server: BackendServer): void
   /** Requests that this gateway may have in flight at one server of the service. */
--- a/src/gateway/call-timing.test.ts
+++ b/src/gateway/call-timing.test.ts
@@ -17,6 +17,13 @@
     expect(harness.logLines.at(-1)?.fields.reason).to.contain('within its objective')
   })
 
+  it('do not matter in a fleet without relays, where the queue is short enough', () => {
+    const harness = createStreamHarness({ serverIds: ['a'], work, route: { objectiveMs: 150 }, hasRelays: false })
+    for (let index = 0; index < slotCount; index += 1) harness.loads.beginStream(harness.formatReplicaId('a'))
+    harness.start()
+    expect(harness.attempts.length).to.equal(1)
+  })
+
   it('let it queue where the objective allows that', () => {
     const harness = createStreamHarness({ serverIds: ['a'], work, route: { objectiveMs: 1000 } })
     for (let index = 0; index < slotCount; index += 1) harness.loads.beginStream(harness.formatReplicaId('a'))
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,7 +12,7 @@
 import type { RelayLink } from '../coordination/ports/relay-link.js'
 import { createPromptGuard } from '../coordination/quarantine/prompt-guard.js'
 import { createQuarantineStore } from '../coordination/quarantine/quarantine-store.js'
-import { createRelayPlans, directPlan, listReportPeers } from '../coordination/relay/relay-plan.js'
+import { createRelayPlans, directPlan, listReportPeers, maxDirectCount } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
 import { createDeliveryInquiries } from '../coordination/replicas/delivery-inquiries.js'
@@ -232,6 +232,7 @@
     metrics,
     logger: createRateLimitedLogger(createLogger('calls'), timers, requestLogLinesPerSecond),
     countGateways: presence.countGateways,
+    hasRelays: () => presence.countGateways() > maxDirectCount,
     getConnectionLimit,
     getRetryBudget,
     noteLeaving,
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -140,7 +140,7 @@
       gatewayCount: dependencies.countGateways(),
       maxLocalStreamCount: dependencies.getConnectionLimit(call.serviceName),
       // A stream that may have run can't be refused, so that it may queue whatever its objective.
-      ...(record.listExecutions().length === 0 ? order.getLimits(service.engine) : {}),
+      ...(dependencies.hasRelays() && record.listExecutions().length === 0 ? order.getLimits(service.engine) : {}),
       check: dependencies.admission.check,
       getStreamLimit: dependencies.pace?.getStreamLimit,
       getPaceFactor: dependencies.pace?.getPaceFactor
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -58,10 +58,12 @@
   readonly partIds?: readonly string[]
   /** Size that the client states. */
   readonly work?: StatedWork
+  /** Whether the fleet is so large that gateways use relays; true when undefined. */
+  readonly hasRelays?: boolean
 }
 
 /** Creates one call of a stream route; each server is the leader of a replica that has no other member. */
-export function createStreamHarness ({ serverIds, route: routeChanges, retrySlackCount = 100, partIds = [], work = {} }: StreamHarnessOptions) {
+export function createStreamHarness ({ serverIds, route: routeChanges, retrySlackCount = 100, partIds = [], work = {}, hasRelays = true }: StreamHarnessOptions) {
   const timers = createVirtualTimerService()
   const random = createRandomSource(1)
   const classUses = createClassUses(timers)
@@ -175,6 +177,7 @@
     metrics: { recordDuration () {}, countRequest () {}, countEvent () {} },
     logger: { debug () {}, info: (message: string, fields: LogFields = {}) => { logLines.push({ message, fields }) }, warn () {}, error () {} },
     countGateways: () => 1,
+    hasRelays: () => hasRelays,
     noteLeaving () {},
     getConnectionLimit: () => 100,
     getRetryBudget: () => retryBudget,
