Review: one odd server entry ends the reading of the store in all gateways

Seen: after an entry of another writer whose coldRemainingMs holds deeply nested lists, three gateways of three go on with the old configuration and servers: 99 requests later than configApplyMs got 404 on an added route, 18 were run by the old service of a moved one, 16 or 17 reached a server later than drainMs after its ack; then every request with a key got 503, and no gateway was ready any more, also after a restart.

--- a/review/a/case.mjs
+++ b/review/6/case.mjs
@@ -15,8 +15,8 @@
 const folder = path.dirname(fileURLToPath(import.meta.url))
 const host = 'ficu95.example'
 const key = 'n2ctnfzs989anu6wsjnb'
-/** An entry of some 12 KB: the store takes values of up to 1 MB. */
-const nestingDepth = 6000
+/** An entry of some 100 KB: the store takes values of up to 1 MB. Some 5,000 levels are enough on the machine of the review. */
+const nestingDepth = 50_000
 const requestIntervalMs = 25
 /** A request that reaches a server this much later than the bound allows is counted, as clocks and links here take some milliseconds. */
 const marginMs = 100
--- a/review/common-3/gateway.mjs
+++ b/review/common-3/gateway.mjs
@@ -105,9 +105,9 @@
 `
 }
 
-/** Starts a gateway. Its output goes to a file in a temporary folder, which `stop` removes. */
-export async function startGateway ({ name, zone, store, extraBounds = {} }) {
-  const frontPort = await findPorts(2 + peerPortCount)
+/** Starts a gateway, on ports that it had before if `frontPort` is given. Its output goes to a file in a temporary folder, which `stop` removes. */
+export async function startGateway ({ name, zone, store, extraBounds = {}, frontPort: givenPort }) {
+  const frontPort = givenPort ?? await findPorts(2 + peerPortCount)
   const folder = mkdtempSync(path.join(os.tmpdir(), 'egretpaddle-case-'))
   const settingsPath = path.join(folder, 'settings.toml')
   const logPath = path.join(folder, 'log')
@@ -125,6 +125,7 @@
     readyPort: frontPort + 1,
     logPath,
     child,
+    exit,
     getEnd: () => ended,
     isReady: () => new Promise(resolve => {
       const request = http.get({ host: '127.0.0.1', port: frontPort + 1, path: '/readiness', timeout: 900 }, response => {
