Keep following the store whatever one of its entries holds

Cause: decodeColdTime quoted the odd value for a log line with JSON.stringify, which throws on lists that are nested some thousands deep, as JSON.parse does not. The promise of the view's loop was rejected; the process wrote one line and nothing started the loop again.

Ruled out: all other fields of an entry, which the schema rejects at any depth; the size and the key of the entry.

Change: values of other programs are quoted with bounded work and depth. An entry that cannot be decoded names no server, and the other changes of a response are applied. Loops of the view, of the registration and of the planner's lease log and count a step that throws, and repeat it; the view then applies the whole content, as the mirror may hold changes that the view lacks. Listeners of the view's events outlive their exceptions. The same unbounded quoting is gone from configurations, settings and declarations.

--- a/src/coordination/replicas/planner-lease.ts
+++ b/src/coordination/replicas/planner-lease.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '../../observability/log.js'
+import { createSupervisedLoop, type LoopMonitor } from '../../observability/supervised-loop.js'
 import { createSuspensionDetector } from '../../shared/suspension-detector.js'
 import type { RandomSource } from '../../shared/random-source.js'
 import { delay, type TimerService } from '../../shared/timer-service.js'
@@ -31,6 +32,7 @@
   getStoreEra (): number | undefined
   /** Called when this gateway has become the planner. */
   onAcquired (): void
+  readonly loopMonitor?: LoopMonitor
 }
 
 /** Planner election: at most one gateway is the planner, by a record in the store that is removed when its lease ends. */
@@ -87,7 +89,6 @@
   const { store, timers, random, logger, nodeId, key, leaseMs } = options
   const suspensionDetector = createSuspensionDetector(timers)
   let held: HeldLease | undefined
-  const state = { isRunning: false }
   let attemptCount = 0
   let wake = (): void => {}
   let orphan: { readonly revision: number, readonly seenAtMs: number } | undefined
@@ -124,7 +125,7 @@
   async function tryAcquire (): Promise<void> {
     const rank = options.getRank() ?? random.nextInt(unlistedRankCount)
     await delay(timers, delayPerRankMs * (Math.min(rank, maxRank) + random.nextFloat()))
-    if (!state.isRunning || !options.isStoreViewCurrent() || options.getRecord() !== undefined) return
+    if (!loop.isRunning() || !options.isStoreViewCurrent() || options.getRecord() !== undefined) return
     const requestedAtMs = timers.nowMs()
     const granted = await store.grantLease(leaseMs)
     if (!granted.isOk) return
@@ -172,8 +173,12 @@
     })
   }
 
-  async function run (): Promise<void> {
-    while (state.isRunning) {
+  const loop = createSupervisedLoop({
+    name: 'planner lease',
+    timers,
+    logger,
+    monitor: options.loopMonitor,
+    async step () {
       if (held !== undefined) await renew(held)
       else if (options.isStoreViewCurrent()) {
         if (options.getRecord() === undefined) await tryAcquire()
@@ -182,18 +187,15 @@
       const isIdle = held === undefined && options.getRecord() !== undefined
       await pauseUntilCheck(isIdle ? idleCheckIntervalMs : recordCheckIntervalMs)
     }
-  }
+  })
 
   return {
     getFencingToken: () => held !== undefined && held.era === options.getStoreEra() && isValid(held) ? held.fencingToken : undefined,
     checkNow: () => wake(),
     relinquish: () => stopHolding('a server has seen a later planner'),
-    start () {
-      state.isRunning = true
-      void run()
-    },
+    start: loop.start,
     async stop () {
-      state.isRunning = false
+      loop.stop()
       const current = held
       held = undefined
       // A lease of an earlier era is gone, and its ID may name another gateway's.
--- a/src/gateway/fleet-view.test.ts
+++ b/src/gateway/fleet-view.test.ts
@@ -4,6 +4,7 @@
 import { directPlan } from '../coordination/relay/relay-plan.js'
 import { createRelayedSource } from '../coordination/relay/relayed-source.js'
 import { createStoreMirror } from '../coordination/relay/store-mirror.js'
+import { createLoopMonitor } from '../observability/supervised-loop.js'
 import { failure, success } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
 import { createVirtualTimerService } from '../shared/virtual-timer-service.js'
@@ -24,12 +25,14 @@
 
 function createFixture (wrap: (fake: FakeRevisionedStore) => FakeRevisionedStore = fake => fake) {
   const timers = createVirtualTimerService()
+  const loopMonitor = createLoopMonitor(() => {})
   const fake = createFakeRevisionedStore(timers)
   const warnings: string[] = []
   const view = createFleetView({
     ...createDirectSource(wrap(fake), timers),
     timers,
     isReconfiguring: () => false,
+    loopMonitor,
     logger: { debug () {}, info () {}, warn: sentence => { warnings.push(sentence) }, error: sentence => { warnings.push(sentence) } },
     layout: {
       configKey: 'op/config',
@@ -37,11 +40,14 @@
       evacuationPrefix: 'op/evacuate/',
       gatewayPrefix: 'own/',
       decodeConfig: text => Number(text) > 0 ? success(makeServingConfig({ version: Number(text) })) : failure('no number'),
-      decodeServer: (id, text) => text in { ready: 1, draining: 1 } ? success(makeBackendServer({ id, state: text as ServerState })) : failure('another shape'),
+      decodeServer (id, text) {
+        if (text === 'endless') throw new RangeError('Maximum call stack size exceeded')
+        return text in { ready: 1, draining: 1 } ? success(makeBackendServer({ id, state: text as ServerState })) : failure('another shape')
+      },
       toComparable: (_key, text) => text
     }
   })
-  return { timers, fake, view, warnings }
+  return { timers, fake, view, warnings, loopMonitor }
 }
 
 describe('fleet view', () => {
@@ -87,6 +93,80 @@
       expect(warnings.length).to.equal(1)
     })
 
+    // Guards against a view that is no longer followed since one value made the decoder throw (CONFIG, DRAIN).
+    it('stays in force, and the view is followed, when the decoder of a server throws', async () => {
+      const { timers, fake, view, warnings, loopMonitor } = createFixture()
+      fake.put('op/config', '3')
+      fake.put('servers/a', 'ready')
+      fake.put('servers/b', 'ready')
+      view.start()
+      await timers.advanceAsync(500)
+      fake.put('servers/a', 'endless')
+      fake.put('op/config', '5')
+      await timers.advanceAsync(1000)
+      expect(view.getConfig()?.version).to.equal(5)
+      expect(view.getServers('job-sheets').map(({ id }) => id)).to.deep.equal(['b'])
+      expect(warnings).to.deep.equal(['A server entry is invalid; the server is not used.'])
+      expect(loopMonitor.listFailing()).to.deep.equal([])
+    })
+
+    // Guards against changes that are lost between the mirror and the view when a step of the reader fails.
+    it('and the servers are as stored after a step that failed', async () => {
+      const failures = { isDue: false }
+      const { timers, fake, view, warnings, loopMonitor } = createFixture(inner => ({
+        ...inner,
+        store: {
+          ...inner.store,
+          async watch (...query) {
+            const response = await inner.store.watch(...query)
+            if (!failures.isDue || !response.isOk || response.value.changes.length === 0) return response
+            failures.isDue = false
+            return success({ ...response.value, get asOfRevision (): number { throw new Error('an odd response') } })
+          }
+        }
+      }))
+      fake.put('op/config', '3')
+      fake.put('servers/a', 'ready')
+      fake.put('servers/b', 'ready')
+      view.start()
+      await timers.advanceAsync(1000)
+      failures.isDue = true
+      fake.put('op/config', '5')
+      fake.put('servers/a', 'draining')
+      fake.remove('servers/b')
+      await timers.advanceAsync(2500)
+      expect(warnings).to.deep.equal(['A step of a loop failed; it is repeated.'])
+      expect(view.getConfig()?.version).to.equal(5)
+      expect(view.getServers('job-sheets').map(({ id, state }) => `${id} ${state}`)).to.deep.equal(['a draining'])
+      expect(loopMonitor.listFailing()).to.deep.equal([])
+    })
+
+    // Guards against a reader that stands still and says nothing: its view must show its age.
+    it('ages while each step of the reader fails', async () => {
+      const failures = { isDue: false }
+      const { timers, fake, view, loopMonitor } = createFixture(inner => ({
+        ...inner,
+        store: {
+          ...inner.store,
+          async read (...query) {
+            if (failures.isDue) throw new Error('an odd response')
+            return await inner.store.read(...query)
+          }
+        }
+      }))
+      fake.put('op/config', '3')
+      view.start()
+      await timers.advanceAsync(1000)
+      failures.isDue = true
+      await timers.advanceAsync(15_000)
+      expect(loopMonitor.listFailing()).to.deep.equal(['fleet view'])
+      expect(view.getViewAgeMs()).to.be.greaterThan(5000)
+      failures.isDue = false
+      await timers.advanceAsync(2000)
+      expect(loopMonitor.listFailing()).to.deep.equal([])
+      expect(view.getViewAgeMs()).to.be.lessThan(2000)
+    })
+
     it('ages while the store does not respond, and is fresh again afterwards', async () => {
       const { timers, fake, view } = createFixture()
       fake.put('op/config', '3')
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -5,6 +5,7 @@
 import type { EvacuatedZones } from '../coordination/servers/evacuated-zones.js'
 import { createRouteTable, type RouteTable } from '../coordination/dispatch/route-table.js'
 import type { Logger } from '../observability/log.js'
+import { createSupervisedLoop, type LoopMonitor } from '../observability/supervised-loop.js'
 import { createChannel, type Channel } from '../shared/channel.js'
 import { createSuspensionDetector } from '../shared/suspension-detector.js'
 import type { Result } from '../shared/result.js'
@@ -101,6 +102,7 @@
   isReconfiguring (): boolean
   /** Called with each entry of a server that is used, as it was read; `isFirstRead` for those of the first read. */
   onServerEntry? (server: BackendServer, isFirstRead: boolean): void
+  readonly loopMonitor?: LoopMonitor
 }
 
 /** Longest wait of a watch. */
@@ -121,9 +123,11 @@
 const fullReadIntervalMs = 5000
 /** Time within which servers renew lapsed entries once the store responds again, as the platform states. */
 const missingEntryGraceMs = 2000
+/** Distinct keys that are logged when their entries cannot be applied; a bound on what a program that writes arbitrary keys can fill the log with. */
+const maxWarnedKeyCount = 100
 
 /** Creates the view; after `start` it reads the source until it is stopped. */
-export function createFleetView ({ source, mirror, timers, layout, logger, isReconfiguring, onServerEntry }: FleetViewOptions): FleetView {
+export function createFleetView ({ source, mirror, timers, layout, logger, isReconfiguring, onServerEntry, loopMonitor }: FleetViewOptions): FleetView {
   const events = createChannel<FleetEvent>()
   const servers = createServerEntries({ timers, logger, missingEntryGraceMs, decode: layout.decodeServer, onEntry: server => onServerEntry?.(server, !hasRead) })
   // Replaced on each change and never mutated: readers compare references to decide whether derived data is stale.
@@ -146,8 +150,11 @@
   let isStoredConfigOlder = false
   let needsFullRead = true
   let lastFullReadAtMs = -Infinity
-  const state = { isRunning: false }
+  let retryMs = minRetryMs
   let isReachable = false
+  /** A step failed after the mirror had taken over changes, so that the view may lack some of them. */
+  let mayLackChanges = false
+  const warnedKeys = new Set<string>()
 
   function applyConfig (text: string, revision: number): boolean {
     if (revision <= configRevision) return false
@@ -156,6 +163,7 @@
       logger.error('The new configuration is invalid; the previous version stays in force.', { revision, reason: decoded.error })
       return false
     }
+    const newRoutes = createRouteTable(decoded.value)
     configRevision = revision
     // A later write with a lower version is ignored: a configuration never returns to an older version.
     if (config !== undefined && decoded.value.version < config.version) {
@@ -164,7 +172,7 @@
     }
     isStoredConfigOlder = false
     config = decoded.value
-    routes = createRouteTable(config)
+    routes = newRoutes
     replicatedServices = undefined
     logger.info('A new configuration is in force.', { version: config.version, revision, routeCount: config.routes.length })
     return true
@@ -195,10 +203,21 @@
     }
   }
 
+  /** The other entries hold, whatever is wrong with one. */
+  function tryApplyChange (change: StoredChange, changed: Set<FleetEvent>): void {
+    try {
+      applyChange(change, changed)
+    } catch (error) {
+      if (warnedKeys.has(change.key) || warnedKeys.size >= maxWarnedKeyCount) return
+      warnedKeys.add(change.key)
+      logger.error('An entry of the store could not be applied; the others are.', { key: change.key, revision: change.revision, reason: String((error as Error).stack ?? error) })
+    }
+  }
+
   function applyChanges (changes: readonly StoredChange[]): void {
     if (changes.length === 0) return
     const changed = new Set<FleetEvent>()
-    for (const change of changes) applyChange(change, changed)
+    for (const change of changes) tryApplyChange(change, changed)
     if (changed.has(FleetEvent.Servers) || changed.has(FleetEvent.Config)) indexServers()
     if (changed.has(FleetEvent.Evacuations) && !evacuations.refresh()) changed.delete(FleetEvent.Evacuations)
     for (const event of changed) events.send(event)
@@ -259,7 +278,18 @@
     if (formerEra !== undefined && formerEra !== response.snapshot.era) beginEra(response.snapshot.era, formerEra)
     // The relay has seen the era begin, a moment ago: entries of servers that live are confirmed within seconds.
     if (formerEra === undefined && response.carriedOverKeys?.some(key => key.startsWith(layout.serverPrefix)) === true) eraBeganAtMs = timers.nowMs()
-    applyChanges(mirror.applySnapshot(response.snapshot, response.carriedOverKeys))
+    const changes = mirror.applySnapshot(response.snapshot, response.carriedOverKeys)
+    applyChanges(mayLackChanges ? listWholeContent() : changes)
+    mayLackChanges = false
+  }
+
+  /** All that the mirror holds, with removals of what the view has and the mirror has not. */
+  function listWholeContent (): StoredChange[] {
+    const items = mirror.listItems()
+    const presentKeys = new Set(items.map(({ key }) => key))
+    const knownKeys = [...servers.listIds().map(id => layout.serverPrefix + id), ...[...gatewayEntries.keys()].map(key => layout.gatewayPrefix + key)]
+    const removed = knownKeys.filter(key => !presentKeys.has(key)).map(key => ({ key, revision: mirror.getPosition()?.revision ?? 0, value: undefined }))
+    return [...items, ...removed]
   }
 
   function applyResponse (response: SourceResponse, requestedAtMs: number): void {
@@ -328,18 +358,27 @@
     events.send(FleetEvent.Servers)
   }
 
-  async function run (): Promise<void> {
-    let retryMs = minRetryMs
-    while (state.isRunning) {
-      removeExpired()
-      useUnknownEntries()
-      settleEvacuations()
-      const hasResponse = await fetchOnce()
-      if (!hasResponse) await delay(timers, retryMs)
-      retryMs = hasResponse ? minRetryMs : Math.min(maxRetryMs, retryMs * retryBackoffFactor)
-    }
+  async function step (): Promise<void> {
+    removeExpired()
+    useUnknownEntries()
+    settleEvacuations()
+    const hasResponse = await fetchOnce()
+    if (!hasResponse) await delay(timers, retryMs)
+    retryMs = hasResponse ? minRetryMs : Math.min(maxRetryMs, retryMs * retryBackoffFactor)
   }
 
+  const loop = createSupervisedLoop({
+    name: 'fleet view',
+    timers,
+    logger,
+    monitor: loopMonitor,
+    step,
+    onFailure () {
+      needsFullRead = true
+      mayLackChanges = true
+    }
+  })
+
   return {
     events,
     getConfig: () => config,
@@ -374,12 +413,7 @@
     listGatewayEntries: () => gatewayEntries,
     isStoreReachable: () => isReachable,
     hasRecentStoreFailure: servers.hasRecentStoreFailure,
-    start () {
-      state.isRunning = true
-      void run()
-    },
-    stop () {
-      state.isRunning = false
-    }
+    start: loop.start,
+    stop: loop.stop
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,8 @@
 import { createRateLimitedLogger } from '../observability/rate-limited-logger.js'
 import type { LoggerFactory } from '../observability/log.js'
 import { createMetrics, MetricEvent, MetricGauge, ServiceGauge } from '../observability/metrics.js'
+import { createLoopMonitor } from '../observability/supervised-loop.js'
+import { observeEach } from '../shared/channel.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import { createProcessSeed, createRandomSource } from '../shared/random-source.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
@@ -45,6 +47,7 @@
 import { createPresence } from './presence.js'
 import type { ProcessBuffers } from '../transport/process-buffers.js'
 import { createRelayHandler } from './relay-handler.js'
+import { createReadiness } from './readiness.js'
 import { createMetricsServer, createReadinessServer, createRelayServer } from './internal-servers.js'
 import { createServerCoordination } from './server-coordination.js'
 import { streamCheckIntervalMs } from './stream-forwarding.js'
@@ -80,6 +83,7 @@
 const revocationMarginMs = 300
 /** Idle connections kept for each server. Requests in flight have their own limit, from what the server accepts in all. */
 const maxIdleConnectionsPerServer = 8
+const millisecondsPerSecond = 1000
 /** Limits the log volume under load; lines above it are counted and dropped. */
 const requestLogLinesPerSecond = 60
 /** The same for the lines of responses that were not completed, which the lines of other requests cannot displace. */
@@ -105,6 +109,7 @@
   const metrics = createMetrics({ includesProcessMetrics: false })
   // The parts below refer to each other in closures, which run only after all parts have been created.
   const isPlanner = () => plannerLease.getFencingToken() !== undefined
+  const loopMonitor = createLoopMonitor(() => metrics.countEvent(MetricEvent.LoopFailure))
   const mirror = createStoreMirror({ toComparable: layout.toComparable })
   const source = createRelayedSource({
     store,
@@ -116,7 +121,7 @@
     applyLoads: applyTotalReport,
     getStoreViewAgeMs: () => fleet.getViewAgeMs()
   })
-  const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring(), onServerEntry: (server, isFirstRead) => cold.recordEntry(server, isFirstRead) })
+  const fleet = createFleetView({ source, mirror, timers, layout, logger: createLogger('fleet'), isReconfiguring: () => planner.isReconfiguring(), onServerEntry: (server, isFirstRead) => cold.recordEntry(server, isFirstRead), loopMonitor })
   const demand = createDemandMeter(timers, serviceName => fleet.getConfig()?.services.find(service => service.name === serviceName)?.engine)
   const classUses = createClassUses(timers)
   const loads = createReplicaLoads(timers, { listPace: () => pace?.listStatements(), createDemandReport: demand.createReport, createUses: classUses.createReport })
@@ -130,7 +135,8 @@
     storePrefix: layout.gatewayPrefix + gatewayKeyPrefix,
     entryPrefix: gatewayKeyPrefix,
     listEntries: fleet.listGatewayEntries,
-    getStoreEra: fleet.getEra
+    getStoreEra: fleet.getEra,
+    loopMonitor
   })
   const relayPlans = createRelayPlans(presence.listGateways, settings.nodeId)
   const plannerLease = createPlannerLease({
@@ -145,7 +151,8 @@
     getRank: presence.getRank,
     isStoreViewCurrent: () => fleet.isStoreReachable() && fleet.isEraSettled() && fleet.getConfig() !== undefined,
     getStoreEra: fleet.getEra,
-    onAcquired: () => planner.start()
+    onAcquired: () => planner.start(),
+    loopMonitor
   })
   const inquiries = createDeliveryInquiries({ timers, hasRecentEvent: loads.hasRecentEvent, sendInquiries: list => loadSharing.sendInquiries(list) })
   const planner = createPlannerTask({
@@ -274,7 +281,8 @@
     onIncomplete: recordIncomplete,
     onDropped: () => metrics.countEvent(MetricEvent.ConnectionDropped)
   })
-  const readinessServer = createReadinessServer(settings.readinessAddress, buffers.requests, isReady)
+  const readiness = createReadiness({ fleet, logger: log, hasDrainBegun: () => drain.hasBegun(), getMaxConfigAgeMs })
+  const readinessServer = createReadinessServer(settings.readinessAddress, buffers.requests, readiness.check)
   const metricsServer = createMetricsServer(settings.metricsAddress, buffers.requests, metrics, refreshGauges)
   const relayServer = createRelayServer(settings.peerAddress, createRelayHandler({ timers, fleet, mirror, source, loads }), buffers.requests, log)
   const drain = createDrain({ timers, logger: log, clientServer, getShutdownLimitMs: () => bounds.shutdownLimitMs })
@@ -298,8 +306,11 @@
   }
 
   function refreshGauges (): void {
-    metrics.setGauge(MetricGauge.IsReady, Number(isReady()))
+    metrics.setGauge(MetricGauge.IsReady, Number(readiness.isReady()))
     metrics.setGauge(MetricGauge.ConfigVersion, fleet.getConfig()?.version ?? 0)
+    metrics.setGauge(MetricGauge.ViewAgeSeconds, fleet.getViewAgeMs() / millisecondsPerSecond)
+    metrics.setGauge(MetricGauge.ConfigAgeSeconds, fleet.getConfigAgeMs() / millisecondsPerSecond)
+    metrics.setGauge(MetricGauge.FailingLoopCount, loopMonitor.listFailing().length)
     metrics.setGauge(MetricGauge.LiveNodeCount, presence.listGateways().length)
     metrics.setGauge(MetricGauge.CompleteGroupCount, countServingReplicas())
     metrics.setGauge(MetricGauge.QuarantineEntryCount, promptGuard.listEntries().length)
@@ -369,15 +380,15 @@
     return (bounds.keyRevocationLimitMs ?? Infinity) - revocationMarginMs
   }
 
-  function isReady (): boolean {
-    return !drain.hasBegun() && fleet.getConfig() !== undefined && fleet.getConfigAgeMs() <= getMaxConfigAgeMs()
+  function logObserverError (error: Error): void {
+    log.error('An event could not be handled; later ones are.', { reason: error.stack ?? error.message })
   }
 
   function observeFleet (): void {
     buffers.observeEvictions(() => metrics.countEvent(MetricEvent.BufferEvicted))
-    void options.serverControl.leavingServers.messages.observe(noteLeaving)
-    void options.serverControl.coldStatements.messages.observe(statement => cold.recordStatement(statement))
-    void fleet.events.messages.observe(event => {
+    observeEach(options.serverControl.leavingServers.messages, noteLeaving, logObserverError)
+    observeEach(options.serverControl.coldStatements.messages, statement => cold.recordStatement(statement), logObserverError)
+    observeEach(fleet.events.messages, event => {
       if (event === FleetEvent.Config) {
         const limits = fleet.getConfig()?.limits
         if (limits !== undefined) clientServer.applyLimits(limits)
@@ -390,7 +401,7 @@
       if (event !== FleetEvent.Servers) plannerLease.checkNow()
       if (event === FleetEvent.Era) metrics.countEvent(MetricEvent.StoreEraChange)
       planner.planNow()
-    })
+    }, logObserverError)
   }
 
   /** Nothing waits for it, since the store may not respond. */
--- a/src/gateway/presence.ts
+++ b/src/gateway/presence.ts
@@ -5,6 +5,7 @@
 import { sortByListedRevision, type ListedGateway } from '../coordination/relay/relay-plan.js'
 import { StoreErrorKind } from '../coordination/ports/revisioned-store.js'
 import type { Logger } from '../observability/log.js'
+import { createSupervisedLoop, type LoopMonitor } from '../observability/supervised-loop.js'
 import { parseAddress, type NetworkAddress } from '../shared/network-address.js'
 import { delay, type TimerService } from '../shared/timer-service.js'
 import type { GatewayEntry } from './fleet-view.js'
@@ -38,6 +39,7 @@
   listEntries (): ReadonlyMap<string, GatewayEntry>
   /** The store's era as this gateway last saw it; undefined before the first read. */
   getStoreEra (): number | undefined
+  readonly loopMonitor?: LoopMonitor
 }
 
 /** The entry of a gateway that was lost expires after this time. */
@@ -52,6 +54,9 @@
 /** Time that the other gateways get to register. */
 const startupMs = 5000
 
+/** Values that other programs wrote are quoted in log lines up to this length. */
+const maxQuotedCharacters = 100
+
 /** Creates the presence; it is registered after `start`. */
 export function createPresence (options: PresenceOptions): Presence {
   const { store, timers, logger, nodeId, address, zone } = options
@@ -63,7 +68,6 @@
   let lease: StoreLease | undefined
   let highestCount = 0
   let highestAtMs = -Infinity
-  const state = { isRunning: false }
 
   /** Keeps a high count for some time: after an outage of the store the list may be empty although the gateways still run. */
   function countGateways (): number {
@@ -89,7 +93,7 @@
   function toListedGateway (key: string, { value, revision }: GatewayEntry): ListedGateway[] {
     const parsed = parseGatewayEntry(value)
     if (parsed !== undefined) return [{ ...parsed, nodeId: key.slice(options.entryPrefix.length), listedRevision: revision }]
-    if (!warnedKeys.has(key)) logger.warn('A gateway entry is invalid.', { key, value })
+    if (!warnedKeys.has(key)) logger.warn('A gateway entry is invalid.', { key, value: value.slice(0, maxQuotedCharacters) })
     warnedKeys.add(key)
     return []
   }
@@ -107,7 +111,7 @@
     // The store came back from a copy in between, so that the lease is gone and its ID may name another gateway's.
     if (written.value.era !== granted.value.era) return false
     lease = granted.value
-    if (!state.isRunning) await revoke()
+    if (!loop.isRunning()) await revoke()
     return true
   }
 
@@ -133,12 +137,16 @@
     if (current !== undefined && isOfCurrentEra(current)) await store.revokeLease(current.leaseId)
   }
 
-  async function run (): Promise<void> {
-    while (state.isRunning) {
+  const loop = createSupervisedLoop({
+    name: 'presence',
+    timers,
+    logger,
+    monitor: options.loopMonitor,
+    async step () {
       const hasSucceeded = lease === undefined ? await register() : await renew(lease)
       await delay(timers, hasSucceeded ? renewIntervalMs : retryMs)
     }
-  }
+  })
 
   return {
     listGateways,
@@ -151,12 +159,9 @@
       return peer === undefined ? undefined : parseAddress(peer.address)
     },
     countGateways,
-    start () {
-      state.isRunning = true
-      void run()
-    },
+    start: loop.start,
     async stop () {
-      state.isRunning = false
+      loop.stop()
       await revoke()
     }
   }
--- a/src/gateway/server-entries.ts
+++ b/src/gateway/server-entries.ts
@@ -1,6 +1,6 @@
 /** The backend servers of a gateway's view: their entries in the store, corrected by what the gateway knows better. */
 import type { Logger } from '../observability/log.js'
-import type { Result } from '../shared/result.js'
+import { failure, type Result } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
 import { ServerState, type BackendServer } from '../state/backend-server.js'
 import { createLeavingServers } from '../state/leaving-servers.js'
@@ -25,6 +25,7 @@
   /** Whether the store is failing, or failed so recently that lapsed entries may still come back. */
   hasRecentStoreFailure (): boolean
   listByService (): Map<string, BackendServer[]>
+  listIds (): string[]
 }
 
 export interface ServerEntriesOptions {
@@ -46,7 +47,7 @@
   const removed = createRemovedServers(timers)
 
   function decodeAndSet (id: string, text: string): void {
-    const decoded = decode(id, text)
+    const decoded = tryDecode(id, text)
     if (decoded.isOk) {
       servers.set(id, withOwnState(decoded.value))
       onEntry?.(decoded.value)
@@ -58,6 +59,15 @@
     logger.warn('A server entry is invalid; the server is not used.', { serverId: id, reason: decoded.error })
   }
 
+  /** An entry that the decoder fails on is one that cannot be read. */
+  function tryDecode (id: string, text: string): Result<BackendServer, string> {
+    try {
+      return decode(id, text)
+    } catch (error) {
+      return failure(`the decoder failed: ${(error as Error).message}`)
+    }
+  }
+
   /** A server that announced its leaving in a response may still be listed as ready. */
   function withOwnState (server: BackendServer): BackendServer {
     return leaving.has(server) ? { ...server, state: ServerState.Draining } : server
@@ -107,6 +117,7 @@
         else list.push(server)
       }
       return byService
-    }
+    },
+    listIds: () => [...servers.keys()]
   }
 }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -70,6 +70,8 @@
   PromptRefused = 'prompt_refused',
   /** A request with quarantined parts was let through. */
   PromptProbe = 'prompt_probe',
+  /** A step of a loop failed, such as of the one that follows the store; it is repeated. */
+  LoopFailure = 'loop_failure',
   /** A response was not completed: the gateway closed the connection. */
   IncompleteByGateway = 'incomplete_by_gateway',
   /** A response was not completed: the client closed the connection. */
@@ -101,6 +103,12 @@
   IssuedLimitPerSecond = 'issued_limit_per_second',
   /** Backend servers that are cold. */
   ColdServerCount = 'cold_server_count',
+  /** Loops whose last step failed. */
+  FailingLoopCount = 'failing_loop_count',
+  /** Time since the store last confirmed the view of the servers, in seconds. */
+  ViewAgeSeconds = 'view_age_seconds',
+  /** Time since the store last confirmed that the configuration is the newest, in seconds. */
+  ConfigAgeSeconds = 'config_age_seconds',
   /** Zones to whose servers operators want nothing sent. */
   EvacuatedZoneCount = 'evacuated_zone_count'
 }
--- a/src/settings/parse-settings.ts
+++ b/src/settings/parse-settings.ts
@@ -3,6 +3,7 @@
 import { parse, printParseErrorCode, type ParseError } from 'jsonc-parser'
 import { z } from 'zod'
 
+import { quoteValue } from '../shared/quote-value.js'
 import { failure, success, type Result } from '../shared/result.js'
 import { SettingsErrorKind, type SettingsProblem, type SettingsError } from './settings-error.js'
 
@@ -68,7 +69,7 @@
 
 function formatFound (value: unknown): string {
   if (value === undefined) return 'nothing'
-  const text = JSON.stringify(value)
+  const text = quoteValue(value, maxShownCharacters + 1)
   return text.length <= maxShownCharacters ? text : `${text.slice(0, maxShownCharacters)}…`
 }
 
--- a/src/shared/channel.test.ts
+++ b/src/shared/channel.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { createChannel } from './channel.js'
+import { createChannel, observeEach } from './channel.js'
 import { drainMicrotasks } from './virtual-timer-service.js'
 
 describe('channel', () => {
@@ -26,4 +26,23 @@
       expect(seen).to.deep.equal([])
     })
   })
+
+  describe('observeEach', () => {
+    // Guards against an observer that gets nothing more after one exception.
+    it('goes on after a listener that throws', async () => {
+      const channel = createChannel<number>()
+      const seen: number[] = []
+      const reasons: string[] = []
+      observeEach(channel.messages, value => {
+        if (value === 1) throw new Error('an odd message')
+        seen.push(value)
+      }, error => { reasons.push(error.message) })
+      await drainMicrotasks()
+      channel.send(1)
+      channel.send(2)
+      await drainMicrotasks()
+      expect(seen).to.deep.equal([2])
+      expect(reasons).to.deep.equal(['an odd message'])
+    })
+  })
 })
--- a/src/shared/channel.ts
+++ b/src/shared/channel.ts
@@ -11,6 +11,17 @@
   readonly messages: Stream<T>
 }
 
+/** Calls the listener with each message. If it throws, `onError` is called and later messages still arrive; `observe` would end with the first exception. */
+export function observeEach<T> (messages: Stream<T>, listener: (message: T) => void, onError: (error: Error) => void): void {
+  void messages.observe(message => {
+    try {
+      listener(message)
+    } catch (error) {
+      onError(error as Error)
+    }
+  })
+}
+
 /** Creates a channel with no observers. */
 export function createChannel<T> (): Channel<T> {
   const emitter = new EventEmitter()
--- a/src/state/schema-problems.ts
+++ b/src/state/schema-problems.ts
@@ -1,5 +1,7 @@
 import type { z } from 'zod'
 
+import { quoteValue } from '../shared/quote-value.js'
+
 /** One invalid field of a document. */
 export interface FieldProblem {
   /** Path like `partners[0].teams[1].weight`; empty for the whole document. */
@@ -73,7 +75,7 @@
 
 function describeValue (value: unknown): string {
   if (value === undefined) return 'nothing'
-  const text = JSON.stringify(value) ?? typeof value
+  const text = quoteValue(value, maxShownLength + 1)
   return text.length <= maxShownLength ? text : `${text.slice(0, maxShownLength)}…`
 }
 
