Tell all parts of a prompt apart, not only the first sixteen

Cause: readSharedPartIds kept the first 16 parts of a prompt, silently, as a bound on memory that the users' pages do not have. The guard and the quarantine knew nothing of the others. Behind it stood further bounds below what a head may name: 32 parts in a message between gateways, 2,000 suspected and announced parts, 4,000 served ones; a full set of announced parts took no new ones.

Change: all parts are read. Suspected parts are bounded by the most that a head of 64 KB may name; those with one crash give way first, so that the part at fault stays. Messages name all parts that fit into a datagram, those with the most crashes first. Log lines and refusals name 32.

--- a/src/coordination/quarantine/crash-evidence.test.ts
+++ b/src/coordination/quarantine/crash-evidence.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { createCrashEvidence, faultCrashCount, faultEarlyCrashCount, type CrashEvidence } from './crash-evidence.js'
+import { createCrashEvidence, faultCrashCount, faultEarlyCrashCount, maxSuspectCount, type CrashEvidence } from './crash-evidence.js'
 
 const stepMs = 300
 
@@ -116,12 +116,22 @@
     })
 
     it('keeps a bounded number of parts, whatever clients make up', () => {
-      for (let index = 0; index < 3000; index += 1) {
+      const partCount = maxSuspectCount + 1000
+      for (let index = 0; index < partCount; index += 1) {
         recordCrashes(evidence, 1, { partIds: [`p${index}`], fromMs: index })
         evidence.recordCompletion([`c${index}`, `d${index}`], index)
       }
-      expect(evidence.countSuspects()).to.equal(2000)
-      expect(evidence.countCrashes('p2999')).to.equal(1)
+      expect(evidence.countSuspects()).to.equal(maxSuspectCount)
+      expect(evidence.countCrashes(`p${partCount - 1}`)).to.equal(1)
+    })
+
+    // Guards against prompts of many parts that push the part at fault out of the bounded record (BUDGET).
+    it('keeps a part under which servers end again and again, beside any number of others', () => {
+      recordCrashes(evidence, 2, { partIds: ['p'], isEarly: false })
+      for (let index = 0; index < 10; index += 1) recordCrashes(evidence, 1, { partIds: Array.from({ length: 4000 }, (_, part) => `${index}-${part}`), fromMs: 3000 + index })
+      expect(evidence.countSuspects()).to.equal(maxSuspectCount)
+      expect(evidence.countCrashes('p')).to.equal(2)
+      expect(evidence.countCrashes('0-0')).to.equal(0)
     })
   })
 })
--- a/src/coordination/quarantine/crash-evidence.ts
+++ b/src/coordination/quarantine/crash-evidence.ts
@@ -69,14 +69,19 @@
 const survivalHalfLifeMs = 30_000
 /** Without another crash a part is no longer suspected after this time. */
 const suspicionTimeMs = 600_000
-/** Bounds the memory, whatever parts clients make up. A part is suspected only when a server has ended under it. */
-const maxSuspectCount = 2000
-const maxCompletedPartCount = 4000
+/**
+ * Bound the memory, whatever parts clients make up. A part is suspected only when a server has ended under it. No request has more parts:
+ * each takes four characters at least of a head, of which the gateway reads 64 KB.
+ */
+export const maxSuspectCount = 16_384
+const maxCompletedPartCount = 16_384
 
 /** Creates the evidence with no part known. */
 export function createCrashEvidence (): CrashEvidence {
   /** In the order of the last crash. */
   const suspects = new Map<string, SuspectRecord>()
+  /** Those of them with one crash, in its order. */
+  const onceSuspected = new Set<string>()
   /** Times of the last completions, in their order. */
   const completions = new Map<string, number>()
   /** Servers that outlived abandoned requests, with a weight that halves over time. */
@@ -94,10 +99,32 @@
     return nowMs - (completions.get(partId) ?? -Infinity) <= recentCompletionMs
   }
 
+  function setSuspect (partId: string, record: SuspectRecord): void {
+    if (record.crashes.length === 0) {
+      removeSuspect(partId)
+      return
+    }
+    suspects.set(partId, record)
+    if (record.crashes.length === 1) onceSuspected.add(partId)
+    else onceSuspected.delete(partId)
+  }
+
+  function removeSuspect (partId: string): boolean {
+    onceSuspected.delete(partId)
+    return suspects.delete(partId)
+  }
+
   function removeOldest (nowMs: number): void {
     for (const [partId, { lastCrashAtMs }] of suspects) {
-      if (suspects.size <= maxSuspectCount && nowMs - lastCrashAtMs <= suspicionTimeMs) return
-      suspects.delete(partId)
+      if (nowMs - lastCrashAtMs <= suspicionTimeMs) break
+      removeSuspect(partId)
+    }
+    // The part at fault has crashes that others have not: parts with one crash give way first.
+    for (const partIds of [onceSuspected, suspects.keys()]) {
+      for (const partId of partIds) {
+        if (suspects.size <= maxSuspectCount) return
+        removeSuspect(partId)
+      }
     }
   }
 
@@ -113,8 +140,8 @@
     if (lostAtMs < record.lastCrashAtMs + minCrashIntervalMs && !hasRunSince) return
     record.crashes.push({ serverKey, isEarly })
     record.lastCrashAtMs = lostAtMs
-    suspects.delete(partId)
-    suspects.set(partId, record)
+    removeSuspect(partId)
+    setSuspect(partId, record)
     removeOldest(nowMs)
   }
 
@@ -160,18 +187,19 @@
         completions.set(partId, nowMs)
       }
       removeFirst(completions, maxCompletedPartCount)
-      return partIds.filter(partId => suspects.delete(partId))
+      return partIds.filter(removeSuspect)
     },
     explain (partIds) {
+      const kept = new Set(partIds)
       const explained = new Set(partIds.flatMap(partId => suspects.get(partId)?.crashes.map(({ serverKey }) => serverKey) ?? []))
       for (const [partId, record] of suspects) {
-        if (partIds.includes(partId)) continue
+        if (kept.has(partId)) continue
         record.crashes = record.crashes.filter(({ serverKey }) => !explained.has(serverKey))
-        if (record.crashes.length === 0) suspects.delete(partId)
+        setSuspect(partId, record)
       }
     },
     forget (partIds) {
-      for (const partId of partIds) suspects.delete(partId)
+      for (const partId of partIds) removeSuspect(partId)
     },
     listSuspects: (partIds, nowMs) => partIds.filter(partId => isPartSuspect(partId, nowMs)),
     listUncleared: (partIds, nowMs) => partIds.filter(partId => isPartSuspect(partId, nowMs) || (suspects.has(partId) && !wasServedRecently(partId, nowMs))),
--- a/src/coordination/quarantine/prompt-guard.test.ts
+++ b/src/coordination/quarantine/prompt-guard.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { PromptMessageKind, type PromptMessage } from '../../protocol/prompt-messages.js'
+import { decodePromptMessage, encodePromptMessage, PromptMessageKind, type PromptMessage } from '../../protocol/prompt-messages.js'
 import { createVirtualTimerService, type VirtualTimerService } from '../../shared/virtual-timer-service.js'
 import { makeBackendServer } from '../../testing/serving-samples.js'
 import { ServerFate } from '../ports/server-fate.js'
@@ -75,6 +75,30 @@
     expect(new Set(crashes).size).to.equal(3)
   })
 
+  // Guards against a part that is never found since it stands behind many others that no other request has (BUDGET).
+  for (const otherCount of [17, 200, 2000]) {
+    it(`finds a part behind ${otherCount} others by crashes that another gateway tells of`, async () => {
+      const timers = createVirtualTimerService(1000)
+      const own = createSample({ name: 'own', timers })
+      const other = createSample({
+        name: 'other',
+        timers,
+        onMessage (message) {
+          const text = encodePromptMessage(message)
+          expect(Buffer.byteLength(text)).to.be.lessThan(65_507)
+          own.guard.applyMessage(decodePromptMessage(text) as PromptMessage)
+        }
+      })
+      for (let index = 0; index < 3; index += 1) {
+        await other.lose([...Array.from({ length: otherCount }, (_, part) => `${index}-${part}`), 'p'])
+        await timers.advanceAsync(2000)
+      }
+      expect(other.entries).to.deep.equal([{ partIds: ['p'], probeCount: 0 }])
+      expect(own.guard.check(['q', 'p']).kind).to.equal(AdmissionKind.Quarantined)
+      expect(own.guard.check(['0-0']).kind).to.equal(AdmissionKind.Admitted)
+    })
+  }
+
   it('takes the end of a connection to a server that still listens for no crash', async () => {
     const { guard, entries, messages, lose } = createSample({ isListening: true })
     for (let index = 0; index < 9; index += 1) await lose(['p'])
--- a/src/coordination/quarantine/prompt-guard.ts
+++ b/src/coordination/quarantine/prompt-guard.ts
@@ -1,12 +1,13 @@
 /** Observes what becomes of the requests that a gateway sends to servers, and shares what that tells of the parts of their prompts. */
 import type { Logger } from '../../observability/log.js'
 import { MetricEvent, type Metrics } from '../../observability/metrics.js'
-import { PromptMessageKind, type PromptMessage } from '../../protocol/prompt-messages.js'
+import { limitPartList, PromptMessageKind, type PromptMessage } from '../../protocol/prompt-messages.js'
 import type { TimerService, TimerSubscription } from '../../shared/timer-service.js'
 import type { BackendServer } from '../../state/backend-server.js'
 import { ServerFate } from '../ports/server-fate.js'
-import type { CrashSign } from './crash-evidence.js'
-import { createPromptQuarantine, type Admission, type QuarantineEntry } from './prompt-quarantine.js'
+import { maxSuspectCount, type CrashSign } from './crash-evidence.js'
+import { formatParts, keepParts } from './part-list.js'
+import { createPromptQuarantine, formatEntryKey, type Admission, type QuarantineEntry } from './prompt-quarantine.js'
 
 /** A request at one server. Each attempt ends with one of `end`, `abandon`, `complete`, `confirmEnd` and `recordLoss`; what is called after that has no effect. */
 export interface GuardedAttempt {
@@ -63,8 +64,8 @@
 
 /** Messages on crashes are sent twice, since datagrams are lost occasionally. */
 const repeatAfterMs = 150
-/** Bounds the parts whose clearing is announced. */
-const maxSharedPartCount = 2000
+/** Bounds the parts whose clearing is announced: as many as may be suspected. */
+const maxSharedPartCount = maxSuspectCount
 /** A server that began to write for a request ends this long after the gateway has ended the attempt at the latest, if it ends of the request. */
 export const abandonedWatchMs = 1200
 /** A process that writes the first event and ends has made no progress. */
@@ -73,43 +74,50 @@
 /** Creates the guard with no part under suspicion. */
 export function createPromptGuard ({ timers, logger, metrics, isListening, watchEnd, isEndUnplanned, sendMessage, onEntry, onRefuted }: PromptGuardOptions): PromptGuard {
   const quarantine = createPromptQuarantine()
-  /** Attempts of this gateway that have delivered no event, by part. */
-  const silentCounts = new Map<string, number>()
+  /** Lists the parts of each attempt of this gateway that has delivered no event. */
+  const silentAttempts = new Set<() => readonly string[]>()
   /** Suspicious parts that were in a message of this or another gateway. */
   const sharedPartIds = new Set<string>()
 
-  function countSilent (partIds: readonly string[], change: number): void {
-    for (const partId of partIds) {
-      const count = (silentCounts.get(partId) ?? 0) + change
-      if (count > 0) silentCounts.set(partId, count)
-      else silentCounts.delete(partId)
-    }
+  function isAnySilent (partIds: readonly string[]): boolean {
+    const wanted = new Set(partIds)
+    return [...silentAttempts].some(listParts => listParts().some(partId => wanted.has(partId)))
   }
 
   function recordShared (partIds: readonly string[]): void {
     for (const partId of partIds) {
-      if (sharedPartIds.size < maxSharedPartCount) sharedPartIds.add(partId)
+      sharedPartIds.delete(partId)
+      sharedPartIds.add(partId)
+    }
+    for (const partId of sharedPartIds) {
+      if (sharedPartIds.size <= maxSharedPartCount) return
+      sharedPartIds.delete(partId)
     }
   }
 
+  /** The parts that are likeliest at fault come first, in case that not all can be named. */
+  function sortByCrashes (partIds: readonly string[]): string[] {
+    return [...partIds].sort((left, right) => quarantine.countCrashes(right) - quarantine.countCrashes(left))
+  }
+
   function announceCleared (partIds: readonly string[], isCompletion: boolean): void {
     const announced = partIds.filter(partId => isCompletion ? sharedPartIds.delete(partId) : sharedPartIds.has(partId))
     if (announced.length === 0) return
-    logger.info('Parts of prompts are no longer suspected.', { parts: announced.join(' '), isCompletion })
-    sendMessage({ kind: PromptMessageKind.Cleared, partIds: announced, isCompletion })
+    logger.info('Parts of prompts are no longer suspected.', { parts: formatParts(announced), isCompletion })
+    sendMessage({ kind: PromptMessageKind.Cleared, partIds: [...limitPartList(announced)], isCompletion })
   }
 
   function shareCrash ({ partIds, serverKey, isEarly, sentAtMs, lostAtMs }: CrashSign, isAbandoned: boolean): void {
-    const uncleared = quarantine.listUncleared(partIds, timers.nowMs())
+    const uncleared = sortByCrashes(quarantine.listUncleared(partIds, timers.nowMs()))
     if (uncleared.length === 0) return
     const suspects = quarantine.listSuspects(uncleared, timers.nowMs())
-    const isOnTrial = suspects.some(partId => silentCounts.has(partId))
+    const isOnTrial = suspects.length > 0 && isAnySilent(suspects)
     if (isOnTrial) quarantine.recordTrial(suspects, timers.nowMs())
     recordShared(uncleared)
     logger.warn('A server ended under a request; parts of its prompt are suspected.', {
-      serverKey, parts: uncleared.join(' '), crashCounts: uncleared.map(quarantine.countCrashes).join(' '), isEarly, isAbandoned, isOnTrial
+      serverKey, parts: formatParts(uncleared), crashCounts: formatParts(uncleared.map(partId => String(quarantine.countCrashes(partId)))), isEarly, isAbandoned, isOnTrial
     })
-    const send = () => sendMessage({ kind: PromptMessageKind.Crash, partIds: uncleared, serverKey, isEarly, sentAgoMs: timers.nowMs() - sentAtMs, lostAgoMs: timers.nowMs() - lostAtMs, isOnTrial })
+    const send = () => sendMessage({ kind: PromptMessageKind.Crash, partIds: [...limitPartList(uncleared)], serverKey, isEarly, sentAgoMs: timers.nowMs() - sentAtMs, lostAgoMs: timers.nowMs() - lostAtMs, isOnTrial })
     send()
     timers.subscribeOnce(repeatAfterMs, () => {
       if (quarantine.listUncleared(uncleared, timers.nowMs()).length > 0) send()
@@ -119,7 +127,7 @@
   function reportEntry (entry: QuarantineEntry, source: string): void {
     metrics.countEvent(MetricEvent.PromptQuarantined)
     logger.error('Servers ended in a row under requests with the same part; requests with it are refused.', {
-      parts: entry.partIds.join(' '), probeCount: entry.probeCount, source
+      parts: formatParts(entry.partIds), probeCount: entry.probeCount, source
     })
   }
 
@@ -155,13 +163,13 @@
     if (fate !== ServerFate.Alive || !hasEvents) return
     quarantine.recordSurvival(partIds, timers.nowMs())
     const suspects = partIds.filter(partId => quarantine.countCrashes(partId) > 0)
-    if (suspects.length > 0) sendMessage({ kind: PromptMessageKind.Survived, partIds: suspects })
+    if (suspects.length > 0) sendMessage({ kind: PromptMessageKind.Survived, partIds: [...limitPartList(sortByCrashes(suspects))] })
   }
 
   function recordCompletion (partIds: readonly string[]): void {
     announceCleared(quarantine.recordCompletion(partIds, timers.nowMs()), true)
     for (const entry of quarantine.findEntries(partIds)) {
-      sendMessage({ kind: PromptMessageKind.Cleared, partIds: [...entry.partIds], isCompletion: true })
+      sendMessage({ kind: PromptMessageKind.Cleared, partIds: [...limitPartList(entry.partIds)], isCompletion: true })
       onRefuted(entry, true)
     }
   }
@@ -178,26 +186,27 @@
 
   return {
     check: partIds => quarantine.check(partIds, timers.nowMs()),
-    begin (partIds, server) {
-      if (partIds.length === 0) return { recordProgress () {}, complete () {}, confirmEnd: () => isListening(server), recordLoss () {}, end () {}, abandon () {} }
+    begin (allPartIds, server) {
+      if (allPartIds.length === 0) return { recordProgress () {}, complete () {}, confirmEnd: () => isListening(server), recordLoss () {}, end () {}, abandon () {} }
       const sentAtMs = timers.nowMs()
-      const suspects = quarantine.begin(partIds, sentAtMs)
-      if (suspects.length > 0) sendMessage({ kind: PromptMessageKind.Trial, partIds: suspects })
+      const suspects = quarantine.begin(allPartIds, sentAtMs)
+      if (suspects.length > 0) sendMessage({ kind: PromptMessageKind.Trial, partIds: [...limitPartList(sortByCrashes(suspects))] })
+      const listParts = keepParts(allPartIds)
       let isSilent = true
       let hasEvents = false
       let isSettled = false
       let progressTimer: TimerSubscription | undefined
-      countSilent(partIds, 1)
+      silentAttempts.add(listParts)
 
       function endSilence (): void {
-        if (isSilent) countSilent(partIds, -1)
+        silentAttempts.delete(listParts)
         isSilent = false
       }
 
       function applyProgress (): void {
         if (!isSilent) return
         endSilence()
-        announceCleared(quarantine.recordProgress(partIds), false)
+        announceCleared(quarantine.recordProgress(listParts()), false)
       }
 
       /** Returns whether the attempt was silent until now, and undefined when it is settled. */
@@ -211,7 +220,7 @@
       function end (): void {
         const wasSilent = settle()
         if (wasSilent === undefined) return
-        if (wasSilent) quarantine.endTrial(partIds, sentAtMs)
+        if (wasSilent) quarantine.endTrial(listParts(), sentAtMs)
         endSilence()
       }
 
@@ -224,30 +233,30 @@
           if (settle() === undefined) return
           if (progressTimer !== undefined) applyProgress()
           endSilence()
-          recordCompletion(partIds)
+          recordCompletion(listParts())
         },
         async confirmEnd (isServed) {
           const wasSilent = settle()
           if (wasSilent === undefined) return true
           endSilence()
-          const isComplete = await recordLoss(partIds, server, wasSilent, sentAtMs)
-          if (isComplete && isServed) recordCompletion(partIds)
+          const isComplete = await recordLoss(listParts(), server, wasSilent, sentAtMs)
+          if (isComplete && isServed) recordCompletion(listParts())
           return isComplete
         },
         recordLoss (hasHead) {
           const wasSilent = settle()
           if (wasSilent === undefined) return
           endSilence()
-          void recordLoss(partIds, server, hasHead && wasSilent, sentAtMs)
+          void recordLoss(listParts(), server, hasHead && wasSilent, sentAtMs)
         },
         end,
         abandon (reason) {
           if (settle() === undefined) return
           endSilence()
-          void observeAbandoned(partIds, server, hasEvents, sentAtMs)
+          void observeAbandoned(listParts(), server, hasEvents, sentAtMs)
           metrics.countEvent(MetricEvent.AttemptAbandoned)
           logger.info('An attempt was ended while its server may have been working on it.', {
-            serverId: server.id, startedAtMs: server.startedAtMs, parts: partIds.join(' '), elapsedMs: Math.round(timers.nowMs() - sentAtMs), reason
+            serverId: server.id, startedAtMs: server.startedAtMs, parts: formatParts(listParts()), elapsedMs: Math.round(timers.nowMs() - sentAtMs), reason
           })
         }
       }
@@ -280,9 +289,10 @@
       if (quarantine.add(entry, timers.nowMs())) reportEntry(entry, source)
     },
     removeEntry (key) {
+      const parts = formatParts(quarantine.listEntries().find(({ partIds }) => formatEntryKey(partIds) === key)?.partIds ?? [])
       if (!quarantine.remove(key)) return
       metrics.countEvent(MetricEvent.PromptReleased)
-      logger.warn('Requests with the parts are no longer refused.', { parts: key })
+      logger.warn('Requests with the parts are no longer refused.', { parts })
     },
     listEntries: quarantine.listEntries,
     findDueProbe: partIds => quarantine.findDueProbe(partIds, timers.nowMs()),
--- a/src/coordination/quarantine/prompt-quarantine.ts
+++ b/src/coordination/quarantine/prompt-quarantine.ts
@@ -79,7 +79,8 @@
 
   function listMatches (partIds: readonly string[]): HeldEntry[] {
     if (entries.size === 0 || partIds.length === 0) return []
-    return [...entries.values()].filter(({ entry }) => entry.partIds.every(partId => partIds.includes(partId)))
+    const present = new Set(partIds)
+    return [...entries.values()].filter(({ entry }) => entry.partIds.every(partId => present.has(partId)))
   }
 
   function getProbeDueMs ({ entry, sinceMs }: HeldEntry): number {
--- a/src/gateway/call-intake.ts
+++ b/src/gateway/call-intake.ts
@@ -3,6 +3,7 @@
 
 import { pickTarget } from '../coordination/dispatch/route-table.js'
 import type { QuarantineEntry } from '../coordination/quarantine/prompt-quarantine.js'
+import { formatParts } from '../coordination/quarantine/part-list.js'
 import { MetricEvent } from '../observability/metrics.js'
 import { RouteKind, type Route, type Team } from '../state/serving-config.js'
 import { BodyResultKind, discardRequestBody, readRequestBody } from '../transport/request-body.js'
@@ -138,7 +139,7 @@
     const entry = dependencies.promptGuard.findDueProbe(sharedPartIds)
     if (entry === undefined || !await claimProbe(entry)) return false
     dependencies.metrics.countEvent(MetricEvent.PromptProbe)
-    dependencies.logger.warn('A request with quarantined prompt parts is let through as a probe.', { requestId: requestId ?? '', parts: entry.partIds.join(' '), probeCount: entry.probeCount + 1 })
+    dependencies.logger.warn('A request with quarantined prompt parts is let through as a probe.', { requestId: requestId ?? '', parts: formatParts(entry.partIds), probeCount: entry.probeCount + 1 })
     return true
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -30,7 +30,7 @@
 import type { TimerService } from '../shared/timer-service.js'
 import type { BackendServer } from '../state/backend-server.js'
 import type { Service } from '../state/serving-config.js'
-import { PromptMessageKind } from '../protocol/prompt-messages.js'
+import { limitPartList, PromptMessageKind } from '../protocol/prompt-messages.js'
 import { createBackendConnectionPool } from '../transport/backend-connection-pool.js'
 import { createListeningCheck } from '../transport/listening-check.js'
 import { createServerEndWatch } from '../transport/server-end-watch.js'
@@ -193,7 +193,10 @@
     isPlanner,
     getViewAgeMs: fleet.getViewAgeMs,
     countGateways: presence.countGateways,
-    announce: entry => loadSharing.sendPromptMessage({ kind: PromptMessageKind.Quarantine, partIds: [...entry.partIds], probeCount: entry.probeCount })
+    announce ({ partIds, probeCount }) {
+      // With fewer parts it would be another entry; the others read one that is too long for a message from the store.
+      if (limitPartList(partIds).length === partIds.length) loadSharing.sendPromptMessage({ kind: PromptMessageKind.Quarantine, partIds: [...partIds], probeCount })
+    }
   })
   const gatewayList = createGatewayList({ nodeId: settings.nodeId, listGateways: presence.listGateways, countGateways: presence.countGateways })
   const { toAddresses } = gatewayList
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -6,6 +6,7 @@
 import { judgeSilence, type SilenceVerdict } from '../coordination/dispatch/stream-silence.js'
 import { getWaitEndMs } from '../coordination/dispatch/stream-wait.js'
 import { describeAdmission } from '../coordination/quarantine/describe-admission.js'
+import { formatParts } from '../coordination/quarantine/part-list.js'
 import { AdmissionKind } from '../coordination/quarantine/prompt-quarantine.js'
 import type { LogFields } from '../observability/log.js'
 import { MetricEvent } from '../observability/metrics.js'
@@ -261,7 +262,7 @@
     if (attempts.size === 0) lostAtMs = timers.nowMs()
     // If another attempt of the call goes on and is silent, the next check looks for a replacement.
     const next = attempts.size === 0 ? findNextAttempt() : undefined
-    logLine('An attempt failed.', { group: attempt.replica.id, serverId: attempt.leader.id, end: failure.kind, reason: failure.reason, next: describeNext(next), promptParts: call.clientInfo.sharedPartIds.join(' ') })
+    logLine('An attempt failed.', { group: attempt.replica.id, serverId: attempt.leader.id, end: failure.kind, reason: failure.reason, next: describeNext(next), promptParts: formatParts(call.clientInfo.sharedPartIds) })
     if (next !== undefined) resumeOrFinish(failure, next)
   }
 
--- a/src/protocol/prompt-messages.test.ts
+++ b/src/protocol/prompt-messages.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { decodePromptMessage, encodePromptMessage, PromptMessageKind, type PromptMessage } from './prompt-messages.js'
+import { decodePromptMessage, encodePromptMessage, limitPartList, PromptMessageKind, type PromptMessage } from './prompt-messages.js'
 
 describe('messages about the parts of prompts', () => {
   const messages: PromptMessage[] = [
@@ -22,12 +22,24 @@
     for (const text of [
       'no JSON',
       '{}',
-      JSON.stringify({ kind: PromptMessageKind.Trial, partIds: parts(33, 1) }),
+      // One more than a message names, see the test below.
+      JSON.stringify({ kind: PromptMessageKind.Trial, partIds: parts(15_001, 1) }),
       JSON.stringify({ kind: PromptMessageKind.Trial, partIds: parts(1, 65) }),
       JSON.stringify({ ...messages[3], partIds: [] }),
       JSON.stringify({ ...messages[3], partIds: [''] }),
       JSON.stringify({ ...messages[0], sentAgoMs: -1 }),
       JSON.stringify({ ...messages[3], probeCount: 0.5 })
-    ]) expect(decodePromptMessage(text), text).to.equal(undefined)
+    ]) expect(decodePromptMessage(text), text.slice(0, 100)).to.equal(undefined)
   })
+
+  // Guards against a long list that no gateway hears of, as it fits into no datagram or is rejected on arrival (BUDGET).
+  for (const [length, count] of [[1, 15_000], [8, 5454], [32, 1714]] as const) {
+    it(`name ${count} parts of ${length} characters at most, which a datagram holds`, () => {
+      const partIds = limitPartList(Array.from({ length: 20_000 }, () => 'x'.repeat(length)))
+      expect(partIds.length).to.equal(count)
+      const text = encodePromptMessage({ ...messages[0], partIds: [...partIds] } as PromptMessage)
+      expect(Buffer.byteLength(text)).to.be.lessThan(65_507)
+      expect(decodePromptMessage(text)).to.deep.include({ partIds })
+    })
+  }
 })
--- a/src/protocol/prompt-messages.ts
+++ b/src/protocol/prompt-messages.ts
@@ -14,13 +14,20 @@
   Quarantine = 'promptQuarantine'
 }
 
+/** Characters of all IDs in a message, with what JSON adds to each: a datagram holds 65,507 bytes. A request's head of 16 KB has fewer. */
+const maxPartListCharacters = 60_000
+/** Quotes and a comma. */
+const extraCharactersPerPart = 3
+
 // A quarantine entry without parts would match all requests.
-const partIdsSchema = z.array(z.string().min(1).max(64)).min(1).max(32)
+const partIdsSchema = z.array(z.string().min(1).max(64)).min(1).refine(partIds => limitPartList(partIds).length === partIds.length)
+/** A key of the store has 200 bytes; a start time follows the server's ID. */
+const maxServerKeyCharacters = 256
 const promptMessageSchema = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal(PromptMessageKind.Crash),
     partIds: partIdsSchema,
-    serverKey: z.string().max(200),
+    serverKey: z.string().max(maxServerKeyCharacters),
     isEarly: z.boolean(),
     /** Times since the request was sent to the server and since it was lost, as the clocks of the gateways differ. */
     sentAgoMs: z.number().nonnegative(),
@@ -36,6 +43,16 @@
 
 export type PromptMessage = z.infer<typeof promptMessageSchema>
 
+/** Returns as many of the parts, from the first on, as one message can name. */
+export function limitPartList (partIds: readonly string[]): readonly string[] {
+  let characterCount = 0
+  const end = partIds.findIndex(partId => {
+    characterCount += partId.length + extraCharactersPerPart
+    return characterCount > maxPartListCharacters
+  })
+  return end < 0 ? partIds : partIds.slice(0, end)
+}
+
 /** Encodes a message for a datagram. Gateways of earlier releases drop it, since they do not know the kind. */
 export function encodePromptMessage (message: PromptMessage): string {
   return JSON.stringify(message)
