Keep the keys of the quarantine's entries within those of the store

What callers would see: an entry of six parts with IDs of 32 characters is never stored, and gateways that start let its requests end servers again.

Cause: the key of an entry is the list of its parts; a key of the platform's store has 200 bytes at most.

Change: a list of more than 160 characters is replaced by a digest. The value still has the parts.

Test that failed before: quarantine-store "has an entry of many long parts under a key that a store takes" (1,342 bytes). After: it passes, with the tests of the quarantine and of its command.

--- a/src/coordination/quarantine/prompt-quarantine.ts
+++ b/src/coordination/quarantine/prompt-quarantine.ts
@@ -1,4 +1,6 @@
 /** Decides which requests may go to a server, by the parts of their prompts: all, one at a time, or none but for probes. */
+import { createHash } from 'node:crypto'
+
 import { createCrashEvidence, type CrashSign } from './crash-evidence.js'
 
 /** Parts that no request may have all of. Mostly it is one part; more when only requests with all of them ended servers. */
@@ -65,9 +67,13 @@
 /** Each entry stands for at least three servers that ended. At the limit no new one is made. */
 export const maxEntryCount = 100
 
-/** Identifies an entry by its parts. */
+/** A key of the store has 200 bytes at most, and the prefix of the entries takes 23 of them. */
+const maxEntryKeyLength = 160
+
+/** Identifies an entry by its parts, or by a digest of them where they are too long for a key of the store. */
 export function formatEntryKey (partIds: readonly string[]): string {
-  return [...partIds].sort().join('+')
+  const key = [...partIds].sort().join('+')
+  return key.length <= maxEntryKeyLength ? key : `sha256-${createHash('sha256').update(key).digest('hex')}`
 }
 
 /** Creates the record with no part under suspicion or in quarantine. */
--- a/src/coordination/quarantine/quarantine-store.test.ts
+++ b/src/coordination/quarantine/quarantine-store.test.ts
@@ -201,6 +201,20 @@
     })
   })
 
+  // Guards against an entry that the store never holds, since its key would be longer than the 200 bytes of a key.
+  it('has an entry of many long parts under a key that a store takes', async () => {
+    const partIds = Array.from({ length: 40 }, (_, index) => `${'f'.repeat(30)}${index + 10}`)
+    const { timers, fake, createGateway } = createSample()
+    const first = createGateway()
+    first.publish({ partIds, probeCount: 0 })
+    await timers.advanceAsync(100)
+    const key = storePrefix + formatEntryKey(partIds)
+    expect(Buffer.byteLength(key)).to.be.at.most(200)
+    expect(JSON.parse(fake.peek(key)?.value ?? '')).to.deep.equal({ partIds, probeCount: 0 })
+    expect(formatEntryKey([...partIds].reverse())).to.equal(formatEntryKey(partIds))
+    expect(formatEntryKey(partIds.slice(1))).to.not.equal(formatEntryKey(partIds))
+  })
+
   it('ignores entries that are invalid', async () => {
     const { fake, createGateway } = createSample()
     const gateway = createGateway()
