Treat responses without a status of HTTP as lost

What callers saw: a server that answered 101, 600 or 999 had it forwarded as its answer, with its stamp, on safe, unsafe and stream routes (MIXED); with X-Not-Executed beside it callers got 503, which states that the request has not run. Entry nodes kept 600 and 999 as the outcome of an order. 000, 099 and other numbers of digits gave 502 already.

Cause: the parsers accept any three digits, and the pool checked the lower bound alone.

Ruled out: relays, which carry no calls; resumed streams, which broke off before too.

Change: one definition of a final status, 200 to 599, for the gateway's pool, the HTTP client and the client of engines. Anything else, 101 too, closes the connection at once; the request may have run, so that the caller gets 502 or another server's response.

--- a/src/transport/backend-connection-pool.test.ts
+++ b/src/transport/backend-connection-pool.test.ts
@@ -211,6 +211,15 @@
     })
   })
 
+  describe('a response with a status that HTTP does not have', () => {
+    for (const status of ['000', '099', '101', '600', '999']) {
+      it(`is lost, without a head: ${status}`, async () => {
+        handleRequest = socket => socket.write(`HTTP/1.1 ${status} Odd\r\nContent-Length: 2\r\n\r\nok`)
+        for (const isDedicated of [true, false]) expect(await exchangeWith(connections, getPort(), isDedicated)).to.deep.equal([ExchangeFailureKind.Lost])
+      })
+    }
+  })
+
   describe('bytes after a complete response', () => {
     it('are never taken as the response to the next request', async () => {
       handleRequest = (socket, requestCount) => {
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -5,6 +5,7 @@
 import { failure, success, type Result } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
 import { framingBytesPerChunk, maxBytesWithoutBody, maxFramingBytes, maxInformationalResponseCount } from './response-limits.js'
+import { isFinalStatus } from './response-status.js'
 
 /** A request to a backend server, forwarded with its headers as given. */
 export interface BackendRequest {
@@ -76,8 +77,6 @@
 const connectTimeoutMs = 300
 /** Idle connections are closed after this time, earlier than most servers close them. */
 const idleTimeoutMs = 4000
-/** Lowest status code of HTTP (RFC 9110, section 15). */
-const lowestStatusCode = 100
 
 /** Creates the pool; it never retries a request. */
 export function createBackendConnectionPool ({ timers, maxIdleConnectionsPerServer }: BackendConnectionPoolOptions): BackendConnectionPool {
@@ -213,13 +212,18 @@
   clientRequest.on('response', response => {
     currentResponse = response
     if (isFinished) return
-    if (!canForwardStatusLine(response)) {
-      fail('the status line of the response is malformed')
+    const { statusCode = 0, statusMessage = '' } = response
+    if (!isFinalStatus(statusCode)) {
+      fail(`the response has status ${statusCode}, which is none of a final response`)
+      return
+    }
+    if (!canForwardReason(statusMessage)) {
+      fail('the reason phrase of the response is malformed')
       return
     }
     listener.onHead({
-      statusCode: response.statusCode ?? 0,
-      statusMessage: response.statusMessage ?? '',
+      statusCode,
+      statusMessage,
       rawHeaders: response.rawHeaders,
       headers: response.headers,
       endsWithConnection: isCloseDelimited(response)
@@ -256,9 +260,8 @@
   }
 }
 
-/** Whether Node.js accepts the status line in a response of its own; its parser accepts more than that. */
-function canForwardStatusLine ({ statusCode = 0, statusMessage = '' }: http.IncomingMessage): boolean {
-  if (statusCode < lowestStatusCode) return false
+/** Whether Node.js accepts the reason phrase in a response of its own; its parser accepts more than that. */
+function canForwardReason (statusMessage: string): boolean {
   try {
     http.validateHeaderValue('reason phrase', statusMessage)
     return true
--- a/src/transport/engine-stream-client.test.ts
+++ b/src/transport/engine-stream-client.test.ts
@@ -24,6 +24,26 @@
   })
 })
 
+describe('engine stream client: a status that HTTP does not have', () => {
+  // Guards against an answer that is none, and against a wait for another one that never comes.
+  for (const status of ['000', '099', '101', '600', '999']) {
+    it(`breaks the stream at once: ${status}`, async () => {
+      const server = createServer(socket => {
+        socket.on('error', () => {})
+        socket.once('data', () => { socket.write(`HTTP/1.1 ${status} Odd\r\n\r\n`) })
+      })
+      await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+      const client = createEngineStreamClient({ connectTimeoutMs: 500, idleTimeoutMs: 5000 })
+      const startedAtMs = performance.now()
+      const { done, value } = await client.open(`127.0.0.1:${(server.address() as AddressInfo).port}`, request, new AbortController().signal).next()
+      expect({ done, kind: value !== undefined && 'kind' in value ? value.kind : undefined }).to.eql({ done: true, kind: EngineStreamErrorKind.Broken })
+      expect(performance.now() - startedAtMs).to.be.lessThan(2000)
+      await client.close()
+      server.close()
+    })
+  }
+})
+
 describe('engine stream client: bytes without end', () => {
   let client: EngineStreamClient
 
--- a/src/transport/engine-stream-client.ts
+++ b/src/transport/engine-stream-client.ts
@@ -12,6 +12,7 @@
 import { createSseParser } from '../protocol/sse-parser.js'
 import { reportResets } from './reset-errors.js'
 import { maxInformationalResponseCount } from './response-limits.js'
+import { isFinalStatus, isInformationalStatus } from './response-status.js'
 
 const maxEventCharacters = 1_048_576
 const maxErrorCharacters = 500
@@ -75,7 +76,8 @@
         headers: toHeaders(request),
         body: JSON.stringify(toEngineBody(request)),
         signal: AbortSignal.any([signal, limit.signal]),
-        onInfo () {
+        onInfo ({ statusCode }) {
+          if (!isInformationalStatus(statusCode)) limit.abort(new Error(`the response has status ${statusCode}, which is none of a final response`))
           informationalCount += 1
           // Each of them starts undici's timeout for the head again.
           if (informationalCount > maxInformationalResponseCount) limit.abort(new Error(`more than ${maxInformationalResponseCount} informational responses arrived`))
@@ -84,6 +86,11 @@
     } catch (error) {
       return toOpenError(error as Error)
     }
+    if (!isFinalStatus(response.statusCode)) {
+      // What follows is not read, and may never end.
+      response.body.on('error', () => {}).destroy()
+      return toBrokenError(`the response has status ${response.statusCode}, which is none of a final response`)
+    }
     if (response.statusCode !== 200) return await toStatusError(response)
     return yield * readChunks(response)
   }
--- a/src/transport/http-client.test.ts
+++ b/src/transport/http-client.test.ts
@@ -122,6 +122,24 @@
       expect(result.isOk ? undefined : result.error.kind).to.equal(TransportErrorKind.ConnectionLost)
     })
 
+    // Guards against a caller that gets a status that is none as an answer, or waits for another one until its timeout (MIXED).
+    for (const status of ['000', '099', '101', '600', '999', '20', '1000']) {
+      it(`fails with ConnectionLost at once when the status of the response is ${status}, also after an informational response`, async () => {
+        const heads = ['', 'HTTP/1.1 103 Early Hints\r\n\r\n'].map(informational => `${informational}HTTP/1.1 ${status} Odd\r\n`)
+        for (const bytes of heads.flatMap(head => [`${head}content-length: 2\r\n\r\nok`, `${head}\r\n`])) {
+          server = await startRawServer(socket => socket.write(bytes))
+          client = createHttpClient()
+          const startedAtMs = performance.now()
+          const result = await send(server.origin)
+          expect(result.isOk ? result.value.statusCode : result.error.kind).to.equal(TransportErrorKind.ConnectionLost)
+          expect(performance.now() - startedAtMs).to.be.lessThan(2000)
+          expect(server.requestCount()).to.equal(1)
+          await client.close()
+          server.close()
+        }
+      })
+    }
+
     for (const { name, head } of [{ name: 'ends with its connection', head: 'HTTP/1.1 200 OK\r\n\r\n' }, { name: 'ends with its connection, which it says', head: 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n' }]) {
       for (const body of ['', 'half']) {
         it(`fails with ConnectionLost when a reset ends a response that ${name}, after a body of ${body.length} bytes`, async () => {
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -8,6 +8,7 @@
 import { createByteCollector } from '../shared/byte-collector.js'
 import { createReadGuard, type ReadGuard } from './read-guard.js'
 import { maxInformationalResponseCount } from './response-limits.js'
+import { isFinalStatus, isInformationalStatus } from './response-status.js'
 import { TransportErrorKind, type TransportError } from './transport-error.js'
 
 export interface HttpClientRequest {
@@ -119,7 +120,11 @@
         controller = started
       },
       onResponseStart (_controller, responseStatusCode, responseHeaders) {
-        if (responseStatusCode < 200) {
+        if (!isFinalStatus(responseStatusCode) && !isInformationalStatus(responseStatusCode)) {
+          stop(`the response has status ${responseStatusCode}, which is none of a final response`)
+          return
+        }
+        if (isInformationalStatus(responseStatusCode)) {
           informationalCount += 1
           if (informationalCount > maxInformationalResponseCount) stop(`more than ${maxInformationalResponseCount} informational responses arrived`)
           return
