--- a/src/coordination/quarantine/crash-evidence.ts
+++ b/src/coordination/quarantine/crash-evidence.ts
@@ -70,8 +70,8 @@
 /** Without another crash a part is no longer suspected after this time. */
 const suspicionTimeMs = 600_000
 /**
- * Bound the memory, whatever parts clients make up. A part is suspected only when a server has ended under it. No request has more parts:
- * each takes four characters at least of a head, of which the gateway reads 64 KB.
+ * Bound the memory, whatever parts clients make up. A part is suspected only when a server has ended under it. A request has at most this
+ * many parts: each takes four characters or more of its head, of which the gateway reads 64 KB.
  */
 export const maxSuspectCount = 16_384
 const maxCompletedPartCount = 16_384
@@ -80,7 +80,7 @@
 export function createCrashEvidence (): CrashEvidence {
   /** In the order of the last crash. */
   const suspects = new Map<string, SuspectRecord>()
-  /** Those of them with one crash, in its order. */
+  /** Those of them with one crash, mostly in the order of that crash. */
   const onceSuspected = new Set<string>()
   /** Times of the last completions, in their order. */
   const completions = new Map<string, number>()
--- a/src/coordination/quarantine/part-list.ts
+++ b/src/coordination/quarantine/part-list.ts
@@ -4,12 +4,12 @@
 const maxNamedCount = 32
 /** Longer lists are kept as one text. */
 const maxArrayLength = 64
-/** No ID has one. */
+/** Between the IDs of that text; no ID has one. */
 const separator = ' '
 
 /** Formats the parts for a log line or a client; the first ones are named, the others counted. */
-export function formatParts (partIds: readonly string[]): string {
-  const named = partIds.slice(0, maxNamedCount).join(separator)
+export function formatParts (partIds: readonly string[], delimiter = ' '): string {
+  const named = partIds.slice(0, maxNamedCount).join(delimiter)
   return partIds.length <= maxNamedCount ? named : `${named} and ${partIds.length - maxNamedCount} more`
 }
 
--- a/src/gateway/fleet-view.ts
+++ b/src/gateway/fleet-view.ts
@@ -189,10 +189,10 @@
       if (value !== undefined && applyConfig(value, revision)) changed.add(FleetEvent.Config)
     } else if (key.startsWith(layout.serverPrefix)) {
       const id = key.slice(layout.serverPrefix.length)
+      changed.add(FleetEvent.Servers)
       if (value === undefined) servers.remove(id)
       else if (mirror.isCarriedOver(key)) hasUnusedEntries = true
       else servers.apply(id, value)
-      changed.add(FleetEvent.Servers)
     } else if (key.startsWith(layout.evacuationPrefix)) {
       changed.add(FleetEvent.Evacuations)
     } else if (key.startsWith(layout.gatewayPrefix)) {
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -214,7 +214,7 @@
     if (isFinished) return
     const { statusCode = 0, statusMessage = '' } = response
     if (!isFinalStatus(statusCode)) {
-      fail(`the response has status ${statusCode}, which is none of a final response`)
+      fail(`the response has status ${statusCode}, which no final response has`)
       return
     }
     if (!canForwardReason(statusMessage)) {
--- a/src/transport/engine-stream-client.ts
+++ b/src/transport/engine-stream-client.ts
@@ -77,7 +77,7 @@
         body: JSON.stringify(toEngineBody(request)),
         signal: AbortSignal.any([signal, limit.signal]),
         onInfo ({ statusCode }) {
-          if (!isInformationalStatus(statusCode)) limit.abort(new Error(`the response has status ${statusCode}, which is none of a final response`))
+          if (!isInformationalStatus(statusCode)) limit.abort(new Error(`the response has status ${statusCode}, which no final response has`))
           informationalCount += 1
           // Each of them starts undici's timeout for the head again.
           if (informationalCount > maxInformationalResponseCount) limit.abort(new Error(`more than ${maxInformationalResponseCount} informational responses arrived`))
@@ -89,7 +89,7 @@
     if (!isFinalStatus(response.statusCode)) {
       // What follows is not read, and may never end.
       response.body.on('error', () => {}).destroy()
-      return toBrokenError(`the response has status ${response.statusCode}, which is none of a final response`)
+      return toBrokenError(`the response has status ${response.statusCode}, which no final response has`)
     }
     if (response.statusCode !== 200) return await toStatusError(response)
     return yield * readChunks(response)
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -121,7 +121,7 @@
       },
       onResponseStart (_controller, responseStatusCode, responseHeaders) {
         if (!isFinalStatus(responseStatusCode) && !isInformationalStatus(responseStatusCode)) {
-          stop(`the response has status ${responseStatusCode}, which is none of a final response`)
+          stop(`the response has status ${responseStatusCode}, which no final response has`)
           return
         }
         if (isInformationalStatus(responseStatusCode)) {
--- a/src/transport/response-status.ts
+++ b/src/transport/response-status.ts
@@ -5,7 +5,7 @@
 const lowestFinal = 200
 const highestFinal = 599
 
-/** Whether the status ends the wait for a response. One of another response means that what arrived is no HTTP response. */
+/** Whether the status is that of a final response. What arrives with any other one is no HTTP response, unless it is informational. */
 export function isFinalStatus (statusCode: number): boolean {
   return statusCode >= lowestFinal && statusCode <= highestFinal
 }
