--- a/review/lib-3/slow-writer.mjs
+++ b/review/lib-3/slow-writer.mjs
@@ -1,7 +1,8 @@
 /** A plain server as a process of its own: its answers have no length, come in pieces, and end with their channels. */
 import { createServer } from 'node:net'
 
-const [id, pieceCount, pieceMs] = [process.argv[2], Number(process.argv[3]), Number(process.argv[4])]
+const id = process.argv[2]
+const [pieceCount, pieceMs, port] = process.argv.slice(3).map(Number)
 let answerCount = 0
 
 const server = createServer(socket => {
@@ -35,5 +36,5 @@
     socket.on('close', () => clearInterval(timer))
   })
 })
-server.listen(0, '127.0.0.1', () => process.send({ port: server.address().port }))
+server.listen(port, '127.0.0.1', () => process.send({ port: server.address().port }))
 process.on('disconnect', () => process.exit(0))
