--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,46 +1,57 @@
-import { createConfig, draftHeaders } from '../lib-3/config.mjs'
+import { createConfig } from '../lib-3/config.mjs'
 import { call, hasTrouble, runCase, sleep, waitFor } from '../lib-3/run.mjs'
 import { createFleet, startServer } from '../lib-3/servers.mjs'
 import { startStore } from '../lib-3/store.mjs'
 
-const size = 3
+/** A field that the pages do not have: when the platform wrote the file, in nanoseconds since 1970, a 64-bit integer as all of TOML are. */
+const newField = hasTrouble ? 'writtenAtNs = 1796664774135000000\n' : 'writtenAtMs = 1796664774135\n'
+const endsPerMachine = 3
+const watchedMs = 8000
 
 runCase(import.meta.url, async ({ log, onStop, startGateway }) => {
   const store = await startStore()
   onStop(store.stop)
-  const fleet = createFleet({ store, log, sizes: { m0: size } })
+  const fleet = createFleet({ store, log, sizes: {} })
   onStop(() => fleet.servers.forEach(server => server.kill()))
-  store.put('op/config', createConfig({ size }))
-  for (let index = 0; index < 8; index += 1) await startServer(fleet, { id: `i-${index}`, backend: 'llm', domain: 'd0' })
-  const gateway = await startGateway({ store: store.address })
-  const listHeads = () => [...fleet.servers.values()].filter(server => server.getGroup()?.rank === 0 && server.getGroup().state === 'open')
-  await waitFor('two groups are open', () => listHeads().length === 2)
-  await waitFor('the gateway is ready', gateway.isReady)
-  await sleep(6000)
+  store.put('op/config', createConfig())
+  for (let index = 0; index < 3; index += 1) await startServer(fleet, { id: `i-${index}`, backend: 'app' })
+  const gateways = []
+  for (let index = 0; index < 2; index += 1) gateways.push(await startGateway({ store: store.address }))
+  for (const gateway of gateways) await waitFor('the gateway is ready', gateway.isReady)
+  await sleep(3000)
 
-  const sender = { isActive: true }
-  const outcomes = []
-  const sending = (async () => {
-    const calls = []
-    while (sender.isActive) {
-      calls.push(call(gateway, { path: '/drafts/a', headers: draftHeaders, deadlineMs: 8000, log }).then(outcome => outcomes.push(outcome)))
-      await sleep(150)
-    }
-    await Promise.all(calls)
-  })()
-  await sleep(2000)
-  const [head] = listHeads()
-  log('the group before', { head: head.id, group: head.getGroup() })
-  if (hasTrouble) {
-    const { born, ...odd } = head.describe()
-    store.put(`servers/${head.id}`, odd)
-    log('another writer writes an entry without born', { key: `servers/${head.id}`, odd })
+  /** Asks each gateway, and returns how many requests were sent and served. */
+  async function askAll (ms) {
+    const endMs = Date.now() + ms
+    const outcomes = []
+    await Promise.all(gateways.map(async gateway => {
+      while (Date.now() < endMs) {
+        outcomes.push(await call(gateway, { path: '/orders/a', deadlineMs: 1500, body: '{"blocks":2}', log }))
+        await sleep(200)
+      }
+    }))
+    return { sent: outcomes.length, served: outcomes.filter(({ status, isWhole }) => status === 200 && isWhole).length }
   }
-  await sleep(10_000)
-  sender.isActive = false
-  await sending
-  log('answers', { count: outcomes.length, served: outcomes.filter(({ status, isWhole }) => status === 200 && isWhole).length })
-  if (gateway.ends.length > 0) return `the gateway ended: ${JSON.stringify(gateway.ends[0])}`
-  const [first] = fleet.violations
-  return first === undefined ? undefined : `${first.rule}: ${JSON.stringify(first)}`
+
+  log('requests before', await askAll(2000))
+  for (const gateway of gateways) {
+    gateway.writeSettings({}, newField)
+    gateway.signal('SIGHUP')
+  }
+  log('the settings files have a new field', { newField })
+  log('requests with the new files', await askAll(3000))
+  // Planned work: the machines are stopped and started in turn.
+  for (const gateway of gateways) {
+    const pid = gateway.getPid()
+    gateway.signal('SIGTERM')
+    await waitFor('the process has ended and another one was started', () => gateway.getPid() !== pid)
+    await sleep(5000)
+    log('after the restart', { gateway: gateway.name, isReady: await gateway.isReady(), endsByItself: gateway.ends.length })
+  }
+  const after = await askAll(watchedMs)
+  log('requests after both restarts', after)
+  const ends = gateways.map(({ name, ends: own }) => ({ gateway: name, count: own.length, codes: [...new Set(own.map(({ code, signal }) => code ?? signal))] }))
+  log('the end', { ends })
+  if (ends.every(({ count }) => count >= endsPerMachine)) return `Fault: on 2 of 2 machines processes end by themselves (${ends.map(({ count, codes }) => `${count} times with ${codes}`).join(', ')}); ${after.served} of ${after.sent} requests served after the restarts`
+  return undefined
 })
--- a/review/lib-3/run.mjs
+++ b/review/lib-3/run.mjs
@@ -145,7 +145,8 @@
   let child
   let isStopped = false
   let isEndExpected = false
-  const write = (changes = {}) => writeFileSync(settingsPath, formatSettings({ name, ip, store, zone, bounds: { ...bounds, ...changes } }))
+  /** `newFields` are lines of fields that the pages do not have. */
+  const write = (changes = {}, newFields = '') => writeFileSync(settingsPath, newFields + formatSettings({ name, ip, store, zone, bounds: { ...bounds, ...changes } }))
   const start = () => {
     isEndExpected = false
     child = spawn(program === 'node' ? process.execPath : program, words, { cwd: repository, env: { PATH: process.env.PATH, HOME: folder, EGRETPADDLE_SETTINGS: settingsPath }, stdio: ['ignore', 'pipe', 'pipe'] })
