--- a/review/lib-3/run.mjs
+++ b/review/lib-3/run.mjs
@@ -36,6 +36,7 @@
     clean().finally(() => process.exit(2))
   }, limitMs)
   guard.unref()
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => clean().finally(() => process.exit(2)))
   let code
   try {
     const broken = await play({ log, folder, onStop: stop => stops.push(stop), startGateway: async options => gateways[gateways.push(await startGateway({ log, folder, index: gateways.length, ...options })) - 1] })
