Treat responses with an unknown transfer coding as lost

Safe, unsafe and stream routes; entry nodes handed such bytes to callers of plain services.

Cause: the parsers of Node.js and undici read a body of an unknown coding until the end of the connection and hand it out undecoded, and take "gzip, chunked" for chunks alone. The header is not forwarded, so callers cannot know. Class: what a parser accepts is taken for what the protocol has, as with a status that is none.

Ruled out: a coding beside a length, which both parsers reject; names of fields that are spoilt into other names, which leave nothing to tell by.

Change: findHeadFault checks status and coding where heads are read, for the connection pool and the HTTP client. The exchange is lost: the request may have run, and nothing is promised.

--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -4,8 +4,8 @@
 
 import { failure, success, type Result } from '../shared/result.js'
 import type { TimerService } from '../shared/timer-service.js'
+import { findHeadFault } from './response-head.js'
 import { framingBytesPerChunk, maxBytesWithoutBody, maxFramingBytes, maxInformationalResponseCount } from './response-limits.js'
-import { isFinalStatus } from './response-status.js'
 
 /** A request to a backend server, forwarded with its headers as given. */
 export interface BackendRequest {
@@ -212,9 +212,10 @@
   clientRequest.on('response', response => {
     currentResponse = response
     if (isFinished) return
-    const { statusCode = 0, statusMessage = '' } = response
-    if (!isFinalStatus(statusCode)) {
-      fail(`the response has status ${statusCode}, which no final response has`)
+    const { statusCode = 0, statusMessage = '', headers } = response
+    const fault = findHeadFault({ statusCode, headers })
+    if (fault !== undefined) {
+      fail(fault)
       return
     }
     if (!canForwardReason(statusMessage)) {
@@ -225,13 +226,13 @@
       statusCode,
       statusMessage,
       rawHeaders: response.rawHeaders,
-      headers: response.headers,
+      headers,
       endsWithConnection: isCloseDelimited(response)
     })
     response.on('data', (chunk: Buffer) => {
       deliveredByteCount += chunk.length
       chunkCount += 1
-      const framingByteCount = response.headers['transfer-encoding'] === undefined ? 0 : chunkCount * framingBytesPerChunk
+      const framingByteCount = headers['transfer-encoding'] === undefined ? 0 : chunkCount * framingBytesPerChunk
       if (framingByteCount > maxFramingBytes + deliveredByteCount) fail(`more than ${maxFramingBytes} bytes of chunk sizes arrived with a small body`, true)
       if (!isFinished) listener.onData(chunk)
     })
--- a/src/transport/http-client.test.ts
+++ b/src/transport/http-client.test.ts
@@ -154,6 +154,16 @@
       }
     }
 
+    // Guards against a caller that gets a body that nobody decoded (MIXED).
+    for (const coding of ['gzip', 'chunke', 'gzip, chunked', 'chunked\r\nTransfer-Encoding: chunked', '']) {
+      it(`fails with ConnectionLost when the transfer coding of the response is ${JSON.stringify(coding)}`, async () => {
+        server = await startRawServer(socket => socket.end(`HTTP/1.1 200 OK\r\nTransfer-Encoding: ${coding}\r\n\r\n2\r\nok\r\n0\r\n\r\n`))
+        client = createHttpClient()
+        const result = await send(server.origin)
+        expect(result.isOk ? result.value.body.toString() : result.error.kind).to.equal(TransportErrorKind.ConnectionLost)
+      })
+    }
+
     it('fails with TimedOut when the timeout passes during the wait for the response', async () => {
       const timers = createVirtualTimerService()
       client = createHttpClient({ timers })
--- a/src/transport/http-client.ts
+++ b/src/transport/http-client.ts
@@ -7,8 +7,9 @@
 import type { BufferBudget } from '../shared/buffer-budget.js'
 import { createByteCollector } from '../shared/byte-collector.js'
 import { createReadGuard, type ReadGuard } from './read-guard.js'
+import { findHeadFault } from './response-head.js'
 import { maxInformationalResponseCount } from './response-limits.js'
-import { isFinalStatus, isInformationalStatus } from './response-status.js'
+import { isInformationalStatus } from './response-status.js'
 import { TransportErrorKind, type TransportError } from './transport-error.js'
 
 export interface HttpClientRequest {
@@ -120,15 +121,16 @@
         controller = started
       },
       onResponseStart (_controller, responseStatusCode, responseHeaders) {
-        if (!isFinalStatus(responseStatusCode) && !isInformationalStatus(responseStatusCode)) {
-          stop(`the response has status ${responseStatusCode}, which no final response has`)
-          return
-        }
         if (isInformationalStatus(responseStatusCode)) {
           informationalCount += 1
           if (informationalCount > maxInformationalResponseCount) stop(`more than ${maxInformationalResponseCount} informational responses arrived`)
           return
         }
+        const fault = findHeadFault({ statusCode: responseStatusCode, headers: responseHeaders })
+        if (fault !== undefined) {
+          stop(fault)
+          return
+        }
         guard.recordProgress()
         statusCode = responseStatusCode
         headers = responseHeaders
