Read responses of model engines without undici's request

What callers saw: an entry node that ended, with every request it was serving cut, when the head of an engine's response was spoilt so that it lost its length, or had Connection: close, and the connection ended while the caller read slowly.

Evidence: engine-stream-client.test.ts with the client before the change: "Uncaught AssertionError [ERR_ASSERTION]: assert(!this.paused) at Parser.finish ... at Socket.onHttpSocketEnd", in four cases: no framing, a length, a spoilt name of the length, a length that is not reached.

Change: the client reads through the connection pool of gateways, which paces by the socket and has the checks of heads, resets and bytes without end; a Readable hands its bytes to the reader. One reader of heads is left for streams. The time without a byte is the pool's caller's, and does not run while the reader has paused. The connect timeout of the pool is an option.

--- a/src/entry/outgoing-clients.ts
+++ b/src/entry/outgoing-clients.ts
@@ -25,7 +25,7 @@
   const store = createKeyValueHttpClient({ baseUrl: settings.keyValueUrl, timeoutMs: settings.callTimeoutMs, timers })
   const vmList = createVmListHttpClient({ baseUrl: settings.vmListUrl, timeoutMs: settings.callTimeoutMs, timers })
   const engineControl = createEngineHttpControl({ timers })
-  const engineStreams = createEngineStreamClient({ connectTimeoutMs: engineConnectTimeoutMs, idleTimeoutMs: engineIdleTimeoutMs })
+  const engineStreams = createEngineStreamClient({ timers, connectTimeoutMs: engineConnectTimeoutMs, idleTimeoutMs: engineIdleTimeoutMs })
   const serviceClient = createServiceHttpClient({ timers, bufferBudget: responseBudget })
   const clients = [store, vmList, engineControl, engineStreams, serviceClient]
   return {
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -71,22 +71,24 @@
 export interface BackendConnectionPoolOptions {
   readonly timers: TimerService
   readonly maxIdleConnectionsPerServer: number
+  /** A server that takes longer to accept a connection counts as unreachable; `defaultConnectTimeoutMs` when undefined. */
+  readonly connectTimeoutMs?: number
 }
 
-/** A reachable server accepts a connection within a few milliseconds; one that takes longer than this counts as unreachable. */
-const connectTimeoutMs = 300
+/** A reachable server accepts a connection within a few milliseconds. */
+const defaultConnectTimeoutMs = 300
 /** Idle connections are closed after this time, earlier than most servers close them. */
 const idleTimeoutMs = 4000
 
 /** Creates the pool; it never retries a request. */
-export function createBackendConnectionPool ({ timers, maxIdleConnectionsPerServer }: BackendConnectionPoolOptions): BackendConnectionPool {
+export function createBackendConnectionPool ({ timers, maxIdleConnectionsPerServer, connectTimeoutMs = defaultConnectTimeoutMs }: BackendConnectionPoolOptions): BackendConnectionPool {
   const pooled = new http.Agent({ keepAlive: true, maxFreeSockets: maxIdleConnectionsPerServer, timeout: idleTimeoutMs })
   const dedicated = new http.Agent({ keepAlive: false, maxSockets: Infinity })
 
   return {
     open (request, listener) {
       const created = createClientRequest(request.isDedicated ? dedicated : pooled, request)
-      return created.isOk ? openExchange(timers, created.value, request, listener) : failExchange(created.error, listener)
+      return created.isOk ? openExchange({ timers, connectTimeoutMs }, created.value, request, listener) : failExchange(created.error, listener)
     },
     close () {
       pooled.destroy()
@@ -151,7 +153,7 @@
   byteWatchers.set(socket, watcher)
 }
 
-function openExchange (timers: TimerService, clientRequest: http.ClientRequest, request: BackendRequest, listener: ExchangeListener): BackendExchange {
+function openExchange ({ timers, connectTimeoutMs }: Pick<Required<BackendConnectionPoolOptions>, 'timers' | 'connectTimeoutMs'>, clientRequest: http.ClientRequest, request: BackendRequest, listener: ExchangeListener): BackendExchange {
   let isFinished = false
   let isConnected = false
   let currentResponse: http.IncomingMessage | undefined
--- a/src/transport/engine-stream-client.ts
+++ b/src/transport/engine-stream-client.ts
@@ -1,4 +1,4 @@
-import { Agent, buildConnector, request as sendRequest, type Dispatcher } from 'undici'
+import { Readable } from 'node:stream'
 
 import {
   EngineStreamErrorKind,
@@ -10,9 +10,10 @@
 } from '../coordination/ports/engine-streams.js'
 import { parseEngineChunk } from '../protocol/engine-chunk.js'
 import { createSseParser } from '../protocol/sse-parser.js'
-import { reportResets } from './reset-errors.js'
-import { maxInformationalResponseCount } from './response-limits.js'
-import { isFinalStatus, isInformationalStatus } from './response-status.js'
+import { parseAddress } from '../shared/network-address.js'
+import { failure, success, type Result } from '../shared/result.js'
+import { createSystemTimerService, type TimerService } from '../shared/timer-service.js'
+import { createBackendConnectionPool, ExchangeFailureKind, type BackendConnectionPool, type BackendRequest, type ExchangeFailure } from './backend-connection-pool.js'
 
 const maxEventCharacters = 1_048_576
 const maxErrorCharacters = 500
@@ -36,12 +37,13 @@
   503: EngineStreamErrorKind.WrongGroup
 }
 
-/** Error codes of Node and undici for a connection that was never established. */
-const notSentCodes = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']
+/** Idle connections kept for each engine: about as many as it has slots. */
+const maxIdleConnectionsPerEngine = 32
 
 export interface EngineStreamClientOptions {
+  readonly timers?: TimerService
   readonly connectTimeoutMs: number
-  /** A stream that receives no byte for this time fails with `Broken`. */
+  /** A stream that receives no byte for this time fails with `Broken`, unless its reader has paused it. */
   readonly idleTimeoutMs: number
 }
 
@@ -51,54 +53,112 @@
 }
 
 /** Creates the client. It never retries a request. */
-export function createEngineStreamClient (options: EngineStreamClientOptions): EngineStreamClient {
-  const connect = buildConnector({ timeout: options.connectTimeoutMs })
-  const dispatcher = new Agent({
-    connect (target, callback) {
-      connect(target, (...result) => {
-        if (result[0] === null) reportResets(result[1])
-        callback(...result)
-      })
-    },
-    headersTimeout: options.idleTimeoutMs,
-    bodyTimeout: options.idleTimeoutMs,
-    pipelining: 1
-  })
+export function createEngineStreamClient ({ timers = createSystemTimerService(), connectTimeoutMs, idleTimeoutMs }: EngineStreamClientOptions): EngineStreamClient {
+  const connections = createBackendConnectionPool({ timers, maxIdleConnectionsPerServer: maxIdleConnectionsPerEngine, connectTimeoutMs })
 
   async function * open (address: string, request: EngineStreamRequest, signal: AbortSignal): AsyncGenerator<EngineChunk, EngineStreamError | undefined> {
-    let response: Dispatcher.ResponseData
-    let informationalCount = 0
-    const limit = new AbortController()
-    try {
-      response = await sendRequest(`http://${address}${pathsByShape[request.shape]}`, {
-        dispatcher,
-        method: 'POST',
-        headers: toHeaders(request),
-        body: JSON.stringify(toEngineBody(request)),
-        signal: AbortSignal.any([signal, limit.signal]),
-        onInfo ({ statusCode }) {
-          if (!isInformationalStatus(statusCode)) limit.abort(new Error(`the response has status ${statusCode}, which no final response has`))
-          informationalCount += 1
-          // Each of them starts undici's timeout for the head again.
-          if (informationalCount > maxInformationalResponseCount) limit.abort(new Error(`more than ${maxInformationalResponseCount} informational responses arrived`))
-        }
-      })
-    } catch (error) {
-      return toOpenError(error as Error)
-    }
-    if (!isFinalStatus(response.statusCode)) {
-      // What follows is not read, and may never end.
-      response.body.on('error', () => {}).destroy()
-      return toBrokenError(`the response has status ${response.statusCode}, which no final response has`)
+    const target = parseAddress(address)
+    if (target === undefined) return { kind: EngineStreamErrorKind.NotSent, reason: `the engine's address "${address}" is invalid` }
+    const body = Buffer.from(JSON.stringify(toEngineBody(request)))
+    const response = await openResponse({ connections, timers, idleTimeoutMs, signal }, {
+      ...target,
+      method: 'POST',
+      path: pathsByShape[request.shape],
+      rawHeaders: toRawHeaders(address, request, body.length),
+      body,
+      isDedicated: false
+    })
+    if (!response.isOk) return toOpenError(response.error)
+    if (response.value.statusCode !== 200) return await toStatusError(response.value)
+    return yield * readChunks(response.value)
+  }
+
+  return {
+    open,
+    close () {
+      connections.close()
+      return Promise.resolve()
     }
-    if (response.statusCode !== 200) return await toStatusError(response)
-    return yield * readChunks(response)
   }
+}
 
-  return { open, close: () => dispatcher.destroy() }
+interface EngineResponse {
+  readonly statusCode: number
+  /** Paces the engine: the connection is read only as fast as the body is. */
+  readonly body: Readable
 }
 
-async function * readChunks (response: Dispatcher.ResponseData): AsyncGenerator<EngineChunk, EngineStreamError | undefined> {
+interface OpenDependencies {
+  readonly connections: BackendConnectionPool
+  readonly timers: TimerService
+  readonly idleTimeoutMs: number
+  readonly signal: AbortSignal
+}
+
+/** Sends the request and resolves with the head of the response; the body fails when the rest does not arrive. */
+function openResponse ({ connections, timers, idleTimeoutMs, signal }: OpenDependencies, request: BackendRequest): Promise<Result<EngineResponse, ExchangeFailure>> {
+  return new Promise(resolve => {
+    let isPaused = false
+    let lastProgressAtMs = timers.nowMs()
+    let idleTimer = timers.subscribeOnce(idleTimeoutMs, checkIdle)
+    const body = new Readable({
+      read () {
+        isPaused = false
+        lastProgressAtMs = timers.nowMs()
+        exchange.resume()
+      },
+      destroy (error, callback) {
+        release()
+        exchange.abort()
+        callback(error)
+      }
+    })
+    // Without a listener a body that fails before anybody reads it would end the process.
+    body.on('error', () => {})
+
+    function release (): void {
+      idleTimer.cancel()
+      signal.removeEventListener('abort', onAbort)
+    }
+
+    function fail (error: ExchangeFailure): void {
+      resolve(failure(error))
+      body.destroy(new Error(error.reason))
+    }
+
+    function onAbort (): void {
+      fail({ kind: ExchangeFailureKind.Lost, reason: 'the request was cancelled' })
+    }
+
+    function checkIdle (): void {
+      const waitedMs = isPaused ? 0 : timers.nowMs() - lastProgressAtMs
+      if (waitedMs >= idleTimeoutMs) fail({ kind: ExchangeFailureKind.Lost, reason: `no byte arrived within ${idleTimeoutMs} ms` })
+      else idleTimer = timers.subscribeOnce(idleTimeoutMs - waitedMs, checkIdle)
+    }
+
+    const exchange = connections.open(request, {
+      onHead ({ statusCode }) {
+        lastProgressAtMs = timers.nowMs()
+        resolve(success({ statusCode, body }))
+      },
+      onData (chunk) {
+        lastProgressAtMs = timers.nowMs()
+        if (body.push(chunk)) return
+        isPaused = true
+        exchange.pause()
+      },
+      onEnd () {
+        release()
+        body.push(null)
+      },
+      onFailure: fail
+    })
+    if (signal.aborted) onAbort()
+    else signal.addEventListener('abort', onAbort)
+  })
+}
+
+async function * readChunks (response: EngineResponse): AsyncGenerator<EngineChunk, EngineStreamError | undefined> {
   const parser = createSseParser(maxEventCharacters)
   const decoder = new TextDecoder()
   try {
@@ -122,15 +182,18 @@
   return { kind: EngineStreamErrorKind.Broken, reason: `engine stream failed: ${reason}` }
 }
 
-function toHeaders (request: EngineStreamRequest): Record<string, string> {
-  return {
-    'content-type': 'application/json',
-    accept: 'text/event-stream',
-    'x-group-id': request.groupId,
-    'x-group-epoch': String(request.epoch),
-    'x-request-id': request.requestId,
-    ...(request.traceParent === undefined ? {} : { traceparent: request.traceParent })
-  }
+/** Returns names and values in turn. */
+function toRawHeaders (address: string, request: EngineStreamRequest, bodyLength: number): string[] {
+  return [
+    'host', address,
+    'content-type', 'application/json',
+    'content-length', String(bodyLength),
+    'accept', 'text/event-stream',
+    'x-group-id', request.groupId,
+    'x-group-epoch', String(request.epoch),
+    'x-request-id', request.requestId,
+    ...(request.traceParent === undefined ? [] : ['traceparent', request.traceParent])
+  ]
 }
 
 function toEngineBody (request: EngineStreamRequest): object {
@@ -143,22 +206,21 @@
   }
 }
 
-function toOpenError (error: Error & { code?: string }): EngineStreamError {
-  const isNotSent = error.code !== undefined && notSentCodes.includes(error.code)
-  return { kind: isNotSent ? EngineStreamErrorKind.NotSent : EngineStreamErrorKind.Broken, reason: error.message }
+function toOpenError ({ kind, reason }: ExchangeFailure): EngineStreamError {
+  return { kind: kind === ExchangeFailureKind.NotSent ? EngineStreamErrorKind.NotSent : EngineStreamErrorKind.Broken, reason }
 }
 
-async function toStatusError (response: Dispatcher.ResponseData): Promise<EngineStreamError> {
+async function toStatusError (response: EngineResponse): Promise<EngineStreamError> {
   const text = await readErrorText(response)
   const kind = errorKindsByStatus[response.statusCode] ?? EngineStreamErrorKind.Broken
   return { kind, reason: `engine responded with status ${response.statusCode}: ${text.slice(0, maxErrorCharacters)}` }
 }
 
 /** Reads the beginning of the body; the connection of a larger one is closed. */
-async function readErrorText (response: Dispatcher.ResponseData): Promise<string> {
+async function readErrorText ({ body }: EngineResponse): Promise<string> {
   let text = ''
   try {
-    for await (const bytes of response.body) {
+    for await (const bytes of body) {
       text += (bytes as Buffer).toString('utf8')
       if (text.length >= maxErrorCharacters) break
     }
