Parse responses of servers strictly, whatever options Node.js has

Plain calls got 500. A response with both a length and chunks was forwarded, though it is ambiguous which of them its server meant.

Cause: Node.js's parser accepts control bytes in values under that option, its writer never does. writeHead throws in the listener of an engine's data, which nothing catches.

Change: the pool states insecureHTTPParser: false for each request. undici's parser has no lenient mode in use.

--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -107,6 +107,8 @@
       method: request.method,
       path: request.path,
       headers: request.rawHeaders as unknown as http.OutgoingHttpHeaders,
+      // Overrides --insecure-http-parser, under which heads are accepted that cannot be passed on, or whose framing is ambiguous.
+      insecureHTTPParser: false,
       setHost: false
     }))
   } catch (error) {
