Take the first of several content types of a plain service's response

What callers saw: an order that was done is replayed by an entry node as 502, outcome unknown, "the order record is unreadable", where the service's response had two Content-Type headers. The first caller got both headers, and the order ran once.

Cause: undici hands out a list for a repeated header where Node.js hands out the first value, and the type says string. The list was stored in the order's record, whose schema has a string. By a trial: parseOrderRecord of such a record is undefined.

Other headers that are read from undici's responses went through it before; the VM list's ETag is only sent back.

--- a/src/transport/service-http-client.test.ts
+++ b/src/transport/service-http-client.test.ts
@@ -1,3 +1,5 @@
+import { createServer, type AddressInfo } from 'node:net'
+
 import { expect } from 'chai'
 
 import { ServiceErrorKind, type ServiceRequest } from '../coordination/ports/service-client.js'
@@ -41,6 +43,18 @@
     expect([known.status, absent.status]).to.deep.equal([200, 404])
   })
 
+  // Guards against the stored outcome of an order that nobody can read, so that its replay is unknown.
+  it('takes the first of several content types', async () => {
+    const server = createServer(socket => {
+      socket.on('error', () => {})
+      socket.once('data', () => socket.end('HTTP/1.1 200 OK\r\nContent-Type: text/a\r\nContent-Type: text/b\r\nContent-Length: 2\r\n\r\nok'))
+    })
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const result = await client.call(`127.0.0.1:${(server.address() as AddressInfo).port}`, createOrder('k1'))
+    expect(result.isOk ? result.value.contentType : result.error).to.equal('text/a')
+    server.close()
+  })
+
   describe('errors', () => {
     it('are NotSent when the service is gone', async () => {
       standin.abort()
--- a/src/transport/service-http-client.ts
+++ b/src/transport/service-http-client.ts
@@ -7,6 +7,7 @@
 import { failure, success } from '../shared/result.js'
 import type { BufferBudget } from '../shared/buffer-budget.js'
 import type { TimerService } from '../shared/timer-service.js'
+import { getFirstValue } from './header-value.js'
 import { createHttpClient } from './http-client.js'
 import { TransportErrorKind, type TransportError } from './transport-error.js'
 
@@ -47,7 +48,7 @@
       })
       if (!response.isOk) return failure(toServiceError(response.error))
       const { statusCode, headers, body } = response.value
-      return success({ statusCode, contentType: headers['content-type'] ?? defaultContentType, body })
+      return success({ statusCode, contentType: getFirstValue(headers, 'content-type') ?? defaultContentType, body })
     },
     async close () {
       await Promise.all([orderHttpClient.close(), repeatableHttpClient.close()])
