Let an exception in the handling of a response end its exchange alone

What callers saw: where handling one response throws, the gateway ends and every request that it serves is cut.

Cause: listeners of the pool run in events of sockets, outside any promise that catches.

Ruled out: a handler of uncaughtException, which would go on with sockets and parsers in an unknown state.

Change: the pool calls its listeners so that what they throw fails their exchange as lost; the request may have run. The request is named in a log line of the part connections (limited in rate), event exchange_error counts it, and the caller gets the response of another server where that is allowed, or 502. A listener that has aborted its exchange is not called again; the call then ends by its next check or deadline.

Measured, with the call of the listener as it was: backend-connection-pool.test.ts, five tests "Uncaught Error: unexpected"; malformed-heads.test.ts the same, the other client's stream was cut. After the change all pass.

--- a/src/gateway/call-context.ts
+++ b/src/gateway/call-context.ts
@@ -159,7 +159,8 @@
       bodyLength: call.body?.length
     }),
     body: call.body,
-    isDedicated: options.isDedicated
+    isDedicated: options.isDedicated,
+    requestId: call.clientInfo.requestId
   }
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -31,7 +31,7 @@
 import type { BackendServer } from '../state/backend-server.js'
 import type { Service } from '../state/serving-config.js'
 import { limitPartList, PromptMessageKind } from '../protocol/prompt-messages.js'
-import { createBackendConnectionPool } from '../transport/backend-connection-pool.js'
+import { createBackendConnectionPool, type BackendRequest } from '../transport/backend-connection-pool.js'
 import { createListeningCheck } from '../transport/listening-check.js'
 import { createServerEndWatch } from '../transport/server-end-watch.js'
 import { isServerReady, type CallDependencies } from './call-context.js'
@@ -224,7 +224,7 @@
     random,
     fleet,
     codec,
-    connections: createBackendConnectionPool({ timers, maxIdleConnectionsPerServer }),
+    connections: createBackendConnectionPool({ timers, maxIdleConnectionsPerServer, onListenerError: recordListenerError }),
     requestBuffers: buffers.requests,
     responseBuffers: buffers.responses,
     scores: createServerScores(timers),
@@ -308,6 +308,11 @@
     })
   }
 
+  function recordListenerError (error: Error, { requestId, host, port }: BackendRequest): void {
+    metrics.countEvent(MetricEvent.ExchangeError)
+    incompleteLogger.warn('An unexpected error occurred while a response was handled; it counts as lost.', { requestId: requestId ?? '', server: `${host}:${port}`, reason: error.stack ?? error.message })
+  }
+
   function refreshGauges (): void {
     metrics.setGauge(MetricGauge.IsReady, Number(readiness.isReady()))
     metrics.setGauge(MetricGauge.ConfigVersion, fleet.getConfig()?.version ?? 0)
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -70,6 +70,8 @@
   PromptRefused = 'prompt_refused',
   /** A request with quarantined parts was let through. */
   PromptProbe = 'prompt_probe',
+  /** An unexpected error occurred while the response of a server was handled. */
+  ExchangeError = 'exchange_error',
   /** A step of a loop failed, such as of the one that follows the store; it is repeated. */
   LoopFailure = 'loop_failure',
   /** A response was not completed: the gateway closed the connection. */
--- a/src/transport/backend-connection-pool.test.ts
+++ b/src/transport/backend-connection-pool.test.ts
@@ -4,7 +4,7 @@
 import { expect } from 'chai'
 
 import { createSystemTimerService } from '../shared/timer-service.js'
-import { createBackendConnectionPool, ExchangeFailureKind, type BackendConnectionPool } from './backend-connection-pool.js'
+import { createBackendConnectionPool, ExchangeFailureKind, type BackendConnectionPool, type ExchangeListener } from './backend-connection-pool.js'
 
 /** Sends one request to the test's server and returns the calls of the listener in order. */
 async function exchangeWith (connections: BackendConnectionPool, port: number, isDedicated = true, rawHeaders: readonly string[] = ['Host', 'test']): Promise<string[]> {
@@ -78,6 +78,62 @@
     expect(await exchangeWith(connections, getPort(), true, ['X-Tenant', 'Hořice'])).to.deep.equal([ExchangeFailureKind.NotSent])
   })
 
+  // Guards against an exception in an event of a socket, which ends the process with all that it serves.
+  describe('a listener that throws', () => {
+    const response = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole'
+
+    for (const thrower of ['onHead', 'onData', 'onEnd', 'onFailure'] as const) {
+      it(`loses its own exchange alone: ${thrower}`, async () => {
+        const errors: string[] = []
+        connections.close()
+        connections = createBackendConnectionPool({
+          timers: createSystemTimerService(), maxIdleConnectionsPerServer: 4, onListenerError: (error, request) => errors.push(`${request.requestId}: ${error.message}`)
+        })
+        const sockets: net.Socket[] = []
+        const firstArrived = new Promise<void>(resolve => {
+          handleRequest = socket => {
+            sockets.push(socket)
+            resolve()
+            if (sockets.length < 2) return
+            if (thrower === 'onFailure') sockets[0]?.destroy()
+            else sockets[0]?.write(response)
+            setTimeout(() => sockets[1]?.write(response), 50)
+          }
+        })
+        const calls: string[] = []
+        const record = (call: keyof ExchangeListener) => {
+          calls.push(call)
+          if (call === thrower) throw new Error('unexpected')
+        }
+        connections.open({ host: '127.0.0.1', port: getPort(), method: 'GET', path: '/', rawHeaders: ['Host', 'test'], body: undefined, isDedicated: true, requestId: 'r1' }, {
+          onHead: () => record('onHead'), onData: () => record('onData'), onEnd: () => record('onEnd'), onFailure: () => record('onFailure')
+        })
+        await firstArrived
+        expect(await exchangeWith(connections, getPort())).to.deep.equal(['head 200', 'data whole', 'end'])
+        expect(errors).to.deep.equal(['r1: unexpected'])
+        expect(calls.at(-1)).to.equal('onFailure')
+        expect(calls.filter(call => call === 'onFailure')).to.have.length(1)
+      })
+    }
+
+    it('is not called again when it has aborted the exchange', async () => {
+      handleRequest = socket => socket.write(response)
+      const calls: string[] = []
+      const exchange = connections.open({ host: '127.0.0.1', port: getPort(), method: 'GET', path: '/', rawHeaders: ['Host', 'test'], body: undefined, isDedicated: true }, {
+        onHead () {
+          calls.push('onHead')
+          exchange.abort()
+          throw new Error('unexpected')
+        },
+        onData: () => calls.push('onData'),
+        onEnd: () => calls.push('onEnd'),
+        onFailure: () => calls.push('onFailure')
+      })
+      await new Promise(resolve => setTimeout(resolve, 100))
+      expect(calls).to.deep.equal(['onHead'])
+    })
+  })
+
   describe('a response without a length', () => {
     it('is complete when the connection closes in order', async () => {
       handleRequest = socket => socket.end('HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole')
--- a/src/transport/backend-connection-pool.ts
+++ b/src/transport/backend-connection-pool.ts
@@ -18,6 +18,8 @@
   readonly body: Buffer | undefined
   /** Opens a connection for this request alone, which rules out a reused one that the server has just closed. */
   readonly isDedicated: boolean
+  /** Names the request in reports of errors. */
+  readonly requestId?: string | undefined
 }
 
 /** The status line and headers of a server's response. */
@@ -45,7 +47,10 @@
   readonly isOverrun?: boolean
 }
 
-/** Called in order: `onHead`, then `onData`, then either `onEnd` or `onFailure`. A failure may come at any point. */
+/**
+ * Called in order: `onHead`, then `onData`, then either `onEnd` or `onFailure`. A failure may come at any point. If one of the
+ * others throws, `onFailure` follows and the exchange is lost.
+ */
 export interface ExchangeListener {
   onHead (head: ResponseHead): void
   onData (chunk: Buffer): void
@@ -73,6 +78,8 @@
   readonly maxIdleConnectionsPerServer: number
   /** A server that takes longer to accept a connection counts as unreachable; `defaultConnectTimeoutMs` when undefined. */
   readonly connectTimeoutMs?: number
+  /** Called with what a listener threw. It is called in events of sockets, where the exception would end the process. */
+  onListenerError? (error: Error, request: BackendRequest): void
 }
 
 /** A reachable server accepts a connection within a few milliseconds. */
@@ -81,14 +88,14 @@
 const idleTimeoutMs = 4000
 
 /** Creates the pool; it never retries a request. */
-export function createBackendConnectionPool ({ timers, maxIdleConnectionsPerServer, connectTimeoutMs = defaultConnectTimeoutMs }: BackendConnectionPoolOptions): BackendConnectionPool {
+export function createBackendConnectionPool ({ timers, maxIdleConnectionsPerServer, connectTimeoutMs = defaultConnectTimeoutMs, onListenerError = () => {} }: BackendConnectionPoolOptions): BackendConnectionPool {
   const pooled = new http.Agent({ keepAlive: true, maxFreeSockets: maxIdleConnectionsPerServer, timeout: idleTimeoutMs })
   const dedicated = new http.Agent({ keepAlive: false, maxSockets: Infinity })
 
   return {
     open (request, listener) {
       const created = createClientRequest(request.isDedicated ? dedicated : pooled, request)
-      return created.isOk ? openExchange({ timers, connectTimeoutMs }, created.value, request, listener) : failExchange(created.error, listener)
+      return created.isOk ? openExchange({ timers, connectTimeoutMs, onListenerError }, created.value, request, listener) : failExchange(created.error, listener)
     },
     close () {
       pooled.destroy()
@@ -155,8 +162,12 @@
   byteWatchers.set(socket, watcher)
 }
 
-function openExchange ({ timers, connectTimeoutMs }: Pick<Required<BackendConnectionPoolOptions>, 'timers' | 'connectTimeoutMs'>, clientRequest: http.ClientRequest, request: BackendRequest, listener: ExchangeListener): BackendExchange {
+type ExchangeOptions = Required<Omit<BackendConnectionPoolOptions, 'maxIdleConnectionsPerServer'>>
+
+function openExchange ({ timers, connectTimeoutMs, onListenerError }: ExchangeOptions, clientRequest: http.ClientRequest, request: BackendRequest, listener: ExchangeListener): BackendExchange {
   let isFinished = false
+  /** False once the listener must not be called any more. */
+  let isListening = true
   let isConnected = false
   let currentResponse: http.IncomingMessage | undefined
   let informationalCount = 0
@@ -179,7 +190,25 @@
   function fail (reason: string, isOverrun = false): void {
     if (!finish()) return
     clientRequest.destroy()
-    listener.onFailure({ kind: isConnected ? ExchangeFailureKind.Lost : ExchangeFailureKind.NotSent, reason, isOverrun })
+    reportFailure({ kind: isConnected ? ExchangeFailureKind.Lost : ExchangeFailureKind.NotSent, reason, isOverrun })
+  }
+
+  function reportFailure (exchangeFailure: ExchangeFailure): void {
+    isListening = false
+    notify(() => listener.onFailure(exchangeFailure))
+  }
+
+  /** Calls the listener. An exception fails this exchange and no other one. */
+  function notify (call: () => void): void {
+    try {
+      call()
+    } catch (error) {
+      onListenerError(error as Error, request)
+      if (!isListening) return
+      finish()
+      clientRequest.destroy()
+      reportFailure({ kind: ExchangeFailureKind.Lost, reason: `an unexpected error occurred: ${(error as Error).message}` })
+    }
   }
 
   function watchArrivingBytes (socket: Socket, byteCount: number): void {
@@ -226,26 +255,26 @@
       fail('the reason phrase of the response is malformed')
       return
     }
-    listener.onHead({
+    notify(() => listener.onHead({
       statusCode,
       statusMessage,
       rawHeaders: response.rawHeaders,
       headers,
       endsWithConnection: isCloseDelimited(response)
-    })
+    }))
     response.on('data', (chunk: Buffer) => {
       deliveredByteCount += chunk.length
       chunkCount += 1
       const framingByteCount = headers['transfer-encoding'] === undefined ? 0 : chunkCount * framingBytesPerChunk
       if (framingByteCount > maxFramingBytes + deliveredByteCount) fail(`more than ${maxFramingBytes} bytes of chunk sizes arrived with a small body`, true)
-      if (!isFinished) listener.onData(chunk)
+      if (!isFinished) notify(() => listener.onData(chunk))
     })
     response.on('end', () => {
       if (!response.complete || (isCloseDelimited(response) && resetSockets.has(response.socket))) {
         fail('the response ended early')
         return
       }
-      if (finish()) listener.onEnd()
+      if (finish()) notify(() => listener.onEnd())
     })
     response.on('error', error => fail(error.message))
     response.on('close', () => fail('the response ended early'))
@@ -254,6 +283,7 @@
 
   return {
     abort () {
+      isListening = false
       if (finish()) clientRequest.destroy()
     },
     pause () {
