--- a/src/shared/quote-value.ts
+++ b/src/shared/quote-value.ts
@@ -8,6 +8,7 @@
   function append (part: unknown): void {
     if (text.length >= maxCharacters) return
     if (Array.isArray(part)) appendAll('[', part.entries(), (_index, item) => append(item), ']')
+    else if (part instanceof Date) append(part.toJSON())
     else if (typeof part === 'object' && part !== null) appendAll('{', listFields(part), appendField, '}')
     else text += typeof part === 'string' ? JSON.stringify(part.slice(0, maxCharacters)) : String(part)
   }
