Wait as long as asked with delays above 24.8 days

With a `graceS` of 3,000,000, which the settings file may have, a gateway that gets SIGTERM gives up its requests 2.5 s later: one that arrived within the notice time and takes longer gets 504.

Node.js takes a longer delay for 1 ms. All waits of the product go through the timer service, so that any bound, time of a route or hold that is long enough did the same; a repeated one, such as the renewal of a lease, would run each millisecond.

Change: the timer service waits in steps. The idle time that Node.js puts into Keep-Alive is cut to what its timer holds; connections are closed by the service's timers.

--- a/src/gateway/client-server.ts
+++ b/src/gateway/client-server.ts
@@ -4,7 +4,7 @@
 import type { BufferBudget } from '../shared/buffer-budget.js'
 import type { NetworkAddress } from '../shared/network-address.js'
 import { createSharedTicker } from '../shared/shared-ticker.js'
-import type { TimerService, TimerSubscription } from '../shared/timer-service.js'
+import { maxTimeoutMs, type TimerService, type TimerSubscription } from '../shared/timer-service.js'
 import type { ClientLimits } from '../state/serving-config.js'
 import { createLingerLimit } from '../transport/gentle-close.js'
 import { createClientConnection, respondWithoutBody, type ClientConnection, type ClientExchange, type IncompleteResponse } from './client-connection.js'
@@ -60,6 +60,8 @@
 const defaultTransferLimitMs = 30_000
 /** `Keep-Alive` states whole seconds. */
 const shortestStatedIdleMs = 1000
+/** Node.js starts a timer of this time and some more. */
+const longestStatedIdleMs = maxTimeoutMs / 2
 /** Status lines by Node.js error code; any other client error is answered with 400. */
 const statusByErrorCode: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
@@ -168,7 +170,7 @@
       applyHeaderLimit(limits.headerTimeoutMs)
       idleLimitMs = limits.idleTimeoutMs
       // Stated in responses. The server closes idle connections by `checkConnection`, later.
-      server.keepAliveTimeout = idleLimitMs >= shortestStatedIdleMs ? idleLimitMs : 0
+      server.keepAliveTimeout = idleLimitMs >= shortestStatedIdleMs ? Math.min(idleLimitMs, longestStatedIdleMs) : 0
     },
     beginDrain () {
       isDraining = true
--- a/src/shared/timer-service.ts
+++ b/src/shared/timer-service.ts
@@ -18,21 +18,48 @@
   subscribeEvery (intervalMs: number, listener: () => void): TimerSubscription
 }
 
+/** Longest delay that Node.js's timers hold. They take a longer one for 1 ms. */
+export const maxTimeoutMs = 2 ** 31 - 1
+
 /** Node.js drops fractions of a millisecond from a delay and counts from the start of the current millisecond, so that a timeout alone may be early. */
 function toTimeoutMs (delayMs: number): number {
   return delayMs <= 0 ? 0 : Math.ceil(delayMs) + 1
 }
 
+/** Starts a timeout of any length, in several steps if Node.js's timers don't hold it. */
+function startTimeout (timeoutMs: number, listener: () => void): TimerSubscription {
+  let handle: NodeJS.Timeout
+
+  function wait (remainingMs: number): void {
+    handle = remainingMs <= maxTimeoutMs
+      ? setTimeout(listener, remainingMs)
+      : setTimeout(() => wait(remainingMs - maxTimeoutMs), maxTimeoutMs)
+  }
+
+  wait(timeoutMs)
+  return { cancel: () => clearTimeout(handle) }
+}
+
+/** Repeats a timeout that is too long for `setInterval`. */
+function startInterval (intervalMs: number, listener: () => void): TimerSubscription {
+  let timeout = startTimeout(intervalMs, run)
+
+  function run (): void {
+    timeout = startTimeout(intervalMs, run)
+    listener()
+  }
+
+  return { cancel: () => timeout.cancel() }
+}
+
 /** Creates the timer service of a running process. */
 export function createSystemTimerService (): TimerService {
   return {
     nowMs: () => performance.now(),
     wallClockMs: () => Date.now(),
-    subscribeOnce (delayMs, listener) {
-      const handle = setTimeout(listener, toTimeoutMs(delayMs))
-      return { cancel: () => clearTimeout(handle) }
-    },
+    subscribeOnce: (delayMs, listener) => startTimeout(toTimeoutMs(delayMs), listener),
     subscribeEvery (intervalMs, listener) {
+      if (intervalMs > maxTimeoutMs) return startInterval(intervalMs, listener)
       const handle = setInterval(listener, intervalMs)
       return { cancel: () => clearInterval(handle) }
     }
