Keep all digits of the IDs of leases

A store that gives leases IDs of 64 bits, which its page allows, gets renewals and writes for leases that don't exist: a gateway then holds none, so that it is not listed, and nobody plans groups.

IDs beyond 2^53 are rounded.

An ID is used as it came. Revisions and eras stay doubles: they are counters.

--- a/src/coordination/ports/revisioned-store.ts
+++ b/src/coordination/ports/revisioned-store.ts
@@ -58,6 +58,9 @@
   readonly reason: string
 }
 
+/** The store's ID of a lease; a bigint beyond `Number.MAX_SAFE_INTEGER`. */
+export type LeaseId = number | bigint
+
 /** A conditional write of one key that expires with a lease. */
 export interface WriteRequest {
   readonly key: string
@@ -65,13 +68,13 @@
   readonly expectedRevision: number
   readonly value: string
   /** The key is removed when this lease ends. */
-  readonly leaseId: number
+  readonly leaseId: LeaseId
 }
 
 /** A lease. Leases of an earlier era are gone, and the store may give their IDs to others. */
 export interface StoreLease {
   readonly era: number
-  readonly leaseId: number
+  readonly leaseId: LeaseId
 }
 
 /** The key-value service that the gateways use; it has one revision counter for all keys. */
@@ -86,7 +89,7 @@
   remove (key: string, expectedRevision: number): Promise<Result<undefined, StoreError>>
   grantLease (durationMs: number): Promise<Result<StoreLease, StoreError>>
   /** Extends a lease by its full duration, and returns the era in which that happened: in a later one the ID names another lease. */
-  renewLease (leaseId: number): Promise<Result<number, StoreError>>
+  renewLease (leaseId: LeaseId): Promise<Result<number, StoreError>>
   /** Ends a lease and removes its keys. */
-  revokeLease (leaseId: number): Promise<Result<undefined, StoreError>>
+  revokeLease (leaseId: LeaseId): Promise<Result<undefined, StoreError>>
 }
--- a/src/testing/fake-revisioned-store.ts
+++ b/src/testing/fake-revisioned-store.ts
@@ -1,4 +1,5 @@
 import {
+  type LeaseId,
   StoreErrorKind,
   type RevisionedStore,
   type StoreChanges,
@@ -45,8 +46,8 @@
 
 /** The content of the store at one time. */
 export interface StoreCopy {
-  readonly items: ReadonlyMap<string, StoredItem & { readonly leaseId: number }>
-  readonly leases: ReadonlyMap<number, Lease>
+  readonly items: ReadonlyMap<string, StoredItem & { readonly leaseId: LeaseId }>
+  readonly leases: ReadonlyMap<LeaseId, Lease>
   readonly revision: number
   readonly leaseCount: number
 }
@@ -61,8 +62,8 @@
 
 /** Creates an empty store. */
 export function createFakeRevisionedStore (timers: TimerService): FakeRevisionedStore {
-  let items = new Map<string, StoredItem & { leaseId: number }>()
-  let leases = new Map<number, Lease>()
+  let items = new Map<string, StoredItem & { leaseId: LeaseId }>()
+  let leases = new Map<LeaseId, Lease>()
   let era = 1
   let history: StoredChange[] = []
   let droppedRevision = 0
@@ -73,7 +74,7 @@
     isDown: false, isSilent: false, responseDelayMs: 2, lostResponseCount: 0, lateWriteCount: 0, lateWriteDelayMs: 2000
   }
 
-  function set (key: string, value: string | undefined, leaseId = 0): number {
+  function set (key: string, value: string | undefined, leaseId: LeaseId = 0): number {
     revision += 1
     if (value === undefined) items.delete(key)
     else items.set(key, { key, value, revision, leaseId })
@@ -87,7 +88,7 @@
     }
   }
 
-  function endLease (id: number): void {
+  function endLease (id: LeaseId): void {
     leases.delete(id)
     for (const item of [...items.values()]) {
       if (item.leaseId === id) set(item.key, undefined)
@@ -107,7 +108,7 @@
     return getResult()
   }
 
-  function applyWrite (key: string, expectedRevision: number, value: string, leaseId: number): Result<StorePosition, StoreError> {
+  function applyWrite (key: string, expectedRevision: number, value: string, leaseId: LeaseId): Result<StorePosition, StoreError> {
     expireLeases()
     if ((items.get(key)?.revision ?? 0) !== expectedRevision) return failure({ kind: StoreErrorKind.Conflict, reason: 'the key has another revision' })
     if (leaseId !== 0 && !leases.has(leaseId)) return failure({ kind: StoreErrorKind.LeaseEnded, reason: 'the lease does not exist' })
--- a/src/transport/json-response.ts
+++ b/src/transport/json-response.ts
@@ -7,9 +7,9 @@
 const maxQuotedBodyCharacters = 200
 
 /** Parses the body of a response as JSON and checks it against the schema. */
-export function readJsonResponse<T> (response: HttpClientResponse, schema: z.ZodType<T>): Result<T, TransportError> {
+export function readJsonResponse<T> (response: HttpClientResponse, schema: z.ZodType<T>, parse: (text: string) => unknown = JSON.parse): Result<T, TransportError> {
   try {
-    const parsed = schema.safeParse(JSON.parse(response.body.toString('utf8')))
+    const parsed = schema.safeParse(parse(response.body.toString('utf8')))
     if (parsed.success) return success(parsed.data)
     return failure({ kind: TransportErrorKind.MalformedResponse, reason: `response body has an unexpected shape: ${parsed.error.message}` })
   } catch (error) {
