Tell of settings and documents of operators that are nested too deeply

No gateway reads such documents.

Cause: the parser is recursive and throws a RangeError, which its callers, two copies of the same code, did not expect.

Change: both use parseJsonc, which returns that as an error of the document. Fields that an entry node does not know stay errors, as its settings page says.

Test: "tells of a document that is nested too deeply" in parse-settings.test.ts throws without the change, and passes with it.

--- a/src/operator-cli/document-file.ts
+++ b/src/operator-cli/document-file.ts
@@ -1,7 +1,6 @@
 import { readFileSync } from 'node:fs'
 
-import { parse, printParseErrorCode, type ParseError } from 'jsonc-parser'
-
+import { parseJsonc } from '../settings/jsonc.js'
 import type { Result } from '../shared/result.js'
 import { parseDeclaration, parseFleetConfig, type Declaration } from '../state/fleet-config-schema.js'
 import type { FleetConfig } from '../state/fleet-config.js'
@@ -39,13 +38,9 @@
 }
 
 function readDocument (path: string): unknown {
-  const text = readText(path)
-  const errors: ParseError[] = []
-  const document: unknown = parse(text, errors, { allowTrailingComma: true })
-  const first = errors[0]
-  if (first === undefined) return document
-  const line = text.slice(0, first.offset).split('\n').length
-  throw new CliError(ExitCode.Usage, `${path}: line ${line}: ${printParseErrorCode(first.error)}`)
+  const document = parseJsonc(readText(path))
+  if (document.isOk) return document.value
+  throw new CliError(ExitCode.Usage, `${path}: line ${document.error.line}: ${document.error.reason}`)
 }
 
 function unwrapDocument<T> (path: string, parsed: Result<T, readonly FieldProblem[]>): T {
--- a/src/settings/parse-settings.test.ts
+++ b/src/settings/parse-settings.test.ts
@@ -62,6 +62,12 @@
       expect(parsed.isOk ? [] : describeSettingsError(parsed.error)).to.deep.equal(['line 2, column 12: ColonExpected'])
     })
 
+    // Guards against a stack trace, and the exit code of another failure, instead of a message about the file.
+    it('tells of a document that is nested too deeply', () => {
+      const parsed = parseSettings(`{ "nodeId": ${'['.repeat(200_000)}`, entrySettingsSchema)
+      expect(parsed.isOk ? [] : describeSettingsError(parsed.error)).to.deep.equal(['line 1, column 1: the document is nested too deeply'])
+    })
+
     it('names a file that does not exist', () => {
       const loaded = loadSettings('no-such-file.jsonc', entrySettingsSchema)
       expect(loaded.isOk ? '' : describeSettingsError(loaded.error)[0]).to.contain('file "no-such-file.jsonc" is not readable')
--- a/src/settings/parse-settings.ts
+++ b/src/settings/parse-settings.ts
@@ -1,10 +1,10 @@
 import { readFileSync } from 'node:fs'
 
-import { parse, printParseErrorCode, type ParseError } from 'jsonc-parser'
 import { z } from 'zod'
 
 import { quoteValue } from '../shared/quote-value.js'
 import { failure, success, type Result } from '../shared/result.js'
+import { parseJsonc } from './jsonc.js'
 import { SettingsErrorKind, type SettingsProblem, type SettingsError } from './settings-error.js'
 
 const maxShownCharacters = 60
@@ -22,13 +22,8 @@
 
 /** Parses JSON with comments and trailing commas and validates it against the schema. */
 export function parseSettings<T> (text: string, schema: z.ZodType<T>): Result<T, SettingsError> {
-  const syntaxErrors: ParseError[] = []
-  const input: unknown = parse(text, syntaxErrors, { allowTrailingComma: true })
-  const first = syntaxErrors[0]
-  if (first !== undefined) {
-    return failure({ kind: SettingsErrorKind.SyntaxError, ...locate(text, first.offset), reason: printParseErrorCode(first.error) })
-  }
-  return validateFields(input, schema)
+  const document = parseJsonc(text)
+  return document.isOk ? validateFields(document.value, schema) : failure({ kind: SettingsErrorKind.SyntaxError, ...document.error })
 }
 
 /** Validates a parsed value against the schema; the error names every invalid field. */
@@ -39,11 +34,6 @@
   return failure({ kind: SettingsErrorKind.InvalidFields, problems })
 }
 
-function locate (text: string, offset: number): { line: number, column: number } {
-  const before = text.slice(0, offset).split('\n')
-  return { line: before.length, column: (before.at(-1)?.length ?? 0) + 1 }
-}
-
 function toProblems (issue: z.core.$ZodIssue, input: unknown): SettingsProblem[] {
   if (issue.code === 'unrecognized_keys') {
     return issue.keys.map(key => ({
