Take event IDs of any size

A stream whose events have IDs of 16 digits or more, such as times in microseconds or numbers of 64 bits, breaks at its first event; clients get 502, on every server.

IDs were compared as doubles, so that those with more than 15 digits were rejected.

Change: IDs are compared by their digits. One of more than 100 digits is still rejected, since it is sent on in a header where a stream is resumed.

Test: "may be numbers of any size, also where a stream is resumed" in stream-forwarding.test.ts fails without the change, and passes with it.

--- a/src/gateway/stream-attempt.ts
+++ b/src/gateway/stream-attempt.ts
@@ -9,6 +9,7 @@
   buildBackendRequest, foreignResponseReason, isEndPlanned, isForeignResponse, isSuccess, logUnconfirmedEnd, noMemoryReason, readServerHead, unconfirmedEndReason,
   type Call, type CallDependencies
 } from './call-context.js'
+import { isEventId, isEventIdAfter } from './event-id.js'
 import type { ServerResponseInfo } from './wire-codec.js'
 
 /** Why an attempt at one replica ended before the end of the stream. The values are logged. */
@@ -63,8 +64,6 @@
 }
 
 const successStatus = 200
-/** Ids are compared as numbers and sent on in a header when a stream is resumed. Fifteen digits are exact in a double. */
-const eventIdPattern = /^\d{1,15}$/
 /** An error response larger than this is not forwarded, and its connection is closed. Servers explain errors in a few hundred bytes. */
 const maxErrorBodyBytes = 65_536
 /** An event holds the text of a few tokens. The limit bounds the memory of each stream. */
@@ -173,11 +172,12 @@
 
   function handleEvent (event: FramedSseEvent, responseHead: ResponseHead): void {
     const lastEventId = getLastEventId()
-    if (event.id !== undefined && !eventIdPattern.test(event.id)) {
+    if (event.id !== undefined && !isEventId(event.id)) {
       lose('the id of an event is not a whole number')
       return
     }
-    if (event.id !== undefined && lastEventId !== undefined && Number(event.id) <= Number(lastEventId)) {
+    // A client's own Last-Event-Id may be anything.
+    if (event.id !== undefined && lastEventId !== undefined && isEventId(lastEventId) && !isEventIdAfter(event.id, lastEventId)) {
       lose(`event ${event.id} arrived after event ${lastEventId}`)
       return
     }
--- a/src/gateway/stream-forwarding.test.ts
+++ b/src/gateway/stream-forwarding.test.ts
@@ -45,6 +45,35 @@
     })
   })
 
+  describe('the IDs of events', () => {
+    // Guards against streams that break at their first or second event, since the IDs, of 64 bits, are compared as doubles or have too many digits.
+    it('may be numbers of any size, also where a stream is resumed', () => {
+      const harness = createStreamHarness({ serverIds: ['a', 'b'], route: { pauseObjectiveMs: 500 } })
+      const first = harness.start()
+      first.sendEvent('9223372036854775806')
+      first.sendEvent('9223372036854775807')
+      first.reset()
+      harness.timers.advance(100)
+      const resumed = harness.attempts[1]
+      expect(resumed?.lastEventId).to.equal('9223372036854775807')
+      resumed?.sendEvent('9223372036854775808')
+      resumed?.sendEvent('10000000000000000000')
+      resumed?.end()
+      expect(harness.response).to.include({ isEnded: true, destroyed: false })
+      expect(harness.response.body.match(/^id: .*$/gm)).to.deep.equal(['9223372036854775806', '9223372036854775807', '9223372036854775808', '10000000000000000000'].map(id => `id: ${id}`))
+    })
+
+    for (const id of ['9007199254740992', '9007199254740991', '00009007199254740992', '1'.repeat(101), 'a', '-1', '']) {
+      it(`may not be ${JSON.stringify(id)} after 9007199254740992`, () => {
+        const harness = createStreamHarness({ serverIds: ['a'], route: { pauseObjectiveMs: 500 } })
+        const first = harness.start()
+        first.sendEvent('9007199254740992')
+        first.sendEvent(id)
+        expect(first.isAborted).to.equal(true)
+      })
+    }
+  })
+
   describe('a refusal of another request', () => {
     // Guards against telling a client "not run" for a stream that a server may be running (REFUSED).
     it('is no refusal of the stream', () => {
--- a/src/testing/stream-harness.ts
+++ b/src/testing/stream-harness.ts
@@ -41,7 +41,7 @@
   isAborted: boolean
   /** Begins the response without an event. */
   sendHead (): void
-  sendEvent (id: number): void
+  sendEvent (id: number | string): void
   sendBytes (text: string): void
   /** Ends the response in order. */
   end (): void
