--- a/src/settings/toml-fields.ts
+++ b/src/settings/toml-fields.ts
@@ -51,11 +51,11 @@
   if (!isHeader && (equalsIndex === undefined || !hasValue(text, equalsIndex + 1))) return undefined
   const endIndex = findStatementEnd(text, equalsIndex ?? startIndex)
   if (endIndex === undefined) return undefined
-  const path = isHeader ? readPath(text.slice(startIndex, endIndex).trimEnd()) : readPath(`${text.slice(startIndex, equalsIndex)}={}`)
+  const path = readPath(isHeader ? text.slice(startIndex, endIndex).trimEnd() : `${text.slice(startIndex, equalsIndex)}={}`)
   return path === undefined ? undefined : { startIndex, endIndex, path: isHeader ? path : [...tablePath, ...path], isHeader }
 }
 
-/** Reads the keys of a statement that defines one empty table. */
+/** Reads the keys of a statement that defines one empty table, or an array with one. */
 function readPath (statementText: string): string[] | undefined {
   const path: string[] = []
   try {
@@ -63,7 +63,6 @@
     while (entry !== undefined) {
       const [key, value] = entry
       path.push(key)
-      // A header in double brackets defines an array of tables.
       entry = Object.entries(Array.isArray(value) ? value[0] as object : value)[0]
     }
   } catch {
