--- a/src/shared/timer-service.ts
+++ b/src/shared/timer-service.ts
@@ -31,9 +31,9 @@
   let handle: NodeJS.Timeout
 
   function wait (remainingMs: number): void {
-    handle = remainingMs <= maxTimeoutMs
-      ? setTimeout(listener, remainingMs)
-      : setTimeout(() => wait(remainingMs - maxTimeoutMs), maxTimeoutMs)
+    handle = remainingMs > maxTimeoutMs
+      ? setTimeout(() => wait(remainingMs - maxTimeoutMs), maxTimeoutMs)
+      : setTimeout(listener, remainingMs)
   }
 
   wait(timeoutMs)
