Start ordinary timers without the steps of long ones

A million timers that are started and cancelled took 4.4 to 5.2 us each with the steps and 2.3 to 2.8 us before, beside load; with the steps for long delays alone 2.0 to 3.2 us.

--- a/src/shared/timer-service.ts
+++ b/src/shared/timer-service.ts
@@ -26,8 +26,8 @@
   return delayMs <= 0 ? 0 : Math.ceil(delayMs) + 1
 }
 
-/** Starts a timeout of any length, in several steps if Node.js's timers don't hold it. */
-function startTimeout (timeoutMs: number, listener: () => void): TimerSubscription {
+/** Starts a timeout in steps that Node.js's timers hold. */
+function startLongTimeout (timeoutMs: number, listener: () => void): TimerSubscription {
   let handle: NodeJS.Timeout
 
   function wait (remainingMs: number): void {
@@ -41,11 +41,11 @@
 }
 
 /** Repeats a timeout that is too long for `setInterval`. */
-function startInterval (intervalMs: number, listener: () => void): TimerSubscription {
-  let timeout = startTimeout(intervalMs, run)
+function startLongInterval (intervalMs: number, listener: () => void): TimerSubscription {
+  let timeout = startLongTimeout(intervalMs, run)
 
   function run (): void {
-    timeout = startTimeout(intervalMs, run)
+    timeout = startLongTimeout(intervalMs, run)
     listener()
   }
 
@@ -57,9 +57,14 @@
   return {
     nowMs: () => performance.now(),
     wallClockMs: () => Date.now(),
-    subscribeOnce: (delayMs, listener) => startTimeout(toTimeoutMs(delayMs), listener),
+    subscribeOnce (delayMs, listener) {
+      const timeoutMs = toTimeoutMs(delayMs)
+      if (timeoutMs > maxTimeoutMs) return startLongTimeout(timeoutMs, listener)
+      const handle = setTimeout(listener, timeoutMs)
+      return { cancel: () => clearTimeout(handle) }
+    },
     subscribeEvery (intervalMs, listener) {
-      if (intervalMs > maxTimeoutMs) return startInterval(intervalMs, listener)
+      if (intervalMs > maxTimeoutMs) return startLongInterval(intervalMs, listener)
       const handle = setInterval(listener, intervalMs)
       return { cancel: () => clearInterval(handle) }
     }
