Ignore unknown fields of inline tables too

Cause: an inline table was one value to the code that leaves unknown fields out.

Change: the members of an inline table whose fields are used are read like statements; values that no setting reads are replaced by 0, since the commas between the members have to stay. Its depth is that of the schema.

--- a/src/settings/toml-fields.ts
+++ b/src/settings/toml-fields.ts
@@ -1,37 +1,94 @@
 /** Splits a TOML document into its statements without reading their values. */
 import { parse } from 'smol-toml'
 
+/** What a program does with the field or table at a path. */
+export enum FieldUse {
+  /** It does not know the field, and ignores it. */
+  None = 'none',
+  /** It uses the value. */
+  Value = 'value',
+  /** It uses some of the table's fields. */
+  Table = 'table'
+}
+
+type GetFieldUse = (path: readonly string[]) => FieldUse
+
 /** A table header, or a key with its value. */
 interface Statement {
   readonly startIndex: number
   readonly endIndex: number
+  /** Index behind the equals sign; undefined for a header. */
+  readonly valueIndex: number | undefined
   /** Keys from the root table to the table or value. */
   readonly path: readonly string[]
-  readonly isHeader: boolean
 }
 
+/** A part of the document that is to be replaced. */
+interface Replacement {
+  readonly startIndex: number
+  readonly endIndex: number
+  readonly text: string
+}
+
+const statementEnds = ['\n', '#', '']
+const memberEnds = [',', '}']
+
 /**
- * Removes the tables and values of a TOML document that `isKnown` rejects by their path. Line breaks stay, so that positions in later
- * errors are those of the document. Values that are removed are not interpreted: a type, range or depth that the parser does not
- * support is no error there. Returns undefined when a statement is incomplete, such as a string without its closing quote: what
- * follows it can't be told from its content.
+ * Removes the tables and values of a TOML document that the program does not use. Line breaks stay, so that positions in later errors are
+ * those of the document. Values that are removed are not interpreted: a type, range or depth that the parser does not support is no error
+ * there. Returns undefined when a statement is incomplete, such as a string without its closing quote: what follows it can't be told from
+ * its content.
  */
-export function removeUnknownFields (text: string, isKnown: (path: readonly string[]) => boolean): string | undefined {
-  let kept = ''
-  let keptUntilIndex = 0
+export function removeUnknownFields (text: string, getUse: GetFieldUse): string | undefined {
+  const replacements: Replacement[] = []
   let tablePath: readonly string[] = []
   for (let index = findStatementStart(text, 0); index < text.length;) {
     const statement = readStatement(text, index, tablePath)
     if (statement === undefined) return undefined
-    const { startIndex, endIndex, path, isHeader } = statement
-    if (isHeader) tablePath = path
-    if (!isKnown(path)) {
-      kept += text.slice(keptUntilIndex, startIndex) + text.slice(startIndex, endIndex).replace(/[^\n]/g, '')
-      keptUntilIndex = endIndex
+    const { startIndex, endIndex, valueIndex, path } = statement
+    if (valueIndex === undefined) tablePath = path
+    const use = getUse(path)
+    if (use === FieldUse.None) replacements.push({ startIndex, endIndex, text: '' })
+    if (use === FieldUse.Table && valueIndex !== undefined) {
+      const members = listUnknownMembers(text, valueIndex, path, getUse)
+      if (members === undefined) return undefined
+      replacements.push(...members)
     }
     index = findStatementStart(text, endIndex)
   }
-  return kept + text.slice(keptUntilIndex)
+  return applyReplacements(text, replacements)
+}
+
+function applyReplacements (text: string, replacements: readonly Replacement[]): string {
+  let result = ''
+  let index = 0
+  for (const { startIndex, endIndex, text: replacement } of replacements) {
+    result += text.slice(index, startIndex) + replacement + text.slice(startIndex, endIndex).replace(/[^\n]/g, '')
+    index = endIndex
+  }
+  return result + text.slice(index)
+}
+
+/** Lists the values of an inline table that the program does not use. They are replaced, since the commas between its members have to stay. */
+function listUnknownMembers (text: string, valueIndex: number, tablePath: readonly string[], getUse: GetFieldUse): Replacement[] | undefined {
+  const braceIndex = findStatementStart(text, valueIndex)
+  // Another value than a table is left to the parser and the schema.
+  if (text[braceIndex] !== '{') return []
+  const replacements: Replacement[] = []
+  for (let index = findStatementStart(text, braceIndex + 1); text[index] !== '}';) {
+    const member = readAssignment(text, index, tablePath, memberEnds)
+    if (member === undefined) return undefined
+    const { endIndex, path } = member
+    const use = getUse(path)
+    if (use === FieldUse.None) replacements.push({ startIndex: member.valueIndex, endIndex, text: '0' })
+    if (use === FieldUse.Table) {
+      const members = listUnknownMembers(text, member.valueIndex, path, getUse)
+      if (members === undefined) return undefined
+      replacements.push(...members)
+    }
+    index = text[endIndex] === ',' ? findStatementStart(text, endIndex + 1) : endIndex
+  }
+  return replacements
 }
 
 /** Skips white space, line breaks and comments. */
@@ -46,13 +103,21 @@
 }
 
 function readStatement (text: string, startIndex: number, tablePath: readonly string[]): Statement | undefined {
-  const isHeader = text[startIndex] === '['
-  const equalsIndex = isHeader ? undefined : findOutsideStrings(text, startIndex, character => character === '=')
-  if (!isHeader && (equalsIndex === undefined || !hasValue(text, equalsIndex + 1))) return undefined
-  const endIndex = findStatementEnd(text, equalsIndex ?? startIndex)
-  if (endIndex === undefined) return undefined
-  const path = readPath(isHeader ? text.slice(startIndex, endIndex).trimEnd() : `${text.slice(startIndex, equalsIndex)}={}`)
-  return path === undefined ? undefined : { startIndex, endIndex, path: isHeader ? path : [...tablePath, ...path], isHeader }
+  if (text[startIndex] !== '[') return readAssignment(text, startIndex, tablePath, statementEnds)
+  const endIndex = findValueEnd(text, startIndex, statementEnds)
+  const path = endIndex === undefined ? undefined : readPath(text.slice(startIndex, endIndex).trimEnd())
+  return endIndex === undefined || path === undefined ? undefined : { startIndex, endIndex, valueIndex: undefined, path }
+}
+
+/** Reads a key and the extent of its value, which ends before one of the characters in `ends`. */
+function readAssignment (text: string, startIndex: number, tablePath: readonly string[], ends: readonly string[]): (Statement & { readonly valueIndex: number }) | undefined {
+  const equalsIndex = findOutsideStrings(text, startIndex, character => character === '=')
+  if (equalsIndex === undefined) return undefined
+  const valueIndex = equalsIndex + 1
+  const endIndex = findValueEnd(text, valueIndex, ends)
+  if (endIndex === undefined || text.slice(valueIndex, endIndex).trim() === '') return undefined
+  const path = readPath(`${text.slice(startIndex, equalsIndex)}={}`)
+  return path === undefined ? undefined : { startIndex, endIndex, valueIndex, path: [...tablePath, ...path] }
 }
 
 /** Reads the keys of a statement that defines one empty table, or an array with one. */
@@ -72,32 +137,29 @@
   return path
 }
 
-/** Whether the rest of the line holds more than white space and a comment. */
-function hasValue (text: string, fromIndex: number): boolean {
-  return !/^\s*(#|$)/.test(text.slice(fromIndex, findLineEnd(text, fromIndex)))
-}
-
-/** Returns the index of the line break, comment or end of the document that ends the statement. */
-function findStatementEnd (text: string, fromIndex: number): number | undefined {
+/** Returns the index of the first of the characters in `ends` that is neither in a string nor in brackets; an empty one is the end of the document. */
+function findValueEnd (text: string, fromIndex: number, ends: readonly string[]): number | undefined {
   const closingBrackets: string[] = []
   let isBalanced = true
-  const endIndex = findOutsideStrings(text, fromIndex, (character, index) => {
+  const endIndex = findOutsideStrings(text, fromIndex, character => {
+    if (closingBrackets.length === 0 && ends.includes(character)) return true
     if (character === '[') closingBrackets.push(']')
     else if (character === '{') closingBrackets.push('}')
-    else if (character === ']' || character === '}') isBalanced &&= closingBrackets.pop() === character
-    return !isBalanced || (closingBrackets.length === 0 && (character === '\n' || character === '#' || index === text.length))
+    else if (character === ']' || character === '}') isBalanced = closingBrackets.pop() === character
+    return !isBalanced
   })
-  return isBalanced && closingBrackets.length === 0 ? endIndex : undefined
+  return isBalanced ? endIndex : undefined
 }
 
 /**
  * Returns the index of the first character outside strings for which `matches` holds, or undefined when there is none or a string does
- * not end. Inside brackets a comment is skipped. `matches` is also called with an empty character at the end of the document.
+ * not end. A comment is skipped unless its first character matches. `matches` is also called with an empty character at the end of the
+ * document.
  */
-function findOutsideStrings (text: string, fromIndex: number, matches: (character: string, index: number) => boolean): number | undefined {
+function findOutsideStrings (text: string, fromIndex: number, matches: (character: string) => boolean): number | undefined {
   for (let index = fromIndex; index <= text.length;) {
     const character = text[index] ?? ''
-    if (matches(character, index)) return index
+    if (matches(character)) return index
     if (character === '#') {
       index = findLineEnd(text, index)
     } else if (character === '"' || character === "'") {
